--- /dev/null
+++ b/crates/budget/src/grant.rs
@@ -0,0 +1,167 @@
+//! The tokens of one budget that one router holds.
+//!
+//! Tokens are reserved before a request is dispatched (I6), charged when its usage is known, and settled
+//! with the platform later. A grant has no expiry: what a router holds stays its own until it says what
+//! became of it, so neither a pause nor a wrong clock can make two routers spend the same token (I1).
+
+use crate::ledger::{Charge, Credit, Entry, Line};
+
+/// The tokens of one budget held by this router.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Grant {
+    available: u64,
+    reserved: u64,
+    unknown: u64,
+    charges: Vec<Charge>,
+    sent: u64,
+    received: u64,
+    line: Line,
+    open: Option<Entry>,
+}
+
+/// The outcome of a reservation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reserve {
+    /// The tokens are reserved.
+    Held,
+    /// So many tokens are missing.
+    Short(u64),
+}
+
+impl Grant {
+    /// Tokens that can be reserved now.
+    pub fn available(&self) -> u64 {
+        self.available
+    }
+
+    /// Tokens reserved by requests in progress.
+    pub fn reserved(&self) -> u64 {
+        self.reserved
+    }
+
+    /// Tokens of runs whose end is not known; they are held, not spent again.
+    pub fn unknown(&self) -> u64 {
+        self.unknown
+    }
+
+    /// Every token this router answers for: what its death would strand.
+    pub fn total(&self) -> u64 {
+        let settling = self
+            .open
+            .as_ref()
+            .map_or(0, |entry| sum(&entry.charges) + entry.returned);
+        self.available + self.reserved + self.unknown + sum(&self.charges) + settling
+    }
+
+    /// Reserves the worst case of a request.
+    pub fn reserve(&mut self, tokens: u64) -> Reserve {
+        match self.available.checked_sub(tokens) {
+            Some(rest) => {
+                self.available = rest;
+                self.reserved += tokens;
+                Reserve::Held
+            }
+            None => Reserve::Short(tokens - self.available),
+        }
+    }
+
+    /// Gives back a reservation whose request certainly consumed nothing.
+    pub fn release(&mut self, tokens: u64) {
+        self.reserved -= tokens;
+        self.available += tokens;
+    }
+
+    /// Turns a reservation into a charge; what was not used becomes available.
+    ///
+    /// A charge above its reservation is cut to it, so a wrong report can't break I1. Returns the tokens
+    /// that were cut off.
+    pub fn charge(&mut self, reserved: u64, mut charge: Charge) -> u64 {
+        let excess = charge.tokens.saturating_sub(reserved);
+        charge.tokens -= excess;
+        self.reserved -= reserved;
+        self.available += reserved - charge.tokens;
+        if charge.tokens > 0 {
+            self.charges.push(charge);
+        }
+        excess
+    }
+
+    /// Keeps the reservation of a run whose end is not known.
+    pub fn lose(&mut self, reserved: u64) {
+        self.reserved -= reserved;
+        self.unknown += reserved;
+    }
+
+    /// Ends a run that was [lost](Grant::lose), once what it consumed is known.
+    pub fn find(&mut self, reserved: u64, charge: Charge) -> u64 {
+        self.unknown -= reserved;
+        self.reserved += reserved;
+        self.charge(reserved, charge)
+    }
+
+    /// Takes tokens out for a peer, keeping `keep` available.
+    pub fn give(&mut self, tokens: u64, keep: u64) -> u64 {
+        let given = tokens.min(self.available.saturating_sub(keep));
+        self.available -= given;
+        self.sent += given;
+        given
+    }
+
+    /// Adds tokens that a peer took out.
+    pub fn receive(&mut self, tokens: u64) {
+        self.available += tokens;
+        self.received += tokens;
+    }
+
+    /// Whether there is something to settle.
+    pub fn is_dirty(&self) -> bool {
+        !self.charges.is_empty() || self.sent + self.received > 0
+    }
+
+    /// Whether a batch with an entry of this grant is on its way.
+    pub fn is_open(&self) -> bool {
+        self.open.is_some()
+    }
+
+    /// Opens an entry for the next batch; `None` if one is on its way.
+    ///
+    /// `target` is how many available tokens this router should have, `need` how many are missing for
+    /// waiting requests. More than twice the target is given back.
+    pub fn open(&mut self, target: u64, need: u64, credits: Vec<Credit>) -> Option<Entry> {
+        if self.open.is_some() {
+            return None;
+        }
+        let excess = if self.available > target.saturating_mul(2) && need == 0 {
+            self.available - target
+        } else {
+            0
+        };
+        self.available -= excess;
+        let entry = Entry {
+            charges: std::mem::take(&mut self.charges),
+            credits,
+            returned: excess,
+            sent: std::mem::take(&mut self.sent),
+            received: std::mem::take(&mut self.received),
+            want: target.saturating_sub(self.available).max(need),
+            need,
+        };
+        self.open = Some(entry.clone());
+        Some(entry)
+    }
+
+    /// Closes the open entry with the line that the platform now holds.
+    ///
+    /// Also right when the answer was lost and the line was read back: the sums are cumulative.
+    pub fn close(&mut self, line: &Line) {
+        if self.open.take().is_some() {
+            self.available += line.granted - self.line.granted;
+            self.available += line.voided - self.line.voided;
+            self.line = *line;
+        }
+    }
+}
+
+fn sum(charges: &[Charge]) -> u64 {
+    charges.iter().map(|charge| charge.tokens).sum()
+}
--- /dev/null
+++ b/crates/budget/src/ledger.rs
@@ -0,0 +1,226 @@
+//! The rows kept by the platform, and the transaction that moves tokens between them.
+//!
+//! A [`Pool`] row holds what a budget still has; an [`Account`] row, written by one router only, holds the
+//! cumulative sums of what that router drew, spent and gave back. Because the sums are cumulative and the
+//! account has a sequence, a transaction whose answer was lost is repeated or recognised without harm.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One prepayment, identified so that it counts once however often it is applied (I5).
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Credit {
+    /// The identifier, for example an invoice number; unique in its budget.
+    pub id: String,
+    /// Prepaid tokens.
+    pub tokens: u64,
+}
+
+/// What one request cost.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Charge {
+    /// The request's identifier in the fleet.
+    pub request: String,
+    /// The caller's idempotency key, if it sent one: the charge counts once for each key (I2).
+    pub key: Option<String>,
+    /// Tokens consumed.
+    pub tokens: u64,
+}
+
+/// The state of one budget at the platform.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Pool {
+    /// Tokens that no router holds.
+    pub free: u64,
+    /// Tokens held by routers.
+    pub outstanding: u64,
+    /// Tokens spent.
+    pub spent: u64,
+    /// The credits applied so far.
+    pub credits: BTreeMap<String, u64>,
+}
+
+impl Pool {
+    /// Adds a credit unless its identifier was added before (I5).
+    pub fn credit(&mut self, id: &str, tokens: u64) -> bool {
+        if self.credits.contains_key(id) {
+            return false;
+        }
+        self.credits.insert(id.to_owned(), tokens);
+        self.free += tokens;
+        true
+    }
+
+    /// Tokens ever prepaid.
+    pub fn credited(&self) -> u64 {
+        self.credits.values().sum()
+    }
+
+    /// Whether every prepaid token is in exactly one place (I1).
+    pub fn balance(&self) -> bool {
+        self.credited() == self.free + self.outstanding + self.spent
+    }
+}
+
+/// One router's cumulative sums for one budget, in tokens.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Line {
+    /// Drawn from the pool.
+    pub granted: u64,
+    /// Charged to the budget.
+    pub spent: u64,
+    /// Consumed, but not charged because another router charged the same request.
+    pub voided: u64,
+    /// Given back to the pool.
+    pub returned: u64,
+    /// Handed to other routers.
+    pub sent: u64,
+    /// Taken over from other routers.
+    pub received: u64,
+}
+
+impl Line {
+    /// Tokens that the router held when the line was written; what its death strands at most, but for
+    /// transfers that no line shows yet.
+    pub fn held(&self) -> u64 {
+        (self.granted + self.received).saturating_sub(self.spent + self.returned + self.sent)
+    }
+}
+
+/// One router's row.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Account {
+    /// The sequence of the last batch that took effect.
+    pub sequence: u64,
+    /// The sums for each budget.
+    pub lines: BTreeMap<String, Line>,
+}
+
+/// What one router asks for one budget in a batch.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Entry {
+    /// Charges to settle.
+    pub charges: Vec<Charge>,
+    /// Credits named by the bundle in force.
+    pub credits: Vec<Credit>,
+    /// Unused tokens to give back.
+    pub returned: u64,
+    /// Tokens handed to other routers since the last batch.
+    pub sent: u64,
+    /// Tokens taken over from other routers since the last batch.
+    pub received: u64,
+    /// Tokens wanted, so that requests can be served through an outage.
+    pub want: u64,
+    /// Tokens without which a waiting request is refused.
+    pub need: u64,
+}
+
+/// Everything one router settles in one transaction.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Batch {
+    /// The number of this batch in its account, from 1.
+    pub sequence: u64,
+    /// The entries by budget.
+    pub entries: BTreeMap<String, Entry>,
+}
+
+/// Why a batch can't be posted.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The batch took effect before.
+    #[error("batch {0} was posted before")]
+    Posted(u64),
+    /// The account has a gap before this batch.
+    #[error("batch {0} does not follow the account's last one")]
+    Gap(u64),
+    /// The row would lose or invent tokens; nothing is written.
+    #[error("pool {0} does not hold the tokens that the batch settles")]
+    Imbalance(String),
+}
+
+/// Posts `batch` to the rows; on an error the rows must not be written.
+///
+/// `charged` says whether another request already charged this key of this budget (I2). `fleet` is the
+/// number of routers that draw on the pools: the scarcer a pool, the smaller the grant beyond the need.
+///
+/// # Errors
+/// See [`Error`].
+pub fn post(
+    account: &mut Account,
+    pools: &mut BTreeMap<String, Pool>,
+    charged: &impl Fn(&KeyRef<'_>) -> bool,
+    batch: &Batch,
+    fleet: u64,
+) -> Result<(), Error> {
+    if batch.sequence <= account.sequence {
+        return Err(Error::Posted(batch.sequence));
+    }
+    if batch.sequence > account.sequence + 1 {
+        return Err(Error::Gap(batch.sequence));
+    }
+    for (budget, entry) in &batch.entries {
+        let pool = pools.entry(budget.clone()).or_default();
+        let line = account.lines.entry(budget.clone()).or_default();
+        post_entry(budget, pool, line, charged, entry, fleet)
+            .ok_or_else(|| Error::Imbalance(budget.clone()))?;
+    }
+    account.sequence = batch.sequence;
+    Ok(())
+}
+
+/// A request identity within a budget.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeyRef<'a> {
+    /// The budget.
+    pub budget: &'a str,
+    /// The caller's idempotency key.
+    pub key: &'a str,
+    /// The request that wants to charge it.
+    pub request: &'a str,
+}
+
+fn post_entry(
+    budget: &str,
+    pool: &mut Pool,
+    line: &mut Line,
+    charged: &impl Fn(&KeyRef<'_>) -> bool,
+    entry: &Entry,
+    fleet: u64,
+) -> Option<()> {
+    for credit in &entry.credits {
+        pool.credit(&credit.id, credit.tokens);
+    }
+    let mut seen = BTreeSet::new();
+    for charge in &entry.charges {
+        let identity = charge.key.as_deref().map(|key| KeyRef {
+            budget,
+            key,
+            request: &charge.request,
+        });
+        if identity.is_some_and(|identity| charged(&identity) || !seen.insert(identity.key)) {
+            line.voided += charge.tokens;
+        } else {
+            line.spent += charge.tokens;
+            pool.spent += charge.tokens;
+            pool.outstanding = pool.outstanding.checked_sub(charge.tokens)?;
+        }
+    }
+    pool.outstanding = pool.outstanding.checked_sub(entry.returned)?;
+    pool.free += entry.returned;
+    line.returned += entry.returned;
+    line.sent += entry.sent;
+    line.received += entry.received;
+
+    let grant = size(pool.free, entry.want, entry.need, fleet);
+    pool.free -= grant;
+    pool.outstanding += grant;
+    line.granted += grant;
+    pool.balance().then_some(())
+}
+
+/// Sizes a grant: the need if the pool has it, and beyond it at most half of this router's equal share.
+fn size(free: u64, want: u64, need: u64, fleet: u64) -> u64 {
+    let share = free / (2 * fleet.max(1));
+    want.min(share).max(need).min(free)
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,215 @@
+//! An HTTP client whose errors say whether the request can have reached the peer.
+//!
+//! ```no_run
+//! # net::exec::block_on(async {
+//! let client = net::Client::new();
+//! let request = http::Request::get("http://127.0.0.1:8080/live").body(net::Body::empty()).unwrap();
+//! let answer = client.send("probe", request).await?;
+//! # Ok::<(), net::Error>(()) }).unwrap();
+//! ```
+
+use crate::body::{self, Body};
+use crate::exec::{self, Spawner};
+use http::{Request, Response, Uri};
+use hyper::body::{Bytes, Incoming};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// How long a connection attempt may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
+/// How long an unused connection is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Unused connections kept for one peer.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// Whether a failed request can have reached the peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The peer certainly never saw the request.
+    Unsent,
+    /// The peer may have seen and executed it.
+    Unknown,
+}
+
+/// A request that got no complete answer.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{step} at {peer}: {reason}")]
+pub struct Error {
+    /// What the caller was doing.
+    pub step: &'static str,
+    /// The address of the peer.
+    pub peer: String,
+    /// Whether the request can have reached the peer.
+    pub fault: Fault,
+    /// The cause in words.
+    pub reason: String,
+}
+
+/// A connection-reusing HTTP/1.1 client; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<Connector, Body>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Client::new()
+    }
+}
+
+impl Client {
+    /// Makes a client without connections.
+    pub fn new() -> Client {
+        let pool = Pool::builder(Spawner)
+            .pool_idle_timeout(IDLE_LIMIT)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .pool_timer(SmolTimer::new())
+            .build(Connector);
+        Client { pool }
+    }
+
+    /// Sends `request` and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// Says whether the request was certainly not sent.
+    pub async fn send(
+        &self,
+        step: &'static str,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, Error> {
+        let peer = request
+            .uri()
+            .authority()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        self.pool.request(request).await.map_err(|error| Error {
+            step,
+            peer,
+            fault: if error.is_connect() {
+                Fault::Unsent
+            } else {
+                Fault::Unknown
+            },
+            reason: describe(&error),
+        })
+    }
+
+    /// Sends `request` and reads the whole answer of at most `limit` bytes within `time`.
+    ///
+    /// # Errors
+    /// As [`Client::send`]; running out of time counts as [`Fault::Unknown`].
+    pub async fn exchange(
+        &self,
+        step: &'static str,
+        request: Request<Body>,
+        limit: usize,
+        time: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let peer = request
+            .uri()
+            .authority()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        let unknown = |reason: String| Error {
+            step,
+            peer: peer.clone(),
+            fault: Fault::Unknown,
+            reason,
+        };
+        let whole = async {
+            let (head, body) = self.send(step, request).await?.into_parts();
+            let bytes = body::collect(body, limit).await.map_err(&unknown)?;
+            Ok(Response::from_parts(head, bytes))
+        };
+        match exec::timeout(time, whole).await {
+            Some(result) => result,
+            None => Err(unknown(format!("no answer within {} ms", time.as_millis()))),
+        }
+    }
+}
+
+/// Joins an error with its causes.
+fn describe(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
+
+/// Opens TCP connections by IP number.
+#[derive(Clone, Copy, Debug)]
+struct Connector;
+
+impl tower_service::Service<Uri> for Connector {
+    type Response = Wire;
+    type Error = io::Error;
+    type Future = futures::future::BoxFuture<'static, io::Result<Wire>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        Box::pin(async move {
+            let address = uri.authority().map(ToString::to_string).unwrap_or_default();
+            let connecting = TcpStream::connect(&address);
+            let stream = exec::timeout(CONNECT_LIMIT, connecting)
+                .await
+                .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
+            stream.set_nodelay(true)?;
+            Ok(Wire {
+                io: FuturesIo::new(stream),
+            })
+        })
+    }
+}
+
+pin_project_lite::pin_project! {
+    /// A client connection as hyper wants it.
+    #[derive(Debug)]
+    struct Wire {
+        #[pin]
+        io: FuturesIo<TcpStream>,
+    }
+}
+
+impl Connection for Wire {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl Read for Wire {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.project().io.poll_read(context, buffer)
+    }
+}
+
+impl Write for Wire {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.project().io.poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.project().io.poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.project().io.poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,17 @@
+//! Plumbing shared by every part: the thread pool, HTTP bodies, an HTTP client and an HTTP server.
+//!
+//! ```
+//! net::exec::start(2);
+//! let answer = net::exec::block_on(async { net::exec::spawn(async { 6 * 7 }).await });
+//! assert_eq!(answer, 42);
+//! ```
+
+mod body;
+mod client;
+pub mod exec;
+mod server;
+pub mod signal;
+
+pub use body::{Body, Pipe, collect, pipe};
+pub use client::{Client, Error, Fault};
+pub use server::{Handle, Limits, serve};
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,165 @@
+//! An HTTP/1.1 server that can stop without cutting off an answer in progress.
+
+use crate::body::Body;
+use crate::exec;
+use async_channel::{Receiver, Sender};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// What one connection may cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Header lines in a request.
+    pub headers: usize,
+    /// Bytes buffered while a head is read.
+    pub buffer: usize,
+    /// Time for a request's head to arrive.
+    pub head_time: Duration,
+    /// Connections open at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            headers: 64,
+            buffer: 16 * 1024,
+            head_time: Duration::from_secs(10),
+            connections: 20_000,
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    open: Arc<AtomicUsize>,
+    stop: Sender<()>,
+}
+
+impl Handle {
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Closes the listener and each connection once its answer is complete.
+    pub fn stop(&self) {
+        self.stop.close();
+    }
+}
+
+/// Listens on `address` and answers each request with `service`.
+///
+/// # Errors
+/// Fails if the address can't be bound.
+pub async fn serve<S, F>(address: SocketAddr, limits: Limits, service: S) -> io::Result<Handle>
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let open = Arc::new(AtomicUsize::new(0));
+    let handle = Handle {
+        address,
+        open: open.clone(),
+        stop,
+    };
+    exec::spawn(accept(listener, limits, service, stopped, open)).detach();
+    Ok(handle)
+}
+
+async fn accept<S, F>(
+    listener: TcpListener,
+    limits: Limits,
+    service: S,
+    stopped: Receiver<()>,
+    open: Arc<AtomicUsize>,
+) where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let next = async { Some(listener.accept().await) };
+        let ended = async {
+            let _ = stopped.recv().await;
+            None
+        };
+        match smol::future::or(next, ended).await {
+            None => return,
+            Some(Err(error)) => {
+                log::warn!("net: accept failed: {error}");
+                exec::sleep(Duration::from_millis(50)).await;
+            }
+            Some(Ok((stream, _))) if open.load(Ordering::Relaxed) >= limits.connections => {
+                log::warn!("net: connection refused, {} are open", limits.connections);
+                drop(stream);
+            }
+            Some(Ok((stream, _))) => {
+                open.fetch_add(1, Ordering::Relaxed);
+                let connection = converse(stream, limits, service.clone(), stopped.clone());
+                let open = open.clone();
+                exec::spawn(async move {
+                    connection.await;
+                    open.fetch_sub(1, Ordering::Relaxed);
+                })
+                .detach();
+            }
+        }
+    }
+}
+
+async fn converse<S, F>(stream: TcpStream, limits: Limits, service: S, stopped: Receiver<()>)
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = service(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_headers(limits.headers)
+        .max_buf_size(limits.buffer)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = async {
+        let _ = stopped.recv().await;
+        false
+    };
+    let complete = smol::future::or(
+        async {
+            let _ = connection.as_mut().await;
+            true
+        },
+        ended,
+    )
+    .await;
+    if !complete {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,112 @@
+//! The messages between routers, and the service that carries them.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use tarpc::context::Context;
+
+/// A heartbeat; the answer to one is one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// The sender's VM.
+    pub name: String,
+    /// Grows whenever the VM's process starts.
+    pub incarnation: u64,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Where its callers reach it.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The bundle sequence in force there.
+    pub sequence: u64,
+    /// The digest of that bundle's manifest.
+    pub manifest: String,
+    /// Upstreams that it knows to be leaving.
+    pub leaving: Vec<String>,
+    /// Whether it is stopping.
+    pub stopping: bool,
+}
+
+/// A request for a loan of tokens. Repeating it with the same `id` lends nothing more.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Borrow {
+    /// Names this request; unique in the fleet.
+    pub id: String,
+    /// The budget.
+    pub budget: String,
+    /// Tokens that are missing.
+    pub tokens: u64,
+}
+
+/// The answer to [`Borrow`]: tokens that the lender no longer has.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lent {
+    /// The tokens.
+    pub tokens: u64,
+}
+
+/// Where a request with an idempotency key is being run, or was.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Whereabouts {
+    /// The budget and the key.
+    pub key: String,
+    /// The router, with its incarnation.
+    pub holder: String,
+    /// Where callers reach that router.
+    pub callers: SocketAddr,
+}
+
+/// What every router offers to the others.
+#[tarpc::service]
+pub trait Link {
+    /// Exchanges heartbeats.
+    async fn beat(beat: Beat) -> Beat;
+    /// Lends tokens.
+    async fn borrow(ask: Borrow) -> Lent;
+    /// Hands out parts of the bundle in force by digest.
+    async fn fetch(digests: Vec<String>) -> Vec<Option<String>>;
+    /// Notes where a request runs; a hint that may be lost.
+    async fn announce(whereabouts: Whereabouts);
+    /// Finds where a request runs, if this router was told.
+    async fn locate(key: String) -> Option<Whereabouts>;
+}
+
+/// What a router does with the calls of others; all of it is in memory, so nothing waits.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Takes in a heartbeat and answers with the router's own.
+    fn beat(&self, beat: Beat) -> Beat;
+    /// Lends tokens.
+    fn borrow(&self, ask: Borrow) -> Lent;
+    /// Hands out parts of the bundle in force by digest.
+    fn fetch(&self, digests: &[String]) -> Vec<Option<String>>;
+    /// Notes where a request runs.
+    fn announce(&self, whereabouts: Whereabouts);
+    /// Finds where a request runs.
+    fn locate(&self, key: &str) -> Option<Whereabouts>;
+}
+
+/// Offers a [`Handler`] as a [`Link`].
+#[derive(Clone, Debug)]
+pub(crate) struct Server<H>(pub(crate) H);
+
+impl<H: Handler> Link for Server<H> {
+    async fn beat(self, _: Context, beat: Beat) -> Beat {
+        self.0.beat(beat)
+    }
+
+    async fn borrow(self, _: Context, ask: Borrow) -> Lent {
+        self.0.borrow(ask)
+    }
+
+    async fn fetch(self, _: Context, digests: Vec<String>) -> Vec<Option<String>> {
+        self.0.fetch(&digests)
+    }
+
+    async fn announce(self, _: Context, whereabouts: Whereabouts) {
+        self.0.announce(whereabouts);
+    }
+
+    async fn locate(self, _: Context, key: String) -> Option<Whereabouts> {
+        self.0.locate(&key)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,185 @@
+//! The platform's services as ports: a transactional table, an object store and a list of VMs.
+//!
+//! [`Http`] is the adapter for the platform's HTTP interface. Every error says whether a write can have
+//! taken effect, because the platform sometimes loses the answer to a write that did.
+//!
+//! ```
+//! use platform::Tx;
+//! let tx = Tx::default().absent("claim/radar/k1").put("claim/radar/k1", &"holder");
+//! assert_eq!(tx.puts[0].value, "\"holder\"");
+//! ```
+
+mod http_adapter;
+
+pub use http_adapter::Http;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+
+/// Whether a failed write can have taken effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It certainly did not and will not.
+    NotApplied,
+    /// It may have, or may still; read it back.
+    Unknown,
+}
+
+/// A call to the platform that failed.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{step} at platform {peer}: {reason}")]
+pub struct Error {
+    /// The call.
+    pub step: &'static str,
+    /// The platform's address.
+    pub peer: String,
+    /// Whether a write can have taken effect.
+    pub fault: Fault,
+    /// The cause in words.
+    pub reason: String,
+}
+
+/// One row of the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Grows with each write of the row; never 0.
+    pub version: u64,
+    /// The content as JSON.
+    pub value: String,
+}
+
+impl Row {
+    /// Decodes the content.
+    ///
+    /// # Errors
+    /// Fails if the content has another shape.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_str(&self.value)
+    }
+}
+
+/// A condition of a transaction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Check {
+    /// The row's key.
+    pub key: String,
+    /// The version it must have; 0 means that it must be absent.
+    pub version: u64,
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Put {
+    /// The row's key.
+    pub key: String,
+    /// The new content as JSON.
+    pub value: String,
+}
+
+/// A conditional transaction: all writes if all checks hold, else none.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tx {
+    /// The conditions.
+    pub checks: Vec<Check>,
+    /// The writes.
+    pub puts: Vec<Put>,
+}
+
+impl Tx {
+    /// Requires that the row is as it was read.
+    #[must_use]
+    pub fn unchanged(mut self, key: impl Into<String>, read: Option<&Row>) -> Tx {
+        let version = read.map_or(0, |row| row.version);
+        self.checks.push(Check {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Requires that the row is absent.
+    #[must_use]
+    pub fn absent(self, key: impl Into<String>) -> Tx {
+        self.unchanged(key, None)
+    }
+
+    /// Writes a row.
+    ///
+    /// # Panics
+    /// Panics if `value` can't be written as JSON, which is a fault of the program.
+    #[must_use]
+    pub fn put(mut self, key: impl Into<String>, value: &impl Serialize) -> Tx {
+        let value = serde_json::to_string(value).expect("rows serialize to JSON");
+        self.puts.push(Put {
+            key: key.into(),
+            value,
+        });
+        self
+    }
+}
+
+/// The platform's verdict on a transaction.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// It took effect.
+    Applied,
+    /// A check failed; nothing was written.
+    Conflict,
+}
+
+/// The transactional table service.
+pub trait Table: Clone + Send + Sync + 'static {
+    /// Reads rows, in the order of `keys`, at one moment.
+    fn read(&self, keys: &[String]) -> impl Future<Output = Result<Vec<Option<Row>>, Error>> + Send;
+
+    /// Reads all rows whose key starts with `prefix`.
+    fn scan(&self, prefix: &str) -> impl Future<Output = Result<BTreeMap<String, Row>, Error>> + Send;
+
+    /// Carries out a transaction.
+    fn commit(&self, tx: &Tx) -> impl Future<Output = Result<Verdict, Error>> + Send;
+}
+
+/// The object store.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Writes an object whole.
+    fn store(&self, key: &str, bytes: Vec<u8>) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Reads an object.
+    fn load(&self, key: &str) -> impl Future<Output = Result<Option<Vec<u8>>, Error>> + Send;
+}
+
+/// What a VM is for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// It runs a router; its address is the one for peers.
+    Router,
+    /// It runs a model engine or a plain service.
+    Upstream,
+}
+
+/// One entry of the list of VMs; the list lags.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Vm {
+    /// The name of the VM, or of the upstream.
+    pub name: String,
+    /// What it is for.
+    pub role: Role,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether the platform is about to take it away.
+    pub leaving: bool,
+}
+
+/// The list of live and leaving VMs.
+pub trait List: Clone + Send + Sync + 'static {
+    /// Reads the list, routers and upstreams alike.
+    fn list(&self) -> impl Future<Output = Result<Vec<Vm>, Error>> + Send;
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,31 @@
+//! Which upstream a request goes to, and when: pure decisions on what this router knows.
+//!
+//! Time comes in as milliseconds of the caller's monotonic clock, so that tests and benches drive the same
+//! code. [`Board`] chooses the upstream, [`Line`] orders the requests that wait, [`share`] splits an
+//! upstream's slots between routers, and [`Budget`] bounds retries.
+//!
+//! ```
+//! use route::{Ask, Board, Pick, Spec};
+//!
+//! let mut board = Board::new("regina-a");
+//! board.set("engine-1", Spec { data_centre: "regina-a".into(), limit: 1, models: vec!["narrator".into()] });
+//! let ask = Ask { model: "narrator", prefix: 7, avoid: &[] };
+//! let Pick::Take(choice) = board.pick(&ask, 0) else { panic!("one is free") };
+//! assert_eq!(choice.upstream, "engine-1");
+//! assert!(matches!(board.pick(&ask, 1), Pick::Wait));
+//! ```
+
+mod board;
+mod health;
+mod line;
+mod retry;
+mod share;
+
+pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View};
+pub use health::Standing;
+pub use line::{Admit, Line, Ticket};
+pub use retry::Budget;
+pub use share::{share, subset};
+
+/// A time in milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,316 @@
+//! The platform: table, objects and VM list in memory, with rate limits, outages and lost answers.
+
+use crate::loopback;
+use http::{Request, Response, StatusCode};
+use hyper::body::{Bytes, Incoming};
+use net::{Body, Handle, Limits};
+use platform::{Row, Tx, Verdict, Vm};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// The largest request body in bytes.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Mode {
+    /// It works.
+    #[default]
+    Up,
+    /// It refuses every call.
+    Down,
+    /// It answers late.
+    Slow(Duration),
+    /// Its next so many commits take effect, and their answers are lost.
+    LoseAnswers(u32),
+}
+
+/// Calls per second that the platform carries.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    /// Commits and object writes.
+    pub writes: f64,
+    /// Reads and scans.
+    pub reads: f64,
+}
+
+/// What the platform was asked.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Commits and object writes that took effect.
+    pub writes: u64,
+    /// Rows written.
+    pub rows: u64,
+    /// Reads and scans.
+    pub reads: u64,
+    /// Commits whose checks failed.
+    pub conflicts: u64,
+    /// Calls over the rates.
+    pub limited: u64,
+    /// Bytes of all request bodies and answers.
+    pub bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    objects: HashMap<String, Bytes>,
+    vms: Vec<Vm>,
+    mode: Mode,
+    counts: Counts,
+    limits: Option<(Bucket, Bucket)>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    level: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket {
+            rate,
+            level: rate,
+            filled: Instant::now(),
+        }
+    }
+
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let gained = now.duration_since(self.filled).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(self.rate);
+        self.filled = now;
+        let enough = self.level >= 1.0;
+        if enough {
+            self.level -= 1.0;
+        }
+        enough
+    }
+}
+
+/// A running platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    state: Arc<Mutex<State>>,
+    server: Arc<Handle>,
+}
+
+impl Platform {
+    /// Starts an empty platform on a free port.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub async fn start() -> io::Result<Platform> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let server = net::serve(loopback(), Limits::default(), move |request| {
+            answer(shared.clone(), request)
+        })
+        .await?;
+        Ok(Platform {
+            state,
+            server: Arc::new(server),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes how it behaves.
+    pub fn set(&self, mode: Mode) {
+        self.lock().mode = mode;
+    }
+
+    /// Limits the calls it carries.
+    pub fn limit(&self, rates: Rates) {
+        self.lock().limits = Some((Bucket::new(rates.writes), Bucket::new(rates.reads)));
+    }
+
+    /// Replaces the VM list; until then it is stale.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.lock().vms = vms;
+    }
+
+    /// What it was asked so far.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts
+    }
+
+    /// The rows whose key starts with `prefix`, for audits.
+    pub fn rows(&self, prefix: &str) -> BTreeMap<String, Row> {
+        scan(&self.lock().rows, prefix)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no thread panics while it holds the platform")
+    }
+}
+
+fn scan(rows: &BTreeMap<String, Row>, prefix: &str) -> BTreeMap<String, Row> {
+    rows.range(prefix.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(prefix))
+        .map(|(key, row)| (key.clone(), row.clone()))
+        .collect()
+}
+
+/// What happens to a call before it is carried out.
+enum Admission {
+    Serve { delay: Duration, lose: bool },
+    Refuse(StatusCode),
+}
+
+fn admit(state: &mut State, write: bool) -> Admission {
+    if let Some((writes, reads)) = &mut state.limits {
+        let bucket = if write { writes } else { reads };
+        if !bucket.take() {
+            state.counts.limited += 1;
+            return Admission::Refuse(StatusCode::TOO_MANY_REQUESTS);
+        }
+    }
+    match state.mode {
+        Mode::Up => Admission::Serve {
+            delay: Duration::ZERO,
+            lose: false,
+        },
+        Mode::Down => Admission::Refuse(StatusCode::SERVICE_UNAVAILABLE),
+        Mode::Slow(delay) => Admission::Serve { delay, lose: false },
+        Mode::LoseAnswers(left) if write => {
+            state.mode = if left > 1 {
+                Mode::LoseAnswers(left - 1)
+            } else {
+                Mode::Up
+            };
+            Admission::Serve {
+                delay: Duration::ZERO,
+                lose: true,
+            }
+        }
+        Mode::LoseAnswers(_) => Admission::Serve {
+            delay: Duration::ZERO,
+            lose: false,
+        },
+    }
+}
+
+async fn answer(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let write = path == "/table/commit" || request.method() == http::Method::PUT;
+    let Ok(body) = net::collect(request.into_body(), BODY_LIMIT).await else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let admission = admit(&mut state.lock().expect("the platform's lock"), write);
+    let (delay, lose) = match admission {
+        Admission::Refuse(status) => return plain(status),
+        Admission::Serve { delay, lose } => (delay, lose),
+    };
+    if !delay.is_zero() {
+        net::exec::sleep(delay).await;
+    }
+    let response = carry_out(
+        &mut state.lock().expect("the platform's lock"),
+        &path,
+        write,
+        &body,
+    );
+    if lose {
+        plain(StatusCode::GATEWAY_TIMEOUT)
+    } else {
+        response
+    }
+}
+
+fn carry_out(state: &mut State, path: &str, write: bool, body: &Bytes) -> Response<Body> {
+    state.counts.bytes += body.len() as u64;
+    if !write {
+        state.counts.reads += 1;
+    }
+    match path {
+        "/table/read" => match serde_json::from_slice::<Vec<String>>(body) {
+            Ok(keys) => {
+                let rows: Vec<_> = keys.iter().map(|key| state.rows.get(key).cloned()).collect();
+                json(state, &rows)
+            }
+            Err(_) => plain(StatusCode::BAD_REQUEST),
+        },
+        "/table/scan" => match serde_json::from_slice::<String>(body) {
+            Ok(prefix) => {
+                let rows = scan(&state.rows, &prefix);
+                json(state, &rows)
+            }
+            Err(_) => plain(StatusCode::BAD_REQUEST),
+        },
+        "/table/commit" => match serde_json::from_slice::<Tx>(body) {
+            Ok(tx) => {
+                let verdict = commit(state, tx);
+                json(state, &verdict)
+            }
+            Err(_) => plain(StatusCode::BAD_REQUEST),
+        },
+        "/vms" => {
+            let vms = state.vms.clone();
+            json(state, &vms)
+        }
+        _ => object(state, path, write, body),
+    }
+}
+
+fn commit(state: &mut State, tx: Tx) -> Verdict {
+    let version = |key: &str| state.rows.get(key).map_or(0, |row| row.version);
+    if !tx.checks.iter().all(|check| version(&check.key) == check.version) {
+        state.counts.conflicts += 1;
+        return Verdict::Conflict;
+    }
+    state.counts.writes += 1;
+    state.counts.rows += tx.puts.len() as u64;
+    for put in tx.puts {
+        let version = state.rows.get(&put.key).map_or(0, |row| row.version) + 1;
+        state.rows.insert(
+            put.key,
+            Row {
+                version,
+                value: put.value,
+            },
+        );
+    }
+    Verdict::Applied
+}
+
+fn object(state: &mut State, path: &str, write: bool, body: &Bytes) -> Response<Body> {
+    let Some(key) = path.strip_prefix("/object/") else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    if write {
+        state.counts.writes += 1;
+        state.objects.insert(key.to_owned(), body.clone());
+        return plain(StatusCode::OK);
+    }
+    match state.objects.get(key) {
+        Some(bytes) => {
+            state.counts.bytes += bytes.len() as u64;
+            Response::new(Body::from(bytes.clone()))
+        }
+        None => plain(StatusCode::NOT_FOUND),
+    }
+}
+
+fn json(state: &mut State, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).expect("answers serialize to JSON");
+    state.counts.bytes += bytes.len() as u64;
+    Response::new(Body::from(bytes))
+}
+
+fn plain(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/upstream/src/http_adapter.rs
@@ -0,0 +1,217 @@
+//! The adapter for engines that speak the OpenAI-shaped protocol over HTTP.
+
+use crate::{Call, Engine, Error, Events, Fault, Load, Obeyed, Order, Outcome, Reply};
+use http::header::CONTENT_TYPE;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use net::{Body, Client};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The largest whole answer, in bytes.
+const ANSWER_LIMIT: usize = 32 << 20;
+/// The media type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Engines over HTTP.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client,
+    router: String,
+    start_limit: Duration,
+    call_limit: Duration,
+}
+
+impl Http {
+    /// Calls engines as `router`; a run must begin to answer within `start_limit`, each other call must
+    /// end within `call_limit`.
+    pub fn new(client: Client, router: String, start_limit: Duration, call_limit: Duration) -> Http {
+        Http {
+            client,
+            router,
+            start_limit,
+            call_limit,
+        }
+    }
+
+    async fn begin(&self, peer: SocketAddr, request: Request<Body>) -> Result<Response<Incoming>, Error> {
+        match net::exec::timeout(self.start_limit, self.client.send("start", request)).await {
+            Some(Ok(answer)) => Ok(answer),
+            Some(Err(error)) => Err(convert(peer, error)),
+            None => Err(Error {
+                step: "start",
+                peer,
+                fault: Fault::Unknown,
+                reason: format!("no answer within {} ms", self.start_limit.as_millis()),
+            }),
+        }
+    }
+
+    async fn json<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<T, Error> {
+        let request = build(step, peer, method, path, Body::from(body))?;
+        let answer = self
+            .client
+            .exchange(step, request, ANSWER_LIMIT, self.call_limit)
+            .await
+            .map_err(|error| convert(peer, error))?;
+        serde_json::from_slice(answer.body()).map_err(|error| Error {
+            step,
+            peer,
+            fault: Fault::Unknown,
+            reason: format!("status {}: {error}", answer.status()),
+        })
+    }
+}
+
+fn build(
+    step: &'static str,
+    peer: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Body,
+) -> Result<Request<Body>, Error> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{peer}{path}"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(body)
+        .map_err(|error| Error {
+            step,
+            peer,
+            fault: Fault::NotRun,
+            reason: error.to_string(),
+        })
+}
+
+fn convert(peer: SocketAddr, error: net::Error) -> Error {
+    let fault = match error.fault {
+        net::Fault::Unsent => Fault::NotRun,
+        net::Fault::Unknown => Fault::Unknown,
+    };
+    Error {
+        step: error.step,
+        peer,
+        fault,
+        reason: error.reason,
+    }
+}
+
+fn is_stream(answer: &Response<Incoming>) -> bool {
+    let media = answer
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    media.is_some_and(|media| media.starts_with(EVENT_STREAM))
+}
+
+impl Engine for Http {
+    async fn start(&self, peer: SocketAddr, call: &Call) -> Result<Reply, Error> {
+        let mut request = build(
+            "start",
+            peer,
+            Method::POST,
+            &call.path,
+            Body::from(call.body.clone()),
+        )?;
+        let headers = request.headers_mut();
+        let texts = [
+            ("x-run-id", &call.run),
+            ("x-router", &self.router),
+            ("x-priority", &call.priority.to_string()),
+        ];
+        for (name, text) in texts {
+            if let Ok(value) = text.parse() {
+                headers.insert(name, value);
+            }
+        }
+        let answer = self.begin(peer, request).await?;
+        let unknown = |reason: String| Error {
+            step: "answer",
+            peer,
+            fault: Fault::Unknown,
+            reason,
+        };
+        match answer.status().as_u16() {
+            200 if is_stream(&answer) => Ok(Reply::Stream(Events::new(peer, answer.into_body()))),
+            200 => {
+                let bytes = net::collect(answer.into_body(), ANSWER_LIMIT)
+                    .await
+                    .map_err(unknown)?;
+                Ok(Reply::Whole(bytes))
+            }
+            // The engine's protocol: a 4xx and a 503 are given before any work starts.
+            status @ (400..=499 | 503) => {
+                let body = net::collect(answer.into_body(), ANSWER_LIMIT)
+                    .await
+                    .map_err(unknown)?;
+                Ok(Reply::Refused { status, body })
+            }
+            status => Err(unknown(format!("status {status}"))),
+        }
+    }
+
+    async fn resume(&self, peer: SocketAddr, run: &str, offset: u64) -> Result<Events, Error> {
+        let path = format!("/v1/streams/{run}?offset={offset}");
+        let request = build("resume", peer, Method::GET, &path, Body::empty())?;
+        let answer = self.begin(peer, request).await?;
+        if answer.status() == 200 && is_stream(&answer) {
+            return Ok(Events::new(peer, answer.into_body()));
+        }
+        let reason = format!("status {}", answer.status());
+        Err(Error {
+            step: "resume",
+            peer,
+            fault: Fault::Unknown,
+            reason,
+        })
+    }
+
+    async fn cancel(&self, peer: SocketAddr, run: &str) -> Result<Outcome, Error> {
+        self.json(
+            "cancel",
+            peer,
+            Method::DELETE,
+            &format!("/v1/streams/{run}"),
+            vec![],
+        )
+        .await
+    }
+
+    async fn load(&self, peer: SocketAddr) -> Result<Load, Error> {
+        self.json("load", peer, Method::GET, "/v1/load", vec![]).await
+    }
+
+    async fn order(&self, peer: SocketAddr, order: &Order) -> Result<Obeyed, Error> {
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        self.json("order", peer, Method::POST, "/v1/orders", body).await
+    }
+}
+
+impl Http {
+    /// Passes a request on to a plain service and hands back its answer as it comes.
+    ///
+    /// # Errors
+    /// Says whether the service can have executed the request.
+    pub async fn forward(
+        &self,
+        peer: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Response<Incoming>, Error> {
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() = format!("http://{peer}{path}").parse().map_err(|_| Error {
+            step: "forward",
+            peer,
+            fault: Fault::NotRun,
+            reason: "the path is not valid".to_owned(),
+        })?;
+        self.begin(peer, request).await
+    }
+}
--- /dev/null
+++ b/crates/yaml/src/lib.rs
@@ -0,0 +1,208 @@
+//! Reading YAML with every mistake at once, each with its line and key path.
+//!
+//! ```
+//! let text = "port: no\nnode:\n  nane: x\n";
+//! #[derive(Debug, Default, serde::Deserialize)]
+//! struct Node { name: Option<String> }
+//! let mistakes = yaml::read(text, |reader, mut root| {
+//!     reader.take::<u16>(&mut root, "port");
+//!     reader.take::<Node>(&mut root, "node");
+//! })
+//! .unwrap_err();
+//! assert_eq!(mistakes[0].line, 1);
+//! assert_eq!(mistakes[1].to_string(), "line 3: node.nane: unknown key");
+//! ```
+
+use marked_yaml::Node;
+use serde::de::DeserializeOwned;
+use serde_yaml_ng::{Mapping, Value};
+use std::collections::BTreeMap;
+
+/// One mistake in a YAML text.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, thiserror::Error)]
+#[error("line {line}: {path}: {reason}")]
+pub struct Mistake {
+    /// The line, from 1; 0 if the place is not in the text.
+    pub line: usize,
+    /// The key path, joined by dots.
+    pub path: String,
+    /// What is wrong, and what is allowed.
+    pub reason: String,
+}
+
+/// Reads `text` with `build`, which takes the root mapping apart.
+///
+/// # Errors
+/// Returns every mistake, in the order of the lines.
+pub fn read<T>(text: &str, build: impl FnOnce(&mut Reader, Mapping) -> T) -> Result<T, Vec<Mistake>> {
+    let root: Value = match serde_yaml_ng::from_str(text) {
+        Ok(value) => value,
+        Err(error) => {
+            let line = error.location().map_or(0, |location| location.line());
+            return Err(vec![Mistake {
+                line,
+                path: "(file)".to_owned(),
+                reason: error.to_string(),
+            }]);
+        }
+    };
+    let Value::Mapping(root) = root else {
+        let reason = "must be a mapping".to_owned();
+        return Err(vec![Mistake {
+            line: 1,
+            path: "(file)".to_owned(),
+            reason,
+        }]);
+    };
+    let mut reader = Reader { mistakes: vec![] };
+    let built = build(&mut reader, root);
+    if reader.mistakes.is_empty() {
+        return Ok(built);
+    }
+    let marked = marked_yaml::parse_yaml(0, text).ok();
+    let mut mistakes: Vec<Mistake> = reader
+        .mistakes
+        .into_iter()
+        .map(|(path, reason)| Mistake {
+            line: marked.as_ref().map_or(0, |root| line_of(root, &path)),
+            path: path.join("."),
+            reason,
+        })
+        .collect();
+    mistakes.sort();
+    Err(mistakes)
+}
+
+/// The line of the deepest part of `path` that the text has.
+fn line_of(root: &Node, path: &[String]) -> usize {
+    let start = |node: &Node| node.span().start().map_or(0, |marker| marker.line());
+    let mut node = root;
+    let mut line = start(root);
+    for key in path {
+        let next = match node {
+            Node::Mapping(mapping) => {
+                let entry = mapping.iter().find(|(name, _)| name.as_str() == key);
+                if let Some((name, _)) = entry {
+                    line = name.span().start().map_or(line, |marker| marker.line());
+                }
+                entry.map(|(_, value)| value)
+            }
+            Node::Sequence(sequence) => key.parse().ok().and_then(|index| sequence.get_node(index)),
+            Node::Scalar(_) => None,
+        };
+        let Some(next) = next else { return line };
+        if !matches!(node, Node::Mapping(_)) {
+            line = start(next).max(line);
+        }
+        node = next;
+    }
+    line
+}
+
+/// Collects mistakes while a text is taken apart.
+#[derive(Debug)]
+pub struct Reader {
+    mistakes: Vec<(Vec<String>, String)>,
+}
+
+impl Reader {
+    /// Notes a mistake.
+    pub fn add(&mut self, path: &[&str], reason: impl Into<String>) {
+        self.mistakes.push((
+            path.iter().map(|part| (*part).to_owned()).collect(),
+            reason.into(),
+        ));
+    }
+
+    /// Whether no mistake was found yet.
+    pub fn is_clean(&self) -> bool {
+        self.mistakes.is_empty()
+    }
+
+    /// Takes the value of `key` out of the root and reads it; `None` if it is absent or wrong.
+    pub fn take<T: DeserializeOwned>(&mut self, root: &mut Mapping, key: &str) -> Option<T> {
+        let value = root.remove(key)?;
+        self.entry(&[key], value)
+    }
+
+    /// As [`Reader::take`], but absence is a mistake.
+    pub fn need<T: DeserializeOwned>(&mut self, root: &mut Mapping, key: &str) -> Option<T> {
+        if !root.contains_key(key) {
+            self.add(&[key], "is missing");
+        }
+        self.take(root, key)
+    }
+
+    /// Takes a mapping from names to `T` out of the root, entry by entry.
+    pub fn take_entries<T: DeserializeOwned>(
+        &mut self,
+        root: &mut Mapping,
+        key: &str,
+    ) -> BTreeMap<String, T> {
+        root.remove(key)
+            .map(|value| self.entries(key, value))
+            .unwrap_or_default()
+    }
+
+    /// Reports what was not taken out of the root.
+    pub fn finish(&mut self, root: &Mapping, allowed: &str) {
+        for key in root.keys() {
+            self.add(
+                &[key.as_str().unwrap_or("?")],
+                format!("unknown key; allowed: {allowed}"),
+            );
+        }
+    }
+
+    fn entries<T: DeserializeOwned>(&mut self, section: &str, value: Value) -> BTreeMap<String, T> {
+        let Value::Mapping(mapping) = value else {
+            self.add(&[section], "must be a mapping from names");
+            return BTreeMap::new();
+        };
+        let mut entries = BTreeMap::new();
+        for (name, value) in mapping {
+            let Some(name) = name.as_str() else {
+                self.add(&[section], "names must be texts");
+                continue;
+            };
+            if !is_name(name) {
+                self.add(
+                    &[section, name],
+                    "a name has 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'",
+                );
+            }
+            if let Some(entry) = self.entry(&[section, name], value) {
+                entries.insert(name.to_owned(), entry);
+            }
+        }
+        entries
+    }
+
+    fn entry<T: DeserializeOwned>(&mut self, path: &[&str], value: Value) -> Option<T> {
+        let mut unknown = vec![];
+        let mut track = serde_path_to_error::Track::new();
+        let tracked = serde_path_to_error::Deserializer::new(value, &mut track);
+        let result: Result<T, _> = serde_ignored::deserialize(tracked, |key| unknown.push(key.to_string()));
+        for key in unknown {
+            let mut path = path.to_vec();
+            path.extend(key.split('.'));
+            self.add(&path, "unknown key");
+        }
+        match result {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                let inner = track.path().to_string().replace('[', ".").replace(']', "");
+                let mut path = path.to_vec();
+                path.extend(inner.split('.').filter(|part| !part.is_empty()));
+                self.add(&path, error.to_string());
+                None
+            }
+        }
+    }
+}
+
+/// Whether a text may name a team, an upstream, a model or a VM.
+pub fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    (1..=64).contains(&name.len()) && name.bytes().all(allowed)
+}
