--- a/crates/budget/src/claim.rs
+++ b/crates/budget/src/claim.rs
@@ -46,8 +46,8 @@
     Dispatch,
     /// Give the recorded answer.
     Replay(Answer),
-    /// Ask this holder for the run in progress; if it is gone, the outcome is unknown.
-    Attach(String),
+    /// Ask the claim's holder for the run in progress; if it is gone, the outcome is unknown.
+    Attach(Claim),
 }
 
 /// Decides by the claim row as it was read.
@@ -57,7 +57,7 @@
         Some(claim) => match &claim.state {
             State::Done(answer) => Next::Replay(answer.clone()),
             State::Claimed if claim.holder == holder && claim.request == request => Next::Dispatch,
-            State::Claimed => Next::Attach(claim.holder.clone()),
+            State::Claimed => Next::Attach(claim.clone()),
         },
     }
 }
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -39,7 +39,7 @@
         self.reserved
     }
 
-    /// Tokens of runs whose end is not known; they are held, not spent again.
+    /// Tokens of runs whose end is not known or whose answer nobody got; they are held, not spent again.
     pub fn unknown(&self) -> u64 {
         self.unknown
     }
@@ -80,8 +80,15 @@
         charge.tokens -= excess;
         self.reserved -= reserved;
         self.available += reserved - charge.tokens;
-        if charge.tokens > 0 {
-            self.charges.push(charge);
+        match self
+            .charges
+            .iter_mut()
+            .find(|known| known.key.is_none() && charge.key.is_none())
+        {
+            // Charges without a key can't repeat, so their sum is enough.
+            Some(known) => known.tokens += charge.tokens,
+            None if charge.tokens > 0 => self.charges.push(charge),
+            None => {}
         }
         excess
     }
@@ -92,11 +99,20 @@
         self.unknown += reserved;
     }
 
-    /// Ends a run that was [lost](Grant::lose), once what it consumed is known.
-    pub fn find(&mut self, reserved: u64, charge: Charge) -> u64 {
+    /// Ends a reservation whose run consumed `tokens` for an answer that nobody got.
+    ///
+    /// They are not charged, but they stay held: else the budget could pay for them a second time (I6).
+    pub fn waste(&mut self, reserved: u64, tokens: u64) {
+        let wasted = tokens.min(reserved);
+        self.reserved -= reserved;
+        self.unknown += wasted;
+        self.available += reserved - wasted;
+    }
+
+    /// Makes the tokens of a [lost](Grant::lose) run a reservation again, now that its end is known.
+    pub fn find(&mut self, reserved: u64) {
         self.unknown -= reserved;
         self.reserved += reserved;
-        self.charge(reserved, charge)
     }
 
     /// Takes tokens out for a peer, keeping `keep` available.
@@ -126,8 +142,8 @@
     /// Opens an entry for the next batch; `None` if one is on its way.
     ///
     /// `target` is how many available tokens this router should have, `need` how many are missing for
-    /// waiting requests. More than twice the target is given back.
-    pub fn open(&mut self, target: u64, need: u64, credits: Vec<Credit>) -> Option<Entry> {
+    /// waiting requests. More than twice the target is given back. At most `most` charges are settled.
+    pub fn open(&mut self, target: u64, need: u64, credits: Vec<Credit>, most: usize) -> Option<Entry> {
         if self.open.is_some() {
             return None;
         }
@@ -138,7 +154,7 @@
         };
         self.available -= excess;
         let entry = Entry {
-            charges: std::mem::take(&mut self.charges),
+            charges: self.charges.drain(..self.charges.len().min(most)).collect(),
             credits,
             returned: excess,
             sent: std::mem::take(&mut self.sent),
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -141,11 +141,6 @@
     hex::encode(Sha256::digest(text.as_bytes()))
 }
 
-/// The place of an accepted sequence in the history: a later one is greater.
-pub fn rank_of(sequence: u64) -> String {
-    format!("{sequence:012}")
-}
-
 /// Splits a bundle into sections: one for each team, one for each other part.
 ///
 /// # Panics
--- /dev/null
+++ b/crates/harness/src/audit.rs
@@ -0,0 +1,60 @@
+//! Comparing what really happened, by the stand-ins' own records, with what must always hold.
+
+use crate::fleet::Fleet;
+use budget::ledger::{Account, Pool};
+use std::collections::BTreeMap;
+
+/// The state of one budget by the platform's rows and the engines' records.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Audit {
+    /// Prepaid tokens.
+    pub credited: u64,
+    /// Recorded spend.
+    pub spent: u64,
+    /// Tokens that routers hold, by the pool.
+    pub outstanding: u64,
+    /// Tokens that nobody holds.
+    pub free: u64,
+    /// The sums of the accounts agree with the pool.
+    pub accounts_agree: bool,
+    /// Every prepaid token is in exactly one place (I1).
+    pub balanced: bool,
+}
+
+/// Reads the platform's rows of each budget.
+///
+/// # Panics
+/// Panics if a row can't be decoded: the audit can't be made then.
+pub fn audit(fleet: &Fleet) -> BTreeMap<String, Audit> {
+    let accounts: Vec<Account> = fleet
+        .platform
+        .rows("account/")
+        .values()
+        .map(|row| row.decode().expect("an account row"))
+        .collect();
+    let pools = fleet.platform.rows("pool/");
+    pools
+        .into_iter()
+        .map(|(key, row)| {
+            let budget = key.trim_start_matches("pool/").to_owned();
+            let pool: Pool = row.decode().expect("a pool row");
+            let lines = accounts.iter().filter_map(|account| account.lines.get(&budget));
+            let (mut granted, mut spent, mut returned) = (0, 0, 0);
+            for line in lines {
+                granted += line.granted;
+                spent += line.spent;
+                returned += line.returned;
+            }
+            let accounts_agree = spent == pool.spent && granted - spent - returned == pool.outstanding;
+            let audit = Audit {
+                credited: pool.credited(),
+                spent: pool.spent,
+                outstanding: pool.outstanding,
+                free: pool.free,
+                accounts_agree,
+                balanced: pool.balance(),
+            };
+            (budget, audit)
+        })
+        .collect()
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -56,6 +56,17 @@
     pub callers: SocketAddr,
 }
 
+/// Which bundle a router has in force, for operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Standing {
+    /// The VM.
+    pub name: String,
+    /// The sequence in force; 0 if there is none.
+    pub sequence: u64,
+    /// For how long, in milliseconds.
+    pub in_force_ms: u64,
+}
+
 /// What every router offers to the others.
 #[tarpc::service]
 pub trait Link {
@@ -69,6 +80,8 @@
     async fn announce(whereabouts: Whereabouts);
     /// Finds where a request runs, if this router was told.
     async fn locate(key: String) -> Option<Whereabouts>;
+    /// Tells which bundle is in force.
+    async fn standing() -> Standing;
 }
 
 /// What a router does with the calls of others; all of it is in memory, so nothing waits.
@@ -83,6 +96,8 @@
     fn announce(&self, whereabouts: Whereabouts);
     /// Finds where a request runs.
     fn locate(&self, key: &str) -> Option<Whereabouts>;
+    /// Tells which bundle is in force.
+    fn standing(&self) -> Standing;
 }
 
 /// Offers a [`Handler`] as a [`Link`].
@@ -109,4 +124,8 @@
     async fn locate(self, _: Context, key: String) -> Option<Whereabouts> {
         self.0.locate(&key)
     }
+
+    async fn standing(self, _: Context) -> Standing {
+        self.0.standing()
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -183,3 +183,8 @@
     /// Reads the list, routers and upstreams alike.
     fn list(&self) -> impl Future<Output = Result<Vec<Vm>, Error>> + Send;
 }
+
+/// Everything that the platform gives.
+pub trait Services: List + Store + Table {}
+
+impl<T: List + Store + Table> Services for T {}
--- /dev/null
+++ b/crates/roll/src/accept.rs
@@ -0,0 +1,237 @@
+//! The transaction that accepts a bundle, and reading what was accepted.
+
+use crate::{Accepted, HEAD, LOG, Package, log_key, object_key};
+use bundle::{Bundle, Change, Manifest, Signed};
+use platform::{Row, Services, Tx, Verdict};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use uuid::Uuid;
+
+/// Attempts before a roll is given up.
+const ATTEMPTS: u32 = 20;
+/// The pause between attempts.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a bundle was not accepted.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Error {
+    /// The signatures or the sections are wrong.
+    #[error("the bundle is rejected: {0}")]
+    Bundle(#[from] bundle::Error),
+    /// Another bundle was accepted since this one was signed.
+    #[error(
+        "conflict: this bundle follows sequence {parent}, but sequence {current} was accepted since; \
+         look at it with 'bundle diff', then sign again"
+    )]
+    Conflict {
+        /// The sequence that this bundle follows.
+        parent: u64,
+        /// The accepted one.
+        current: u64,
+    },
+    /// It would change prepaid money.
+    #[error("the bundle is rejected: {0}")]
+    Refused(Change),
+    /// The platform failed.
+    #[error("{0}")]
+    Platform(#[from] platform::Error),
+    /// The outcome could not be learned.
+    #[error(
+        "whether the bundle was accepted is not known ({0}); 'bundle log' tells once the platform is back"
+    )]
+    Unknown(platform::Error),
+    /// The asked sequence does not exist.
+    #[error("sequence {0} was never accepted")]
+    NoSequence(u64),
+    /// A row or object is not understood.
+    #[error("{0} is not understood: {1}")]
+    Unreadable(String, String),
+}
+
+/// Reads what is accepted now.
+///
+/// # Errors
+/// Fails if the platform does.
+pub async fn current(platform: &impl Services) -> Result<Option<Accepted>, Error> {
+    Ok(read_head(platform).await?.1)
+}
+
+async fn read_head(platform: &impl Services) -> Result<(Option<Row>, Option<Accepted>), Error> {
+    let row = platform
+        .read(&[HEAD.to_owned()])
+        .await?
+        .into_iter()
+        .next()
+        .flatten();
+    let accepted = match &row {
+        Some(row) => Some(decode(HEAD, row)?),
+        None => None,
+    };
+    Ok((row, accepted))
+}
+
+fn decode(key: &str, row: &Row) -> Result<Accepted, Error> {
+    row.decode()
+        .map_err(|error| Error::Unreadable(key.to_owned(), error.to_string()))
+}
+
+/// Reads the log, oldest first.
+///
+/// # Errors
+/// Fails if the platform does.
+pub async fn history(platform: &impl Services) -> Result<Vec<Accepted>, Error> {
+    let rows = platform.scan(LOG).await?;
+    rows.iter().map(|(key, row)| decode(key, row)).collect()
+}
+
+/// Reads the content of an accepted sequence.
+///
+/// # Errors
+/// Fails if there is no such sequence, or the platform does.
+pub async fn load(platform: &impl Services, sequence: u64) -> Result<Bundle, Error> {
+    let key = log_key(sequence);
+    let row = platform
+        .read(std::slice::from_ref(&key))
+        .await?
+        .into_iter()
+        .next()
+        .flatten();
+    let accepted = decode(&key, &row.ok_or(Error::NoSequence(sequence))?)?;
+    let text = object(platform, &accepted.manifest).await?;
+    let unreadable = |error: serde_json::Error| Error::Unreadable("manifest".to_owned(), error.to_string());
+    let signed: Signed = serde_json::from_str(&text).map_err(unreadable)?;
+    let manifest: Manifest = serde_json::from_str(&signed.manifest).map_err(unreadable)?;
+    let mut parts = std::collections::BTreeMap::new();
+    for digest in manifest.sections.values() {
+        parts.insert(digest.clone(), object(platform, digest).await?);
+    }
+    Ok(bundle::join(&manifest, |digest| {
+        parts.get(digest).map(String::as_str)
+    })?)
+}
+
+async fn object(platform: &impl Services, digest: &str) -> Result<String, Error> {
+    let key = object_key(digest);
+    let bytes = platform.load(&key).await?;
+    let text = bytes.and_then(|bytes| String::from_utf8(bytes).ok());
+    text.ok_or_else(|| Error::Unreadable(key, "it is not there".to_owned()))
+}
+
+/// Accepts a signed bundle, if `needed` of the `trusted` keys signed it and it follows what is accepted now.
+///
+/// # Errors
+/// See [`Error`]; after any but [`Error::Unknown`] the bundle was not accepted.
+pub async fn roll(
+    platform: &impl Services,
+    package: &Package,
+    trusted: &[String],
+    needed: usize,
+) -> Result<Accepted, Error> {
+    let (manifest, content) = package.verify(trusted, needed)?;
+    let (_, head) = read_head(platform).await?;
+    follow(&manifest, head.as_ref())?;
+    if manifest.parent > 0 {
+        let before = load(platform, manifest.parent).await?;
+        if let Some(change) = bundle::diff(&before, &content)
+            .into_iter()
+            .find(|change| change.refused)
+        {
+            return Err(Error::Refused(change));
+        }
+    }
+    store(platform, package).await?;
+
+    let accepted = Accepted {
+        sequence: manifest.parent + 1,
+        manifest: package.signed.digest(),
+        by: package.signed.seals.iter().map(|seal| seal.key.clone()).collect(),
+        note: manifest.note.clone(),
+        rollback_to: manifest.rollback_to,
+        token: Uuid::new_v4().to_string(),
+        at: SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_secs()),
+    };
+    commit(platform, &manifest, accepted).await
+}
+
+fn follow(manifest: &Manifest, head: Option<&Accepted>) -> Result<(), Error> {
+    let current = head.map_or(0, |head| head.sequence);
+    if manifest.parent == current {
+        return Ok(());
+    }
+    Err(Error::Conflict {
+        parent: manifest.parent,
+        current,
+    })
+}
+
+async fn store(platform: &impl Services, package: &Package) -> Result<(), Error> {
+    for (digest, json) in &package.sections {
+        if platform.load(&object_key(digest)).await?.is_none() {
+            platform
+                .store(&object_key(digest), json.clone().into_bytes())
+                .await?;
+        }
+    }
+    let signed = serde_json::to_string(&package.signed).unwrap_or_default();
+    platform
+        .store(&object_key(&package.signed.digest()), signed.into_bytes())
+        .await?;
+    Ok(())
+}
+
+/// Moves the head on; repeated until the outcome is known.
+async fn commit(
+    platform: &impl Services,
+    manifest: &Manifest,
+    accepted: Accepted,
+) -> Result<Accepted, Error> {
+    let key = log_key(accepted.sequence);
+    let mut failure = None;
+    for _ in 0..ATTEMPTS {
+        match attempt(platform, manifest, &accepted, &key).await {
+            Ok(Some(())) => return Ok(accepted),
+            Ok(None) => {}
+            Err(Error::Platform(error)) => failure = Some(error),
+            Err(error) => return Err(error),
+        }
+        net::exec::sleep(PAUSE).await;
+    }
+    match failure {
+        Some(error) => Err(Error::Unknown(error)),
+        None => Err(Error::Conflict {
+            parent: manifest.parent,
+            current: accepted.sequence,
+        }),
+    }
+}
+
+/// One attempt; `None` means that it has to be made again.
+async fn attempt(
+    platform: &impl Services,
+    manifest: &Manifest,
+    accepted: &Accepted,
+    key: &str,
+) -> Result<Option<()>, Error> {
+    let (row, head) = read_head(platform).await?;
+    if let Some(log) = platform
+        .read(&[key.to_owned()])
+        .await?
+        .into_iter()
+        .next()
+        .flatten()
+        && decode(key, &log)?.token == accepted.token
+    {
+        return Ok(Some(()));
+    }
+    follow(manifest, head.as_ref())?;
+    let tx = Tx::default()
+        .unchanged(HEAD, row.as_ref())
+        .absent(key)
+        .put(HEAD, accepted)
+        .put(key, accepted);
+    match platform.commit(&tx).await? {
+        Verdict::Applied => Ok(Some(())),
+        Verdict::Conflict => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,121 @@
+//! The operators' listener: is it alive, is it ready, what does it do, what happened to a request.
+
+use crate::clock::Clock;
+use crate::node::{Node, Phase};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use net::Body;
+use peer::State;
+use platform::Services;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use upstream::Engine;
+
+/// Answers one request of an operator.
+pub(crate) async fn answer<P, E, C>(node: Arc<Node<P, E, C>>, request: Request<Incoming>) -> Response<Body>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    if request.method() != Method::GET {
+        return reply(
+            StatusCode::METHOD_NOT_ALLOWED,
+            &json!({"error": "only GET is known here"}),
+        );
+    }
+    let path = request.uri().path();
+    if let Some(id) = path.strip_prefix("/v1/requests/") {
+        return match node.records.find(id) {
+            Some(record) => reply(StatusCode::OK, &json!(record)),
+            None => reply(
+                StatusCode::NOT_FOUND,
+                &json!({"error": "this router did not serve it, or too long ago"}),
+            ),
+        };
+    }
+    match path {
+        "/live" => reply(StatusCode::OK, &json!({"live": true})),
+        "/ready" => match unready(&node) {
+            None => reply(StatusCode::OK, &json!({"ready": true})),
+            Some(reason) => reply(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &json!({"ready": false, "reason": reason}),
+            ),
+        },
+        "/metrics" => {
+            let mut response = Response::new(Body::from(node.metrics.encode()));
+            let media = HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert("content-type", media);
+            response
+        }
+        "/v1/status" => reply(StatusCode::OK, &status(&node)),
+        _ => reply(
+            StatusCode::NOT_FOUND,
+            &json!({
+                "error": "known are /live, /ready, /metrics, /v1/status and /v1/requests/<id>"
+            }),
+        ),
+    }
+}
+
+fn unready<P, E, C>(node: &Node<P, E, C>) -> Option<&'static str>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    match node.phase() {
+        Phase::Leaving | Phase::Draining => Some("it is stopping"),
+        Phase::Serving if node.bundle().sequence == 0 => {
+            Some("it has no bundle: neither the platform nor a peer has given one yet")
+        }
+        Phase::Serving => None,
+    }
+}
+
+fn status<P, E, C>(node: &Node<P, E, C>) -> Value
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let now = node.clock.now();
+    let bundle = node.bundle();
+    let view = node.view();
+    let names = |state| {
+        view.members(state, now)
+            .map(|member| member.name.clone())
+            .collect::<Vec<_>>()
+    };
+    json!({
+        "name": node.settings.name,
+        "incarnation": node.incarnation,
+        "data-centre": node.settings.data_centre,
+        "bundle": {
+            "sequence": bundle.sequence,
+            "manifest": bundle.manifest,
+            "in-force-ms": now.saturating_sub(bundle.since),
+        },
+        "platform-up": node.is_platform_up(),
+        "peers": {
+            "alive": names(State::Alive),
+            "suspect": names(State::Suspect),
+            "gone": names(State::Gone),
+        },
+        "upstreams": node.schedule.view(),
+        "waiting": node.schedule.waiting(),
+        "open": node.open.load(Ordering::Relaxed),
+        "budgets": node.grants.view(),
+    })
+}
+
+fn reply(status: StatusCode, value: &Value) -> Response<Body> {
+    let mut response = Response::new(Body::from(value.to_string()));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert("content-type", HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/router/src/flight.rs
@@ -0,0 +1,344 @@
+//! Answers that more than one caller may want: requests with an idempotency key.
+//!
+//! The run writes its answer here; each caller that sends the same key follows it from the start, whether
+//! the run goes on or has ended.
+
+use crate::refusal::Refusal;
+use budget::claim::Answer;
+use event_listener::Event;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use hyper::body::Bytes;
+use net::{Body, Pipe};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// Shards of the table of flights.
+const SHARDS: usize = 16;
+
+/// The content type of answers that name none.
+const JSON: &str = "application/json";
+
+/// How an answer ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// Whole.
+    Complete,
+    /// Broken off; the body is aborted.
+    Broken(String),
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Head {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The content type.
+    pub media: String,
+    /// Whether the request was executed, for answers that say no.
+    pub execution: Option<&'static str>,
+    /// When asking again may help, in seconds.
+    pub retry_after: Option<HeaderValue>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    head: Option<Head>,
+    chunks: Vec<Bytes>,
+    end: Option<End>,
+    followers: usize,
+}
+
+/// One answer, as it comes.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    /// The request.
+    pub request: String,
+    /// The hash of the request's body: another body under the same key is a mistake.
+    pub body: u64,
+    /// Whether the answer is kept for a later caller although nobody follows it.
+    pub keep: bool,
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl Flight {
+    pub(crate) fn new(request: &str, body: u64, keep: bool) -> Arc<Flight> {
+        let request = request.to_owned();
+        Arc::new(Flight {
+            request,
+            body,
+            keep,
+            state: Mutex::default(),
+            changed: Event::new(),
+        })
+    }
+
+    /// Writes the head of the answer.
+    pub(crate) fn begin(&self, head: Head) {
+        self.lock().head = Some(head);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Writes a part of the body.
+    pub(crate) fn write(&self, bytes: impl Into<Bytes>) {
+        self.lock().chunks.push(bytes.into());
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends the answer.
+    pub(crate) fn end(&self, end: End) {
+        self.lock().end.get_or_insert(end);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends the answer with a refusal, unless it has begun.
+    pub(crate) fn refuse(&self, refusal: &Refusal, request: &str) {
+        if self.lock().head.is_some() {
+            return self.end(End::Broken(refusal.code.to_owned()));
+        }
+        let retry_after = refusal
+            .retry_ms
+            .map(|millis| HeaderValue::from(millis.div_ceil(1_000).max(1)));
+        self.begin(Head {
+            status: refusal.status,
+            media: JSON.to_owned(),
+            execution: Some(refusal.execution.name()),
+            retry_after,
+        });
+        self.write(refusal.json(request));
+        self.end(End::Complete);
+    }
+
+    /// Gives a recorded answer again.
+    pub(crate) fn replay(&self, answer: &Answer) {
+        self.begin(Head {
+            status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+            media: answer.media.clone(),
+            execution: None,
+            retry_after: None,
+        });
+        self.write(answer.body.clone());
+        self.end(End::Complete);
+    }
+
+    /// Copies an answer of at most `limit` bytes; if it breaks off, so does the copy.
+    pub(crate) async fn copy_from<B>(&self, answer: Response<B>, limit: usize)
+    where
+        B: http_body::Body,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let (head, body) = answer.into_parts();
+        let media = head
+            .headers
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok());
+        self.begin(Head {
+            status: head.status,
+            media: media.unwrap_or(JSON).to_owned(),
+            execution: None,
+            retry_after: head.headers.get(RETRY_AFTER).cloned(),
+        });
+        match net::collect(body, limit).await {
+            Ok(bytes) => {
+                self.write(bytes);
+                self.end(End::Complete);
+            }
+            Err(reason) => self.end(End::Broken(reason)),
+        }
+    }
+
+    /// Whether the answer has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.lock().end.is_some()
+    }
+
+    /// Whether nobody wants the answer any more.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        !self.keep && self.lock().followers == 0
+    }
+
+    /// Waits until nobody wants the answer any more; for ever if it is kept.
+    pub(crate) async fn abandoned(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if self.is_abandoned() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// The status and the whole body, once the answer has ended well.
+    pub(crate) fn whole(&self) -> Option<(Head, Vec<u8>)> {
+        let state = self.lock();
+        let complete = state.end == Some(End::Complete);
+        let head = state.head.clone().filter(|_| complete)?;
+        Some((head, state.chunks.concat()))
+    }
+
+    /// Answers a caller from the start of the answer on.
+    ///
+    /// The caller counts as a follower from this call on, not only once the future is polled.
+    pub(crate) fn follow(self: Arc<Self>) -> impl Future<Output = Response<Body>> + Send {
+        let follower = Follower::new(self.clone());
+        async move {
+            let head = self.head().await;
+            let body = match self.whole() {
+                Some((_, bytes)) => Body::from(bytes),
+                None => {
+                    let (pipe, body) = net::pipe();
+                    net::exec::spawn(copy(follower, pipe)).detach();
+                    body
+                }
+            };
+            respond(&head, body)
+        }
+    }
+
+    async fn head(&self) -> Head {
+        loop {
+            let listener = self.changed.listen();
+            if let Some(head) = self.lock().head.clone() {
+                return head;
+            }
+            listener.await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no thread panics while it holds a flight")
+    }
+}
+
+fn respond(head: &Head, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    let headers = response.headers_mut();
+    if let Ok(media) = HeaderValue::from_str(&head.media) {
+        headers.insert(CONTENT_TYPE, media);
+    }
+    if let Some(execution) = head.execution {
+        headers.insert("x-execution", HeaderValue::from_static(execution));
+    }
+    if let Some(retry_after) = &head.retry_after {
+        headers.insert(RETRY_AFTER, retry_after.clone());
+    }
+    response
+}
+
+/// Counts a caller for as long as it follows.
+struct Follower(Arc<Flight>);
+
+impl Follower {
+    fn new(flight: Arc<Flight>) -> Follower {
+        flight.lock().followers += 1;
+        Follower(flight)
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.0.lock().followers -= 1;
+        self.0.changed.notify(usize::MAX);
+    }
+}
+
+async fn copy(follower: Follower, pipe: Pipe) {
+    let flight = &follower.0;
+    let mut next = 0;
+    loop {
+        let listener = flight.changed.listen();
+        let (fresh, end) = {
+            let mut state = flight.lock();
+            let fresh: Vec<Bytes> = state.chunks.get(next..).unwrap_or_default().to_vec();
+            if !flight.keep {
+                // Nobody else reads these, so they need not be kept.
+                state.chunks.clear();
+                next = 0;
+            } else {
+                next += fresh.len();
+            }
+            (fresh, state.end.clone())
+        };
+        for chunk in fresh {
+            if !pipe.write(chunk).await {
+                return;
+            }
+        }
+        match end {
+            Some(End::Complete) => return,
+            Some(End::Broken(reason)) => return pipe.abort(&reason).await,
+            None => smol::future::or(listener, pipe.closed()).await,
+        }
+        if pipe.is_closed() {
+            return;
+        }
+    }
+}
+
+/// The flights of requests with a key, in shards under their own locks.
+#[derive(Debug)]
+pub(crate) struct Flights {
+    shards: Vec<Mutex<HashMap<String, Entry>>>,
+    kept_ms: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    flight: Arc<Flight>,
+    since: u64,
+}
+
+/// What the table of flights says of a key.
+#[derive(Debug)]
+pub(crate) enum Found {
+    /// The request is new; it is entered now.
+    New,
+    /// The same request was entered before.
+    Same(Arc<Flight>),
+    /// Another request has this key.
+    Other,
+}
+
+impl Flights {
+    /// Keeps answers for `kept_ms` milliseconds.
+    pub(crate) fn new(kept_ms: u64) -> Flights {
+        Flights {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            kept_ms,
+        }
+    }
+
+    /// Finds the flight of `key`, or enters `flight`.
+    pub(crate) fn enter(&self, key: &str, flight: &Arc<Flight>, now: u64) -> Found {
+        let mut shard = self.shard(key);
+        shard.retain(|_, entry| now.saturating_sub(entry.since) < self.kept_ms || !entry.flight.has_ended());
+        match shard.get(key) {
+            Some(entry) if entry.flight.body == flight.body => Found::Same(entry.flight.clone()),
+            Some(_) => Found::Other,
+            None => {
+                shard.insert(
+                    key.to_owned(),
+                    Entry {
+                        flight: flight.clone(),
+                        since: now,
+                    },
+                );
+                Found::New
+            }
+        }
+    }
+
+    /// Forgets a flight, so that the key may be tried again.
+    pub(crate) fn forget(&self, key: &str) {
+        self.shard(key).remove(key);
+    }
+
+    fn shard(&self, key: &str) -> MutexGuard<'_, HashMap<String, Entry>> {
+        let index = xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as usize % SHARDS;
+        self.shards[index].lock().expect("the flights' lock")
+    }
+}
--- /dev/null
+++ b/crates/router/src/front.rs
@@ -0,0 +1,323 @@
+//! The callers' listener: who asks, for what, and whether the same was asked before.
+
+use crate::ask::Ask;
+use crate::clock::Clock;
+use crate::flight::{Flight, Found};
+use crate::job::{self, Job};
+use crate::node::{Access, InForce, Node, Phase};
+use crate::refusal::Refusal;
+use crate::{forward, service};
+use bundle::hash_key;
+use http::header::AUTHORIZATION;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::{Bytes, Incoming};
+use net::{Body, exec};
+use platform::Services;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use upstream::Engine;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The longest idempotency key in bytes.
+const KEY_MOST: usize = 255;
+/// When a caller should come back to a router that is stopping or not ready, in milliseconds.
+const ELSEWHERE_MS: u64 = 1_000;
+/// The header that names a request.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// A request whose caller is known.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    /// The request's id in the fleet.
+    pub id: String,
+    pub access: Access,
+    pub bundle: Arc<InForce>,
+    /// The caller's idempotency key.
+    pub key: Option<String>,
+    /// Whether another router passed it on.
+    pub forwarded: bool,
+}
+
+impl Entry {
+    /// The key under which the request's flight is found.
+    pub(crate) fn flight_key(&self) -> Option<String> {
+        self.key
+            .as_ref()
+            .map(|key| format!("{}|{key}", self.access.budget))
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn answer<P, E, C>(node: Arc<Node<P, E, C>>, request: Request<Incoming>) -> Response<Body>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let id = Uuid::new_v4().to_string();
+    node.open.fetch_add(1, Ordering::Relaxed);
+    node.metrics.open.inc();
+    let mut response = match handle(&node, &id, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            node.metrics.refusals.with_label_values(&[refusal.code]).inc();
+            log::info!(
+                "caller: request={id} refused: {refusal} ({})",
+                refusal.execution.name()
+            );
+            refusal.response(&id)
+        }
+    };
+    node.open.fetch_sub(1, Ordering::Relaxed);
+    node.metrics.open.dec();
+    if !response.headers().contains_key(REQUEST_ID)
+        && let Ok(value) = HeaderValue::from_str(&id)
+    {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
+async fn handle<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    id: &str,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let bundle = node.bundle();
+    check_phase(node, &bundle)?;
+    let access = authenticate(&bundle, &request)?;
+    let key = idempotency_key(&request)?;
+    let forwarded = request.headers().contains_key(forward::FORWARDED);
+    let entry = Entry {
+        id: id.to_owned(),
+        access,
+        bundle,
+        key,
+        forwarded,
+    };
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/models") => Ok(models(&entry.bundle)),
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            model(node, entry, path, request).await
+        }
+        _ if path.starts_with("/services/") => service::answer(node, entry, request).await,
+        (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => {
+            let message = format!("{} is not allowed on {path}", request.method());
+            Err(Refusal::not_run(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method_not_allowed",
+                "parse",
+                message,
+            ))
+        }
+        _ => {
+            let message = format!("{path} is not known");
+            Err(Refusal::not_run(
+                StatusCode::NOT_FOUND,
+                "not_found",
+                "parse",
+                message,
+            ))
+        }
+    }
+}
+
+fn check_phase<P, E, C>(node: &Node<P, E, C>, bundle: &InForce) -> Result<(), Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let refuse = |code, message: &str| {
+        Err(Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            code,
+            "accept",
+            message.to_owned(),
+        )
+        .retry_after(ELSEWHERE_MS))
+    };
+    if node.phase() == Phase::Draining {
+        return refuse(
+            "stopping",
+            "this router is stopping; ask again and another one will answer",
+        );
+    }
+    if bundle.sequence == 0 {
+        return refuse(
+            "no_bundle",
+            "this router has no bundle yet; ask again and another one will answer",
+        );
+    }
+    Ok(())
+}
+
+fn authenticate(bundle: &InForce, request: &Request<Incoming>) -> Result<Access, Refusal> {
+    let value = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let refuse = |message: &str| {
+        Refusal::not_run(
+            StatusCode::UNAUTHORIZED,
+            "invalid_api_key",
+            "authenticate",
+            message.to_owned(),
+        )
+    };
+    let token = value
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(|| refuse("the header must be Authorization: Bearer <key>"))?;
+    bundle
+        .keys
+        .get(&hash_key(token))
+        .cloned()
+        .ok_or_else(|| refuse("this key is not known"))
+}
+
+fn idempotency_key(request: &Request<Incoming>) -> Result<Option<String>, Refusal> {
+    let Some(value) = request.headers().get("idempotency-key") else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(key) if (1..=KEY_MOST).contains(&key.len()) => Ok(Some(key.to_owned())),
+        _ => {
+            let message = format!("Idempotency-Key must have 1 to {KEY_MOST} visible ASCII characters");
+            Err(Refusal::bad("parse", "invalid_idempotency_key", message))
+        }
+    }
+}
+
+fn models(bundle: &InForce) -> Response<Body> {
+    let list: Vec<_> = bundle
+        .content
+        .models
+        .keys()
+        .map(|name| json!({"id": name, "object": "model", "created": 0, "owned_by": "tallypaddle"}))
+        .collect();
+    let mut response = Response::new(Body::from(json!({"object": "list", "data": list}).to_string()));
+    response
+        .headers_mut()
+        .insert("content-type", HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Reads a whole body within the limits.
+pub(crate) async fn read_body<P, E, C>(
+    node: &Node<P, E, C>,
+    bundle: &InForce,
+    body: Incoming,
+) -> Result<Bytes, Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let limit = bundle.content.limits.body_bytes;
+    let time = crate::settings::millis(node.settings.limits.body_ms);
+    match exec::timeout(time, net::collect(body, limit)).await {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(reason)) if reason.contains("length limit") => {
+            let message = format!("the body is larger than {limit} bytes");
+            Err(Refusal::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                "read",
+                message,
+            ))
+        }
+        Some(Err(reason)) => Err(Refusal::bad(
+            "read",
+            "body_broken",
+            format!("the body broke off: {reason}"),
+        )),
+        None => {
+            let message = format!("the body did not arrive within {} ms", time.as_millis());
+            Err(Refusal::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_too_slow",
+                "read",
+                message,
+            ))
+        }
+    }
+}
+
+async fn model<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    entry: Entry,
+    path: String,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let (parts, body) = request.into_parts();
+    let body = read_body(node, &entry.bundle, body).await?;
+    let ask = Ask::read(&body, &entry.bundle.content)?;
+    let flight = Flight::new(&entry.id, xxh3_64(&body), entry.key.is_some());
+    if let Some(key) = entry.flight_key() {
+        match node.flights.enter(&key, &flight, node.clock.now()) {
+            Found::Same(flight) => {
+                log::info!("caller: request={} joins request={}", entry.id, flight.request);
+                return Ok(joined(flight).await);
+            }
+            Found::Other => return Err(mismatch()),
+            Found::New => {}
+        }
+        if let Some(response) = forward::elsewhere(node, &entry, &key, &parts, &body).await {
+            node.flights.forget(&key);
+            return Ok(response);
+        }
+    }
+    let following = flight.clone().follow();
+    node.records
+        .begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
+    node.schedule.deposit();
+    node.open.fetch_add(1, Ordering::Relaxed);
+    let job = Job {
+        node: node.clone(),
+        entry,
+        path,
+        ask,
+        flight,
+        head: parts,
+        body,
+    };
+    exec::spawn(job::run(job)).detach();
+    Ok(following.await)
+}
+
+/// Answers a caller from a run that an earlier request began; the answer names that one.
+pub(crate) async fn joined(flight: Arc<Flight>) -> Response<Body> {
+    let first = HeaderValue::from_str(&flight.request);
+    let mut response = flight.follow().await;
+    if let Ok(first) = first {
+        response.headers_mut().insert(REQUEST_ID, first);
+    }
+    response
+        .headers_mut()
+        .insert("x-idempotent-replay", HeaderValue::from_static("true"));
+    response
+}
+
+/// The refusal of a key that was used for another request.
+pub(crate) fn mismatch() -> Refusal {
+    let message = "this Idempotency-Key was used for another request; take a new key".to_owned();
+    Refusal::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "idempotency_mismatch",
+        "parse",
+        message,
+    )
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,62 @@
-//! x
+//! The router that every entry VM runs.
+//!
+//! [`Settings`] say who it is, [`start`] runs it against the ports of the platform and the upstreams. The
+//! decisions are in the crates `budget`, `route`, `bundle` and `peer`; here they meet the network.
+//!
+//! ```no_run
+//! # async fn example(text: &str) -> std::io::Result<()> {
+//! let settings = router::Settings::read(text).expect("valid settings");
+//! let running = router::start_with_http(settings).await?;
+//! net::signal::terminated().await?;
+//! running.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod admin;
+mod ask;
+mod claims;
+mod clock;
+mod flight;
+mod forward;
+mod front;
+mod grants;
+mod job;
+mod leaving;
+mod link;
+mod membership;
+mod metrics;
+mod node;
+mod record;
+mod refusal;
+mod reserve;
+mod schedule;
+mod service;
+mod settings;
+mod steer;
+mod sync;
+
+pub use clock::{Clock, Monotonic};
+pub use node::{Addresses, Running, start};
+pub use settings::{Limits, Listen, Platform, Settings, Trust};
+
+use std::time::Duration;
+
+/// Starts a router with the HTTP adapters.
+///
+/// # Errors
+/// Fails if an address can't be bound.
+pub async fn start_with_http(
+    settings: Settings,
+) -> std::io::Result<Running<platform::Http, upstream::Http, Monotonic>> {
+    let client = net::Client::new();
+    let time = Duration::from_millis(settings.platform.timeout_ms);
+    let platform = platform::Http::new(client.clone(), settings.platform.address, time);
+    let engine = upstream::Http::new(
+        client,
+        settings.name.clone(),
+        Duration::from_millis(settings.limits.start_ms),
+        Duration::from_millis(settings.limits.call_ms),
+    );
+    start(settings, platform, engine, Monotonic::default()).await
+}
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,97 @@
+//! What this router does with the calls of its peers.
+
+use crate::clock::Clock;
+use crate::node::Node;
+use peer::{Beat, Borrow, Handler, Lent, Standing, Whereabouts};
+use platform::Services;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use upstream::Engine;
+
+/// Hints kept.
+const HINTS_KEPT: usize = 50_000;
+
+/// Where requests with a key run, as peers told; losing it costs only time.
+#[derive(Debug, Default)]
+pub(crate) struct Hints {
+    state: Mutex<HintState>,
+}
+
+#[derive(Debug, Default)]
+struct HintState {
+    places: HashMap<String, Whereabouts>,
+    order: VecDeque<String>,
+}
+
+impl Hints {
+    pub(crate) fn note(&self, whereabouts: Whereabouts) {
+        let mut state = self.state.lock().expect("the hints' lock");
+        state.order.push_back(whereabouts.key.clone());
+        state.places.insert(whereabouts.key.clone(), whereabouts);
+        if state.order.len() > HINTS_KEPT
+            && let Some(oldest) = state.order.pop_front()
+        {
+            state.places.remove(&oldest);
+        }
+    }
+
+    pub(crate) fn find(&self, key: &str) -> Option<Whereabouts> {
+        self.state
+            .lock()
+            .expect("the hints' lock")
+            .places
+            .get(key)
+            .cloned()
+    }
+}
+
+/// The service that this router offers.
+#[derive(Debug)]
+pub(crate) struct Service<P, E, C>(pub(crate) Arc<Node<P, E, C>>);
+
+impl<P, E, C> Clone for Service<P, E, C> {
+    fn clone(&self) -> Self {
+        Service(self.0.clone())
+    }
+}
+
+impl<P: Services, E: Engine, C: Clock> Handler for Service<P, E, C> {
+    fn beat(&self, beat: Beat) -> Beat {
+        crate::membership::hear(&self.0, &beat);
+        self.0.beat()
+    }
+
+    fn borrow(&self, ask: Borrow) -> Lent {
+        let tokens = self.0.grants.lend(&ask.id, &ask.budget, ask.tokens);
+        if tokens > 0 {
+            self.0.metrics.lent.inc_by(tokens);
+            log::info!("budget: lent {tokens} tokens of {} under {}", ask.budget, ask.id);
+        }
+        Lent { tokens }
+    }
+
+    fn fetch(&self, digests: &[String]) -> Vec<Option<String>> {
+        let bundle = self.0.bundle();
+        digests
+            .iter()
+            .map(|digest| bundle.parts.get(digest).cloned())
+            .collect()
+    }
+
+    fn announce(&self, whereabouts: Whereabouts) {
+        self.0.hints.note(whereabouts);
+    }
+
+    fn locate(&self, key: &str) -> Option<Whereabouts> {
+        self.0.hints.find(key)
+    }
+
+    fn standing(&self) -> Standing {
+        let bundle = self.0.bundle();
+        Standing {
+            name: self.0.settings.name.clone(),
+            sequence: bundle.sequence,
+            in_force_ms: self.0.clock.now().saturating_sub(bundle.since),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/membership.rs
@@ -0,0 +1,142 @@
+//! Heartbeats between routers: who is alive, which bundle is in force, which upstreams leave.
+
+use crate::clock::Clock;
+use crate::node::Node;
+use crate::settings::millis;
+use crate::steer;
+use async_channel::Receiver;
+use futures::future::join_all;
+use net::exec;
+use peer::{Beat, LinkClient, Member};
+use platform::{Role, Services};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use upstream::Engine;
+
+/// Routers that get heartbeats from one router, whatever the size of the fleet.
+const FANOUT: usize = 6;
+
+/// Sends heartbeats in regular intervals, and at once when there is news.
+pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, heard: Receiver<()>)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    for seed in &node.settings.seeds {
+        greet(&node, *seed).await;
+    }
+    while !node.is_closed() {
+        let targets: Vec<(String, SocketAddr)> = {
+            let view = node.view();
+            let names = view.targets(FANOUT);
+            names
+                .iter()
+                .filter_map(|name| view.member(name))
+                .map(|member| (member.name.clone(), member.address))
+                .collect()
+        };
+        join_all(
+            targets
+                .iter()
+                .map(|(name, address)| exchange(&node, name, *address)),
+        )
+        .await;
+        let news = async {
+            let _ = heard.recv().await;
+        };
+        smol::future::or(news, exec::sleep(millis(node.settings.limits.beat_ms))).await;
+    }
+}
+
+async fn greet<P, E, C>(node: &Arc<Node<P, E, C>>, address: SocketAddr)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let beat = node.beat();
+    let call = |client: LinkClient, context| async move { client.beat(context, beat).await };
+    match node.peers.call("beat", address, call).await {
+        Ok(answer) => hear(node, &answer),
+        Err(error) => log::warn!("peer: {error}"),
+    }
+}
+
+async fn exchange<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str, address: SocketAddr)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let beat = node.beat();
+    let call = |client: LinkClient, context| async move { client.beat(context, beat).await };
+    match node.peers.call("beat", address, call).await {
+        Ok(answer) => hear(node, &answer),
+        Err(error) => {
+            log::debug!("peer: {error}");
+            let now = node.clock.now();
+            node.view().miss(name, now);
+        }
+    }
+}
+
+/// Takes in a heartbeat.
+pub(crate) fn hear<P, E, C>(node: &Arc<Node<P, E, C>>, beat: &Beat)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let now = node.clock.now();
+    let news = node.view().hear(beat, now);
+    if news {
+        log::info!(
+            "peer: {} #{} is heard from {}",
+            beat.name,
+            beat.incarnation,
+            beat.address
+        );
+        node.share_out();
+    }
+    let mut spread = false;
+    for name in &beat.leaving {
+        spread |= node.schedule.leave(name, true);
+    }
+    if spread {
+        log::info!(
+            "upstream: leaving by the word of {}: {}",
+            beat.name,
+            beat.leaving.join(", ")
+        );
+        let _ = node.news.try_send(());
+    }
+    if beat.sequence > node.bundle().sequence {
+        let (node, beat) = (node.clone(), beat.clone());
+        exec::spawn(async move { steer::adopt_from_peer(&node, &beat).await }).detach();
+    }
+}
+
+/// Takes in the platform's list of VMs.
+pub(crate) fn list<P, E, C>(node: &Node<P, E, C>, vms: &[platform::Vm])
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let routers: Vec<Member> = vms
+        .iter()
+        .filter(|vm| vm.role == Role::Router && vm.name != node.settings.name)
+        .map(|vm| Member::new(&vm.name, vm.address))
+        .collect();
+    let now = node.clock.now();
+    let changed = {
+        let mut view = node.view();
+        let before = view.sharers().len();
+        view.list(&routers, now);
+        view.sharers().len() != before
+    };
+    if changed {
+        node.share_out();
+    }
+}
--- /dev/null
+++ b/crates/router/src/reserve.rs
@@ -0,0 +1,187 @@
+//! Getting the tokens for a request: from this router's grant, from the pool, or from peers (I6).
+
+use crate::clock::Clock;
+use crate::grants::Outlook;
+use crate::node::Node;
+use crate::refusal::Refusal;
+use crate::settings::millis;
+use http::StatusCode;
+use net::exec;
+use peer::{Borrow, LinkClient};
+use platform::Services;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use upstream::Engine;
+use uuid::Uuid;
+
+/// How long a settlement or a release is waited for before peers are asked, in milliseconds.
+const SLICE_MS: u64 = 150;
+/// Peers that are asked for one request.
+const LENDERS: usize = 8;
+/// How often a loan with a lost answer is asked for again.
+const LOAN_ATTEMPTS: u32 = 120;
+/// The pause between those attempts, in milliseconds.
+const LOAN_PAUSE_MS: u64 = 500;
+/// When a caller should come back while the platform is away, in milliseconds.
+const OUTAGE_RETRY_MS: u64 = 5_000;
+/// When a caller should come back while others use the tokens, in milliseconds.
+const BUSY_RETRY_MS: u64 = 1_000;
+
+/// Reserves `tokens` of `budget`, waiting for them if they are on their way.
+pub(crate) async fn reserve<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    budget: &str,
+    tokens: u64,
+) -> Result<(), Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let begin = node.clock.now();
+    let deadline = begin + node.bundle().content.limits.budget_wait_ms;
+    let settled = node.grants.settlements(budget);
+    loop {
+        let (_, changed) = match node.grants.reserve(budget, tokens, node.clock.now()) {
+            Ok(()) => return Ok(()),
+            Err(short) => short,
+        };
+        node.kick();
+        exec::timeout(millis(SLICE_MS), changed).await;
+        let Err((missing, _)) = node.grants.reserve(budget, tokens, node.clock.now()) else {
+            return Ok(());
+        };
+
+        let has_settled = node.grants.settlements(budget) > settled;
+        if has_settled && node.grants.outlook(budget, tokens) == Outlook::Exhausted {
+            return Err(exhausted(budget, tokens));
+        }
+        if borrow(node, budget, missing).await > 0
+            && node.grants.reserve(budget, tokens, node.clock.now()).is_ok()
+        {
+            return Ok(());
+        }
+        if node.clock.now() >= deadline {
+            return Err(give_up(node, budget, tokens));
+        }
+    }
+}
+
+fn exhausted(budget: &str, tokens: u64) -> Refusal {
+    let message = format!("budget {budget} has fewer than the {tokens} tokens that this request may need");
+    Refusal::not_run(
+        StatusCode::TOO_MANY_REQUESTS,
+        "insufficient_quota",
+        "budget",
+        message,
+    )
+}
+
+fn give_up<P, E, C>(node: &Node<P, E, C>, budget: &str, tokens: u64) -> Refusal
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    if node.is_platform_up() {
+        let message = format!("{tokens} tokens of budget {budget} are in use by other requests");
+        return Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "budget_busy", "budget", message)
+            .retry_after(BUSY_RETRY_MS);
+    }
+    let message = format!("{tokens} tokens of budget {budget} are not at hand and the platform is away");
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "budget_unreachable",
+        "budget",
+        message,
+    )
+    .retry_after(OUTAGE_RETRY_MS)
+}
+
+/// Asks peers for tokens that they don't use; returns what came.
+async fn borrow<P, E, C>(node: &Arc<Node<P, E, C>>, budget: &str, missing: u64) -> u64
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let mut got = 0;
+    for (name, address) in node.alive().into_iter().take(LENDERS) {
+        if got >= missing {
+            break;
+        }
+        let ask = Borrow {
+            id: format!("{}/{}", node.holder, Uuid::new_v4()),
+            budget: budget.to_owned(),
+            tokens: missing - got,
+        };
+        match ask_once(node, address, &ask).await {
+            Some(tokens) => {
+                if tokens > 0 {
+                    take_in(node, &name, &ask, tokens);
+                }
+                got += tokens;
+            }
+            // The answer may be lost while the tokens were taken out: ask again with the same id.
+            None => exec::spawn(ask_again(node.clone(), name, address, ask)).detach(),
+        }
+    }
+    got
+}
+
+async fn ask_once<P, E, C>(node: &Node<P, E, C>, address: SocketAddr, ask: &Borrow) -> Option<u64>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let ask = ask.clone();
+    let call = |client: LinkClient, context| async move { client.borrow(context, ask).await };
+    node.peers
+        .call("borrow", address, call)
+        .await
+        .ok()
+        .map(|lent| lent.tokens)
+}
+
+async fn ask_again<P, E, C>(node: Arc<Node<P, E, C>>, name: String, address: SocketAddr, ask: Borrow)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    node.metrics.loans_open.inc();
+    let mut answer = None;
+    for _ in 0..LOAN_ATTEMPTS {
+        exec::sleep(millis(LOAN_PAUSE_MS)).await;
+        answer = ask_once(&node, address, &ask).await;
+        if answer.is_some() {
+            break;
+        }
+    }
+    node.metrics.loans_open.dec();
+    match answer {
+        Some(0) => {}
+        Some(tokens) => take_in(&node, &name, &ask, tokens),
+        None => log::warn!(
+            "budget: loan {} of {} from {name} was never answered",
+            ask.id,
+            ask.budget
+        ),
+    }
+}
+
+fn take_in<P, E, C>(node: &Node<P, E, C>, name: &str, ask: &Borrow, tokens: u64)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    node.grants.receive(&ask.budget, tokens);
+    node.metrics.borrowed.inc_by(tokens);
+    log::info!(
+        "budget: borrowed {tokens} tokens of {} from {name} under {}",
+        ask.budget,
+        ask.id
+    );
+}
--- /dev/null
+++ b/crates/router/src/schedule.rs
@@ -0,0 +1,312 @@
+//! Waiting for an upstream: the board and the lines of one router, and who goes next.
+
+use crate::clock::Clock;
+use crate::refusal::Refusal;
+use async_channel::{Receiver, Sender};
+use bundle::Bundle;
+use http::StatusCode;
+use net::exec;
+use peer::View;
+use route::{Admit, Ask, Board, Budget, Choice, Line, Pick, Report, Spec, Ticket, share, subset};
+use std::collections::{BTreeMap, HashSet};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+use upstream::Load;
+
+/// Routers that use one upstream; the others leave it alone, so that connections stay bounded.
+const WIDTH: usize = 12;
+/// The shortest time after which a refused caller should come back, in milliseconds.
+const COME_BACK_MS: u64 = 500;
+
+/// A request that needs an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Want<'a> {
+    pub model: &'a str,
+    pub prefix: u64,
+    pub avoid: &'a [String],
+    pub team: &'a str,
+    pub weight: u32,
+    pub priority: u8,
+    pub deadline: u64,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    prefix: u64,
+    avoid: Vec<String>,
+    chosen: Sender<Choice>,
+}
+
+#[derive(Debug)]
+struct State {
+    board: Board,
+    lines: BTreeMap<String, Line<Waiter>>,
+    most: usize,
+    retries: Budget,
+    cache_seen: BTreeMap<String, u64>,
+}
+
+/// The upstreams and the requests that wait for them.
+#[derive(Debug)]
+pub(crate) struct Schedule<C> {
+    clock: C,
+    state: Mutex<State>,
+}
+
+impl<C: Clock> Schedule<C> {
+    pub(crate) fn new(data_centre: &str, clock: C) -> Schedule<C> {
+        let state = State {
+            board: Board::new(data_centre),
+            lines: BTreeMap::new(),
+            most: 0,
+            retries: Budget::new(0.0),
+            cache_seen: BTreeMap::new(),
+        };
+        Schedule {
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no thread panics while it holds the schedule")
+    }
+
+    /// Takes in a bundle and the routers that share the upstreams.
+    pub(crate) fn configure(&self, bundle: &Bundle, view: &View, me: &str) {
+        let sharers = view.sharers();
+        let names: Vec<&str> = bundle.upstreams.keys().map(String::as_str).collect();
+        let mine: HashSet<&str> = subset(&names, &sharers, me, WIDTH).into_iter().collect();
+        let mut state = self.lock();
+        for (name, upstream) in bundle
+            .upstreams
+            .iter()
+            .filter(|(name, _)| mine.contains(name.as_str()))
+        {
+            // Only the routers that use the upstream have a share of it.
+            let users: Vec<&str> = sharers
+                .iter()
+                .copied()
+                .filter(|who| !subset(&[name], &sharers, who, WIDTH).is_empty())
+                .collect();
+            let spec = Spec {
+                data_centre: upstream.data_centre.clone(),
+                limit: share(upstream.slots, &users, me, name),
+                models: upstream.models.clone(),
+            };
+            state.board.set(name, spec);
+        }
+        state.board.retain(|name| mine.contains(name));
+        state.most = bundle.limits.queue;
+        state.retries.set_share(bundle.limits.retry_share);
+        self.advance(&mut state);
+    }
+
+    /// Takes in an upstream's load report.
+    pub(crate) fn report(&self, name: &str, load: &Load) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let report = Report {
+            slots: load.slots,
+            busy: load.running + load.waiting,
+            leaving: load.leaving,
+        };
+        state.board.report(name, report, now);
+        let seen = state.cache_seen.get(name).copied().unwrap_or(0);
+        for event in load.cache.iter().filter(|event| event.sequence > seen) {
+            state.board.cache(name, event.prefix, event.added);
+        }
+        if let Some(last) = load.cache.last() {
+            state.cache_seen.insert(name.to_owned(), last.sequence.max(seen));
+        }
+        self.advance(&mut state);
+    }
+
+    /// Marks an upstream as leaving or staying.
+    pub(crate) fn leave(&self, name: &str, leaving: bool) -> bool {
+        self.lock().board.leave(name, leaving)
+    }
+
+    /// The upstreams as operators see them.
+    pub(crate) fn view(&self) -> BTreeMap<String, route::View> {
+        self.lock().board.view(self.clock.now())
+    }
+
+    /// Requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.lock().lines.values().map(Line::len).sum()
+    }
+
+    /// Notes a request that earns a share of a retry.
+    pub(crate) fn deposit(&self) {
+        self.lock().retries.deposit();
+    }
+
+    /// Takes a retry, if one was earned.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.lock().retries.withdraw()
+    }
+
+    /// Waits for an upstream; its slot is taken until [`Schedule::end`].
+    pub(crate) async fn choose(&self, want: &Want<'_>) -> Result<Choice, Refusal> {
+        let (chosen, choice) = async_channel::bounded(1);
+        let number = match self.enter(want, chosen) {
+            Entered::Chosen(choice) => return Ok(choice),
+            Entered::Refused(refusal) => return Err(refusal),
+            Entered::Waiting(number) => number,
+        };
+        let waiting = Waiting {
+            schedule: self,
+            model: want.model,
+            number,
+            choice,
+        };
+        let limit = Duration::from_millis(want.deadline.saturating_sub(self.clock.now()));
+        match exec::timeout(limit, waiting.choice.recv()).await {
+            Some(Ok(choice)) => Ok(choice),
+            Some(Err(_)) => Err(late("it was displaced by more urgent work", COME_BACK_MS)),
+            None => Err(late("no upstream became free before its deadline", COME_BACK_MS)),
+        }
+    }
+
+    fn enter(&self, want: &Want<'_>, chosen: Sender<Choice>) -> Entered {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let State {
+            board, lines, most, ..
+        } = &mut *state;
+        let line = lines
+            .entry(want.model.to_owned())
+            .or_insert_with(|| Line::new(*most));
+        let urgent = line
+            .first()
+            .is_none_or(|(_, first)| first.priority > want.priority);
+        let ask = Ask {
+            model: want.model,
+            prefix: want.prefix,
+            avoid: want.avoid,
+        };
+        if urgent {
+            match board.pick(&ask, now) {
+                Pick::Take(choice) => return Entered::Chosen(choice),
+                Pick::Nowhere => return Entered::Refused(nowhere(want.model)),
+                Pick::Wait => {}
+            }
+        }
+        let item = Waiter {
+            prefix: want.prefix,
+            avoid: want.avoid.to_vec(),
+            chosen,
+        };
+        let ticket = Ticket {
+            item,
+            team: want.team.to_owned(),
+            priority: want.priority,
+            deadline: want.deadline,
+        };
+        match line.push(ticket, want.weight, now) {
+            (Admit::Waiting, number) => {
+                // The displaced request learns it because its sender is dropped.
+                drop(line.overflow());
+                Entered::Waiting(number)
+            }
+            (Admit::Full(millis), _) => Entered::Refused(full(millis.max(COME_BACK_MS))),
+            (Admit::Late(millis), _) => Entered::Refused(late(
+                "it could not begin before its deadline",
+                millis.max(COME_BACK_MS),
+            )),
+        }
+    }
+
+    /// Gives back a slot and lets the next request go.
+    pub(crate) fn end(&self, name: &str) {
+        let mut state = self.lock();
+        state.board.end(name);
+        self.advance(&mut state);
+    }
+
+    /// Notes that a run went well.
+    pub(crate) fn succeed(&self, name: &str, gap: Option<f64>) {
+        self.lock().board.succeed(name, gap);
+    }
+
+    /// Notes that a run failed; `true` if the upstream is ejected for it.
+    pub(crate) fn fail(&self, name: &str) -> bool {
+        let now = self.clock.now();
+        self.lock().board.fail(name, now)
+    }
+
+    /// Sends waiting requests off while upstreams are free.
+    fn advance(&self, state: &mut State) {
+        let now = self.clock.now();
+        let State { board, lines, .. } = state;
+        for (model, line) in lines.iter_mut() {
+            while let Some((number, ticket)) = line.first() {
+                if ticket.item.chosen.is_closed() {
+                    line.remove(number);
+                    continue;
+                }
+                let ask = Ask {
+                    model,
+                    prefix: ticket.item.prefix,
+                    avoid: &ticket.item.avoid,
+                };
+                let Pick::Take(choice) = board.pick(&ask, now) else {
+                    break;
+                };
+                let upstream = choice.upstream.clone();
+                let sent = line
+                    .depart(number, now)
+                    .is_some_and(|ticket| ticket.item.chosen.try_send(choice).is_ok());
+                if !sent {
+                    board.end(&upstream);
+                }
+            }
+        }
+    }
+}
+
+enum Entered {
+    Chosen(Choice),
+    Refused(Refusal),
+    Waiting(u64),
+}
+
+/// Takes a request out of the line when it no longer waits, and gives back a choice that nobody took.
+struct Waiting<'a, C: Clock> {
+    schedule: &'a Schedule<C>,
+    model: &'a str,
+    number: u64,
+    choice: Receiver<Choice>,
+}
+
+impl<C: Clock> Drop for Waiting<'_, C> {
+    fn drop(&mut self) {
+        let mut state = self.schedule.lock();
+        if let Some(line) = state.lines.get_mut(self.model) {
+            line.remove(self.number);
+        }
+        if let Ok(choice) = self.choice.try_recv() {
+            state.board.end(&choice.upstream);
+            self.schedule.advance(&mut state);
+        }
+    }
+}
+
+fn nowhere(model: &str) -> Refusal {
+    let message = format!("no upstream serves model {model} at this router now");
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_upstream", "route", message)
+        .retry_after(COME_BACK_MS)
+}
+
+fn full(millis: u64) -> Refusal {
+    let message = "too many requests wait for an upstream".to_owned();
+    Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "queue_full", "route", message).retry_after(millis)
+}
+
+fn late(reason: &str, millis: u64) -> Refusal {
+    let message = format!("the request was not sent to an upstream: {reason}");
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "too_late", "route", message).retry_after(millis)
+}
--- /dev/null
+++ b/crates/router/src/steer.rs
@@ -0,0 +1,210 @@
+//! Bundles: learning of the accepted sequence, fetching what changed, and putting it in force.
+
+use crate::clock::Clock;
+use crate::node::{Access, InForce, Node};
+use crate::settings::millis;
+use bundle::{Bundle, Manifest, Signed};
+use net::exec;
+use peer::{Beat, LinkClient};
+use platform::Services;
+use roll::{Accepted, HEAD, object_key};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use upstream::Engine;
+
+/// Reads of the head that all routers together make in a second.
+const FLEET_RATE: u64 = 400;
+
+/// Why a bundle was not put in force.
+#[derive(Clone, Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// A part could not be fetched.
+    #[error("{0}")]
+    Fetch(String),
+    /// It was rejected.
+    #[error("{0}")]
+    Bundle(#[from] bundle::Error),
+    /// The signed manifest is for another place in the history.
+    #[error("the manifest follows sequence {parent}, so it can't be sequence {sequence}: it was replayed")]
+    Replayed {
+        /// The sequence that it follows.
+        parent: u64,
+        /// The sequence that was claimed for it.
+        sequence: u64,
+    },
+    /// The signed manifest is not the one that was accepted.
+    #[error("the manifest does not have the accepted digest")]
+    Digest,
+}
+
+/// Watches the platform's head row.
+pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    while !node.is_closed() {
+        match node.platform.read(&[HEAD.to_owned()]).await {
+            Ok(rows) => {
+                let head = rows.into_iter().next().flatten();
+                if let Some(head) = head.and_then(|row| row.decode::<Accepted>().ok()) {
+                    let from = Source::Platform;
+                    adopt(&node, head.sequence, &head.manifest, from).await;
+                }
+            }
+            Err(error) => log::debug!("bundle: {error}"),
+        }
+        let pause = node
+            .settings
+            .limits
+            .poll_ms
+            .max(node.fleet_size() * 1_000 / FLEET_RATE);
+        exec::sleep(millis(pause)).await;
+    }
+}
+
+/// Adopts the bundle that a peer has in force, if it is later.
+pub(crate) async fn adopt_from_peer<P, E, C>(node: &Arc<Node<P, E, C>>, beat: &Beat)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    adopt(node, beat.sequence, &beat.manifest, Source::Peer(beat.address)).await;
+}
+
+/// Where parts are fetched.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Platform,
+    Peer(SocketAddr),
+}
+
+async fn adopt<P, E, C>(node: &Arc<Node<P, E, C>>, sequence: u64, manifest: &str, source: Source)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let current = node.bundle();
+    if sequence <= current.sequence {
+        return;
+    }
+    match build(node, &current, sequence, manifest, source).await {
+        Ok(next) => {
+            if node.put_in_force(next) {
+                log::info!("bundle: sequence {sequence} is in force, from {source:?}");
+            }
+        }
+        Err(Error::Fetch(reason)) => log::warn!("bundle: sequence {sequence} can't be fetched yet: {reason}"),
+        Err(error) => {
+            node.metrics.rejected.inc();
+            log::error!("bundle: sequence {sequence} from {source:?} is rejected: {error}");
+        }
+    }
+}
+
+async fn build<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    current: &InForce,
+    sequence: u64,
+    digest: &str,
+    source: Source,
+) -> Result<InForce, Error>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let fetched = fetch(node, &[digest.to_owned()], source).await?;
+    let text = fetched
+        .get(digest)
+        .ok_or_else(|| Error::Fetch("the manifest is not there".to_owned()))?;
+    let signed: Signed = serde_json::from_str(text)
+        .map_err(|error| bundle::Error::Unreadable("signed manifest".to_owned(), error.to_string()))?;
+    if signed.digest() != digest {
+        return Err(Error::Digest);
+    }
+    let trust = &node.settings.trust;
+    let manifest: Manifest = bundle::verify(&signed, &trust.keys, trust.needed)?;
+    if manifest.parent + 1 != sequence {
+        return Err(Error::Replayed {
+            parent: manifest.parent,
+            sequence,
+        });
+    }
+
+    let missing: Vec<String> = manifest
+        .sections
+        .values()
+        .filter(|digest| !current.parts.contains_key(*digest))
+        .cloned()
+        .collect();
+    let mut parts = fetch(node, &missing, source).await?;
+    for digest in manifest.sections.values() {
+        if let Some(part) = current.parts.get(digest) {
+            parts.insert(digest.clone(), part.clone());
+        }
+    }
+    parts.insert(digest.to_owned(), text.clone());
+    let content = bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str))?;
+    let keys = access(&content);
+    let since = node.clock.now();
+    Ok(InForce {
+        sequence,
+        manifest: digest.to_owned(),
+        parts,
+        content,
+        keys,
+        since,
+    })
+}
+
+async fn fetch<P, E, C>(
+    node: &Node<P, E, C>,
+    digests: &[String],
+    source: Source,
+) -> Result<HashMap<String, String>, Error>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let mut found = HashMap::new();
+    match source {
+        Source::Platform => {
+            for digest in digests {
+                let bytes = node.platform.load(&object_key(digest)).await;
+                let bytes = bytes.map_err(|error| Error::Fetch(error.to_string()))?;
+                let text = bytes.and_then(|bytes| String::from_utf8(bytes).ok());
+                found.extend(text.map(|text| (digest.clone(), text)));
+            }
+        }
+        Source::Peer(address) => {
+            let asked = digests.to_vec();
+            let call = |client: LinkClient, context| async move { client.fetch(context, asked).await };
+            let parts = node.peers.call("fetch", address, call).await;
+            let parts = parts.map_err(|error| Error::Fetch(error.to_string()))?;
+            let pairs = digests.iter().cloned().zip(parts);
+            found.extend(pairs.filter_map(|(digest, part)| part.map(|part| (digest, part))));
+        }
+    }
+    Ok(found)
+}
+
+/// The access keys by hash.
+fn access(bundle: &Bundle) -> HashMap<String, Access> {
+    let mut keys = HashMap::new();
+    for (name, team) in &bundle.teams {
+        for key in &team.keys {
+            let access = Access {
+                team: name.clone(),
+                budget: format!("{name}/{}", key.budget),
+            };
+            keys.insert(key.hash.clone(), access);
+        }
+    }
+    keys
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -296,7 +296,7 @@
     };
     let slot = match accept(&mut lock(&state), &run, &router, &ask, priority) {
         Ok(slot) => slot,
-        Err(refusal) => return refusal,
+        Err(Refused(status, message)) => return failure(status, message),
     };
     net::exec::spawn(generate(
         state.clone(),
@@ -313,27 +313,24 @@
     whole(&state, &run, &ask.model, chat).await
 }
 
+/// A run that is not accepted, and why.
+struct Refused(StatusCode, &'static str);
+
 /// A place in the batch, or in the queue for one.
 type Slot = Option<async_channel::Receiver<()>>;
 
-fn accept(
-    state: &mut State,
-    run: &str,
-    router: &str,
-    ask: &Ask,
-    priority: u8,
-) -> Result<Slot, Response<Body>> {
+fn accept(state: &mut State, run: &str, router: &str, ask: &Ask, priority: u8) -> Result<Slot, Refused> {
     if state.fault == Fault::Refuse {
-        return Err(failure(StatusCode::SERVICE_UNAVAILABLE, "refusing"));
+        return Err(Refused(StatusCode::SERVICE_UNAVAILABLE, "refusing"));
     }
     if state.refused.iter().any(|refused| refused == run) {
-        return Err(failure(
+        return Err(Refused(
             StatusCode::CONFLICT,
             "the run was cancelled before it came",
         ));
     }
     if !state.shape.models.contains(&ask.model) {
-        return Err(failure(StatusCode::NOT_FOUND, "the model is not loaded"));
+        return Err(Refused(StatusCode::NOT_FOUND, "the model is not loaded"));
     }
     let prompt = ask.text();
     let new = Run {
--- a/crates/upstream/src/http_adapter.rs
+++ b/crates/upstream/src/http_adapter.rs
@@ -193,14 +193,8 @@
         let body = serde_json::to_vec(order).unwrap_or_default();
         self.json("order", peer, Method::POST, "/v1/orders", body).await
     }
-}
 
-impl Http {
-    /// Passes a request on to a plain service and hands back its answer as it comes.
-    ///
-    /// # Errors
-    /// Says whether the service can have executed the request.
-    pub async fn forward(
+    async fn forward(
         &self,
         peer: SocketAddr,
         mut request: Request<Body>,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,7 +14,9 @@
 pub use events::{Event, Events};
 pub use http_adapter::Http;
 
-use hyper::body::Bytes;
+use http::{Request, Response};
+use hyper::body::{Bytes, Incoming};
+use net::Body;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -177,4 +179,11 @@
 
     /// Gives an order.
     fn order(&self, peer: SocketAddr, order: &Order) -> impl Future<Output = Result<Obeyed, Error>> + Send;
+
+    /// Passes a request on to a plain service, or to another router, and hands back the answer as it comes.
+    fn forward(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+    ) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send;
 }
--- /dev/null
+++ b/src/cmd/ctl/diff.rs
@@ -0,0 +1,47 @@
+//! `tallypaddlectl bundle diff`.
+
+use super::{Error, platform, read_bundle};
+use crate::cmd::read_settings;
+use bundle::Bundle;
+use std::path::PathBuf;
+
+/// The arguments of `bundle diff`.
+#[derive(Clone, Debug)]
+pub struct Diff {
+    /// The bundle in YAML.
+    pub file: PathBuf,
+    /// A router's settings file.
+    pub settings: PathBuf,
+    /// Prints JSON.
+    pub json: bool,
+}
+
+impl Diff {
+    /// Prints what the bundle changes against the accepted one.
+    ///
+    /// # Errors
+    /// Fails if a file is wrong or the platform is away.
+    pub fn execute(&self) -> Result<(), Error> {
+        let settings = read_settings(&self.settings)?;
+        let fresh = read_bundle(&self.file)?;
+        let platform = platform(&settings);
+        let before = net::exec::block_on(async {
+            match roll::current(&platform).await? {
+                Some(accepted) => roll::load(&platform, accepted.sequence).await,
+                None => Ok(Bundle::default()),
+            }
+        })?;
+        let changes = bundle::diff(&before, &fresh);
+        if self.json {
+            println!("{}", serde_json::json!(changes));
+            return Ok(());
+        }
+        if changes.is_empty() {
+            println!("nothing changes");
+        }
+        for change in changes {
+            println!("{change}");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cmd/ctl/mod.rs
@@ -0,0 +1,44 @@
+//! The subcommands of `tallypaddlectl`.
+
+mod check;
+mod diff;
+mod key;
+mod log;
+mod roll;
+mod sign;
+mod status;
+
+pub use check::Check;
+pub use diff::Diff;
+pub use key::NewKey;
+pub use log::Log;
+pub use roll::Roll;
+pub use sign::{Rollback, Sign};
+pub use status::Status;
+
+use super::{Error, mistakes_in, read_file};
+use ::roll::Package;
+use bundle::{Bundle, Secret};
+use router::Settings;
+use std::path::Path;
+use std::time::Duration;
+
+/// The platform that the settings name.
+fn platform(settings: &Settings) -> platform::Http {
+    let time = Duration::from_millis(settings.platform.timeout_ms);
+    platform::Http::new(net::Client::new(), settings.platform.address, time)
+}
+
+fn read_bundle(path: &Path) -> Result<Bundle, Error> {
+    bundle::read(&read_file(path)?).map_err(|mistakes| mistakes_in(path, &mistakes))
+}
+
+fn read_secret(path: &Path) -> Result<Secret, Error> {
+    Secret::from_hex(&read_file(path)?)
+        .map_err(|error| Error::Mistakes(format!("{}: {error}", path.display())))
+}
+
+fn read_package(path: &Path) -> Result<Package, Error> {
+    serde_json::from_str(&read_file(path)?)
+        .map_err(|error| Error::Mistakes(format!("{}: not a signed package: {error}", path.display())))
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,106 @@
+//! One module for each subcommand; each has its arguments as a struct with an `execute`.
+//!
+//! ```no_run
+//! tallypaddle::cmd::Check { settings: "router.yaml".into() }.execute().unwrap();
+//! ```
+
+mod check;
+pub mod ctl;
+mod serve;
+
+pub use check::Check;
+pub use serve::Serve;
+
+use router::Settings;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// The exit code for a failure that asking again later may mend.
+pub const EXIT_FAILED: u8 = 1;
+/// The exit code for a mistake in a file or on the command line.
+pub const EXIT_MISTAKE: u8 = 2;
+/// The exit code for a bundle that another one overtook.
+pub const EXIT_CONFLICT: u8 = 3;
+/// The exit code for an outcome that could not be learned.
+pub const EXIT_UNKNOWN: u8 = 4;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file can't be read or written.
+    #[error("{path}: {source}")]
+    File {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A file is wrong; the text has a line for each mistake.
+    #[error("{0}")]
+    Mistakes(String),
+    /// A process could not run.
+    #[error("{step}: {source}")]
+    Run {
+        /// What it was doing.
+        step: &'static str,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A bundle was not accepted.
+    #[error("{0}")]
+    Roll(#[from] roll::Error),
+    /// The platform failed.
+    #[error("{0}")]
+    Platform(#[from] platform::Error),
+}
+
+impl Error {
+    /// The exit code that tells scripts what to do.
+    pub fn exit_code(&self) -> ExitCode {
+        let code = match self {
+            Error::File { .. } | Error::Mistakes(_) => EXIT_MISTAKE,
+            Error::Roll(roll::Error::Conflict { .. }) => EXIT_CONFLICT,
+            Error::Roll(roll::Error::Unknown(_)) => EXIT_UNKNOWN,
+            Error::Roll(roll::Error::Bundle(_) | roll::Error::Refused(_)) => EXIT_MISTAKE,
+            Error::Run { .. } | Error::Roll(_) | Error::Platform(_) => EXIT_FAILED,
+        };
+        ExitCode::from(code)
+    }
+}
+
+/// Ends a program: prints the error, if any, and gives the exit code.
+pub fn finish(result: Result<(), Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), Error> {
+    std::fs::write(path, text).map_err(|source| Error::File {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
+fn read_settings(path: &Path) -> Result<Settings, Error> {
+    let text = read_file(path)?;
+    Settings::read(&text).map_err(|mistakes| mistakes_in(path, &mistakes))
+}
+
+fn mistakes_in(path: &Path, mistakes: &[bundle::Mistake]) -> Error {
+    let lines = mistakes
+        .iter()
+        .map(|mistake| format!("{}: {mistake}", path.display()));
+    Error::Mistakes(lines.collect::<Vec<_>>().join("\n"))
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,36 @@
+//! `tallypaddle serve`: runs the router until it is asked to stop.
+
+use super::{Error, read_settings};
+use std::path::PathBuf;
+
+/// The arguments of `serve`.
+#[derive(Clone, Debug)]
+pub struct Serve {
+    /// The settings file.
+    pub settings: PathBuf,
+}
+
+impl Serve {
+    /// Runs the router until SIGTERM or SIGINT, then stops it without cutting off a request.
+    ///
+    /// # Errors
+    /// Fails if the settings are wrong or an address can't be bound.
+    pub fn execute(&self) -> Result<(), Error> {
+        let settings = read_settings(&self.settings)?;
+        net::exec::start(settings.limits.threads);
+        net::exec::block_on(async {
+            let running = router::start_with_http(settings)
+                .await
+                .map_err(|source| Error::Run {
+                    step: "start the router",
+                    source,
+                })?;
+            net::signal::terminated().await.map_err(|source| Error::Run {
+                step: "wait for a signal",
+                source,
+            })?;
+            running.stop().await;
+            Ok(())
+        })
+    }
+}
