--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -172,7 +172,8 @@
     pub fn close(&mut self, line: &Line) {
         if self.open.take().is_some() {
             self.available += line.granted - self.line.granted;
-            self.available += line.voided - self.line.voided;
+            // Consumed by a second run of a request that another router charged: not charged, but held.
+            self.unknown += line.voided - self.line.voided;
             self.line = *line;
         }
     }
