--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -46,10 +46,7 @@
 
     /// Every token this router answers for: what its death would strand.
     pub fn total(&self) -> u64 {
-        let settling = self
-            .open
-            .as_ref()
-            .map_or(0, |entry| sum(&entry.charges) + entry.returned);
+        let settling = self.open.as_ref().map_or(0, |entry| sum(&entry.charges) + entry.returned);
         self.available + self.reserved + self.unknown + sum(&self.charges) + settling
     }
 
@@ -80,11 +77,7 @@
         charge.tokens -= excess;
         self.reserved -= reserved;
         self.available += reserved - charge.tokens;
-        match self
-            .charges
-            .iter_mut()
-            .find(|known| known.key.is_none() && charge.key.is_none())
-        {
+        match self.charges.iter_mut().find(|known| known.key.is_none() && charge.key.is_none()) {
             // Charges without a key can't repeat, so their sum is enough.
             Some(known) => known.tokens += charge.tokens,
             None if charge.tokens > 0 => self.charges.push(charge),
@@ -147,11 +140,8 @@
         if self.open.is_some() {
             return None;
         }
-        let excess = if self.available > target.saturating_mul(2) && need == 0 {
-            self.available - target
-        } else {
-            0
-        };
+        let excess =
+            if self.available > target.saturating_mul(2) && need == 0 { self.available - target } else { 0 };
         self.available -= excess;
         let entry = Entry {
             charges: self.charges.drain(..self.charges.len().min(most)).collect(),
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -193,11 +193,7 @@
     }
     let mut seen = BTreeSet::new();
     for charge in &entry.charges {
-        let identity = charge.key.as_deref().map(|key| KeyRef {
-            budget,
-            key,
-            request: &charge.request,
-        });
+        let identity = charge.key.as_deref().map(|key| KeyRef { budget, key, request: &charge.request });
         if identity.is_some_and(|identity| charged(&identity) || !seen.insert(identity.key)) {
             line.voided += charge.tokens;
         } else {
--- a/crates/budget/tests/model/claims.rs
+++ b/crates/budget/tests/model/claims.rs
@@ -147,19 +147,11 @@
                 let mut sent = set(Phase::Dispatched);
                 sent.routers[index].runs += 1;
                 let run = sent.routers[index].runs;
-                sent.dispatches.push(Flying {
-                    router: index,
-                    incarnation: router.incarnation,
-                    run,
-                });
+                sent.dispatches.push(Flying { router: index, incarnation: router.incarnation, run });
                 next.push(sent);
             }
             Phase::Dispatched => {
-                let run = Flying {
-                    router: index,
-                    incarnation: router.incarnation,
-                    run: router.runs,
-                };
+                let run = Flying { router: index, incarnation: router.incarnation, run: router.runs };
                 if state.started.contains(&run) {
                     next.push(self.finish(state, index));
                 }
@@ -172,11 +164,7 @@
     /// Asks the engine what became of the run; only its word that it never will run allows another.
     fn after_failure(&self, state: &State, index: usize, next: &mut Vec<State>) {
         let router = &state.routers[index];
-        let run = Flying {
-            router: index,
-            incarnation: router.incarnation,
-            run: router.runs,
-        };
+        let run = Flying { router: index, incarnation: router.incarnation, run: router.runs };
         next.push(self.answer(state, index, Verdict::Unknown));
         if state.started.contains(&run) {
             next.push(self.finish(state, index));
@@ -202,19 +190,14 @@
         let router = &mut next.routers[index];
         router.phase = Phase::Answered(verdict);
         if verdict == Verdict::NotRun {
-            next.told_not_run
-                .push((index, router.incarnation, router.earlier, router.runs));
+            next.told_not_run.push((index, router.incarnation, router.earlier, router.runs));
         }
         next
     }
 
     fn finish(&self, state: &State, index: usize) -> State {
         let mut next = self.answer(state, index, Verdict::Done);
-        let answer = Answer {
-            status: 200,
-            media: String::new(),
-            body: String::new(),
-        };
+        let answer = Answer { status: 200, media: String::new(), body: String::new() };
         if let Some(row) = &mut next.row {
             row.state = Progress::Done(answer);
         }
@@ -226,13 +209,7 @@
     type State = State;
 
     fn start(&self) -> State {
-        let router = Router {
-            incarnation: 0,
-            phase: Phase::Idle,
-            request: 0,
-            runs: 0,
-            earlier: 0,
-        };
+        let router = Router { incarnation: 0, phase: Phase::Idle, request: 0, runs: 0, earlier: 0 };
         State {
             row: None,
             inserts: vec![],
@@ -255,13 +232,8 @@
                 let mut crashed = state.clone();
                 crashed.crashes += 1;
                 let incarnation = crashed.routers[index].incarnation + 1;
-                crashed.routers[index] = Router {
-                    incarnation,
-                    phase: Phase::Idle,
-                    request: 0,
-                    runs: 0,
-                    earlier: 0,
-                };
+                crashed.routers[index] =
+                    Router { incarnation, phase: Phase::Idle, request: 0, runs: 0, earlier: 0 };
                 next.push(crashed);
             }
         }
@@ -269,11 +241,7 @@
             let mut delivered = state.clone();
             let (holder, request) = delivered.inserts.remove(at);
             if delivered.row.is_none() {
-                delivered.row = Some(Claim {
-                    holder,
-                    request,
-                    state: Progress::Claimed,
-                });
+                delivered.row = Some(Claim { holder, request, state: Progress::Claimed });
             }
             next.push(delivered);
             if state.losses < self.losses {
@@ -297,11 +265,7 @@
     fn broken(&self, state: &State) -> Option<&'static str> {
         let ran = |router: usize, incarnation: u8, earlier: u8, runs: u8| {
             let own = |run: &&Flying| run.router == router && run.incarnation == incarnation;
-            state
-                .started
-                .iter()
-                .filter(own)
-                .any(|run| run.run > earlier && run.run <= runs)
+            state.started.iter().filter(own).any(|run| run.run > earlier && run.run <= runs)
         };
         let not_run = state
             .told_not_run
@@ -319,12 +283,7 @@
 
 #[test]
 fn claims_are_safe() {
-    let model = Claims {
-        flaw: Flaw::None,
-        requests: 3,
-        crashes: 1,
-        losses: 1,
-    };
+    let model = Claims { flaw: Flaw::None, requests: 3, crashes: 1, losses: 1 };
     let states = assert_holds(&model);
     println!("claims: {states} states with 3 requests, 1 crash, 1 loss");
     assert!(states > 10_000, "the bounds leave only {states} states");
@@ -333,66 +292,26 @@
 #[test]
 #[ignore = "takes minutes; run with --ignored"]
 fn claims_are_safe_in_larger_bounds() {
-    let model = Claims {
-        flaw: Flaw::None,
-        requests: 4,
-        crashes: 2,
-        losses: 2,
-    };
-    println!(
-        "claims: {} states with 4 requests, 2 crashes, 2 losses",
-        assert_holds(&model)
-    );
+    let model = Claims { flaw: Flaw::None, requests: 4, crashes: 2, losses: 2 };
+    println!("claims: {} states with 4 requests, 2 crashes, 2 losses", assert_holds(&model));
 }
 
 #[test]
 fn taking_a_claim_over_breaks_i3() {
-    assert_breaks(
-        &Claims {
-            flaw: Flaw::TakeOver,
-            requests: 2,
-            crashes: 1,
-            losses: 0,
-        },
-        "I3",
-    );
+    assert_breaks(&Claims { flaw: Flaw::TakeOver, requests: 2, crashes: 1, losses: 0 }, "I3");
 }
 
 #[test]
 fn trusting_a_lost_answer_breaks_i3() {
-    assert_breaks(
-        &Claims {
-            flaw: Flaw::TrustLost,
-            requests: 2,
-            crashes: 0,
-            losses: 1,
-        },
-        "I3",
-    );
+    assert_breaks(&Claims { flaw: Flaw::TrustLost, requests: 2, crashes: 0, losses: 1 }, "I3");
 }
 
 #[test]
 fn repeating_a_failed_dispatch_breaks_i3() {
-    assert_breaks(
-        &Claims {
-            flaw: Flaw::HastyRetry,
-            requests: 1,
-            crashes: 0,
-            losses: 0,
-        },
-        "I3",
-    );
+    assert_breaks(&Claims { flaw: Flaw::HastyRetry, requests: 1, crashes: 0, losses: 0 }, "I3");
 }
 
 #[test]
 fn a_hasty_not_run_breaks_i4() {
-    assert_breaks(
-        &Claims {
-            flaw: Flaw::HastyNotRun,
-            requests: 1,
-            crashes: 0,
-            losses: 0,
-        },
-        "I4",
-    );
+    assert_breaks(&Claims { flaw: Flaw::HastyNotRun, requests: 1, crashes: 0, losses: 0 }, "I4");
 }
--- a/crates/budget/tests/model/money.rs
+++ b/crates/budget/tests/model/money.rs
@@ -115,15 +115,9 @@
 
 impl Money {
     fn credits(&self, state: &State) -> Vec<Credit> {
-        let mut credits = vec![Credit {
-            id: "c1".into(),
-            tokens: PREPAID,
-        }];
+        let mut credits = vec![Credit { id: "c1".into(), tokens: PREPAID }];
         if state.topped_up {
-            credits.push(Credit {
-                id: "c2".into(),
-                tokens: TOP_UP,
-            });
+            credits.push(Credit { id: "c2".into(), tokens: TOP_UP });
         }
         credits
     }
@@ -140,12 +134,7 @@
             Reserve::Short(_) if self.flaw == Flaw::NoReservation => 0,
             Reserve::Short(_) => return None,
         };
-        router.running.push(Running {
-            request: state.submitted,
-            reserved,
-            keyed,
-            consumed: false,
-        });
+        router.running.push(Running { request: state.submitted, reserved, keyed, consumed: false });
         Some(next)
     }
 
@@ -170,14 +159,7 @@
         let running = router.running.remove(at);
         let key = running.keyed.then(|| KEY.to_owned());
         let request = format!("r{}", running.request);
-        router.grant.charge(
-            running.reserved,
-            Charge {
-                request,
-                key,
-                tokens: USED,
-            },
-        );
+        router.grant.charge(running.reserved, Charge { request, key, tokens: USED });
         Some(next)
     }
 
@@ -187,10 +169,8 @@
         let router = &mut next.routers[index];
         let entry = router.grant.open(target, need, credits, 4)?;
         router.sequence += 1;
-        router.batch = Some(Batch {
-            sequence: router.sequence,
-            entries: [(BUDGET.to_owned(), entry)].into(),
-        });
+        router.batch =
+            Some(Batch { sequence: router.sequence, entries: [(BUDGET.to_owned(), entry)].into() });
         Some(next)
     }
 
@@ -214,10 +194,7 @@
         }
         let charged = |key: &budget::ledger::KeyRef<'_>| {
             self.flaw != Flaw::NoKeyCheck
-                && state
-                    .charged
-                    .get(key.key)
-                    .is_some_and(|request| request != key.request)
+                && state.charged.get(key.key).is_some_and(|request| request != key.request)
         };
         let result = post(&mut account, &mut pools, &charged, &batch, ROUTERS as u64);
         if self.flaw == Flaw::CreditTwice {
@@ -255,9 +232,7 @@
             match &charge.key {
                 None => next.expected_spent += charge.tokens,
                 Some(key) => {
-                    next.charged
-                        .entry(key.clone())
-                        .or_insert_with(|| charge.request.clone());
+                    next.charged.entry(key.clone()).or_insert_with(|| charge.request.clone());
                     if next.posted.insert(key.clone()) {
                         next.expected_spent += charge.tokens;
                     }
@@ -288,20 +263,13 @@
         let mut next = state.clone();
         next.crashes += 1;
         if self.flaw == Flaw::ReleaseDead {
-            let held = self
-                .account(state, index)
-                .lines
-                .get(BUDGET)
-                .map_or(0, budget::ledger::Line::held);
+            let held = self.account(state, index).lines.get(BUDGET).map_or(0, budget::ledger::Line::held);
             next.pool.outstanding -= held.min(next.pool.outstanding);
             next.pool.free += held.min(state.pool.outstanding);
             next.pool_version += 1;
         }
         let incarnation = next.routers[index].incarnation + 1;
-        next.routers[index] = Router {
-            incarnation,
-            ..Router::default()
-        };
+        next.routers[index] = Router { incarnation, ..Router::default() };
         next
     }
 
@@ -370,20 +338,14 @@
     type State = State;
 
     fn start(&self) -> State {
-        State {
-            routers: vec![Router::default(); ROUTERS],
-            ..State::default()
-        }
+        State { routers: vec![Router::default(); ROUTERS], ..State::default() }
     }
 
     fn next(&self, state: &State) -> Vec<State> {
         let bounds = self.bounds;
         let mut next = vec![];
         if !state.topped_up {
-            next.push(State {
-                topped_up: true,
-                ..state.clone()
-            });
+            next.push(State { topped_up: true, ..state.clone() });
         }
         for index in 0..ROUTERS {
             let router = &state.routers[index];
@@ -450,42 +412,12 @@
 }
 
 /// The bounds of CI: each exercises some of the events together.
-const LOST_ANSWERS: Bounds = Bounds {
-    submissions: 1,
-    attempts: 4,
-    losses: 1,
-    crashes: 0,
-    loans: 0,
-};
-const RETRY_ELSEWHERE: Bounds = Bounds {
-    submissions: 2,
-    attempts: 3,
-    losses: 0,
-    crashes: 0,
-    loans: 0,
-};
-const CRASH: Bounds = Bounds {
-    submissions: 1,
-    attempts: 3,
-    losses: 1,
-    crashes: 1,
-    loans: 0,
-};
-const LOAN: Bounds = Bounds {
-    submissions: 1,
-    attempts: 2,
-    losses: 0,
-    crashes: 1,
-    loans: 1,
-};
+const LOST_ANSWERS: Bounds = Bounds { submissions: 1, attempts: 4, losses: 1, crashes: 0, loans: 0 };
+const RETRY_ELSEWHERE: Bounds = Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 0, loans: 0 };
+const CRASH: Bounds = Bounds { submissions: 1, attempts: 3, losses: 1, crashes: 1, loans: 0 };
+const LOAN: Bounds = Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 1, loans: 1 };
 /// Only with the command for the larger check.
-const LARGE: Bounds = Bounds {
-    submissions: 2,
-    attempts: 4,
-    losses: 1,
-    crashes: 1,
-    loans: 0,
-};
+const LARGE: Bounds = Bounds { submissions: 2, attempts: 4, losses: 1, crashes: 1, loans: 0 };
 
 fn check(flaw: Flaw, bounds: Bounds) -> Money {
     Money { bounds, flaw }
@@ -527,11 +459,7 @@
 fn a_batch_under_a_new_number_breaks_i1() {
     let found = search(&check(Flaw::NewNumber, LOST_ANSWERS));
     let broken = found.counterexample.map(|(broken, _)| broken);
-    assert!(
-        matches!(broken, Some("I1" | "I2")),
-        "{broken:?} after {} states",
-        found.states
-    );
+    assert!(matches!(broken, Some("I1" | "I2")), "{broken:?} after {} states", found.states);
 }
 
 #[test]
@@ -551,13 +479,7 @@
 
 #[test]
 fn charging_without_a_look_at_the_key_breaks_i2() {
-    let bounds = Bounds {
-        submissions: 2,
-        attempts: 4,
-        losses: 0,
-        crashes: 0,
-        loans: 0,
-    };
+    let bounds = Bounds { submissions: 2, attempts: 4, losses: 0, crashes: 0, loans: 0 };
     assert_breaks(&check(Flaw::NoKeyCheck, bounds), "I2");
 }
 
--- a/crates/budget/tests/model/search.rs
+++ b/crates/budget/tests/model/search.rs
@@ -49,10 +49,7 @@
         let broken = path.last().and_then(|state| model.broken(state))?;
         Some((broken, path))
     });
-    Found {
-        states: states.get(),
-        counterexample,
-    }
+    Found { states: states.get(), counterexample }
 }
 
 /// Asserts that no reachable state breaks an invariant; returns how many there are.
@@ -60,11 +57,7 @@
     let found = search(model);
     if let Some((broken, path)) = found.counterexample {
         let steps: Vec<String> = path.iter().map(|state| format!("{state:?}")).collect();
-        panic!(
-            "{broken} is broken after {} steps:\n{}",
-            path.len() - 1,
-            steps.join("\n")
-        );
+        panic!("{broken} is broken after {} steps:\n{}", path.len() - 1, steps.join("\n"));
     }
     found.states
 }
@@ -72,13 +65,6 @@
 /// Asserts that some reachable state breaks `invariant`: the check can fail.
 pub fn assert_breaks<M: Model>(model: &M, invariant: &str) {
     let found = search(model);
-    let broken = found
-        .counterexample
-        .map(|(broken, path)| (broken, path.len() - 1));
-    assert_eq!(
-        broken.map(|(broken, _)| broken),
-        Some(invariant),
-        "after {} states",
-        found.states
-    );
+    let broken = found.counterexample.map(|(broken, path)| (broken, path.len() - 1));
+    assert_eq!(broken.map(|(broken, _)| broken), Some(invariant), "after {} states", found.states);
 }
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -46,10 +46,8 @@
     }
     for (name, model) in &bundle.models {
         if model.default_max_tokens == 0 || model.default_max_tokens > model.context {
-            let reason = format!(
-                "{} is not allowed; 1 to the context's {}",
-                model.default_max_tokens, model.context
-            );
+            let reason =
+                format!("{} is not allowed; 1 to the context's {}", model.default_max_tokens, model.context);
             reader.add(&["models", name, "default-max-tokens"], reason);
         }
     }
@@ -74,24 +72,15 @@
         for (index, key) in team.keys.iter().enumerate() {
             let index = index.to_string();
             let path = ["teams", name.as_str(), "keys", index.as_str()];
-            let is_hex = key
-                .hash
-                .bytes()
-                .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+            let is_hex = key.hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
             if key.hash.len() != HASH_DIGITS || !is_hex {
-                reader.add(
-                    &path,
-                    "hash must be the key's SHA-256 in 64 lower-case hex digits",
-                );
+                reader.add(&path, "hash must be the key's SHA-256 in 64 lower-case hex digits");
             }
             if !hashes.insert(key.hash.clone()) {
                 reader.add(&path, "this key is given twice");
             }
             if !team.budgets.contains_key(&key.budget) {
-                reader.add(
-                    &path,
-                    format!("budget {} is not described under budgets", key.budget),
-                );
+                reader.add(&path, format!("budget {} is not described under budgets", key.budget));
             }
         }
         for (budget, content) in &team.budgets {
@@ -102,10 +91,7 @@
 
 fn check_budget(reader: &mut Reader, team: &str, name: &str, budget: &Budget) {
     if !yaml::is_name(name) {
-        reader.add(
-            &["teams", team, "budgets", name],
-            "a name has 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'",
-        );
+        reader.add(&["teams", team, "budgets", name], "a name has 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'");
     }
     let mut ids = BTreeSet::new();
     for (index, credit) in budget.credits.iter().enumerate() {
--- a/crates/bundle/src/diff.rs
+++ b/crates/bundle/src/diff.rs
@@ -57,11 +57,7 @@
     compare("models", &old.models, &new.models, &mut changes);
     compare("services", &old.services, &new.services, &mut changes);
     if old.limits != new.limits {
-        changes.push(Change {
-            path: "limits".to_owned(),
-            what: "changes".to_owned(),
-            refused: false,
-        });
+        changes.push(Change { path: "limits".to_owned(), what: "changes".to_owned(), refused: false });
     }
     changes
 }
@@ -74,11 +70,7 @@
 ) {
     let mut push = |name: &str, what: &str| {
         let path = format!("{section}.{name}");
-        changes.push(Change {
-            path,
-            what: what.to_owned(),
-            refused: false,
-        });
+        changes.push(Change { path, what: what.to_owned(), refused: false });
     };
     for (name, content) in new {
         match old.get(name) {
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -131,9 +131,7 @@
     /// Whether a call of `path` may be executed more than once.
     pub fn is_repeatable(&self, path: &str) -> bool {
         let rules = self.routes.iter().filter(|route| path.starts_with(&route.prefix));
-        rules
-            .max_by_key(|route| route.prefix.len())
-            .is_none_or(|route| route.repeatable)
+        rules.max_by_key(|route| route.prefix.len()).is_none_or(|route| route.repeatable)
     }
 }
 
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -87,10 +87,7 @@
     /// Never: a manifest always serializes.
     pub fn new(manifest: &Manifest) -> Signed {
         let manifest = serde_json::to_string(manifest).expect("a manifest serializes to JSON");
-        Signed {
-            manifest,
-            seals: vec![],
-        }
+        Signed { manifest, seals: vec![] }
     }
 
     /// Adds a signature, in place of an earlier one by the same key.
@@ -157,14 +154,8 @@
         .collect();
     sections.push(section("limits".into(), serde_json::to_string(&bundle.limits)));
     sections.push(section("models".into(), serde_json::to_string(&bundle.models)));
-    sections.push(section(
-        "services".into(),
-        serde_json::to_string(&bundle.services),
-    ));
-    sections.push(section(
-        "upstreams".into(),
-        serde_json::to_string(&bundle.upstreams),
-    ));
+    sections.push(section("services".into(), serde_json::to_string(&bundle.services)));
+    sections.push(section("upstreams".into(), serde_json::to_string(&bundle.upstreams)));
     sections
 }
 
@@ -182,9 +173,7 @@
         let unreadable = |error: serde_json::Error| Error::Unreadable(name.clone(), error.to_string());
         match (name.as_str(), name.strip_prefix("team/")) {
             (_, Some(team)) => {
-                bundle
-                    .teams
-                    .insert(team.to_owned(), serde_json::from_str(json).map_err(unreadable)?);
+                bundle.teams.insert(team.to_owned(), serde_json::from_str(json).map_err(unreadable)?);
             }
             ("limits", _) => bundle.limits = serde_json::from_str(json).map_err(unreadable)?,
             ("models", _) => bundle.models = serde_json::from_str(json).map_err(unreadable)?,
@@ -211,10 +200,7 @@
         }
     }
     if valid.len() < needed {
-        return Err(Error::UnderSigned {
-            valid: valid.len(),
-            needed,
-        });
+        return Err(Error::UnderSigned { valid: valid.len(), needed });
     }
     serde_json::from_str(&signed.manifest)
         .map_err(|error| Error::Unreadable("manifest".to_owned(), error.to_string()))
--- a/crates/harness/src/audit.rs
+++ b/crates/harness/src/audit.rs
@@ -26,12 +26,8 @@
 /// # Panics
 /// Panics if a row can't be decoded: the audit can't be made then.
 pub fn audit(fleet: &Fleet) -> BTreeMap<String, Audit> {
-    let accounts: Vec<Account> = fleet
-        .platform
-        .rows("account/")
-        .values()
-        .map(|row| row.decode().expect("an account row"))
-        .collect();
+    let accounts: Vec<Account> =
+        fleet.platform.rows("account/").values().map(|row| row.decode().expect("an account row")).collect();
     let pools = fleet.platform.rows("pool/");
     pools
         .into_iter()
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -32,13 +32,7 @@
 impl Ask {
     /// A request without a key, not streamed.
     pub fn new(model: &str, prompt: &str, tokens: u64) -> Ask {
-        Ask {
-            model: model.to_owned(),
-            prompt: prompt.to_owned(),
-            tokens,
-            stream: false,
-            key: None,
-        }
+        Ask { model: model.to_owned(), prompt: prompt.to_owned(), tokens, stream: false, key: None }
     }
 
     /// With an idempotency key.
@@ -125,16 +119,12 @@
             request.headers_mut().insert("idempotency-key", value);
         }
         let begun = Instant::now();
-        net::exec::timeout(PATIENCE, self.exchange(request, begun))
-            .await
-            .unwrap_or_default()
+        net::exec::timeout(PATIENCE, self.exchange(request, begun)).await.unwrap_or_default()
     }
 
     /// Sends any request with the caller's key and reads the whole answer.
     pub async fn send(&self, request: Request<Body>) -> Answer {
-        net::exec::timeout(PATIENCE, self.exchange(request, Instant::now()))
-            .await
-            .unwrap_or_default()
+        net::exec::timeout(PATIENCE, self.exchange(request, Instant::now())).await.unwrap_or_default()
     }
 
     /// Builds a request with the caller's key.
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -91,10 +91,7 @@
     /// Panics if something can't be started: a test can't go on then.
     pub async fn start(program: &Path, plan: Plan) -> Fleet {
         let mut fleet = Fleet::bare(program, plan).await;
-        fleet
-            .roll(&fleet.bundle.clone())
-            .await
-            .expect("the first bundle is accepted");
+        fleet.roll(&fleet.bundle.clone()).await.expect("the first bundle is accepted");
         for index in 0..fleet.plan.routers {
             fleet.add_node(&format!("vm-{}", index + 1), "dc-0").await;
         }
@@ -149,9 +146,7 @@
         let peers = SocketAddr::new(own, PEERS);
         let callers = SocketAddr::new(own, CALLERS);
         let operators = SocketAddr::new(own, OPERATORS);
-        let to_platform = Proxy::start(self.platform.address())
-            .await
-            .expect("a proxy starts");
+        let to_platform = Proxy::start(self.platform.address()).await.expect("a proxy starts");
         let from_peers = Proxy::start(peers).await.expect("a proxy starts");
         let from_forwards = Proxy::start(callers).await.expect("a proxy starts");
         let settings = Settings {
@@ -164,10 +159,7 @@
                 advertise_peers: Some(from_peers.address()),
                 advertise_callers: Some(from_forwards.address()),
             },
-            platform: router::Platform {
-                address: to_platform.address(),
-                timeout_ms: 300,
-            },
+            platform: router::Platform { address: to_platform.address(), timeout_ms: 300 },
             seeds: self.nodes.iter().map(|node| node.from_peers.address()).collect(),
             fleet_keys: vec![FLEET_KEY.to_owned()],
             trust: Trust {
@@ -230,9 +222,7 @@
 
     /// Cuts a router off from the platform, or joins it again.
     pub fn cut_platform(&self, index: usize, cut: bool) {
-        self.nodes[index]
-            .to_platform
-            .set(if cut { Rule::Cut } else { Rule::Pass });
+        self.nodes[index].to_platform.set(if cut { Rule::Cut } else { Rule::Pass });
     }
 
     /// Cuts a router off from its peers' calls, or joins it again.
@@ -248,9 +238,7 @@
     /// As [`roll::roll`].
     pub async fn roll(&mut self, bundle: &Bundle) -> Result<Accepted, roll::Error> {
         let services = self.services();
-        let parent = roll::current(&services)
-            .await?
-            .map_or(0, |accepted| accepted.sequence);
+        let parent = roll::current(&services).await?.map_or(0, |accepted| accepted.sequence);
         let mut package = Package::new(bundle, parent, None, "test");
         for secret in &self.secrets[..self.plan.needed] {
             package.signed.sign(secret);
@@ -263,11 +251,7 @@
 
     /// The platform as an operator reaches it.
     pub fn services(&self) -> platform::Http {
-        platform::Http::new(
-            self.client.clone(),
-            self.platform.address(),
-            Duration::from_secs(2),
-        )
+        platform::Http::new(self.client.clone(), self.platform.address(), Duration::from_secs(2))
     }
 
     /// A caller of the first team at a router.
@@ -277,11 +261,7 @@
 
     /// A caller of a team at a router.
     pub fn caller_of(&self, team: usize, index: usize) -> Caller {
-        Caller::new(
-            self.client.clone(),
-            self.nodes[index].callers,
-            self.plan.teams[team].key(),
-        )
+        Caller::new(self.client.clone(), self.nodes[index].callers, self.plan.teams[team].key())
     }
 
     /// Waits until every router is ready, knows its peers and has the accepted bundle in force.
@@ -290,10 +270,7 @@
     /// Panics if that does not happen in time.
     pub async fn ready(&self) {
         for index in 0..self.nodes.len() {
-            self.until("a router is ready", || async {
-                self.get(index, "/ready").await.is_some()
-            })
-            .await;
+            self.until("a router is ready", || async { self.get(index, "/ready").await.is_some() }).await;
         }
         let others = self.nodes.len() - 1;
         for index in 0..self.nodes.len() {
@@ -314,11 +291,7 @@
     pub async fn get(&self, index: usize, path: &str) -> Option<String> {
         let uri = format!("http://{}{path}", self.nodes[index].operators);
         let request = http::Request::get(uri).body(net::Body::empty()).ok()?;
-        let answer = self
-            .client
-            .exchange("get", request, 1 << 20, Duration::from_secs(2))
-            .await
-            .ok()?;
+        let answer = self.client.exchange("get", request, 1 << 20, Duration::from_secs(2)).await.ok()?;
         let is_ok = answer.status() == 200;
         is_ok.then(|| String::from_utf8_lossy(answer.body()).into_owned())
     }
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -59,20 +59,14 @@
             weight: 1,
             weighing: Weighing::Refusals,
         };
-        let shape = Shape {
-            models: vec!["narrator".to_owned(), "hail-flag".to_owned()],
-            ..Shape::default()
-        };
+        let shape = Shape { models: vec!["narrator".to_owned(), "hail-flag".to_owned()], ..Shape::default() };
         Plan {
             routers: 3,
             engines: vec![shape; 3],
             engine_proxies: false,
             teams: vec![team(TEAMS[0], 1_000_000), team(TEAMS[1], 200_000)],
             models: BTreeMap::new(),
-            limits: Limits {
-                budget_wait_ms: 1_000,
-                ..Limits::default()
-            },
+            limits: Limits { budget_wait_ms: 1_000, ..Limits::default() },
             node: router::Limits {
                 threads: 2,
                 sync_ms: 100,
@@ -92,39 +86,23 @@
     /// The bundle of this plan with its parts at these addresses.
     pub fn bundle(&self, engines: &[SocketAddr], service: SocketAddr) -> Bundle {
         let teams = self.teams.iter().map(|team| {
-            let credit = Credit {
-                id: "prepaid-1".to_owned(),
-                tokens: team.tokens,
-            };
-            let budget = Budget {
-                credits: vec![credit],
-                weighing: team.weighing,
-            };
-            let key = Key {
-                hash: hash_key(&team.key()),
-                budget: "main".to_owned(),
-            };
-            let content = Team {
-                weight: team.weight,
-                keys: vec![key],
-                budgets: [("main".to_owned(), budget)].into(),
-            };
+            let credit = Credit { id: "prepaid-1".to_owned(), tokens: team.tokens };
+            let budget = Budget { credits: vec![credit], weighing: team.weighing };
+            let key = Key { hash: hash_key(&team.key()), budget: "main".to_owned() };
+            let content =
+                Team { weight: team.weight, keys: vec![key], budgets: [("main".to_owned(), budget)].into() };
             (team.name.clone(), content)
         });
-        let upstreams = engines
-            .iter()
-            .zip(&self.engines)
-            .enumerate()
-            .map(|(index, (address, shape))| {
-                let upstream = Upstream {
-                    address: *address,
-                    data_centre: format!("dc-{}", index % 3),
-                    slots: shape.slots,
-                    models: shape.models.clone(),
-                    checks_fence: shape.fences,
-                };
-                (format!("engine-{}", index + 1), upstream)
-            });
+        let upstreams = engines.iter().zip(&self.engines).enumerate().map(|(index, (address, shape))| {
+            let upstream = Upstream {
+                address: *address,
+                data_centre: format!("dc-{}", index % 3),
+                slots: shape.slots,
+                models: shape.models.clone(),
+                checks_fence: shape.fences,
+            };
+            (format!("engine-{}", index + 1), upstream)
+        });
         let model = |priority, repeatable| Model {
             context: 32_768,
             default_max_tokens: 64,
@@ -132,21 +110,11 @@
             priority,
             deadline_ms: 10_000,
         };
-        let mut models: BTreeMap<String, Model> = [
-            ("narrator".to_owned(), model(5, true)),
-            ("hail-flag".to_owned(), model(0, false)),
-        ]
-        .into();
+        let mut models: BTreeMap<String, Model> =
+            [("narrator".to_owned(), model(5, true)), ("hail-flag".to_owned(), model(0, false))].into();
         models.extend(self.models.clone());
-        let route = Route {
-            prefix: "/dispatch".to_owned(),
-            repeatable: false,
-        };
-        let tiles = Service {
-            addresses: vec![service],
-            cost: 1,
-            routes: vec![route],
-        };
+        let route = Route { prefix: "/dispatch".to_owned(), repeatable: false };
+        let tiles = Service { addresses: vec![service], cost: 1, routes: vec![route] };
         Bundle {
             teams: teams.collect(),
             upstreams: upstreams.collect(),
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -26,15 +26,9 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(output)
-            .env(
-                "RUST_LOG",
-                std::env::var("RUST_LOG").unwrap_or_else(|_| "info,tarpc=warn".to_owned()),
-            )
+            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "info,tarpc=warn".to_owned()))
             .spawn()?;
-        Ok(Process {
-            child,
-            log: log.to_owned(),
-        })
+        Ok(Process { child, log: log.to_owned() })
     }
 
     /// Its process number.
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -18,6 +18,8 @@
     Whole(Option<Bytes>),
     /// Chunks as they are written to the other end; an error aborts the connection.
     Piped(Pin<Box<Receiver<io::Result<Bytes>>>>),
+    /// A piped body that ends with this error, once what came before it was flushed.
+    Failing(Option<io::Error>),
 }
 
 /// The writing end of a piped body.
@@ -76,9 +78,17 @@
         match &mut *self {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
             Body::Piped(chunks) => {
-                let chunk = ready!(futures::Stream::poll_next(chunks.as_mut(), context));
-                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+                match ready!(futures::Stream::poll_next(chunks.as_mut(), context)) {
+                    Some(Err(error)) => {
+                        // An error at once would drop the chunks that the connection still buffers.
+                        *self = Body::Failing(Some(error));
+                        context.waker().wake_by_ref();
+                        Poll::Pending
+                    }
+                    chunk => Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data))),
+                }
             }
+            Body::Failing(error) => Poll::Ready(error.take().map(Err)),
         }
     }
 
@@ -91,7 +101,7 @@
             Body::Whole(bytes) => {
                 http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Body::Piped(_) => http_body::SizeHint::default(),
+            Body::Piped(_) | Body::Failing(_) => http_body::SizeHint::default(),
         }
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -84,19 +84,11 @@
         step: &'static str,
         request: Request<Body>,
     ) -> Result<Response<Incoming>, Error> {
-        let peer = request
-            .uri()
-            .authority()
-            .map(ToString::to_string)
-            .unwrap_or_default();
+        let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
         self.pool.request(request).await.map_err(|error| Error {
             step,
             peer,
-            fault: if error.is_connect() {
-                Fault::Unsent
-            } else {
-                Fault::Unknown
-            },
+            fault: if error.is_connect() { Fault::Unsent } else { Fault::Unknown },
             reason: describe(&error),
         })
     }
@@ -112,17 +104,8 @@
         limit: usize,
         time: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let peer = request
-            .uri()
-            .authority()
-            .map(ToString::to_string)
-            .unwrap_or_default();
-        let unknown = |reason: String| Error {
-            step,
-            peer: peer.clone(),
-            fault: Fault::Unknown,
-            reason,
-        };
+        let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
+        let unknown = |reason: String| Error { step, peer: peer.clone(), fault: Fault::Unknown, reason };
         let whole = async {
             let (head, body) = self.send(step, request).await?.into_parts();
             let bytes = body::collect(body, limit).await.map_err(&unknown)?;
@@ -168,9 +151,7 @@
                 .await
                 .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
             stream.set_nodelay(true)?;
-            Ok(Wire {
-                io: FuturesIo::new(stream),
-            })
+            Ok(Wire { io: FuturesIo::new(stream) })
         })
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -33,12 +33,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits {
-            headers: 64,
-            buffer: 16 * 1024,
-            head_time: Duration::from_secs(10),
-            connections: 20_000,
-        }
+        Limits { headers: 64, buffer: 16 * 1024, head_time: Duration::from_secs(10), connections: 20_000 }
     }
 }
 
@@ -80,11 +75,7 @@
     let address = listener.local_addr()?;
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let open = Arc::new(AtomicUsize::new(0));
-    let handle = Handle {
-        address,
-        open: open.clone(),
-        stop,
-    };
+    let handle = Handle { address, open: open.clone(), stop };
     exec::spawn(accept(listener, limits, service, stopped, open)).detach();
     Ok(handle)
 }
--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -63,10 +63,7 @@
 }
 
 fn refused() -> io::Error {
-    io::Error::new(
-        io::ErrorKind::PermissionDenied,
-        "the peer does not know a fleet key",
-    )
+    io::Error::new(io::ErrorKind::PermissionDenied, "the peer does not know a fleet key")
 }
 
 /// The accepting side's handshake.
@@ -82,9 +79,7 @@
     stream.read_exact(&mut proof).await?;
     let known = |key: &&FleetKey| key.mac(b"connect", [&ours, &theirs]).verify_slice(&proof).is_ok();
     let key = keys.iter().find(known).ok_or_else(refused)?;
-    stream
-        .write_all(&key.mac(b"accept", [&theirs, &ours]).finalize().into_bytes())
-        .await
+    stream.write_all(&key.mac(b"accept", [&theirs, &ours]).finalize().into_bytes()).await
 }
 
 /// The connecting side's handshake.
@@ -96,12 +91,8 @@
     let mut theirs = [0; CHALLENGE];
     stream.read_exact(&mut theirs).await?;
     stream.write_all(&ours).await?;
-    stream
-        .write_all(&key.mac(b"connect", [&theirs, &ours]).finalize().into_bytes())
-        .await?;
+    stream.write_all(&key.mac(b"connect", [&theirs, &ours]).finalize().into_bytes()).await?;
     let mut proof = [0; PROOF];
     stream.read_exact(&mut proof).await?;
-    key.mac(b"accept", [&ours, &theirs])
-        .verify_slice(&proof)
-        .map_err(|_| refused())
+    key.mac(b"accept", [&ours, &theirs]).verify_slice(&proof).map_err(|_| refused())
 }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -20,6 +20,8 @@
 
 /// Time for a connection and its handshake.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+/// How long a peer is left alone after a call to it failed.
+const REST: Duration = Duration::from_millis(200);
 /// The largest message in bytes.
 const MESSAGE_LIMIT: usize = 16 << 20;
 
@@ -42,9 +44,7 @@
     Item: for<'de> serde::Deserialize<'de>,
     SinkItem: serde::Serialize,
 {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MESSAGE_LIMIT)
-        .new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MESSAGE_LIMIT).new_codec();
     let frames = tokio_util::codec::Framed::new(stream.compat(), codec);
     tarpc::serde_transport::new(frames, Bincode::default())
 }
@@ -104,17 +104,22 @@
 pub struct Peers {
     key: FleetKey,
     limit: Duration,
-    clients: Arc<Mutex<HashMap<SocketAddr, LinkClient>>>,
+    clients: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+/// What is known of the connection to one peer.
+#[derive(Clone, Debug)]
+enum Connection {
+    /// It is open.
+    Open(LinkClient),
+    /// It could not be opened; until then nobody tries again, so that a silent peer costs one caller a wait.
+    Failed(Instant),
 }
 
 impl Peers {
     /// Calls others with `key`; each call ends after `limit`.
     pub fn new(key: FleetKey, limit: Duration) -> Peers {
-        Peers {
-            key,
-            limit,
-            clients: Arc::default(),
-        }
+        Peers { key, limit, clients: Arc::default() }
     }
 
     /// Makes one call.
@@ -132,8 +137,15 @@
     {
         let failed = |reason: String| Error { step, peer, reason };
         let client = match exec::timeout(self.limit, self.client(peer)).await {
-            Some(client) => client.map_err(|error| failed(error.to_string()))?,
-            None => return Err(failed("no connection in time".to_owned())),
+            Some(Ok(client)) => client,
+            Some(Err(error)) => {
+                self.rest(peer);
+                return Err(failed(error.to_string()));
+            }
+            None => {
+                self.rest(peer);
+                return Err(failed("no connection in time".to_owned()));
+            }
         };
         let mut context = Context::current();
         context.deadline = Instant::now() + self.limit;
@@ -141,19 +153,23 @@
         match answer {
             Some(Ok(answer)) => Ok(answer),
             Some(Err(error)) => {
-                self.forget(peer);
+                self.rest(peer);
                 Err(failed(error.to_string()))
             }
             None => {
-                self.forget(peer);
+                self.rest(peer);
                 Err(failed(format!("no answer within {} ms", self.limit.as_millis())))
             }
         }
     }
 
     async fn client(&self, peer: SocketAddr) -> io::Result<LinkClient> {
-        if let Some(client) = self.clients.lock().expect("the clients' lock").get(&peer) {
-            return Ok(client.clone());
+        match self.clients.lock().expect("the clients' lock").get(&peer) {
+            Some(Connection::Open(client)) => return Ok(client.clone()),
+            Some(Connection::Failed(until)) if Instant::now() < *until => {
+                return Err(io::Error::new(io::ErrorKind::HostUnreachable, "it did not answer a moment ago"));
+            }
+            _ => {}
         }
         let mut stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
@@ -164,14 +180,18 @@
             let _ = dispatch.await;
         }))
         .detach();
-        self.clients
-            .lock()
-            .expect("the clients' lock")
-            .insert(peer, client.clone());
+        self.clients.lock().expect("the clients' lock").insert(peer, Connection::Open(client.clone()));
         Ok(client)
     }
 
-    fn forget(&self, peer: SocketAddr) {
-        self.clients.lock().expect("the clients' lock").remove(&peer);
+    /// Drops the connection to a peer that failed, and lets the peer rest.
+    fn rest(&self, peer: SocketAddr) {
+        let mut clients = self.clients.lock().expect("the clients' lock");
+        if let Some(Connection::Failed(until)) = clients.get(&peer)
+            && Instant::now() < *until
+        {
+            return;
+        }
+        clients.insert(peer, Connection::Failed(Instant::now() + REST));
     }
 }
--- a/crates/peer/src/view.rs
+++ b/crates/peer/src/view.rs
@@ -83,10 +83,7 @@
 impl View {
     /// The view of router `me`, which knows nobody yet.
     pub fn new(me: &str) -> View {
-        View {
-            me: me.to_owned(),
-            members: BTreeMap::new(),
-        }
+        View { me: me.to_owned(), members: BTreeMap::new() }
     }
 
     /// Takes in the platform's list of other routers.
@@ -95,16 +92,12 @@
             member.listed = listed.iter().any(|one| one.name == member.name);
         }
         for one in listed.iter().filter(|one| one.name != self.me) {
-            let known = self
-                .members
-                .entry(one.name.clone())
-                .or_insert_with(|| one.clone());
+            let known = self.members.entry(one.name.clone()).or_insert_with(|| one.clone());
             if known.address != one.address {
                 *known = one.clone();
             }
         }
-        self.members
-            .retain(|_, member| member.listed || member.state(now) != State::Gone);
+        self.members.retain(|_, member| member.listed || member.state(now) != State::Gone);
     }
 
     /// Takes in a heartbeat; `true` if the router is new or restarted.
@@ -112,10 +105,10 @@
         if beat.name == self.me {
             return false;
         }
-        let member = self.members.entry(beat.name.clone()).or_insert_with(|| Member {
-            listed: false,
-            ..Member::new(&beat.name, beat.address)
-        });
+        let member = self
+            .members
+            .entry(beat.name.clone())
+            .or_insert_with(|| Member { listed: false, ..Member::new(&beat.name, beat.address) });
         if beat.incarnation < member.incarnation {
             return false;
         }
@@ -151,9 +144,7 @@
 
     /// The routers of a state.
     pub fn members(&self, state: State, now: u64) -> impl Iterator<Item = &Member> {
-        self.members
-            .values()
-            .filter(move |member| member.state(now) == state)
+        self.members.values().filter(move |member| member.state(now) == state)
     }
 
     /// One router.
@@ -173,9 +164,7 @@
     /// The router that keeps the hint for `key`, if it is another one.
     pub fn keeper(&self, key: &str, now: u64) -> Option<&Member> {
         let score = |name: &str| xxh3_64(format!("{name}|{key}").as_bytes());
-        let best = self
-            .members(State::Alive, now)
-            .max_by_key(|member| score(&member.name))?;
+        let best = self.members(State::Alive, now).max_by_key(|member| score(&member.name))?;
         (score(&best.name) > score(&self.me)).then_some(best)
     }
 }
--- a/crates/platform/src/http_adapter.rs
+++ b/crates/platform/src/http_adapter.rs
@@ -23,11 +23,7 @@
 impl Http {
     /// Addresses the platform; each call ends after `time`.
     pub fn new(client: Client, address: SocketAddr, time: Duration) -> Http {
-        Http {
-            client,
-            address,
-            time,
-        }
+        Http { client, address, time }
     }
 
     async fn call(
@@ -43,17 +39,13 @@
             .header("content-type", "application/json")
             .body(Body::from(body))
             .map_err(|error| self.error(step, Fault::NotApplied, error.to_string()))?;
-        let answer = self
-            .client
-            .exchange(step, request, ANSWER_LIMIT, self.time)
-            .await
-            .map_err(|error| {
-                let fault = match error.fault {
-                    net::Fault::Unsent => Fault::NotApplied,
-                    net::Fault::Unknown => Fault::Unknown,
-                };
-                self.error(step, fault, error.reason)
-            })?;
+        let answer = self.client.exchange(step, request, ANSWER_LIMIT, self.time).await.map_err(|error| {
+            let fault = match error.fault {
+                net::Fault::Unsent => Fault::NotApplied,
+                net::Fault::Unknown => Fault::Unknown,
+            };
+            self.error(step, fault, error.reason)
+        })?;
         match answer.status().as_u16() {
             200 | 404 => Ok(answer),
             // The platform refuses these before it touches anything; a 503 may come from in front of it.
@@ -79,12 +71,7 @@
     }
 
     fn error(&self, step: &'static str, fault: Fault, reason: String) -> Error {
-        Error {
-            step,
-            peer: self.address.to_string(),
-            fault,
-            reason,
-        }
+        Error { step, peer: self.address.to_string(), fault, reason }
     }
 }
 
@@ -104,15 +91,11 @@
 
 impl Store for Http {
     async fn store(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
-        self.call("store", Method::PUT, &format!("/object/{key}"), bytes)
-            .await
-            .map(drop)
+        self.call("store", Method::PUT, &format!("/object/{key}"), bytes).await.map(drop)
     }
 
     async fn load(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
-        let answer = self
-            .call("load", Method::GET, &format!("/object/{key}"), vec![])
-            .await?;
+        let answer = self.call("load", Method::GET, &format!("/object/{key}"), vec![]).await?;
         Ok((answer.status() == 200).then(|| answer.into_body().to_vec()))
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -93,10 +93,7 @@
     #[must_use]
     pub fn unchanged(mut self, key: impl Into<String>, read: Option<&Row>) -> Tx {
         let version = read.map_or(0, |row| row.version);
-        self.checks.push(Check {
-            key: key.into(),
-            version,
-        });
+        self.checks.push(Check { key: key.into(), version });
         self
     }
 
@@ -113,10 +110,7 @@
     #[must_use]
     pub fn put(mut self, key: impl Into<String>, value: &impl Serialize) -> Tx {
         let value = serde_json::to_string(value).expect("rows serialize to JSON");
-        self.puts.push(Put {
-            key: key.into(),
-            value,
-        });
+        self.puts.push(Put { key: key.into(), value });
         self
     }
 }
--- a/crates/roll/src/accept.rs
+++ b/crates/roll/src/accept.rs
@@ -56,12 +56,7 @@
 }
 
 async fn read_head(platform: &impl Services) -> Result<(Option<Row>, Option<Accepted>), Error> {
-    let row = platform
-        .read(&[HEAD.to_owned()])
-        .await?
-        .into_iter()
-        .next()
-        .flatten();
+    let row = platform.read(&[HEAD.to_owned()]).await?.into_iter().next().flatten();
     let accepted = match &row {
         Some(row) => Some(decode(HEAD, row)?),
         None => None,
@@ -70,8 +65,7 @@
 }
 
 fn decode(key: &str, row: &Row) -> Result<Accepted, Error> {
-    row.decode()
-        .map_err(|error| Error::Unreadable(key.to_owned(), error.to_string()))
+    row.decode().map_err(|error| Error::Unreadable(key.to_owned(), error.to_string()))
 }
 
 /// Reads the log, oldest first.
@@ -89,12 +83,7 @@
 /// Fails if there is no such sequence, or the platform does.
 pub async fn load(platform: &impl Services, sequence: u64) -> Result<Bundle, Error> {
     let key = log_key(sequence);
-    let row = platform
-        .read(std::slice::from_ref(&key))
-        .await?
-        .into_iter()
-        .next()
-        .flatten();
+    let row = platform.read(std::slice::from_ref(&key)).await?.into_iter().next().flatten();
     let accepted = decode(&key, &row.ok_or(Error::NoSequence(sequence))?)?;
     let text = object(platform, &accepted.manifest).await?;
     let unreadable = |error: serde_json::Error| Error::Unreadable("manifest".to_owned(), error.to_string());
@@ -104,9 +93,7 @@
     for digest in manifest.sections.values() {
         parts.insert(digest.clone(), object(platform, digest).await?);
     }
-    Ok(bundle::join(&manifest, |digest| {
-        parts.get(digest).map(String::as_str)
-    })?)
+    Ok(bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str))?)
 }
 
 async fn object(platform: &impl Services, digest: &str) -> Result<String, Error> {
@@ -131,10 +118,7 @@
     follow(&manifest, head.as_ref())?;
     if manifest.parent > 0 {
         let before = load(platform, manifest.parent).await?;
-        if let Some(change) = bundle::diff(&before, &content)
-            .into_iter()
-            .find(|change| change.refused)
-        {
+        if let Some(change) = bundle::diff(&before, &content).into_iter().find(|change| change.refused) {
             return Err(Error::Refused(change));
         }
     }
@@ -147,9 +131,7 @@
         note: manifest.note.clone(),
         rollback_to: manifest.rollback_to,
         token: Uuid::new_v4().to_string(),
-        at: SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |time| time.as_secs()),
+        at: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs()),
     };
     commit(platform, &manifest, accepted).await
 }
@@ -159,24 +141,17 @@
     if manifest.parent == current {
         return Ok(());
     }
-    Err(Error::Conflict {
-        parent: manifest.parent,
-        current,
-    })
+    Err(Error::Conflict { parent: manifest.parent, current })
 }
 
 async fn store(platform: &impl Services, package: &Package) -> Result<(), Error> {
     for (digest, json) in &package.sections {
         if platform.load(&object_key(digest)).await?.is_none() {
-            platform
-                .store(&object_key(digest), json.clone().into_bytes())
-                .await?;
+            platform.store(&object_key(digest), json.clone().into_bytes()).await?;
         }
     }
     let signed = serde_json::to_string(&package.signed).unwrap_or_default();
-    platform
-        .store(&object_key(&package.signed.digest()), signed.into_bytes())
-        .await?;
+    platform.store(&object_key(&package.signed.digest()), signed.into_bytes()).await?;
     Ok(())
 }
 
@@ -199,10 +174,7 @@
     }
     match failure {
         Some(error) => Err(Error::Unknown(error)),
-        None => Err(Error::Conflict {
-            parent: manifest.parent,
-            current: accepted.sequence,
-        }),
+        None => Err(Error::Conflict { parent: manifest.parent, current: accepted.sequence }),
     }
 }
 
@@ -214,22 +186,13 @@
     key: &str,
 ) -> Result<Option<()>, Error> {
     let (row, head) = read_head(platform).await?;
-    if let Some(log) = platform
-        .read(&[key.to_owned()])
-        .await?
-        .into_iter()
-        .next()
-        .flatten()
+    if let Some(log) = platform.read(&[key.to_owned()]).await?.into_iter().next().flatten()
         && decode(key, &log)?.token == accepted.token
     {
         return Ok(Some(()));
     }
     follow(manifest, head.as_ref())?;
-    let tx = Tx::default()
-        .unchanged(HEAD, row.as_ref())
-        .absent(key)
-        .put(HEAD, accepted)
-        .put(key, accepted);
+    let tx = Tx::default().unchanged(HEAD, row.as_ref()).absent(key).put(HEAD, accepted).put(key, accepted);
     match platform.commit(&tx).await? {
         Verdict::Applied => Ok(Some(())),
         Verdict::Conflict => Ok(None),
--- a/crates/route/src/board.rs
+++ b/crates/route/src/board.rs
@@ -19,6 +19,8 @@
 const DISTANCE_COST: f64 = 0.15;
 /// The cost of tokens that come slower than the fastest upstream's, for each doubling.
 const PACE_COST: f64 = 0.5;
+/// The cost of each failure in a row.
+const FAILURE_COST: f64 = 1.0;
 /// Of the upstreams of a model, at least this share stays in use however many are found failing.
 const FLOOR: f64 = 0.5;
 /// A report older than this says nothing.
@@ -143,10 +145,7 @@
 impl Board {
     /// An empty board of a router in `data_centre`.
     pub fn new(data_centre: &str) -> Board {
-        Board {
-            data_centre: data_centre.to_owned(),
-            entries: BTreeMap::new(),
-        }
+        Board { data_centre: data_centre.to_owned(), entries: BTreeMap::new() }
     }
 
     /// Adds or changes an upstream.
@@ -217,10 +216,7 @@
             leaving: entry.leaving || entry.gone,
             ejected: entry.health.standing(now) == Standing::Ejected,
         };
-        self.entries
-            .iter()
-            .map(|(name, entry)| (name.clone(), view(entry)))
-            .collect()
+        self.entries.iter().map(|(name, entry)| (name.clone(), view(entry))).collect()
     }
 
     /// Chooses an upstream and takes one of its slots.
@@ -292,7 +288,7 @@
         let Some(entry) = self.entries.get_mut(name) else {
             return false;
         };
-        if !entry.health.fail() {
+        if !entry.health.fail(now) {
             return false;
         }
         let total = self.entries.len();
@@ -340,14 +336,11 @@
         if entry.health.gap() > 0.0 && fastest > 0.0 {
             cost += PACE_COST * (entry.health.gap() / fastest).log2().max(0.0);
         }
-        cost
+        cost + FAILURE_COST * f64::from(entry.health.recent_failures(now))
     }
 
     fn fastest(&self, serving: &[&str]) -> f64 {
-        let gaps = serving
-            .iter()
-            .map(|name| self.entries[*name].health.gap())
-            .filter(|gap| *gap > 0.0);
+        let gaps = serving.iter().map(|name| self.entries[*name].health.gap()).filter(|gap| *gap > 0.0);
         gaps.fold(f64::INFINITY, f64::min)
     }
 
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -8,6 +8,8 @@
 const EJECTION: Millis = 1_000;
 /// The longest ejection.
 const EJECTION_MOST: Millis = 30_000;
+/// The time after which one failure is forgotten.
+const FORGET: Millis = 1_000;
 /// Successes after which an upstream that returned is trusted with its whole limit.
 const PROBATION: u32 = 8;
 /// The weight of a new sample in the average gap between tokens.
@@ -27,6 +29,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Health {
     failures: u32,
+    failed: Millis,
     ejections: u32,
     until: Millis,
     proven: u32,
@@ -50,20 +53,25 @@
         if self.on_probation {
             self.proven += 1;
             if self.proven >= PROBATION {
-                *self = Health {
-                    gap: self.gap,
-                    ..Health::default()
-                };
+                *self = Health { gap: self.gap, ..Health::default() };
             }
         }
     }
 
     /// Notes a failure; `true` if it should be ejected now.
-    pub(crate) fn fail(&mut self) -> bool {
+    pub(crate) fn fail(&mut self, now: Millis) -> bool {
         self.failures += 1;
+        self.failed = now;
         self.failures >= FAILURES || self.on_probation
     }
 
+    /// Failures in a row that are still held against it: each is forgotten after a while, so that an
+    /// upstream which can't be ejected is tried again.
+    pub(crate) fn recent_failures(&self, now: Millis) -> u32 {
+        let forgotten = now.saturating_sub(self.failed) / FORGET;
+        self.failures.saturating_sub(forgotten as u32)
+    }
+
     pub(crate) fn eject(&mut self, now: Millis) {
         let length = (EJECTION << self.ejections.min(10)).min(EJECTION_MOST);
         self.until = now + length;
@@ -75,11 +83,7 @@
 
     /// Notes the average gap between a run's tokens.
     pub(crate) fn pace(&mut self, gap: f64) {
-        self.gap = if self.gap == 0.0 {
-            gap
-        } else {
-            self.gap + SAMPLE * (gap - self.gap)
-        };
+        self.gap = if self.gap == 0.0 { gap } else { self.gap + SAMPLE * (gap - self.gap) };
     }
 
     /// The average gap between tokens in milliseconds; 0 if none was seen.
--- a/crates/route/src/line.rs
+++ b/crates/route/src/line.rs
@@ -74,11 +74,7 @@
 
     /// Lets a request wait, unless it would be in vain; returns its number beside the verdict.
     pub fn push(&mut self, ticket: Ticket<T>, weight: u32, now: Millis) -> (Admit, u64) {
-        let ahead = self
-            .order
-            .iter()
-            .take_while(|key| key.0 <= ticket.priority)
-            .count();
+        let ahead = self.order.iter().take_while(|key| key.0 <= ticket.priority).count();
         let wait = ((ahead + 1) as f64 * self.interval) as Millis;
         if now + wait > ticket.deadline {
             return (Admit::Late(self.drain_time()), 0);
@@ -87,12 +83,7 @@
             return (Admit::Full(self.drain_time()), 0);
         }
         self.sequence += 1;
-        let start = self
-            .finish
-            .get(&ticket.team)
-            .copied()
-            .unwrap_or(0)
-            .max(self.clock);
+        let start = self.finish.get(&ticket.team).copied().unwrap_or(0).max(self.clock);
         let finish = start + STRIDE / u64::from(weight.max(1));
         self.finish.insert(ticket.team.clone(), finish);
         let key = (ticket.priority, finish, ticket.deadline, self.sequence);
@@ -155,9 +146,7 @@
             .filter(|(_, ticket)| ticket.deadline <= now)
             .map(|(number, _)| *number)
             .collect();
-        late.into_iter()
-            .filter_map(|number| self.remove(number))
-            .collect()
+        late.into_iter().filter_map(|number| self.remove(number)).collect()
     }
 
     /// How long the line takes to empty at its present pace.
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -24,8 +24,11 @@
         Budget { share, level: 0.0 }
     }
 
-    /// Changes the share.
+    /// Changes the share. The first one above 0 fills the savings, so that a new router can retry.
     pub fn set_share(&mut self, share: f64) {
+        if self.share == 0.0 && share > 0.0 {
+            self.level = SAVINGS;
+        }
         self.share = share;
     }
 
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -23,10 +23,7 @@
 pub fn share(slots: u32, routers: &[&str], me: &str, upstream: &str) -> u32 {
     let count = routers.len().max(1) as u32;
     let mine = score(me, upstream);
-    let ahead = routers
-        .iter()
-        .filter(|router| **router != me && score(router, upstream) > mine)
-        .count();
+    let ahead = routers.iter().filter(|router| **router != me && score(router, upstream) > mine).count();
     let rest = slots % count;
     slots / count + u32::from((ahead as u32) < rest)
 }
@@ -36,9 +33,7 @@
 pub fn subset<'a>(upstreams: &[&'a str], routers: &[&str], me: &str, width: usize) -> Vec<&'a str> {
     let uses = |upstream: &&&str| {
         let mine = score(me, upstream);
-        let ahead = routers
-            .iter()
-            .filter(|router| **router != me && score(router, upstream) > mine);
+        let ahead = routers.iter().filter(|router| **router != me && score(router, upstream) > mine);
         ahead.count() < width
     };
     upstreams.iter().filter(uses).copied().collect()
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -20,10 +20,7 @@
     C: Clock,
 {
     if request.method() != Method::GET {
-        return reply(
-            StatusCode::METHOD_NOT_ALLOWED,
-            &json!({"error": "only GET is known here"}),
-        );
+        return reply(StatusCode::METHOD_NOT_ALLOWED, &json!({"error": "only GET is known here"}));
     }
     let path = request.uri().path();
     if let Some(id) = path.strip_prefix("/v1/requests/") {
@@ -39,10 +36,9 @@
         "/live" => reply(StatusCode::OK, &json!({"live": true})),
         "/ready" => match unready(&node) {
             None => reply(StatusCode::OK, &json!({"ready": true})),
-            Some(reason) => reply(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &json!({"ready": false, "reason": reason}),
-            ),
+            Some(reason) => {
+                reply(StatusCode::SERVICE_UNAVAILABLE, &json!({"ready": false, "reason": reason}))
+            }
         },
         "/metrics" => {
             let mut response = Response::new(Body::from(node.metrics.encode()));
@@ -84,11 +80,7 @@
     let now = node.clock.now();
     let bundle = node.bundle();
     let view = node.view();
-    let names = |state| {
-        view.members(state, now)
-            .map(|member| member.name.clone())
-            .collect::<Vec<_>>()
-    };
+    let names = |state| view.members(state, now).map(|member| member.name.clone()).collect::<Vec<_>>();
     json!({
         "name": node.settings.name,
         "incarnation": node.incarnation,
@@ -114,8 +106,6 @@
 fn reply(status: StatusCode, value: &Value) -> Response<Body> {
     let mut response = Response::new(Body::from(value.to_string()));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert("content-type", HeaderValue::from_static("application/json"));
+    response.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
     response
 }
--- a/crates/router/src/ask.rs
+++ b/crates/router/src/ask.rs
@@ -35,11 +35,7 @@
     /// Reads a request's body.
     pub(crate) fn read(body: &[u8], bundle: &Bundle) -> Result<Ask, Refusal> {
         let mut fields: Map<String, Value> = serde_json::from_slice(body).map_err(|error| {
-            Refusal::bad(
-                "parse",
-                "invalid_json",
-                format!("the body is not a JSON object: {error}"),
-            )
+            Refusal::bad("parse", "invalid_json", format!("the body is not a JSON object: {error}"))
         })?;
         let name = match fields.get("model") {
             Some(Value::String(name)) => name.clone(),
@@ -50,11 +46,7 @@
             Refusal::not_run(StatusCode::NOT_FOUND, "model_not_found", "parse", message)
         })?;
         if !fields.contains_key("messages") && !fields.contains_key("prompt") {
-            return Err(Refusal::bad(
-                "parse",
-                "missing_prompt",
-                "messages or prompt is missing",
-            ));
+            return Err(Refusal::bad("parse", "missing_prompt", "messages or prompt is missing"));
         }
         let most = number(&fields, "max_completion_tokens")?.or(number(&fields, "max_tokens")?);
         let most = most.unwrap_or(model.default_max_tokens);
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -51,11 +51,7 @@
     C: Clock,
 {
     let row_key = identity_key("claim", budget, key);
-    let claim = Claim {
-        holder: node.holder.clone(),
-        request: request.to_owned(),
-        state: State::Claimed,
-    };
+    let claim = Claim { holder: node.holder.clone(), request: request.to_owned(), state: State::Claimed };
     let deadline = node.clock.now() + CLAIM_MS;
     let mut reason = String::new();
     while node.clock.now() < deadline {
@@ -86,13 +82,8 @@
     let message = format!(
         "this request may run only once and its claim could not be recorded ({reason}); ask again with the same key"
     );
-    Err(Refusal::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "claim_unavailable",
-        "claim",
-        message,
-    )
-    .retry_after(CLAIM_MS))
+    Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "claim_unavailable", "claim", message)
+        .retry_after(CLAIM_MS))
 }
 
 async fn read<P, E, C>(node: &Node<P, E, C>, key: &str) -> Result<Option<Row>, platform::Error>
@@ -113,20 +104,15 @@
     C: Clock,
 {
     let row_key = identity_key("claim", budget, key);
-    let claim = Claim {
-        holder: node.holder.clone(),
-        request: request.to_owned(),
-        state: State::Done(answer),
-    };
+    let claim =
+        Claim { holder: node.holder.clone(), request: request.to_owned(), state: State::Done(answer) };
     for attempt in 0..RECORD_ATTEMPTS {
         if let Ok(row) = read(node, &row_key).await {
             let known: Option<Claim> = row.as_ref().and_then(|row| row.decode().ok());
             if known.is_some_and(|known| matches!(known.state, State::Done(_))) {
                 return;
             }
-            let tx = Tx::default()
-                .unchanged(&row_key, row.as_ref())
-                .put(&row_key, &claim);
+            let tx = Tx::default().unchanged(&row_key, row.as_ref()).put(&row_key, &claim);
             if matches!(node.platform.commit(&tx).await, Ok(Verdict::Applied)) {
                 return;
             }
@@ -164,21 +150,15 @@
         Claimed::Before(answer) => Ok(Gate::Replay(answer)),
         // This router took the claim for an earlier request that it certainly never dispatched.
         Claimed::By(claim) if claim.holder == node.holder => {
-            match node
-                .undispatched
-                .lock()
-                .expect("the claims' lock")
-                .remove(&claim.request)
-            {
+            match node.undispatched.lock().expect("the claims' lock").remove(&claim.request) {
                 true => Ok(Gate::Run(claim.request)),
                 false => Err(unknown(&claim.holder)),
             }
         }
         Claimed::By(claim) => {
-            let address = forward::address_of(node, &claim.holder).filter(|_| !entry.forwarded);
-            let answer = match address {
-                Some(address) => forward::pass_on(node, address, head, body).await,
-                None => None,
+            let answer = match entry.forwarded {
+                true => None,
+                false => forward::pass_on(node, &claim.holder, head, body).await,
             };
             answer.map(Gate::Passed).ok_or_else(|| unknown(&claim.holder))
         }
--- a/crates/router/src/flight.rs
+++ b/crates/router/src/flight.rs
@@ -3,14 +3,17 @@
 //! The run writes its answer here; each caller that sends the same key follows it from the start, whether
 //! the run goes on or has ended.
 
-use crate::refusal::Refusal;
+use crate::refusal::{Execution, Refusal};
 use budget::claim::Answer;
 use event_listener::Event;
+use futures::StreamExt;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
+use http_body_util::BodyDataStream;
 use hyper::body::Bytes;
 use net::{Body, Pipe};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Shards of the table of flights.
@@ -58,6 +61,7 @@
     pub body: u64,
     /// Whether the answer is kept for a later caller although nobody follows it.
     pub keep: bool,
+    passed_on: AtomicBool,
     state: Mutex<State>,
     changed: Event,
 }
@@ -69,6 +73,7 @@
             request,
             body,
             keep,
+            passed_on: AtomicBool::new(false),
             state: Mutex::default(),
             changed: Event::new(),
         })
@@ -97,9 +102,7 @@
         if self.lock().head.is_some() {
             return self.end(End::Broken(refusal.code.to_owned()));
         }
-        let retry_after = refusal
-            .retry_ms
-            .map(|millis| HeaderValue::from(millis.div_ceil(1_000).max(1)));
+        let retry_after = refusal.retry_ms.map(|millis| HeaderValue::from(millis.div_ceil(1_000).max(1)));
         self.begin(Head {
             status: refusal.status,
             media: JSON.to_owned(),
@@ -122,30 +125,39 @@
         self.end(End::Complete);
     }
 
-    /// Copies an answer of at most `limit` bytes; if it breaks off, so does the copy.
-    pub(crate) async fn copy_from<B>(&self, answer: Response<B>, limit: usize)
+    /// Copies an answer as it comes; if it breaks off, so does the copy.
+    pub(crate) async fn copy_from<B>(&self, answer: Response<B>)
     where
-        B: http_body::Body,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+        B: http_body::Body<Data = Bytes> + Unpin,
+        B::Error: std::fmt::Display,
     {
         let (head, body) = answer.into_parts();
-        let media = head
-            .headers
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok());
+        let media = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let execution = head.headers.get("x-execution").and_then(|value| value.to_str().ok());
         self.begin(Head {
             status: head.status,
             media: media.unwrap_or(JSON).to_owned(),
-            execution: None,
+            execution: execution.and_then(Execution::from_name).map(Execution::name),
             retry_after: head.headers.get(RETRY_AFTER).cloned(),
         });
-        match net::collect(body, limit).await {
-            Ok(bytes) => {
-                self.write(bytes);
-                self.end(End::Complete);
+        let mut chunks = BodyDataStream::new(body);
+        while let Some(chunk) = chunks.next().await {
+            match chunk {
+                Ok(chunk) => self.write(chunk),
+                Err(error) => return self.end(End::Broken(error.to_string())),
             }
-            Err(reason) => self.end(End::Broken(reason)),
         }
+        self.end(End::Complete);
+    }
+
+    /// Whether the answer comes, or may come, from another router.
+    pub(crate) fn is_passed_on(&self) -> bool {
+        self.passed_on.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the answer comes from another router.
+    pub(crate) fn set_passed_on(&self, passed_on: bool) {
+        self.passed_on.store(passed_on, Ordering::Relaxed);
     }
 
     /// Whether the answer has ended.
@@ -207,9 +219,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds a flight")
+        self.state.lock().expect("no thread panics while it holds a flight")
     }
 }
 
@@ -306,10 +316,7 @@
 impl Flights {
     /// Keeps answers for `kept_ms` milliseconds.
     pub(crate) fn new(kept_ms: u64) -> Flights {
-        Flights {
-            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
-            kept_ms,
-        }
+        Flights { shards: (0..SHARDS).map(|_| Mutex::default()).collect(), kept_ms }
     }
 
     /// Finds the flight of `key`, or enters `flight`.
@@ -320,13 +327,7 @@
             Some(entry) if entry.flight.body == flight.body => Found::Same(entry.flight.clone()),
             Some(_) => Found::Other,
             None => {
-                shard.insert(
-                    key.to_owned(),
-                    Entry {
-                        flight: flight.clone(),
-                        since: now,
-                    },
-                );
+                shard.insert(key.to_owned(), Entry { flight: flight.clone(), since: now });
                 Found::New
             }
         }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -3,17 +3,23 @@
 use crate::clock::Clock;
 use crate::front::Entry;
 use crate::node::Node;
+use futures::StreamExt;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
+use http_body_util::BodyDataStream;
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
 use peer::{LinkClient, State, Whereabouts};
 use platform::Services;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use upstream::Engine;
 
+/// How often a router looks whether a peer that it waits for is still alive.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Marks a request that a router passed on, so that it is passed on only once.
 pub(crate) const FORWARDED: &str = "x-tallypaddle-forwarded";
 
@@ -41,21 +47,12 @@
         None => node.hints.find(key),
     };
     if let Some(place) = place.filter(|place| place.holder != node.holder)
-        && is_same_incarnation(node, &place)
-        && let Some(response) = pass_on(node, place.callers, head, body).await
+        && let Some(response) = pass_on(node, &place.holder, head, body).await
     {
-        log::info!(
-            "caller: request={} is passed on to {}, which runs its key",
-            entry.id,
-            place.holder
-        );
+        log::info!("caller: request={} is passed on to {}, which runs its key", entry.id, place.holder);
         return Some(response);
     }
-    let here = Whereabouts {
-        key: key.to_owned(),
-        holder: node.holder.clone(),
-        callers: node.beat().callers,
-    };
+    let here = Whereabouts { key: key.to_owned(), holder: node.holder.clone(), callers: node.beat().callers };
     match keeper {
         Some(address) => {
             let call = |client: LinkClient, context| async move { client.announce(context, here).await };
@@ -79,16 +76,7 @@
     node.peers.call("locate", keeper, call).await.ok().flatten()
 }
 
-fn is_same_incarnation<P, E, C>(node: &Node<P, E, C>, place: &Whereabouts) -> bool
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
-    address_of(node, &place.holder).is_some()
-}
-
-/// Where callers reach a holder, if it is alive in the same incarnation.
+/// Where callers reach a holder, if it is thought to be alive in the same incarnation.
 pub(crate) fn address_of<P, E, C>(node: &Node<P, E, C>, holder: &str) -> Option<SocketAddr>
 where
     P: Services,
@@ -99,14 +87,15 @@
     let now = node.clock.now();
     let view = node.view();
     let member = view.member(name)?;
-    let same = member.incarnation.to_string() == incarnation && member.state(now) != State::Gone;
+    let same = member.incarnation.to_string() == incarnation && member.state(now) == State::Alive;
     member.callers.filter(|_| same)
 }
 
-/// Passes a request on and hands back the answer as it comes; `None` if the router can't be reached.
+/// Passes a request on to `holder` and hands back the answer as it comes; `None` if that router can't be
+/// reached or falls silent before it answers.
 pub(crate) async fn pass_on<P, E, C>(
     node: &Arc<Node<P, E, C>>,
-    callers: SocketAddr,
+    holder: &str,
     head: &Parts,
     body: &Bytes,
 ) -> Option<Response<Body>>
@@ -115,16 +104,33 @@
     E: Engine,
     C: Clock,
 {
+    let callers = address_of(node, holder)?;
     let mut request = Request::new(Body::from(body.clone()));
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.uri.clone();
     *request.headers_mut() = head.headers.clone();
     strip(request.headers_mut());
-    request
-        .headers_mut()
-        .insert(FORWARDED, HeaderValue::from_static("1"));
-    let answer = node.engine.forward(callers, request).await.ok()?;
-    Some(stream(answer))
+    request.headers_mut().insert(FORWARDED, HeaderValue::from_static("1"));
+    let answer = async { node.engine.forward(callers, request).await.ok() };
+    let silent = async {
+        silence(node, holder).await;
+        None
+    };
+    let answer = smol::future::or(answer, silent).await?;
+    let (node, holder) = (node.clone(), holder.to_owned());
+    Some(stream(answer, async move { silence(&node, &holder).await }))
+}
+
+/// Waits until a holder is no longer thought to be alive in the same incarnation.
+async fn silence<P, E, C>(node: &Node<P, E, C>, holder: &str)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    while address_of(node, holder).is_some() {
+        exec::sleep(LOOK).await;
+    }
 }
 
 /// Takes out the headers that belong to one connection.
@@ -135,23 +141,34 @@
     headers.remove("keep-alive");
 }
 
-/// Hands an answer on as it comes; if it breaks off, so does the copy.
-pub(crate) fn stream(answer: Response<Incoming>) -> Response<Body> {
+/// Hands an answer on as it comes; if it breaks off, or `ended` comes first, the copy breaks off too.
+pub(crate) fn stream(
+    answer: Response<Incoming>,
+    ended: impl Future<Output = ()> + Send + 'static,
+) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
     strip(&mut head.headers);
     let (pipe, copy) = net::pipe();
     exec::spawn(async move {
-        let mut chunks = http_body_util::BodyDataStream::new(body);
-        loop {
-            match futures::StreamExt::next(&mut chunks).await {
-                Some(Ok(chunk)) => {
-                    if !pipe.write(chunk).await {
-                        return;
-                    }
+        let copying = async {
+            let mut chunks = BodyDataStream::new(body);
+            while let Some(chunk) = chunks.next().await {
+                let written = match chunk {
+                    Ok(chunk) => pipe.write(chunk).await,
+                    Err(error) => return Some(error.to_string()),
+                };
+                if !written {
+                    return None;
                 }
-                Some(Err(error)) => return pipe.abort(&error.to_string()).await,
-                None => return,
             }
+            None
+        };
+        let ending = async {
+            ended.await;
+            Some("the peer fell silent".to_owned())
+        };
+        if let Some(reason) = smol::future::or(copying, ending).await {
+            pipe.abort(&reason).await;
         }
     })
     .detach();
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -9,6 +9,7 @@
 use crate::{forward, service};
 use bundle::hash_key;
 use http::header::AUTHORIZATION;
+use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
@@ -43,9 +44,7 @@
 impl Entry {
     /// The key under which the request's flight is found.
     pub(crate) fn flight_key(&self) -> Option<String> {
-        self.key
-            .as_ref()
-            .map(|key| format!("{}|{key}", self.access.budget))
+        self.key.as_ref().map(|key| format!("{}|{key}", self.access.budget))
     }
 }
 
@@ -63,10 +62,7 @@
         Ok(response) => response,
         Err(refusal) => {
             node.metrics.refusals.with_label_values(&[refusal.code]).inc();
-            log::info!(
-                "caller: request={id} refused: {refusal} ({})",
-                refusal.execution.name()
-            );
+            log::info!("caller: request={id} refused: {refusal} ({})", refusal.execution.name());
             refusal.response(&id)
         }
     };
@@ -95,13 +91,7 @@
     let access = authenticate(&bundle, &request)?;
     let key = idempotency_key(&request)?;
     let forwarded = request.headers().contains_key(forward::FORWARDED);
-    let entry = Entry {
-        id: id.to_owned(),
-        access,
-        bundle,
-        key,
-        forwarded,
-    };
+    let entry = Entry { id: id.to_owned(), access, bundle, key, forwarded };
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/v1/models") => Ok(models(&entry.bundle)),
@@ -111,21 +101,11 @@
         _ if path.starts_with("/services/") => service::answer(node, entry, request).await,
         (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => {
             let message = format!("{} is not allowed on {path}", request.method());
-            Err(Refusal::not_run(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "method_not_allowed",
-                "parse",
-                message,
-            ))
+            Err(Refusal::not_run(StatusCode::METHOD_NOT_ALLOWED, "method_not_allowed", "parse", message))
         }
         _ => {
             let message = format!("{path} is not known");
-            Err(Refusal::not_run(
-                StatusCode::NOT_FOUND,
-                "not_found",
-                "parse",
-                message,
-            ))
+            Err(Refusal::not_run(StatusCode::NOT_FOUND, "not_found", "parse", message))
         }
     }
 }
@@ -137,50 +117,27 @@
     C: Clock,
 {
     let refuse = |code, message: &str| {
-        Err(Refusal::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            code,
-            "accept",
-            message.to_owned(),
-        )
-        .retry_after(ELSEWHERE_MS))
+        Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, "accept", message.to_owned())
+            .retry_after(ELSEWHERE_MS))
     };
     if node.phase() == Phase::Draining {
-        return refuse(
-            "stopping",
-            "this router is stopping; ask again and another one will answer",
-        );
+        return refuse("stopping", "this router is stopping; ask again and another one will answer");
     }
     if bundle.sequence == 0 {
-        return refuse(
-            "no_bundle",
-            "this router has no bundle yet; ask again and another one will answer",
-        );
+        return refuse("no_bundle", "this router has no bundle yet; ask again and another one will answer");
     }
     Ok(())
 }
 
 fn authenticate(bundle: &InForce, request: &Request<Incoming>) -> Result<Access, Refusal> {
-    let value = request
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let value = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let refuse = |message: &str| {
-        Refusal::not_run(
-            StatusCode::UNAUTHORIZED,
-            "invalid_api_key",
-            "authenticate",
-            message.to_owned(),
-        )
+        Refusal::not_run(StatusCode::UNAUTHORIZED, "invalid_api_key", "authenticate", message.to_owned())
     };
     let token = value
         .and_then(|value| value.strip_prefix("Bearer "))
         .ok_or_else(|| refuse("the header must be Authorization: Bearer <key>"))?;
-    bundle
-        .keys
-        .get(&hash_key(token))
-        .cloned()
-        .ok_or_else(|| refuse("this key is not known"))
+    bundle.keys.get(&hash_key(token)).cloned().ok_or_else(|| refuse("this key is not known"))
 }
 
 fn idempotency_key(request: &Request<Incoming>) -> Result<Option<String>, Refusal> {
@@ -204,9 +161,7 @@
         .map(|name| json!({"id": name, "object": "model", "created": 0, "owned_by": "tallypaddle"}))
         .collect();
     let mut response = Response::new(Body::from(json!({"object": "list", "data": list}).to_string()));
-    response
-        .headers_mut()
-        .insert("content-type", HeaderValue::from_static("application/json"));
+    response.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
     response
 }
 
@@ -227,26 +182,14 @@
         Some(Ok(bytes)) => Ok(bytes),
         Some(Err(reason)) if reason.contains("length limit") => {
             let message = format!("the body is larger than {limit} bytes");
-            Err(Refusal::not_run(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                "read",
-                message,
-            ))
+            Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", "read", message))
+        }
+        Some(Err(reason)) => {
+            Err(Refusal::bad("read", "body_broken", format!("the body broke off: {reason}")))
         }
-        Some(Err(reason)) => Err(Refusal::bad(
-            "read",
-            "body_broken",
-            format!("the body broke off: {reason}"),
-        )),
         None => {
             let message = format!("the body did not arrive within {} ms", time.as_millis());
-            Err(Refusal::not_run(
-                StatusCode::REQUEST_TIMEOUT,
-                "body_too_slow",
-                "read",
-                message,
-            ))
+            Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "body_too_slow", "read", message))
         }
     }
 }
@@ -266,58 +209,73 @@
     let body = read_body(node, &entry.bundle, body).await?;
     let ask = Ask::read(&body, &entry.bundle.content)?;
     let flight = Flight::new(&entry.id, xxh3_64(&body), entry.key.is_some());
-    if let Some(key) = entry.flight_key() {
-        match node.flights.enter(&key, &flight, node.clock.now()) {
-            Found::Same(flight) => {
-                log::info!("caller: request={} joins request={}", entry.id, flight.request);
-                return Ok(joined(flight).await);
-            }
-            Found::Other => return Err(mismatch()),
-            Found::New => {}
-        }
-        if let Some(response) = forward::elsewhere(node, &entry, &key, &parts, &body).await {
-            node.flights.forget(&key);
-            return Ok(response);
-        }
+    if let Some(response) = join(node, &entry, &flight, &parts, &body).await? {
+        return Ok(response);
     }
     let following = flight.clone().follow();
-    node.records
-        .begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
+    node.records.begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
     node.schedule.deposit();
     node.open.fetch_add(1, Ordering::Relaxed);
-    let job = Job {
-        node: node.clone(),
-        entry,
-        path,
-        ask,
-        flight,
-        head: parts,
-        body,
-    };
+    let job = Job { node: node.clone(), entry, path, ask, flight, head: parts, body };
     exec::spawn(job::run(job)).detach();
     Ok(following.await)
 }
 
+/// Answers a keyed request from a run that is here or at another router; `None` if it is to be run here.
+pub(crate) async fn join<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    entry: &Entry,
+    flight: &Arc<Flight>,
+    head: &Parts,
+    body: &Bytes,
+) -> Result<Option<Response<Body>>, Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let Some(key) = entry.flight_key() else {
+        return Ok(None);
+    };
+    match node.flights.enter(&key, flight, node.clock.now()) {
+        // A flight that was passed on may wait for the very router that passes this request on.
+        Found::Same(earlier) if entry.forwarded && earlier.is_passed_on() => return Ok(None),
+        Found::Same(earlier) => {
+            log::info!("caller: request={} joins request={}", entry.id, earlier.request);
+            return Ok(Some(joined(earlier).await));
+        }
+        Found::Other => return Err(mismatch()),
+        Found::New => {}
+    }
+    flight.set_passed_on(true);
+    let Some(answer) = forward::elsewhere(node, entry, &key, head, body).await else {
+        flight.set_passed_on(false);
+        return Ok(None);
+    };
+    // Others may follow this flight already, so the answer goes through it.
+    let following = flight.clone().follow();
+    let (node, flight) = (node.clone(), flight.clone());
+    exec::spawn(async move {
+        flight.copy_from(answer).await;
+        node.flights.forget(&key);
+    })
+    .detach();
+    Ok(Some(following.await))
+}
+
 /// Answers a caller from a run that an earlier request began; the answer names that one.
-pub(crate) async fn joined(flight: Arc<Flight>) -> Response<Body> {
+async fn joined(flight: Arc<Flight>) -> Response<Body> {
     let first = HeaderValue::from_str(&flight.request);
     let mut response = flight.follow().await;
     if let Ok(first) = first {
         response.headers_mut().insert(REQUEST_ID, first);
     }
-    response
-        .headers_mut()
-        .insert("x-idempotent-replay", HeaderValue::from_static("true"));
+    response.headers_mut().insert("x-idempotent-replay", HeaderValue::from_static("true"));
     response
 }
 
 /// The refusal of a key that was used for another request.
-pub(crate) fn mismatch() -> Refusal {
+fn mismatch() -> Refusal {
     let message = "this Idempotency-Key was used for another request; take a new key".to_owned();
-    Refusal::not_run(
-        StatusCode::UNPROCESSABLE_ENTITY,
-        "idempotency_mismatch",
-        "parse",
-        message,
-    )
+    Refusal::not_run(StatusCode::UNPROCESSABLE_ENTITY, "idempotency_mismatch", "parse", message)
 }
--- a/crates/router/src/grants.rs
+++ b/crates/router/src/grants.rs
@@ -83,6 +83,7 @@
 /// This router's grants.
 #[derive(Debug)]
 pub(crate) struct Grants {
+    holder: String,
     shards: Vec<Mutex<HashMap<String, Slot>>>,
     loans: Mutex<Loans>,
 }
@@ -94,8 +95,9 @@
 }
 
 impl Grants {
-    pub(crate) fn new() -> Grants {
+    pub(crate) fn new(holder: &str) -> Grants {
         Grants {
+            holder: holder.to_owned(),
             shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
             loans: Mutex::default(),
         }
@@ -230,11 +232,7 @@
                 if entries.len() >= BATCH_BUDGETS || room == 0 {
                     return entries;
                 }
-                let pace = Pace {
-                    now,
-                    elapsed_ms,
-                    close,
-                };
+                let pace = Pace { now, elapsed_ms, close };
                 if let Some(entry) = open_slot(bundle, budget, slot, pace, room) {
                     room -= entry.charges.len();
                     entries.insert(budget.clone(), entry);
@@ -249,10 +247,7 @@
         self.with(budget, |slot| {
             slot.grant.close(line);
             if let Some(pool) = pool {
-                slot.pool = Some(Pool {
-                    credits: BTreeMap::new(),
-                    ..pool.clone()
-                });
+                slot.pool = Some(Pool { credits: BTreeMap::new(), ..pool.clone() });
             }
             slot.settled += 1;
             slot.changed.notify(usize::MAX);
@@ -265,12 +260,11 @@
         if let Some(given) = loans.given.get(id) {
             return *given;
         }
-        let given = self.with(budget, |slot| {
-            if slot.need > 0 {
-                0
-            } else {
-                slot.grant.give(tokens, 0)
-            }
+        // Of two routers that both miss tokens one must yield, or both refuse what together they could serve.
+        let yields = id < self.holder.as_str();
+        let given = self.with(budget, |slot| match slot.need > 0 && !yields {
+            true => 0,
+            false => slot.grant.give(tokens, 0),
         });
         loans.given.insert(id.to_owned(), given);
         loans.order.push_back(id.to_owned());
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -33,8 +33,6 @@
 const ATTEMPTS: u32 = 4;
 /// The pause before asking again what became of a lost run, at first and at most, in milliseconds.
 const ASK_AGAIN_MS: (u64, u64) = (250, 10_000);
-/// How much larger than a request's body its answer may be when it is copied from another router.
-const ANSWER_FACTOR: usize = 16;
 /// When a caller should come back after an upstream failed, in milliseconds.
 const FAILED_RETRY_MS: u64 = 1_000;
 
@@ -58,8 +56,29 @@
     Refuse(Refusal),
     /// The run certainly did not start, or was stopped: try elsewhere with the same reservation.
     Elsewhere(String),
-    /// The run may go on: its reservation stays held, so trying elsewhere takes another one.
-    Anew(String),
+    /// The run consumed tokens, or may go on: trying elsewhere takes another reservation.
+    Anew(String, Execution),
+}
+
+/// The attempts of one request so far.
+#[derive(Debug, Default)]
+struct Tries {
+    /// When the request came, in milliseconds of the router's clock.
+    arrived: u64,
+    /// How many attempts were made.
+    number: u32,
+    /// Upstreams that failed.
+    avoid: Vec<String>,
+    /// What earlier attempts did.
+    execution: Execution,
+}
+
+/// How an attempt leaves its request.
+enum Step {
+    /// It is answered.
+    Done,
+    /// It is to be tried elsewhere.
+    Again(String),
 }
 
 /// A run that was sent to an engine.
@@ -98,19 +117,14 @@
     };
     if let Err(refusal) = result {
         node.metrics.refusals.with_label_values(&[refusal.code]).inc();
-        log::info!(
-            "caller: request={} refused: {refusal} ({})",
-            entry.id,
-            refusal.execution.name()
-        );
+        log::info!("caller: request={} refused: {refusal} ({})", entry.id, refusal.execution.name());
         flight.refuse(refusal, &entry.id);
         if let Some(key) = entry.flight_key() {
             node.flights.forget(&key);
         }
     }
     node.metrics.answers.with_label_values(&[outcome]).inc();
-    node.records
-        .note(&entry.id, |record| record.outcome = Some(outcome.to_owned()));
+    node.records.note(&entry.id, |record| record.outcome = Some(outcome.to_owned()));
     log::info!("caller: request={} ended: {outcome}", entry.id);
     node.open.fetch_sub(1, Ordering::Relaxed);
 }
@@ -122,18 +136,9 @@
     C: Clock,
 {
     fn model(&self) -> Result<&Model, Refusal> {
-        self.entry
-            .bundle
-            .content
-            .models
-            .get(&self.ask.model)
-            .ok_or_else(|| {
-                Refusal::bad(
-                    "parse",
-                    "model_not_found",
-                    "the model is not in the bundle in force",
-                )
-            })
+        self.entry.bundle.content.models.get(&self.ask.model).ok_or_else(|| {
+            Refusal::bad("parse", "model_not_found", "the model is not in the bundle in force")
+        })
     }
 
     async fn serve(&self) -> Result<(), Refusal> {
@@ -148,22 +153,13 @@
                 result
             }
             Gate::Replay(answer) => {
-                self.node
-                    .note(&self.entry.id, "its recorded answer is given again");
+                self.node.note(&self.entry.id, "its recorded answer is given again");
                 self.flight.replay(&answer);
                 Ok(())
             }
             Gate::Passed(answer) => {
-                self.node
-                    .note(&self.entry.id, "passed on to the router that runs it");
-                let limit = self
-                    .entry
-                    .bundle
-                    .content
-                    .limits
-                    .body_bytes
-                    .saturating_mul(ANSWER_FACTOR);
-                self.flight.copy_from(answer, limit).await;
+                self.node.note(&self.entry.id, "passed on to the router that runs it");
+                self.flight.copy_from(answer).await;
                 Ok(())
             }
         }
@@ -172,48 +168,48 @@
     async fn run_claimed(&self, model: &Model) -> Result<(), Refusal> {
         let node = &self.node;
         let budget = &self.entry.access.budget;
-        let arrived = node.clock.now();
         reserve(node, budget, self.ask.worst).await?;
-        node.note(
-            &self.entry.id,
-            format!("reserved {} tokens of {budget}", self.ask.worst),
-        );
-        let mut avoid: Vec<String> = vec![];
-        let mut number = 0;
+        node.note(&self.entry.id, format!("reserved {} tokens of {budget}", self.ask.worst));
+        let mut tries = Tries { arrived: node.clock.now(), ..Tries::default() };
         loop {
-            let choice = match self.choose(model, arrived, &avoid).await {
-                Ok(choice) => choice,
-                Err(refusal) => {
-                    node.grants.release(budget, self.ask.worst);
-                    return Err(refusal);
-                }
-            };
-            number += 1;
-            let upstream = choice.upstream.clone();
-            let why = match self.attempt(model, &choice, number, arrived).await {
-                Next::Complete => return Ok(()),
-                Next::Refuse(refusal) => return Err(refusal),
-                Next::Elsewhere(why) => {
-                    if let Err(refusal) = self.may_retry(number, &why) {
-                        node.grants.release(budget, self.ask.worst);
-                        return Err(refusal);
-                    }
-                    why
-                }
-                Next::Anew(why) => {
-                    self.may_retry(number, &why)
-                        .map_err(|refusal| refusal.execution(Execution::Unknown))?;
-                    reserve(node, budget, self.ask.worst)
-                        .await
-                        .map_err(|refusal| refusal.execution(Execution::Unknown))?;
-                    why
+            match self.try_once(model, &mut tries).await {
+                Ok(Step::Done) => return Ok(()),
+                Ok(Step::Again(why)) => {
+                    node.metrics.retries.inc();
+                    node.note(&self.entry.id, format!("tries elsewhere: {why}"));
                 }
-            };
-            node.metrics.retries.inc();
-            node.note(&self.entry.id, format!("tries elsewhere: {why}"));
-            avoid.push(upstream);
-            if avoid.len() >= self.serving() {
-                avoid.clear();
+                // What an earlier attempt did stays true whatever the last one says (I4).
+                Err(refusal) => return Err(refusal.at_least(tries.execution)),
+            }
+        }
+    }
+
+    /// Chooses an upstream and attempts the run there; the request holds a reservation before and after,
+    /// unless it has ended.
+    async fn try_once(&self, model: &Model, tries: &mut Tries) -> Result<Step, Refusal> {
+        let node = &self.node;
+        let budget = &self.entry.access.budget;
+        let choice =
+            self.choose(model, tries).await.inspect_err(|_| node.grants.release(budget, self.ask.worst))?;
+        tries.number += 1;
+        let next = self.attempt(model, &choice, tries).await;
+        tries.avoid.push(choice.upstream);
+        if tries.avoid.len() >= self.serving() {
+            tries.avoid.clear();
+        }
+        match next {
+            Next::Complete => Ok(Step::Done),
+            Next::Refuse(refusal) => Err(refusal),
+            Next::Elsewhere(why) => {
+                self.may_retry(tries.number, &why)
+                    .inspect_err(|_| node.grants.release(budget, self.ask.worst))?;
+                Ok(Step::Again(why))
+            }
+            Next::Anew(why, execution) => {
+                tries.execution = tries.execution.max(execution);
+                self.may_retry(tries.number, &why)?;
+                reserve(node, budget, self.ask.worst).await?;
+                Ok(Step::Again(why))
             }
         }
     }
@@ -221,9 +217,7 @@
     /// How many upstreams serve the model.
     fn serving(&self) -> usize {
         let upstreams = self.entry.bundle.content.upstreams.values();
-        upstreams
-            .filter(|upstream| upstream.models.contains(&self.ask.model))
-            .count()
+        upstreams.filter(|upstream| upstream.models.contains(&self.ask.model)).count()
     }
 
     fn may_retry(&self, number: u32, why: &str) -> Result<(), Refusal> {
@@ -231,38 +225,26 @@
             return Ok(());
         }
         let message = format!("upstreams failed and no retry is left: {why}");
-        Err(
-            Refusal::not_run(StatusCode::BAD_GATEWAY, "upstream_failed", "dispatch", message)
-                .retry_after(FAILED_RETRY_MS),
-        )
+        Err(Refusal::not_run(StatusCode::BAD_GATEWAY, "upstream_failed", "dispatch", message)
+            .retry_after(FAILED_RETRY_MS))
     }
 
-    async fn choose(&self, model: &Model, arrived: u64, avoid: &[String]) -> Result<Choice, Refusal> {
+    async fn choose(&self, model: &Model, tries: &Tries) -> Result<Choice, Refusal> {
         let node = &self.node;
         let access = &self.entry.access;
-        let weight = self
-            .entry
-            .bundle
-            .content
-            .teams
-            .get(&access.team)
-            .map_or(1, |team| team.weight);
+        let weight = self.entry.bundle.content.teams.get(&access.team).map_or(1, |team| team.weight);
         let want = Want {
             model: &self.ask.model,
             prefix: self.ask.prefix,
-            avoid,
+            avoid: &tries.avoid,
             team: &access.team,
             weight,
             priority: model.priority,
-            deadline: arrived + model.deadline_ms,
+            deadline: tries.arrived + model.deadline_ms,
         };
         let gone = async {
             self.flight.abandoned().await;
-            Err(Refusal::bad(
-                "route",
-                "caller_gone",
-                "the caller went away before the request was sent",
-            ))
+            Err(Refusal::bad("route", "caller_gone", "the caller went away before the request was sent"))
         };
         let choice = smol::future::or(node.schedule.choose(&want), gone).await?;
         let reason = choice.reason.name();
@@ -285,14 +267,14 @@
         Ok(choice)
     }
 
-    async fn attempt(&self, model: &Model, choice: &Choice, number: u32, arrived: u64) -> Next {
+    async fn attempt(&self, model: &Model, choice: &Choice, tries: &Tries) -> Next {
         let node = &self.node;
         let Some(upstream) = self.entry.bundle.content.upstreams.get(&choice.upstream) else {
             node.schedule.end(&choice.upstream);
             return Next::Elsewhere(format!("{} is not in the bundle", choice.upstream));
         };
         let sent = Sent {
-            run: format!("{}-{number}", self.entry.id),
+            run: format!("{}-{}", self.entry.id, tries.number),
             upstream: choice.upstream.clone(),
             peer: upstream.address,
         };
@@ -311,7 +293,7 @@
             None => return self.abandon(sent).await,
             Some(Ok(Reply::Refused { status, body })) => self.refused(&sent, status, &body),
             Some(Ok(Reply::Whole(bytes))) => self.whole(&sent, bytes),
-            Some(Ok(Reply::Stream(events))) => return self.pump(model, sent, events, arrived).await,
+            Some(Ok(Reply::Stream(events))) => return self.pump(model, sent, events, tries.arrived).await,
             Some(Err(error)) => {
                 self.note_failure(&sent, &error.to_string());
                 match error.fault {
@@ -325,8 +307,7 @@
     }
 
     fn note_failure(&self, sent: &Sent, reason: &str) {
-        self.node
-            .note(&self.entry.id, format!("{} failed: {reason}", sent.upstream));
+        self.node.note(&self.entry.id, format!("{} failed: {reason}", sent.upstream));
         log::warn!("upstream: request={} run={} {reason}", self.entry.id, sent.run);
         if self.node.schedule.fail(&sent.upstream) {
             self.node.metrics.ejections.inc();
@@ -341,9 +322,7 @@
             self.note_failure(sent, &format!("refused with status {status}"));
             return Next::Elsewhere(format!("{} refused with status {status}", sent.upstream));
         }
-        self.node
-            .grants
-            .release(&self.entry.access.budget, self.ask.worst);
+        self.node.grants.release(&self.entry.access.budget, self.ask.worst);
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
         let message = format!("the upstream does not accept the request: {text}");
         Next::Refuse(Refusal::not_run(status, "upstream_rejected", "dispatch", message))
@@ -369,9 +348,7 @@
     /// Turns the reservation into the request's one charge.
     fn charge(&self, tokens: u64) {
         let node = &self.node;
-        let excess = node
-            .grants
-            .charge(&self.entry.access.budget, self.ask.worst, self.bill(tokens));
+        let excess = node.grants.charge(&self.entry.access.budget, self.ask.worst, self.bill(tokens));
         if excess > 0 {
             node.metrics.excess.inc_by(excess);
             log::error!(
@@ -386,16 +363,11 @@
             self.entry.id,
             self.entry.access.budget
         );
-        node.records
-            .note(&self.entry.id, |record| record.charge = Some(charged));
+        node.records.note(&self.entry.id, |record| record.charge = Some(charged));
     }
 
     fn bill(&self, tokens: u64) -> Charge {
-        Charge {
-            request: self.entry.id.clone(),
-            key: self.entry.key.clone(),
-            tokens,
-        }
+        Charge { request: self.entry.id.clone(), key: self.entry.key.clone(), tokens }
     }
 
     /// Passes a stream on, taking it up again where it breaks.
@@ -422,11 +394,7 @@
                         node.metrics.first_token.observe((now - arrived) as f64 / 1_000.0);
                         self.begin_stream();
                     }
-                    let found = if data.contains("\"usage\":{") {
-                        Usage::find(&data)
-                    } else {
-                        None
-                    };
+                    let found = if data.contains("\"usage\":{") { Usage::find(&data) } else { None };
                     usage = found.or(usage);
                     if found.is_none() || self.ask.include_usage || !data.contains("\"choices\":[]") {
                         self.flight.write(format!("data: {data}\n\n"));
@@ -447,7 +415,7 @@
                 }
                 Some(Err(error)) => {
                     self.note_failure(&sent, &error.to_string());
-                    let resumed = if resumes < RESUMES {
+                    let resumed = if taken > 0 && resumes < RESUMES {
                         node.engine.resume(sent.peer, &sent.run, taken).await.ok()
                     } else {
                         None
@@ -490,10 +458,7 @@
         let message = format!("the answer broke off at the upstream: {reason}");
         let refusal = Refusal::not_run(StatusCode::BAD_GATEWAY, "upstream_broke", "stream", message)
             .execution(Execution::Ran);
-        self.flight.write(format!(
-            "event: error\ndata: {}\n\n",
-            refusal.json(&self.entry.id)
-        ));
+        self.flight.write(format!("event: error\ndata: {}\n\n", refusal.json(&self.entry.id)));
         self.flight.end(End::Broken(refusal.code.to_owned()));
         Next::Refuse(refusal)
     }
@@ -537,7 +502,7 @@
                 node.schedule.end(&sent.upstream);
                 node.grants.waste(budget, self.ask.worst, usage.total());
                 node.metrics.wasted.inc_by(usage.total());
-                Next::Anew(reason)
+                Next::Anew(reason, Execution::Ran)
             }
             Ok(Outcome::Stopped(usage)) => {
                 node.schedule.end(&sent.upstream);
@@ -546,7 +511,7 @@
             }
             Err(_) if model.repeatable => {
                 self.hold(sent, None);
-                Next::Anew(reason)
+                Next::Anew(reason, Execution::Unknown)
             }
             Err(_) => {
                 self.hold(sent, Some(self.bill(0)));
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -40,11 +40,7 @@
             membership::list(node, &vms);
             mark(node, &vms, &mut marked);
         }
-        let pause = node
-            .settings
-            .limits
-            .poll_ms
-            .max(node.fleet_size() * 1_000 / FLEET_RATE);
+        let pause = node.settings.limits.poll_ms.max(node.fleet_size() * 1_000 / FLEET_RATE);
         exec::sleep(millis(pause)).await;
     }
 }
@@ -56,11 +52,8 @@
     E: Engine,
     C: Clock,
 {
-    let upstreams: BTreeMap<&str, bool> = vms
-        .iter()
-        .filter(|vm| vm.role == Role::Upstream)
-        .map(|vm| (vm.name.as_str(), vm.leaving))
-        .collect();
+    let upstreams: BTreeMap<&str, bool> =
+        vms.iter().filter(|vm| vm.role == Role::Upstream).map(|vm| (vm.name.as_str(), vm.leaving)).collect();
     for (name, leaving) in upstreams {
         let was = marked.contains(name);
         if leaving == was {
@@ -82,11 +75,7 @@
     C: Clock,
 {
     if node.schedule.leave(name, leaving) {
-        let what = if leaving {
-            "leaves, it gets no new work"
-        } else {
-            "stays"
-        };
+        let what = if leaving { "leaves, it gets no new work" } else { "stays" };
         log::info!("upstream: {name} {what}, says {source}");
         let _ = node.news.try_send(());
     }
@@ -122,11 +111,7 @@
                 Err(error) => log::debug!("upstream: {name}: {error}"),
             }
         }
-        let pause = node
-            .settings
-            .limits
-            .load_ms
-            .max(used.len() as u64 * 1_000 / REPORTS_PER_SECOND);
+        let pause = node.settings.limits.load_ms.max(used.len() as u64 * 1_000 / REPORTS_PER_SECOND);
         exec::sleep(millis(pause)).await;
     }
 }
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -36,12 +36,7 @@
     }
 
     pub(crate) fn find(&self, key: &str) -> Option<Whereabouts> {
-        self.state
-            .lock()
-            .expect("the hints' lock")
-            .places
-            .get(key)
-            .cloned()
+        self.state.lock().expect("the hints' lock").places.get(key).cloned()
     }
 }
 
@@ -72,10 +67,7 @@
 
     fn fetch(&self, digests: &[String]) -> Vec<Option<String>> {
         let bundle = self.0.bundle();
-        digests
-            .iter()
-            .map(|digest| bundle.parts.get(digest).cloned())
-            .collect()
+        digests.iter().map(|digest| bundle.parts.get(digest).cloned()).collect()
     }
 
     fn announce(&self, whereabouts: Whereabouts) {
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -36,12 +36,7 @@
                 .map(|member| (member.name.clone(), member.address))
                 .collect()
         };
-        join_all(
-            targets
-                .iter()
-                .map(|(name, address)| exchange(&node, name, *address)),
-        )
-        .await;
+        join_all(targets.iter().map(|(name, address)| exchange(&node, name, *address))).await;
         let news = async {
             let _ = heard.recv().await;
         };
@@ -91,12 +86,7 @@
     let now = node.clock.now();
     let news = node.view().hear(beat, now);
     if news {
-        log::info!(
-            "peer: {} #{} is heard from {}",
-            beat.name,
-            beat.incarnation,
-            beat.address
-        );
+        log::info!("peer: {} #{} is heard from {}", beat.name, beat.incarnation, beat.address);
         node.share_out();
     }
     let mut spread = false;
@@ -104,11 +94,7 @@
         spread |= node.schedule.leave(name, true);
     }
     if spread {
-        log::info!(
-            "upstream: leaving by the word of {}: {}",
-            beat.name,
-            beat.leaving.join(", ")
-        );
+        log::info!("upstream: leaving by the word of {}: {}", beat.name, beat.leaving.join(", "));
         let _ = node.news.try_send(());
     }
     if beat.sequence > node.bundle().sequence {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -54,57 +54,35 @@
         let registry = Registry::new();
         let counter = |name: &str, help: &str| {
             let metric = IntCounter::new(format!("tallypaddle_{name}"), help).expect("a valid metric name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(metric.clone())).expect("metric names are unique");
             metric
         };
         let counters = |name: &str, help: &str, labels: &[&str]| {
             let options = Opts::new(format!("tallypaddle_{name}"), help);
             let metric = IntCounterVec::new(options, labels).expect("a valid metric name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(metric.clone())).expect("metric names are unique");
             metric
         };
         let gauge = |name: &str, help: &str| {
             let metric = IntGauge::new(format!("tallypaddle_{name}"), help).expect("a valid metric name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(metric.clone())).expect("metric names are unique");
             metric
         };
         let options = HistogramOpts::new("tallypaddle_first_token_seconds", "Time to the first token")
             .buckets(FIRST_TOKEN_BOUNDS.to_vec());
         let first_token = Histogram::with_opts(options).expect("a valid metric name");
-        registry
-            .register(Box::new(first_token.clone()))
-            .expect("metric names are unique");
+        registry.register(Box::new(first_token.clone())).expect("metric names are unique");
         Metrics {
             answers: counters("answers_total", "Answers by outcome", &["outcome"]),
-            decisions: counters(
-                "route_decisions_total",
-                "Routing decisions by reason",
-                &["reason"],
-            ),
+            decisions: counters("route_decisions_total", "Routing decisions by reason", &["reason"]),
             refusals: counters("refusals_total", "Requests refused by code", &["code"]),
             charged: counter("charged_tokens_total", "Tokens charged to budgets"),
-            wasted: counter(
-                "wasted_tokens_total",
-                "Tokens consumed by runs whose answer nobody got",
-            ),
+            wasted: counter("wasted_tokens_total", "Tokens consumed by runs whose answer nobody got"),
             unknown: gauge("unknown_tokens", "Tokens held for runs whose end is not known"),
-            excess: counter(
-                "excess_tokens_total",
-                "Tokens that an upstream reported above a reservation",
-            ),
+            excess: counter("excess_tokens_total", "Tokens that an upstream reported above a reservation"),
             retries: counter("retries_total", "Attempts after the first"),
             resumes: counter("resumes_total", "Streams taken up again at the same upstream"),
-            platform: counters(
-                "platform_calls_total",
-                "Calls to the platform",
-                &["step", "outcome"],
-            ),
+            platform: counters("platform_calls_total", "Calls to the platform", &["step", "outcome"]),
             lent: counter("lent_tokens_total", "Tokens handed to other routers"),
             borrowed: counter("borrowed_tokens_total", "Tokens taken over from other routers"),
             loans_open: gauge("loans_open", "Loans whose answer is still being asked for"),
@@ -119,8 +97,6 @@
 
     /// The metrics in the text format.
     pub(crate) fn encode(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -129,8 +129,7 @@
     /// Computes this router's shares of the upstreams anew.
     pub(crate) fn share_out(&self) {
         let bundle = self.bundle();
-        self.schedule
-            .configure(&bundle.content, &self.view(), &self.settings.name);
+        self.schedule.configure(&bundle.content, &self.view(), &self.settings.name);
     }
 
     pub(crate) fn view(&self) -> MutexGuard<'_, View> {
@@ -166,14 +165,7 @@
 
     pub(crate) fn set_platform_up(&self, up: bool) {
         if self.platform_up.swap(up, Ordering::Relaxed) != up {
-            log::info!(
-                "platform: {}",
-                if up {
-                    "it answers again"
-                } else {
-                    "it does not answer"
-                }
-            );
+            log::info!("platform: {}", if up { "it answers again" } else { "it does not answer" });
         }
     }
 
@@ -187,12 +179,8 @@
 
     /// Notes what happened to a request.
     pub(crate) fn note(&self, request: &str, what: impl Into<String>) {
-        let step = Step {
-            at: self.clock.now(),
-            what: what.into(),
-        };
-        self.records
-            .note(request, |record: &mut Record| record.steps.push(step));
+        let step = Step { at: self.clock.now(), what: what.into() };
+        self.records.note(request, |record: &mut Record| record.steps.push(step));
     }
 
     /// This router's heartbeat.
@@ -204,11 +192,7 @@
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
             address: self.settings.listen.advertise_peers.unwrap_or(addresses.peers),
-            callers: self
-                .settings
-                .listen
-                .advertise_callers
-                .unwrap_or(addresses.callers),
+            callers: self.settings.listen.advertise_callers.unwrap_or(addresses.callers),
             data_centre: self.settings.data_centre.clone(),
             sequence: bundle.sequence,
             manifest: bundle.manifest.clone(),
@@ -221,9 +205,7 @@
     pub(crate) fn alive(&self) -> Vec<(String, SocketAddr)> {
         let now = self.clock.now();
         let view = self.view();
-        view.members(State::Alive, now)
-            .map(|member| (member.name.clone(), member.address))
-            .collect()
+        view.members(State::Alive, now).map(|member| (member.name.clone(), member.address)).collect()
     }
 }
 
@@ -250,9 +232,7 @@
     E: Engine,
     C: Clock,
 {
-    let incarnation = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |time| time.as_millis() as u64);
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
     let keys = settings.keys();
     let Some(key) = keys.first().cloned() else {
         return Err(io::Error::other("no fleet key in the settings"));
@@ -271,7 +251,7 @@
         platform,
         engine,
         peers: Peers::new(key, millis(limits.peer_ms)),
-        grants: Grants::new(),
+        grants: Grants::new(&format!("{}#{incarnation}", settings.name)),
         flights: Flights::new(limits.answer_ms),
         hints: Hints::default(),
         records: Records::new(limits.records),
@@ -305,15 +285,10 @@
         head_time: millis(limits.head_ms),
         ..net::Limits::default()
     };
-    let callers = net::serve(addresses.callers, bounds, move |request| {
-        front::answer(shared.clone(), request)
-    })
-    .await?;
-    *node.addresses.lock().expect("the addresses' lock") = Addresses {
-        callers: callers.address(),
-        peers,
-        operators: operators.address(),
-    };
+    let callers =
+        net::serve(addresses.callers, bounds, move |request| front::answer(shared.clone(), request)).await?;
+    *node.addresses.lock().expect("the addresses' lock") =
+        Addresses { callers: callers.address(), peers, operators: operators.address() };
 
     exec::spawn(steer::run(node.clone())).detach();
     exec::spawn(membership::run(node.clone(), heard)).detach();
@@ -327,11 +302,7 @@
         bound.peers,
         bound.operators
     );
-    Ok(Running {
-        node,
-        callers,
-        operators,
-    })
+    Ok(Running { node, callers, operators })
 }
 
 impl<P, E, C> Running<P, E, C>
@@ -354,10 +325,7 @@
         exec::sleep(millis(node.settings.limits.stop_delay_ms)).await;
         self.set_phase(Phase::Draining);
         let _ = node.news.try_send(());
-        log::info!(
-            "node: takes no new work, {} requests are open",
-            node.open.load(Ordering::Relaxed)
-        );
+        log::info!("node: takes no new work, {} requests are open", node.open.load(Ordering::Relaxed));
         while node.open.load(Ordering::Relaxed) > 0 {
             exec::sleep(millis(DRAIN_LOOK_MS)).await;
         }
--- a/crates/router/src/record.rs
+++ b/crates/router/src/record.rs
@@ -49,22 +49,13 @@
     /// Keeps about `most` requests.
     pub(crate) fn new(most: usize) -> Records {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Records {
-            shards,
-            most: most.div_ceil(SHARDS),
-        }
+        Records { shards, most: most.div_ceil(SHARDS) }
     }
 
     /// Begins a request's record.
     pub(crate) fn begin(&self, request: &str, budget: &str, bundle: u64) {
         let mut shard = self.shard(request);
-        let record = Record {
-            budget: budget.to_owned(),
-            bundle,
-            charge: None,
-            outcome: None,
-            steps: vec![],
-        };
+        let record = Record { budget: budget.to_owned(), bundle, charge: None, outcome: None, steps: vec![] };
         shard.records.insert(request.to_owned(), record);
         shard.order.push_back(request.to_owned());
         if shard.order.len() > self.most
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -5,18 +5,23 @@
 use net::Body;
 use serde_json::json;
 
-/// Whether a refused request was executed on an upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Whether a refused request was executed on an upstream; of several attempts the greatest counts.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Execution {
     /// It certainly was not, and will not be.
+    #[default]
     NotRun,
-    /// It was, at least in part.
-    Ran,
     /// It may have been.
     Unknown,
+    /// It was, at least in part.
+    Ran,
 }
 
 impl Execution {
+    pub(crate) fn from_name(name: &str) -> Option<Execution> {
+        [Execution::NotRun, Execution::Unknown, Execution::Ran].into_iter().find(|one| one.name() == name)
+    }
+
     pub(crate) fn name(self) -> &'static str {
         match self {
             Execution::NotRun => "not-run",
@@ -52,14 +57,7 @@
         step: &'static str,
         message: String,
     ) -> Refusal {
-        Refusal {
-            status,
-            code,
-            step,
-            execution: Execution::NotRun,
-            message,
-            retry_ms: None,
-        }
+        Refusal { status, code, step, execution: Execution::NotRun, message, retry_ms: None }
     }
 
     /// A request that can't be understood.
@@ -81,6 +79,13 @@
         self
     }
 
+    /// Takes an earlier attempt into the verdict on execution.
+    #[must_use]
+    pub(crate) fn at_least(mut self, earlier: Execution) -> Refusal {
+        self.execution = self.execution.max(earlier);
+        self
+    }
+
     /// The body, shaped as OpenAI's errors are.
     pub(crate) fn json(&self, request: &str) -> String {
         json!({"error": {
--- a/crates/router/src/reserve.rs
+++ b/crates/router/src/reserve.rs
@@ -69,12 +69,7 @@
 
 fn exhausted(budget: &str, tokens: u64) -> Refusal {
     let message = format!("budget {budget} has fewer than the {tokens} tokens that this request may need");
-    Refusal::not_run(
-        StatusCode::TOO_MANY_REQUESTS,
-        "insufficient_quota",
-        "budget",
-        message,
-    )
+    Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "insufficient_quota", "budget", message)
 }
 
 fn give_up<P, E, C>(node: &Node<P, E, C>, budget: &str, tokens: u64) -> Refusal
@@ -89,13 +84,8 @@
             .retry_after(BUSY_RETRY_MS);
     }
     let message = format!("{tokens} tokens of budget {budget} are not at hand and the platform is away");
-    Refusal::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "budget_unreachable",
-        "budget",
-        message,
-    )
-    .retry_after(OUTAGE_RETRY_MS)
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "budget_unreachable", "budget", message)
+        .retry_after(OUTAGE_RETRY_MS)
 }
 
 /// Asks peers for tokens that they don't use; returns what came.
@@ -137,11 +127,7 @@
 {
     let ask = ask.clone();
     let call = |client: LinkClient, context| async move { client.borrow(context, ask).await };
-    node.peers
-        .call("borrow", address, call)
-        .await
-        .ok()
-        .map(|lent| lent.tokens)
+    node.peers.call("borrow", address, call).await.ok().map(|lent| lent.tokens)
 }
 
 async fn ask_again<P, E, C>(node: Arc<Node<P, E, C>>, name: String, address: SocketAddr, ask: Borrow)
@@ -163,11 +149,7 @@
     match answer {
         Some(0) => {}
         Some(tokens) => take_in(&node, &name, &ask, tokens),
-        None => log::warn!(
-            "budget: loan {} of {} from {name} was never answered",
-            ask.id,
-            ask.budget
-        ),
+        None => log::warn!("budget: loan {} of {} from {name} was never answered", ask.id, ask.budget),
     }
 }
 
@@ -179,9 +161,5 @@
 {
     node.grants.receive(&ask.budget, tokens);
     node.metrics.borrowed.inc_by(tokens);
-    log::info!(
-        "budget: borrowed {tokens} tokens of {} from {name} under {}",
-        ask.budget,
-        ask.id
-    );
+    log::info!("budget: borrowed {tokens} tokens of {} from {name} under {}", ask.budget, ask.id);
 }
--- a/crates/router/src/schedule.rs
+++ b/crates/router/src/schedule.rs
@@ -62,16 +62,11 @@
             retries: Budget::new(0.0),
             cache_seen: BTreeMap::new(),
         };
-        Schedule {
-            clock,
-            state: Mutex::new(state),
-        }
+        Schedule { clock, state: Mutex::new(state) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the schedule")
+        self.state.lock().expect("no thread panics while it holds the schedule")
     }
 
     /// Takes in a bundle and the routers that share the upstreams.
@@ -80,11 +75,7 @@
         let names: Vec<&str> = bundle.upstreams.keys().map(String::as_str).collect();
         let mine: HashSet<&str> = subset(&names, &sharers, me, WIDTH).into_iter().collect();
         let mut state = self.lock();
-        for (name, upstream) in bundle
-            .upstreams
-            .iter()
-            .filter(|(name, _)| mine.contains(name.as_str()))
-        {
+        for (name, upstream) in bundle.upstreams.iter().filter(|(name, _)| mine.contains(name.as_str())) {
             // Only the routers that use the upstream have a share of it.
             let users: Vec<&str> = sharers
                 .iter()
@@ -108,11 +99,7 @@
     pub(crate) fn report(&self, name: &str, load: &Load) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let report = Report {
-            slots: load.slots,
-            busy: load.running + load.waiting,
-            leaving: load.leaving,
-        };
+        let report = Report { slots: load.slots, busy: load.running + load.waiting, leaving: load.leaving };
         state.board.report(name, report, now);
         let seen = state.cache_seen.get(name).copied().unwrap_or(0);
         for event in load.cache.iter().filter(|event| event.sequence > seen) {
@@ -157,12 +144,7 @@
             Entered::Refused(refusal) => return Err(refusal),
             Entered::Waiting(number) => number,
         };
-        let waiting = Waiting {
-            schedule: self,
-            model: want.model,
-            number,
-            choice,
-        };
+        let waiting = Waiting { schedule: self, model: want.model, number, choice };
         let limit = Duration::from_millis(want.deadline.saturating_sub(self.clock.now()));
         match exec::timeout(limit, waiting.choice.recv()).await {
             Some(Ok(choice)) => Ok(choice),
@@ -174,20 +156,10 @@
     fn enter(&self, want: &Want<'_>, chosen: Sender<Choice>) -> Entered {
         let now = self.clock.now();
         let mut state = self.lock();
-        let State {
-            board, lines, most, ..
-        } = &mut *state;
-        let line = lines
-            .entry(want.model.to_owned())
-            .or_insert_with(|| Line::new(*most));
-        let urgent = line
-            .first()
-            .is_none_or(|(_, first)| first.priority > want.priority);
-        let ask = Ask {
-            model: want.model,
-            prefix: want.prefix,
-            avoid: want.avoid,
-        };
+        let State { board, lines, most, .. } = &mut *state;
+        let line = lines.entry(want.model.to_owned()).or_insert_with(|| Line::new(*most));
+        let urgent = line.first().is_none_or(|(_, first)| first.priority > want.priority);
+        let ask = Ask { model: want.model, prefix: want.prefix, avoid: want.avoid };
         if urgent {
             match board.pick(&ask, now) {
                 Pick::Take(choice) => return Entered::Chosen(choice),
@@ -195,17 +167,9 @@
                 Pick::Wait => {}
             }
         }
-        let item = Waiter {
-            prefix: want.prefix,
-            avoid: want.avoid.to_vec(),
-            chosen,
-        };
-        let ticket = Ticket {
-            item,
-            team: want.team.to_owned(),
-            priority: want.priority,
-            deadline: want.deadline,
-        };
+        let item = Waiter { prefix: want.prefix, avoid: want.avoid.to_vec(), chosen };
+        let ticket =
+            Ticket { item, team: want.team.to_owned(), priority: want.priority, deadline: want.deadline };
         match line.push(ticket, want.weight, now) {
             (Admit::Waiting, number) => {
                 // The displaced request learns it because its sender is dropped.
@@ -213,10 +177,9 @@
                 Entered::Waiting(number)
             }
             (Admit::Full(millis), _) => Entered::Refused(full(millis.max(COME_BACK_MS))),
-            (Admit::Late(millis), _) => Entered::Refused(late(
-                "it could not begin before its deadline",
-                millis.max(COME_BACK_MS),
-            )),
+            (Admit::Late(millis), _) => {
+                Entered::Refused(late("it could not begin before its deadline", millis.max(COME_BACK_MS)))
+            }
         }
     }
 
@@ -248,11 +211,7 @@
                     line.remove(number);
                     continue;
                 }
-                let ask = Ask {
-                    model,
-                    prefix: ticket.item.prefix,
-                    avoid: &ticket.item.avoid,
-                };
+                let ask = Ask { model, prefix: ticket.item.prefix, avoid: &ticket.item.avoid };
                 let Pick::Take(choice) = board.pick(&ask, now) else {
                     break;
                 };
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -6,9 +6,9 @@
 
 use crate::claims::{self, Gate};
 use crate::clock::Clock;
-use crate::flight::{Flight, Found};
+use crate::flight::Flight;
 use crate::forward;
-use crate::front::{Entry, joined, mismatch, read_body};
+use crate::front::{Entry, join, read_body};
 use crate::job;
 use crate::node::Node;
 use crate::refusal::{Execution, Refusal};
@@ -29,8 +29,6 @@
 
 /// Bodies up to this many bytes are kept, so that the call can be tried at another server.
 const KEPT_BYTES: u64 = 64 * 1024;
-/// The largest answer to a call with a key, in bytes.
-const ANSWER_MOST: usize = 32 << 20;
 /// When a caller should come back after every server failed, in milliseconds.
 const FAILED_RETRY_MS: u64 = 1_000;
 
@@ -46,30 +44,26 @@
     C: Clock,
 {
     let target = Target::find(&entry, &request)?;
-    node.records
-        .begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
+    node.records.begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
     if entry.key.is_some() {
         return keyed(node, entry, target, request).await;
     }
     let (parts, incoming) = request.into_parts();
-    let length = parts
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let length = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     if length.is_none_or(|length| length <= KEPT_BYTES) && !parts.headers.contains_key("transfer-encoding") {
         let body = read_body(node, &entry.bundle, incoming).await?;
         pay(node, &entry, &target).await?;
         let result = call(node, &entry, &target, &parts, &body).await;
         settle(node, &entry, &target, result.as_ref().err());
-        return result.map(forward::stream);
+        return result.map(|answer| forward::stream(answer, std::future::pending()));
     }
     pay(node, &entry, &target).await?;
-    let body = forward::stream(Response::new(incoming)).into_body();
+    let body = forward::stream(Response::new(incoming), std::future::pending()).into_body();
     let address = target.addresses(&entry.id)[0];
     let result = node.engine.forward(address, target.request(&parts, body)).await;
     let result = result.map_err(|error| failed(&error.to_string(), error.fault));
     settle(node, &entry, &target, result.as_ref().err());
-    result.map(forward::stream)
+    result.map(|answer| forward::stream(answer, std::future::pending()))
 }
 
 /// What a call is for.
@@ -92,17 +86,8 @@
         })?;
         let path = format!("/{path}");
         let repeatable = service.is_repeatable(&path);
-        let query = request
-            .uri()
-            .query()
-            .map(|query| format!("?{query}"))
-            .unwrap_or_default();
-        Ok(Target {
-            name: name.to_owned(),
-            service,
-            path: path + &query,
-            repeatable,
-        })
+        let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+        Ok(Target { name: name.to_owned(), service, path: path + &query, repeatable })
     }
 
     /// The servers, in an order that differs between requests.
@@ -161,15 +146,10 @@
     if refusal.is_some_and(|refusal| refusal.execution == Execution::NotRun) {
         return node.grants.release(&entry.access.budget, tokens);
     }
-    let charge = Charge {
-        request: entry.id.clone(),
-        key: entry.key.clone(),
-        tokens,
-    };
+    let charge = Charge { request: entry.id.clone(), key: entry.key.clone(), tokens };
     node.grants.charge(&entry.access.budget, tokens, charge);
     node.metrics.charged.inc_by(tokens);
-    node.records
-        .note(&entry.id, |record| record.charge = Some(tokens));
+    node.records.note(&entry.id, |record| record.charge = Some(tokens));
 }
 
 /// Calls one server after the other, as long as trying again is safe.
@@ -196,11 +176,7 @@
             entry.bundle.sequence
         );
         node.metrics.decisions.with_label_values(&["rotation"]).inc();
-        match node
-            .engine
-            .forward(address, target.request(parts, Body::from(body.clone())))
-            .await
-        {
+        match node.engine.forward(address, target.request(parts, Body::from(body.clone()))).await {
             Ok(answer) => return Ok(answer),
             Err(error) => {
                 node.note(&entry.id, error.to_string());
@@ -232,14 +208,7 @@
     let body = read_body(node, &entry.bundle, body).await?;
     let content = format!("{} {} {}", parts.method, target.path, xxh3_64(&body));
     let flight = Flight::new(&entry.id, xxh3_64(content.as_bytes()), true);
-    let key = entry.flight_key().unwrap_or_default();
-    match node.flights.enter(&key, &flight, node.clock.now()) {
-        Found::Same(flight) => return Ok(joined(flight).await),
-        Found::Other => return Err(mismatch()),
-        Found::New => {}
-    }
-    if let Some(response) = forward::elsewhere(node, &entry, &key, &parts, &body).await {
-        node.flights.forget(&key);
+    if let Some(response) = join(node, &entry, &flight, &parts, &body).await? {
         return Ok(response);
     }
     let following = flight.clone().follow();
@@ -280,7 +249,7 @@
             Ok(())
         }
         Gate::Passed(answer) => {
-            flight.copy_from(answer, ANSWER_MOST).await;
+            flight.copy_from(answer).await;
             Ok(())
         }
     }
@@ -302,6 +271,6 @@
     pay(node, entry, target).await?;
     let result = call(node, entry, target, parts, body).await;
     settle(node, entry, target, result.as_ref().err());
-    flight.copy_from(result?, ANSWER_MOST).await;
+    flight.copy_from(result?).await;
     Ok(())
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -169,10 +169,7 @@
 
     /// The fleet keys.
     pub(crate) fn keys(&self) -> Vec<FleetKey> {
-        self.fleet_keys
-            .iter()
-            .filter_map(|key| FleetKey::new(key).ok())
-            .collect()
+        self.fleet_keys.iter().filter_map(|key| FleetKey::new(key).ok()).collect()
     }
 }
 
@@ -191,18 +188,12 @@
     for (index, key) in settings.trust.keys.iter().enumerate() {
         let is_hex = key.bytes().all(|byte| byte.is_ascii_hexdigit());
         if key.len() != KEY_DIGITS || !is_hex {
-            reader.add(
-                &["trust", "keys", &index.to_string()],
-                "must be a public key in 64 hex digits",
-            );
+            reader.add(&["trust", "keys", &index.to_string()], "must be a public key in 64 hex digits");
         }
     }
     if settings.trust.needed == 0 || settings.trust.needed > settings.trust.keys.len() {
-        let reason = format!(
-            "{} is not allowed; 1 to the {} keys",
-            settings.trust.needed,
-            settings.trust.keys.len()
-        );
+        let reason =
+            format!("{} is not allowed; 1 to the {} keys", settings.trust.needed, settings.trust.keys.len());
         reader.add(&["trust", "needed"], reason);
     }
     let limits = &settings.limits;
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -56,11 +56,7 @@
             }
             Err(error) => log::debug!("bundle: {error}"),
         }
-        let pause = node
-            .settings
-            .limits
-            .poll_ms
-            .max(node.fleet_size() * 1_000 / FLEET_RATE);
+        let pause = node.settings.limits.poll_ms.max(node.fleet_size() * 1_000 / FLEET_RATE);
         exec::sleep(millis(pause)).await;
     }
 }
@@ -119,9 +115,7 @@
     C: Clock,
 {
     let fetched = fetch(node, &[digest.to_owned()], source).await?;
-    let text = fetched
-        .get(digest)
-        .ok_or_else(|| Error::Fetch("the manifest is not there".to_owned()))?;
+    let text = fetched.get(digest).ok_or_else(|| Error::Fetch("the manifest is not there".to_owned()))?;
     let signed: Signed = serde_json::from_str(text)
         .map_err(|error| bundle::Error::Unreadable("signed manifest".to_owned(), error.to_string()))?;
     if signed.digest() != digest {
@@ -130,18 +124,11 @@
     let trust = &node.settings.trust;
     let manifest: Manifest = bundle::verify(&signed, &trust.keys, trust.needed)?;
     if manifest.parent + 1 != sequence {
-        return Err(Error::Replayed {
-            parent: manifest.parent,
-            sequence,
-        });
+        return Err(Error::Replayed { parent: manifest.parent, sequence });
     }
 
-    let missing: Vec<String> = manifest
-        .sections
-        .values()
-        .filter(|digest| !current.parts.contains_key(*digest))
-        .cloned()
-        .collect();
+    let missing: Vec<String> =
+        manifest.sections.values().filter(|digest| !current.parts.contains_key(*digest)).cloned().collect();
     let mut parts = fetch(node, &missing, source).await?;
     for digest in manifest.sections.values() {
         if let Some(part) = current.parts.get(digest) {
@@ -152,14 +139,7 @@
     let content = bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str))?;
     let keys = access(&content);
     let since = node.clock.now();
-    Ok(InForce {
-        sequence,
-        manifest: digest.to_owned(),
-        parts,
-        content,
-        keys,
-        since,
-    })
+    Ok(InForce { sequence, manifest: digest.to_owned(), parts, content, keys, since })
 }
 
 async fn fetch<P, E, C>(
@@ -199,10 +179,7 @@
     let mut keys = HashMap::new();
     for (name, team) in &bundle.teams {
         for key in &team.keys {
-            let access = Access {
-                team: name.clone(),
-                budget: format!("{name}/{}", key.budget),
-            };
+            let access = Access { team: name.clone(), budget: format!("{name}/{}", key.budget) };
             keys.insert(key.hash.clone(), access);
         }
     }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -141,21 +141,14 @@
         .collect();
     let mut keys = vec![account_key.clone()];
     keys.extend(batch.entries.keys().map(|budget| pool_key(budget)));
-    keys.extend(
-        identities
-            .iter()
-            .map(|(budget, key)| identity_key("charge", budget, key)),
-    );
+    keys.extend(identities.iter().map(|(budget, key)| identity_key("charge", budget, key)));
 
     let rows = match node.platform.read(&keys).await {
         Ok(rows) => rows,
         Err(error) => return Attempt::Failed(error),
     };
-    let read: BTreeMap<&str, &Row> = keys
-        .iter()
-        .zip(&rows)
-        .filter_map(|(key, row)| row.as_ref().map(|row| (key.as_str(), row)))
-        .collect();
+    let read: BTreeMap<&str, &Row> =
+        keys.iter().zip(&rows).filter_map(|(key, row)| row.as_ref().map(|row| (key.as_str(), row))).collect();
     let mut account: Account = match decode(&read, &account_key) {
         Ok(account) => account,
         Err(error) => return Attempt::Failed(error),
@@ -169,9 +162,7 @@
     }
     let charged = |identity: &KeyRef<'_>| {
         let key = identity_key("charge", identity.budget, identity.key);
-        let row = read
-            .get(key.as_str())
-            .and_then(|row| row.decode::<Charged>().ok());
+        let row = read.get(key.as_str()).and_then(|row| row.decode::<Charged>().ok());
         row.is_some_and(|row| row.request != identity.request)
     };
     match post(&mut account, &mut pools, &charged, batch, node.fleet_size()) {
@@ -182,23 +173,16 @@
     }
 
     let mut tx = Tx::default();
-    tx = tx
-        .unchanged(&account_key, read.get(account_key.as_str()).copied())
-        .put(&account_key, &account);
+    tx = tx.unchanged(&account_key, read.get(account_key.as_str()).copied()).put(&account_key, &account);
     for (budget, pool) in &pools {
         let key = pool_key(budget);
-        tx = tx
-            .unchanged(&key, read.get(key.as_str()).copied())
-            .put(&key, pool);
+        tx = tx.unchanged(&key, read.get(key.as_str()).copied()).put(&key, pool);
     }
     for (budget, entry) in &batch.entries {
         for charge in &entry.charges {
             let Some(text) = &charge.key else { continue };
             let key = identity_key("charge", budget, text);
-            let row = Charged {
-                request: charge.request.clone(),
-                tokens: charge.tokens,
-            };
+            let row = Charged { request: charge.request.clone(), tokens: charge.tokens };
             tx = match read.get(key.as_str()) {
                 Some(_) => tx.unchanged(&key, read.get(key.as_str()).copied()),
                 None => tx.absent(&key).put(&key, &row),
@@ -221,17 +205,10 @@
 ) -> Result<T, Error> {
     match read.get(key) {
         None => Ok(T::default()),
-        Some(row) => row
-            .decode()
-            .map_err(|error| refused(format!("row {key} is not understood: {error}"))),
+        Some(row) => row.decode().map_err(|error| refused(format!("row {key} is not understood: {error}"))),
     }
 }
 
 fn refused(reason: String) -> Error {
-    Error {
-        step: "settle",
-        peer: "table".to_owned(),
-        fault: Fault::NotApplied,
-        reason,
-    }
+    Error { step: "settle", peer: "table".to_owned(), fault: Fault::NotApplied, reason }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -158,14 +158,9 @@
             ledger: Ledger::default(),
         }));
         let shared = state.clone();
-        let server = net::serve(loopback(), Limits::default(), move |request| {
-            answer(shared.clone(), request)
-        })
-        .await?;
-        Ok(Engine {
-            state,
-            server: Arc::new(server),
-        })
+        let server =
+            net::serve(loopback(), Limits::default(), move |request| answer(shared.clone(), request)).await?;
+        Ok(Engine { state, server: Arc::new(server) })
     }
 
     /// Where it listens.
@@ -205,10 +200,7 @@
 }
 
 fn usage(run: &Run) -> Usage {
-    Usage {
-        prompt_tokens: run.prompt_tokens,
-        completion_tokens: run.generated,
-    }
+    Usage { prompt_tokens: run.prompt_tokens, completion_tokens: run.generated }
 }
 
 fn track_overrun(state: &mut State) {
@@ -270,9 +262,7 @@
 }
 
 fn reply(value: &impl serde::Serialize) -> Response<Body> {
-    Response::new(Body::from(
-        serde_json::to_vec(value).expect("answers serialize to JSON"),
-    ))
+    Response::new(Body::from(serde_json::to_vec(value).expect("answers serialize to JSON")))
 }
 
 fn header(request: &Request<Incoming>, name: &str) -> Option<String> {
@@ -285,9 +275,7 @@
         return failure(StatusCode::BAD_REQUEST, "x-run-id is missing");
     };
     let router = header(&request, "x-router").unwrap_or_default();
-    let priority = header(&request, "x-priority")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(u8::MAX);
+    let priority = header(&request, "x-priority").and_then(|text| text.parse().ok()).unwrap_or(u8::MAX);
     let Ok(body) = net::collect(request.into_body(), BODY_LIMIT).await else {
         return failure(StatusCode::BAD_REQUEST, "the body broke off");
     };
@@ -298,15 +286,8 @@
         Ok(slot) => slot,
         Err(Refused(status, message)) => return failure(status, message),
     };
-    net::exec::spawn(generate(
-        state.clone(),
-        run.clone(),
-        ask.model.clone(),
-        chat,
-        ask.max_tokens,
-        slot,
-    ))
-    .detach();
+    net::exec::spawn(generate(state.clone(), run.clone(), ask.model.clone(), chat, ask.max_tokens, slot))
+        .detach();
     if ask.stream {
         return follow(&state, &run, 0);
     }
@@ -324,10 +305,7 @@
         return Err(Refused(StatusCode::SERVICE_UNAVAILABLE, "refusing"));
     }
     if state.refused.iter().any(|refused| refused == run) {
-        return Err(Refused(
-            StatusCode::CONFLICT,
-            "the run was cancelled before it came",
-        ));
+        return Err(Refused(StatusCode::CONFLICT, "the run was cancelled before it came"));
     }
     if !state.shape.models.contains(&ask.model) {
         return Err(Refused(StatusCode::NOT_FOUND, "the model is not loaded"));
@@ -417,11 +395,7 @@
 
 fn note_cache(state: &mut State, prefix: u64, added: bool) {
     state.cache_sequence += 1;
-    state.cache_events.push_back(CacheEvent {
-        sequence: state.cache_sequence,
-        prefix,
-        added,
-    });
+    state.cache_events.push_back(CacheEvent { sequence: state.cache_sequence, prefix, added });
     if state.cache_events.len() > EVENTS_KEPT {
         state.cache_events.pop_front();
     }
@@ -479,10 +453,7 @@
     let (pipe, body) = net::pipe();
     net::exec::spawn(write_events(state.clone(), id.to_owned(), offset, pipe)).detach();
     let mut response = Response::new(body);
-    response.headers_mut().insert(
-        "content-type",
-        http::HeaderValue::from_static("text/event-stream"),
-    );
+    response.headers_mut().insert("content-type", http::HeaderValue::from_static("text/event-stream"));
     response
 }
 
@@ -540,15 +511,9 @@
                 });
                 let (object, choice) = if chat {
                     let message = json!({"role": "assistant", "content": content});
-                    (
-                        "chat.completion",
-                        json!({"index": 0, "message": message, "finish_reason": "length"}),
-                    )
+                    ("chat.completion", json!({"index": 0, "message": message, "finish_reason": "length"}))
                 } else {
-                    (
-                        "text_completion",
-                        json!({"index": 0, "text": content, "finish_reason": "length"}),
-                    )
+                    ("text_completion", json!({"index": 0, "text": content, "finish_reason": "length"}))
                 };
                 return reply(&json!({
                     "id": id, "object": object, "created": 0, "model": model, "choices": [choice], "usage": usage
@@ -561,19 +526,12 @@
 }
 
 fn resume(state: &Arc<Mutex<State>>, id: &str, query: &str) -> Response<Body> {
-    let offset = query
-        .strip_prefix("offset=")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let offset = query.strip_prefix("offset=").and_then(|text| text.parse().ok()).unwrap_or(0);
     let gone = {
         let state = lock(state);
         matches!(state.fault, Fault::BreakForGood(_)) || !state.runs.contains_key(id)
     };
-    if gone {
-        failure(StatusCode::NOT_FOUND, "no such stream")
-    } else {
-        follow(state, id, offset)
-    }
+    if gone { failure(StatusCode::NOT_FOUND, "no such stream") } else { follow(state, id, offset) }
 }
 
 fn cancel(state: &Arc<Mutex<State>>, id: &str) -> Response<Body> {
@@ -607,11 +565,7 @@
     };
     let lag = state.shape.lag;
     state.reports.push_back((now, load.clone()));
-    while state
-        .reports
-        .get(1)
-        .is_some_and(|(at, _)| now.duration_since(*at) >= lag)
-    {
+    while state.reports.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= lag) {
         state.reports.pop_front();
     }
     let old = state.reports.front().map_or(load, |(_, load)| load.clone());
@@ -619,9 +573,7 @@
 }
 
 async fn obey(state: &Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
-    let body = net::collect(request.into_body(), BODY_LIMIT)
-        .await
-        .unwrap_or_default();
+    let body = net::collect(request.into_body(), BODY_LIMIT).await.unwrap_or_default();
     let Ok(order) = serde_json::from_slice::<Order>(&body) else {
         return failure(StatusCode::BAD_REQUEST, "the order is not understood");
     };
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -74,11 +74,7 @@
 
 impl Bucket {
     fn new(rate: f64) -> Bucket {
-        Bucket {
-            rate,
-            level: rate,
-            filled: Instant::now(),
-        }
+        Bucket { rate, level: rate, filled: Instant::now() }
     }
 
     fn take(&mut self) -> bool {
@@ -109,14 +105,9 @@
     pub async fn start() -> io::Result<Platform> {
         let state = Arc::new(Mutex::new(State::default()));
         let shared = state.clone();
-        let server = net::serve(loopback(), Limits::default(), move |request| {
-            answer(shared.clone(), request)
-        })
-        .await?;
-        Ok(Platform {
-            state,
-            server: Arc::new(server),
-        })
+        let server =
+            net::serve(loopback(), Limits::default(), move |request| answer(shared.clone(), request)).await?;
+        Ok(Platform { state, server: Arc::new(server) })
     }
 
     /// Where it listens.
@@ -150,9 +141,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the platform")
+        self.state.lock().expect("no thread panics while it holds the platform")
     }
 }
 
@@ -178,27 +167,14 @@
         }
     }
     match state.mode {
-        Mode::Up => Admission::Serve {
-            delay: Duration::ZERO,
-            lose: false,
-        },
+        Mode::Up => Admission::Serve { delay: Duration::ZERO, lose: false },
         Mode::Down => Admission::Refuse(StatusCode::SERVICE_UNAVAILABLE),
         Mode::Slow(delay) => Admission::Serve { delay, lose: false },
         Mode::LoseAnswers(left) if write => {
-            state.mode = if left > 1 {
-                Mode::LoseAnswers(left - 1)
-            } else {
-                Mode::Up
-            };
-            Admission::Serve {
-                delay: Duration::ZERO,
-                lose: true,
-            }
+            state.mode = if left > 1 { Mode::LoseAnswers(left - 1) } else { Mode::Up };
+            Admission::Serve { delay: Duration::ZERO, lose: true }
         }
-        Mode::LoseAnswers(_) => Admission::Serve {
-            delay: Duration::ZERO,
-            lose: false,
-        },
+        Mode::LoseAnswers(_) => Admission::Serve { delay: Duration::ZERO, lose: false },
     }
 }
 
@@ -216,17 +192,8 @@
     if !delay.is_zero() {
         net::exec::sleep(delay).await;
     }
-    let response = carry_out(
-        &mut state.lock().expect("the platform's lock"),
-        &path,
-        write,
-        &body,
-    );
-    if lose {
-        plain(StatusCode::GATEWAY_TIMEOUT)
-    } else {
-        response
-    }
+    let response = carry_out(&mut state.lock().expect("the platform's lock"), &path, write, &body);
+    if lose { plain(StatusCode::GATEWAY_TIMEOUT) } else { response }
 }
 
 fn carry_out(state: &mut State, path: &str, write: bool, body: &Bytes) -> Response<Body> {
@@ -274,13 +241,7 @@
     state.counts.rows += tx.puts.len() as u64;
     for put in tx.puts {
         let version = state.rows.get(&put.key).map_or(0, |row| row.version) + 1;
-        state.rows.insert(
-            put.key,
-            Row {
-                version,
-                value: put.value,
-            },
-        );
+        state.rows.insert(put.key, Row { version, value: put.value });
     }
     Verdict::Applied
 }
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -63,11 +63,7 @@
             .await;
         })
         .detach();
-        Ok(Proxy {
-            address,
-            rule,
-            _stop: stop,
-        })
+        Ok(Proxy { address, rule, _stop: stop })
     }
 
     /// Where it listens.
@@ -138,8 +134,5 @@
 }
 
 fn is_hole(rule: Rule, direction: Direction) -> bool {
-    matches!(
-        (rule, direction),
-        (Rule::HoleForward, Direction::Forward) | (Rule::HoleBack, Direction::Back)
-    )
+    matches!((rule, direction), (Rule::HoleForward, Direction::Forward) | (Rule::HoleBack, Direction::Back))
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -35,11 +35,7 @@
             answer(executed, delay, request)
         })
         .await?;
-        Ok(Service {
-            executed,
-            delay,
-            server: Arc::new(server),
-        })
+        Ok(Service { executed, delay, server: Arc::new(server) })
     }
 
     /// Where it listens.
@@ -64,15 +60,9 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let line = format!("{} {}", request.method(), request.uri());
-    let body = net::collect(request.into_body(), BODY_LIMIT)
-        .await
-        .unwrap_or_default();
+    let body = net::collect(request.into_body(), BODY_LIMIT).await.unwrap_or_default();
     let entry = format!("{line} {}", String::from_utf8_lossy(&body));
-    *executed
-        .lock()
-        .expect("the service's lock")
-        .entry(entry)
-        .or_insert(0) += 1;
+    *executed.lock().expect("the service's lock").entry(entry).or_insert(0) += 1;
     let delay = *delay.lock().expect("the service's lock");
     net::exec::sleep(delay).await;
     Response::new(Body::from(format!("{line}: {} bytes", body.len())))
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -29,19 +29,13 @@
 
 impl std::fmt::Debug for Events {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("Events")
-            .field("peer", &self.peer)
-            .finish_non_exhaustive()
+        formatter.debug_struct("Events").field("peer", &self.peer).finish_non_exhaustive()
     }
 }
 
 impl Events {
     pub(crate) fn new(peer: SocketAddr, body: Incoming) -> Events {
-        Events {
-            inner: Box::pin(BodyDataStream::new(body).eventsource()),
-            peer,
-        }
+        Events { inner: Box::pin(BodyDataStream::new(body).eventsource()), peer }
     }
 
     /// Waits for the next step for at most `limit`.
@@ -59,11 +53,6 @@
     }
 
     fn broken(&self, reason: String) -> Error {
-        Error {
-            step: "stream",
-            peer: self.peer,
-            fault: Fault::Unknown,
-            reason,
-        }
+        Error { step: "stream", peer: self.peer, fault: Fault::Unknown, reason }
     }
 }
--- a/crates/upstream/src/http_adapter.rs
+++ b/crates/upstream/src/http_adapter.rs
@@ -27,12 +27,7 @@
     /// Calls engines as `router`; a run must begin to answer within `start_limit`, each other call must
     /// end within `call_limit`.
     pub fn new(client: Client, router: String, start_limit: Duration, call_limit: Duration) -> Http {
-        Http {
-            client,
-            router,
-            start_limit,
-            call_limit,
-        }
+        Http { client, router, start_limit, call_limit }
     }
 
     async fn begin(&self, peer: SocketAddr, request: Request<Body>) -> Result<Response<Incoming>, Error> {
@@ -83,12 +78,7 @@
         .uri(format!("http://{peer}{path}"))
         .header(CONTENT_TYPE, "application/json")
         .body(body)
-        .map_err(|error| Error {
-            step,
-            peer,
-            fault: Fault::NotRun,
-            reason: error.to_string(),
-        })
+        .map_err(|error| Error { step, peer, fault: Fault::NotRun, reason: error.to_string() })
 }
 
 fn convert(peer: SocketAddr, error: net::Error) -> Error {
@@ -96,62 +86,36 @@
         net::Fault::Unsent => Fault::NotRun,
         net::Fault::Unknown => Fault::Unknown,
     };
-    Error {
-        step: error.step,
-        peer,
-        fault,
-        reason: error.reason,
-    }
+    Error { step: error.step, peer, fault, reason: error.reason }
 }
 
 fn is_stream(answer: &Response<Incoming>) -> bool {
-    let media = answer
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
+    let media = answer.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     media.is_some_and(|media| media.starts_with(EVENT_STREAM))
 }
 
 impl Engine for Http {
     async fn start(&self, peer: SocketAddr, call: &Call) -> Result<Reply, Error> {
-        let mut request = build(
-            "start",
-            peer,
-            Method::POST,
-            &call.path,
-            Body::from(call.body.clone()),
-        )?;
+        let mut request = build("start", peer, Method::POST, &call.path, Body::from(call.body.clone()))?;
         let headers = request.headers_mut();
-        let texts = [
-            ("x-run-id", &call.run),
-            ("x-router", &self.router),
-            ("x-priority", &call.priority.to_string()),
-        ];
+        let texts =
+            [("x-run-id", &call.run), ("x-router", &self.router), ("x-priority", &call.priority.to_string())];
         for (name, text) in texts {
             if let Ok(value) = text.parse() {
                 headers.insert(name, value);
             }
         }
         let answer = self.begin(peer, request).await?;
-        let unknown = |reason: String| Error {
-            step: "answer",
-            peer,
-            fault: Fault::Unknown,
-            reason,
-        };
+        let unknown = |reason: String| Error { step: "answer", peer, fault: Fault::Unknown, reason };
         match answer.status().as_u16() {
             200 if is_stream(&answer) => Ok(Reply::Stream(Events::new(peer, answer.into_body()))),
             200 => {
-                let bytes = net::collect(answer.into_body(), ANSWER_LIMIT)
-                    .await
-                    .map_err(unknown)?;
+                let bytes = net::collect(answer.into_body(), ANSWER_LIMIT).await.map_err(unknown)?;
                 Ok(Reply::Whole(bytes))
             }
             // The engine's protocol: a 4xx and a 503 are given before any work starts.
             status @ (400..=499 | 503) => {
-                let body = net::collect(answer.into_body(), ANSWER_LIMIT)
-                    .await
-                    .map_err(unknown)?;
+                let body = net::collect(answer.into_body(), ANSWER_LIMIT).await.map_err(unknown)?;
                 Ok(Reply::Refused { status, body })
             }
             status => Err(unknown(format!("status {status}"))),
@@ -166,23 +130,11 @@
             return Ok(Events::new(peer, answer.into_body()));
         }
         let reason = format!("status {}", answer.status());
-        Err(Error {
-            step: "resume",
-            peer,
-            fault: Fault::Unknown,
-            reason,
-        })
+        Err(Error { step: "resume", peer, fault: Fault::Unknown, reason })
     }
 
     async fn cancel(&self, peer: SocketAddr, run: &str) -> Result<Outcome, Error> {
-        self.json(
-            "cancel",
-            peer,
-            Method::DELETE,
-            &format!("/v1/streams/{run}"),
-            vec![],
-        )
-        .await
+        self.json("cancel", peer, Method::DELETE, &format!("/v1/streams/{run}"), vec![]).await
     }
 
     async fn load(&self, peer: SocketAddr) -> Result<Load, Error> {
--- a/crates/yaml/src/lib.rs
+++ b/crates/yaml/src/lib.rs
@@ -39,20 +39,12 @@
         Ok(value) => value,
         Err(error) => {
             let line = error.location().map_or(0, |location| location.line());
-            return Err(vec![Mistake {
-                line,
-                path: "(file)".to_owned(),
-                reason: error.to_string(),
-            }]);
+            return Err(vec![Mistake { line, path: "(file)".to_owned(), reason: error.to_string() }]);
         }
     };
     let Value::Mapping(root) = root else {
         let reason = "must be a mapping".to_owned();
-        return Err(vec![Mistake {
-            line: 1,
-            path: "(file)".to_owned(),
-            reason,
-        }]);
+        return Err(vec![Mistake { line: 1, path: "(file)".to_owned(), reason }]);
     };
     let mut reader = Reader { mistakes: vec![] };
     let built = build(&mut reader, root);
@@ -108,10 +100,7 @@
 impl Reader {
     /// Notes a mistake.
     pub fn add(&mut self, path: &[&str], reason: impl Into<String>) {
-        self.mistakes.push((
-            path.iter().map(|part| (*part).to_owned()).collect(),
-            reason.into(),
-        ));
+        self.mistakes.push((path.iter().map(|part| (*part).to_owned()).collect(), reason.into()));
     }
 
     /// Whether no mistake was found yet.
@@ -139,18 +128,13 @@
         root: &mut Mapping,
         key: &str,
     ) -> BTreeMap<String, T> {
-        root.remove(key)
-            .map(|value| self.entries(key, value))
-            .unwrap_or_default()
+        root.remove(key).map(|value| self.entries(key, value)).unwrap_or_default()
     }
 
     /// Reports what was not taken out of the root.
     pub fn finish(&mut self, root: &Mapping, allowed: &str) {
         for key in root.keys() {
-            self.add(
-                &[key.as_str().unwrap_or("?")],
-                format!("unknown key; allowed: {allowed}"),
-            );
+            self.add(&[key.as_str().unwrap_or("?")], format!("unknown key; allowed: {allowed}"));
         }
     }
 
@@ -166,10 +150,7 @@
                 continue;
             };
             if !is_name(name) {
-                self.add(
-                    &[section, name],
-                    "a name has 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'",
-                );
+                self.add(&[section, name], "a name has 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'");
             }
             if let Some(entry) = self.entry(&[section, name], value) {
                 entries.insert(name.to_owned(), entry);
--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -10,21 +10,11 @@
 
 fn main() -> std::process::ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match arguments
-        .iter()
-        .map(String::as_str)
-        .collect::<Vec<_>>()
-        .as_slice()
-    {
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
         ["serve", settings] => {
             env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn"))
                 .init();
-            finish(
-                Serve {
-                    settings: PathBuf::from(settings),
-                }
-                .execute(),
-            )
+            finish(Serve { settings: PathBuf::from(settings) }.execute())
         }
         [] => run(false),
         ["--hold"] => run(true),
@@ -46,43 +36,20 @@
             hold_up(&fleet).await;
         }
         explain(&mut fleet).await;
-        if served {
-            std::process::ExitCode::SUCCESS
-        } else {
-            std::process::ExitCode::FAILURE
-        }
+        if served { std::process::ExitCode::SUCCESS } else { std::process::ExitCode::FAILURE }
     })
 }
 
 async fn serve_some(fleet: &Fleet) -> bool {
     let asks = [
-        (
-            0,
-            0,
-            Ask::new("narrator", "Describe the storm over Regina from this sweep.", 24).streamed(),
-        ),
-        (
-            0,
-            1,
-            Ask::new("narrator", "Summarise the cell west of Saskatoon.", 12),
-        ),
-        (
-            1,
-            2,
-            Ask::new("hail-flag", "Is hail likely on quarter section NE-12?", 4).key("flag-ne-12"),
-        ),
-        (
-            1,
-            0,
-            Ask::new("hail-flag", "Is hail likely on quarter section NE-12?", 4).key("flag-ne-12"),
-        ),
+        (0, 0, Ask::new("narrator", "Describe the storm over Regina from this sweep.", 24).streamed()),
+        (0, 1, Ask::new("narrator", "Summarise the cell west of Saskatoon.", 12)),
+        (1, 2, Ask::new("hail-flag", "Is hail likely on quarter section NE-12?", 4).key("flag-ne-12")),
+        (1, 0, Ask::new("hail-flag", "Is hail likely on quarter section NE-12?", 4).key("flag-ne-12")),
         (1, 1, Ask::new("narrator", "Brief the adjusters.", 16)),
     ];
     let mut all = true;
-    println!(
-        "{:<14} {:<6} {:<10} {:>6}  {:<5}  text",
-        "team", "router", "model", "status", "whole"
-    );
+    println!("{:<14} {:<6} {:<10} {:>6}  {:<5}  text", "team", "router", "model", "status", "whole");
     for (team, router, ask) in asks {
         let answer = fleet.caller_of(team, router).ask(&ask).await;
         let whole = answer.is_whole(&ask);
@@ -97,13 +64,8 @@
         );
     }
     let caller = fleet.caller_of(1, 1);
-    let tile = caller
-        .send(caller.request("GET", "/services/tiles/layer/radar/7/21/42", ""))
-        .await;
-    println!(
-        "{:<14} {:<6} {:<10} {:>6}",
-        fleet.plan.teams[1].name, "vm-2", "tiles", tile.status
-    );
+    let tile = caller.send(caller.request("GET", "/services/tiles/layer/radar/7/21/42", "")).await;
+    println!("{:<14} {:<6} {:<10} {:>6}", fleet.plan.teams[1].name, "vm-2", "tiles", tile.status);
     println!("\nThe two hail flags have one key, so the second answer is the first one's: it ran once.");
     all && tile.status == 200
 }
@@ -131,10 +93,7 @@
         }
     }
     println!("\nBudgets after a planned stop of all routers:");
-    println!(
-        "{:<22} {:>10} {:>8} {:>8} {:>10}",
-        "budget", "prepaid", "spent", "held", "free"
-    );
+    println!("{:<22} {:>10} {:>8} {:>8} {:>10}", "budget", "prepaid", "spent", "held", "free");
     for (budget, audit) in audit(fleet) {
         println!(
             "{budget:<22} {:>10} {:>8} {:>8} {:>10}",
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -17,11 +17,7 @@
     /// Returns every mistake with its line and key path.
     pub fn execute(&self) -> Result<(), Error> {
         let settings = read_settings(&self.settings)?;
-        println!(
-            "{}: the settings of {} are right",
-            self.settings.display(),
-            settings.name
-        );
+        println!("{}: the settings of {} are right", self.settings.display(), settings.name);
         Ok(())
     }
 }
--- a/src/cmd/ctl/key.rs
+++ b/src/cmd/ctl/key.rs
@@ -24,10 +24,7 @@
     /// Fails if the file exists or can't be written.
     pub fn execute(&self) -> Result<(), Error> {
         let secret = Secret::generate();
-        let failed = |source| Error::File {
-            path: self.out.display().to_string(),
-            source,
-        };
+        let failed = |source| Error::File { path: self.out.display().to_string(), source };
         let mut file = OpenOptions::new()
             .create_new(true)
             .mode(SECRET_MODE)
--- a/src/cmd/ctl/log.rs
+++ b/src/cmd/ctl/log.rs
@@ -29,11 +29,7 @@
             return Ok(());
         }
         for accepted in history {
-            let by: Vec<&str> = accepted
-                .by
-                .iter()
-                .map(|key| key.get(..KEY_DIGITS).unwrap_or(key))
-                .collect();
+            let by: Vec<&str> = accepted.by.iter().map(|key| key.get(..KEY_DIGITS).unwrap_or(key)).collect();
             let kind = match accepted.rollback_to {
                 Some(sequence) => format!("rollback to {sequence}"),
                 None => "roll".to_owned(),
--- a/src/cmd/ctl/roll.rs
+++ b/src/cmd/ctl/roll.rs
@@ -24,12 +24,8 @@
         let settings = read_settings(&self.settings)?;
         let package = read_package(&self.file)?;
         let trust = &settings.trust;
-        let accepted = net::exec::block_on(::roll::roll(
-            &platform(&settings),
-            &package,
-            &trust.keys,
-            trust.needed,
-        ))?;
+        let accepted =
+            net::exec::block_on(::roll::roll(&platform(&settings), &package, &trust.keys, trust.needed))?;
         if self.json {
             println!("{}", serde_json::json!(accepted));
         } else {
--- a/src/cmd/ctl/sign.rs
+++ b/src/cmd/ctl/sign.rs
@@ -64,12 +64,8 @@
         let settings = read_settings(&self.settings)?;
         let platform = platform(&settings);
         let (parent, content) = net::exec::block_on(async {
-            let parent = roll::current(&platform)
-                .await?
-                .map_or(0, |accepted| accepted.sequence);
-            roll::load(&platform, self.sequence)
-                .await
-                .map(|content| (parent, content))
+            let parent = roll::current(&platform).await?.map_or(0, |accepted| accepted.sequence);
+            roll::load(&platform, self.sequence).await.map(|content| (parent, content))
         })?;
         let note = format!("rollback to {}", self.sequence);
         let mut package = Package::new(&content, parent, Some(self.sequence), &note);
--- a/src/cmd/ctl/status.rs
+++ b/src/cmd/ctl/status.rs
@@ -24,21 +24,12 @@
     /// Fails if the platform's list can't be read.
     pub fn execute(&self) -> Result<(), Error> {
         let settings = read_settings(&self.settings)?;
-        let key = settings
-            .fleet_keys
-            .first()
-            .map(String::as_str)
-            .unwrap_or_default();
+        let key = settings.fleet_keys.first().map(String::as_str).unwrap_or_default();
         let key = FleetKey::new(key).map_err(|error| Error::Mistakes(error.to_string()))?;
         let peers = Peers::new(key, Duration::from_millis(settings.limits.peer_ms));
         let rows = net::exec::block_on(async {
             let mut rows = vec![];
-            for vm in platform(&settings)
-                .list()
-                .await?
-                .into_iter()
-                .filter(|vm| vm.role == Role::Router)
-            {
+            for vm in platform(&settings).list().await?.into_iter().filter(|vm| vm.role == Role::Router) {
                 let call = |client: LinkClient, context| async move { client.standing(context).await };
                 rows.push((vm.name, peers.call("standing", vm.address, call).await));
             }
@@ -52,10 +43,7 @@
                 }
                 (Err(error), true) => json!({"name": name, "error": error.to_string()}).to_string(),
                 (Ok(standing), false) => {
-                    format!(
-                        "{name}: sequence {} for {} ms",
-                        standing.sequence, standing.in_force_ms
-                    )
+                    format!("{name}: sequence {} for {} ms", standing.sequence, standing.in_force_ms)
                 }
                 (Err(error), false) => format!("{name}: no answer: {error}"),
             };
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -80,17 +80,11 @@
 }
 
 fn read_file(path: &Path) -> Result<String, Error> {
-    std::fs::read_to_string(path).map_err(|source| Error::File {
-        path: path.display().to_string(),
-        source,
-    })
+    std::fs::read_to_string(path).map_err(|source| Error::File { path: path.display().to_string(), source })
 }
 
 fn write_file(path: &Path, text: &str) -> Result<(), Error> {
-    std::fs::write(path, text).map_err(|source| Error::File {
-        path: path.display().to_string(),
-        source,
-    })
+    std::fs::write(path, text).map_err(|source| Error::File { path: path.display().to_string(), source })
 }
 
 fn read_settings(path: &Path) -> Result<Settings, Error> {
@@ -99,8 +93,6 @@
 }
 
 fn mistakes_in(path: &Path, mistakes: &[bundle::Mistake]) -> Error {
-    let lines = mistakes
-        .iter()
-        .map(|mistake| format!("{}: {mistake}", path.display()));
+    let lines = mistakes.iter().map(|mistake| format!("{}: {mistake}", path.display()));
     Error::Mistakes(lines.collect::<Vec<_>>().join("\n"))
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -21,14 +21,10 @@
         net::exec::block_on(async {
             let running = router::start_with_http(settings)
                 .await
-                .map_err(|source| Error::Run {
-                    step: "start the router",
-                    source,
-                })?;
-            net::signal::terminated().await.map_err(|source| Error::Run {
-                step: "wait for a signal",
-                source,
-            })?;
+                .map_err(|source| Error::Run { step: "start the router", source })?;
+            net::signal::terminated()
+                .await
+                .map_err(|source| Error::Run { step: "wait for a signal", source })?;
             running.stop().await;
             Ok(())
         })
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -102,12 +102,9 @@
         },
         flags::TallypaddlectlCmd::Bundle(bundle) => match bundle.subcommand {
             flags::BundleCmd::Check(args) => Check { file: args.file }.execute(),
-            flags::BundleCmd::Diff(args) => Diff {
-                file: args.file,
-                settings: args.settings,
-                json: args.json,
+            flags::BundleCmd::Diff(args) => {
+                Diff { file: args.file, settings: args.settings, json: args.json }.execute()
             }
-            .execute(),
             flags::BundleCmd::Sign(args) => Sign {
                 file: args.file,
                 key: args.key,
@@ -116,29 +113,15 @@
                 note: args.note.unwrap_or_default(),
             }
             .execute(),
-            flags::BundleCmd::Roll(args) => Roll {
-                file: args.file,
-                settings: args.settings,
-                json: args.json,
-            }
-            .execute(),
-            flags::BundleCmd::Rollback(args) => Rollback {
-                sequence: args.sequence,
-                key: args.key,
-                out: args.out,
-                settings: args.settings,
-            }
-            .execute(),
-            flags::BundleCmd::Status(args) => Status {
-                settings: args.settings,
-                json: args.json,
+            flags::BundleCmd::Roll(args) => {
+                Roll { file: args.file, settings: args.settings, json: args.json }.execute()
             }
-            .execute(),
-            flags::BundleCmd::Log(args) => Log {
-                settings: args.settings,
-                json: args.json,
+            flags::BundleCmd::Rollback(args) => {
+                Rollback { sequence: args.sequence, key: args.key, out: args.out, settings: args.settings }
+                    .execute()
             }
-            .execute(),
+            flags::BundleCmd::Status(args) => Status { settings: args.settings, json: args.json }.execute(),
+            flags::BundleCmd::Log(args) => Log { settings: args.settings, json: args.json }.execute(),
         },
     })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,13 +34,7 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn")).init();
     let args = flags::Tallypaddle::from_env_or_exit();
     finish(match args.subcommand {
-        flags::TallypaddleCmd::Serve(args) => Serve {
-            settings: args.settings,
-        }
-        .execute(),
-        flags::TallypaddleCmd::Check(args) => Check {
-            settings: args.settings,
-        }
-        .execute(),
+        flags::TallypaddleCmd::Serve(args) => Serve { settings: args.settings }.execute(),
+        flags::TallypaddleCmd::Check(args) => Check { settings: args.settings }.execute(),
     })
 }
--- /dev/null
+++ b/tests/testsuite/budgets.rs
@@ -0,0 +1,213 @@
+//! Budgets under failure: never overspent, and served as long as any router that answers has tokens.
+
+use crate::support::{budgets, consumed, fleet, line, run, stop_all};
+use harness::{Answer, Ask, Fleet, Plan, audit};
+use standin::Mode;
+use std::collections::BTreeMap;
+
+const BUDGET: &str = "storm-desk/main";
+
+/// Sends `count` requests of about equal size to the routers in turn, a few at a time.
+async fn load(fleet: &Fleet, routers: &[usize], count: usize, tokens: u64) -> Vec<Answer> {
+    let mut answers = vec![];
+    for wave in (0..count).collect::<Vec<_>>().chunks(8) {
+        let tasks: Vec<_> = wave
+            .iter()
+            .map(|index| {
+                let caller = fleet.caller(routers[index % routers.len()]);
+                let ask = Ask::new("narrator", &format!("Cell {index:04}"), tokens);
+                net::exec::spawn(async move { caller.ask(&ask).await })
+            })
+            .collect();
+        for task in tasks {
+            answers.push(task.await);
+        }
+    }
+    answers
+}
+
+fn served(answers: &[Answer]) -> usize {
+    answers.iter().filter(|answer| answer.status == 200).count()
+}
+
+/// Counts answers by line.
+fn counts(answers: &[Answer]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for answer in answers {
+        let key = if answer.status == 200 {
+            "served".to_owned()
+        } else {
+            format!("{} {}", answer.code, answer.execution)
+        };
+        *counts.entry(key).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// What the callers were told must be what the platform recorded, and the engines never did more.
+fn assert_accounts(fleet: &Fleet, answers: &[Answer]) {
+    let told: u64 = answers.iter().map(|answer| answer.usage).sum();
+    let audit = &audit(fleet)[BUDGET];
+    assert_eq!(audit.spent, told, "recorded spend is what callers were told");
+    assert!(audit.balanced && audit.accounts_agree, "I1: {audit:?}");
+    assert!(consumed(fleet) <= audit.spent + audit.outstanding, "I6: {audit:?}");
+    assert!(audit.spent + audit.outstanding <= audit.credited);
+}
+
+#[test]
+fn a_budget_that_runs_out_is_spent_to_the_end_and_no_further() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.teams[0].tokens = 2_000;
+        let mut fleet = fleet(plan).await;
+        let answers = load(&fleet, &[0, 1, 2], 120, 20).await;
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        let audit = audit(&fleet)[BUDGET].clone();
+        // The worst case of one request here is about 160 tokens: less than that may be left.
+        assert!(audit.free < 200, "the last tokens are reachable from every router: {audit:?}");
+        assert!(answers.iter().any(|answer| answer.code == "insufficient_quota"));
+        assert!(answers.iter().all(|answer| answer.status == 200 || answer.execution == "not-run"));
+    });
+}
+
+#[test]
+fn a_platform_outage_is_bridged_with_tokens_at_hand() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 24, 4).await;
+        fleet.platform.set(Mode::Down);
+        answers.extend(load(&fleet, &[0, 1, 2], 60, 4).await);
+        assert_eq!(served(&answers), 84, "{:?}", counts(&answers));
+        fleet.platform.set(Mode::Up);
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        insta::assert_snapshot!(budgets(&fleet));
+    });
+}
+
+#[test]
+fn a_router_without_tokens_borrows_from_a_peer_while_the_platform_is_away() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let mut answers = load(&fleet, &[0], 16, 4).await;
+        fleet.platform.set(Mode::Down);
+        answers.extend(load(&fleet, &[1, 2], 16, 4).await);
+        assert_eq!(served(&answers), 32, "{:?}", counts(&answers));
+        let metrics = fleet.get(0, "/metrics").await.expect("metrics");
+        assert!(!metrics.contains("tallypaddle_lent_tokens_total 0"), "the first router lent tokens");
+        fleet.platform.set(Mode::Up);
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+    });
+}
+
+#[test]
+fn a_budget_out_of_reach_is_refused_not_run_with_a_time_to_come_back() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.routers = 1;
+        let fleet = fleet(plan).await;
+        fleet.platform.set(Mode::Down);
+        let answer = fleet.caller(0).chat("narrator", "Cell", 4).await;
+        assert_eq!(line(&answer), "503 budget_unreachable not-run retry-after=5");
+        assert_eq!(consumed(&fleet), 0, "not run is true (I4)");
+    });
+}
+
+#[test]
+fn lost_answers_neither_lose_nor_double_tokens() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let mut answers = vec![];
+        for _ in 0..6 {
+            fleet.platform.set(Mode::LoseAnswers(3));
+            answers.extend(load(&fleet, &[0, 1, 2], 12, 4).await);
+        }
+        fleet.platform.set(Mode::Up);
+        assert_eq!(served(&answers), 72, "{:?}", counts(&answers));
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        insta::assert_snapshot!(budgets(&fleet));
+    });
+}
+
+#[test]
+fn a_top_up_during_a_partition_counts_once() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.teams[0].tokens = 3_000;
+        let mut fleet = fleet(plan).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 30, 10).await;
+        fleet.cut_platform(2, true);
+        fleet.cut_peers(2, true);
+        let mut bundle = fleet.bundle.clone();
+        let credit = budget::ledger::Credit { id: "prepaid-2".to_owned(), tokens: 4_000 };
+        let budget = bundle.teams.get_mut("storm-desk").and_then(|team| team.budgets.get_mut("main"));
+        budget.expect("the budget").credits.push(credit);
+        fleet.roll(&bundle).await.expect("a top-up");
+        answers.extend(load(&fleet, &[0, 1, 2], 60, 10).await);
+        fleet.cut_platform(2, false);
+        fleet.cut_peers(2, false);
+        fleet.ready().await;
+        fleet
+            .until("every router has the top-up", || async {
+                let status = fleet.status(2).await.unwrap_or_default();
+                status["bundle"]["sequence"] == 2
+            })
+            .await;
+        answers.extend(load(&fleet, &[0, 1, 2], 300, 30).await);
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        let audit = &audit(&fleet)[BUDGET];
+        assert_eq!(audit.credited, 7_000, "the top-up counts once (I5)");
+        assert!(audit.free < 200, "it can be spent: {audit:?}");
+    });
+}
+
+#[test]
+fn a_killed_routers_tokens_stay_held_and_are_not_spent_again() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.teams[0].tokens = 20_000;
+        let mut fleet = fleet(plan).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 24, 10).await;
+        let long = Ask::new("narrator", "A long sweep", 2_000).streamed();
+        let caller = fleet.caller(0);
+        let running = net::exec::spawn(async move { caller.ask(&long).await });
+        fleet.until("the run is open", || async { crate::support::open_runs(&fleet) == 1 }).await;
+        fleet.nodes[0].process.kill();
+        let broken = running.await;
+        assert!(!broken.complete, "the caller sees a broken answer, not a short one");
+        answers.extend(load(&fleet, &[1, 2], 400, 30).await);
+        for index in 1..3 {
+            fleet.nodes[index].process.terminate();
+        }
+        crate::support::wait_ended(&mut fleet, 1).await;
+        crate::support::wait_ended(&mut fleet, 2).await;
+        let audit = &audit(&fleet)[BUDGET];
+        assert!(audit.balanced && audit.accounts_agree, "I1: {audit:?}");
+        assert!(audit.outstanding > 0, "the dead router's tokens stay held");
+        let told: u64 = answers.iter().map(|answer| answer.usage).sum();
+        assert!(audit.spent <= told, "nothing is charged that nobody was told of");
+        assert!(consumed(&fleet) <= audit.credited, "no overspend: {} {audit:?}", consumed(&fleet));
+    });
+}
+
+#[test]
+fn a_frozen_router_goes_on_unaware_without_overspending() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.teams[0].tokens = 5_000;
+        let mut fleet = fleet(plan).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 24, 10).await;
+        fleet.nodes[0].process.freeze();
+        answers.extend(load(&fleet, &[1, 2], 200, 20).await);
+        fleet.nodes[0].process.thaw();
+        answers.extend(load(&fleet, &[0, 1, 2], 150, 30).await);
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        let audit = &audit(&fleet)[BUDGET];
+        assert!(audit.free < 200, "after it woke, its tokens were spent too: {audit:?}");
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,2 +1,10 @@
-//! x
-fn main() {}
+//! The integration suite: real router processes, stand-ins for what they meet, and faults in between.
+
+mod budgets;
+mod bundles;
+mod callers;
+mod command_line;
+mod once;
+mod stops;
+mod support;
+mod upstreams;
--- /dev/null
+++ b/tests/testsuite/once.rs
@@ -0,0 +1,189 @@
+//! Requests that must not be repeated run at most once, and retries find their one answer.
+
+use crate::support::{executions, fleet, line, run, stop_all};
+use harness::{Ask, Plan};
+use standin::Mode;
+use std::fmt::Write;
+
+#[test]
+fn two_routers_that_get_one_key_at_once_run_it_once() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        for round in 0..12 {
+            let ask =
+                Ask::new("hail-flag", &format!("Hail on quarter {round}?"), 6).key(&format!("flag-{round}"));
+            let tasks: Vec<_> = (0..6)
+                .map(|index| {
+                    let (caller, ask) = (fleet.caller(index % 3), ask.clone());
+                    net::exec::spawn(async move { caller.ask(&ask).await })
+                })
+                .collect();
+            for task in tasks {
+                let answer = task.await;
+                assert!(answer.is_whole(&ask), "{answer:?}");
+            }
+            assert_eq!(executions(&fleet, &ask.prompt), 1, "it ran once (I3)");
+        }
+        stop_all(&mut fleet).await;
+        // 12 flags of 6 generated and 5 prompt tokens, each charged once (I2).
+        assert_eq!(harness::audit(&fleet)["storm-desk/main"].spent, 12 * 11);
+    });
+}
+
+#[test]
+fn a_retry_after_its_router_died_learns_unknown_and_runs_nothing() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let ask = Ask::new("hail-flag", "Hail on NE-12?", 2_000).key("flag").streamed();
+        let caller = fleet.caller(0);
+        let first = net::exec::spawn({
+            let ask = ask.clone();
+            async move { caller.ask(&ask).await }
+        });
+        fleet.until("it runs", || async { executions(&fleet, &ask.prompt) == 1 }).await;
+        fleet.nodes[0].process.kill();
+        assert!(!first.await.complete);
+        let mut text = String::new();
+        for router in [1, 2, 1] {
+            let answer = fleet.caller(router).ask(&ask).await;
+            let _ = writeln!(text, "{}", line(&answer));
+        }
+        assert_eq!(executions(&fleet, &ask.prompt), 1, "it ran once (I3)");
+        insta::assert_snapshot!(text);
+    });
+}
+
+#[test]
+fn a_finished_request_is_answered_again_after_its_router_died() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let ask = Ask::new("hail-flag", "Hail on NE-12?", 5).key("flag");
+        assert!(fleet.caller(0).ask(&ask).await.is_whole(&ask));
+        fleet
+            .until("its answer is recorded", || async {
+                fleet.platform.rows("claim/").values().any(|row| row.value.contains("Done"))
+            })
+            .await;
+        fleet.nodes[0].process.kill();
+        for router in [1, 2] {
+            let answer = fleet.caller(router).ask(&ask).await;
+            assert!(answer.is_whole(&ask), "{answer:?}");
+        }
+        assert_eq!(executions(&fleet, &ask.prompt), 1, "it ran once (I3)");
+    });
+}
+
+#[test]
+fn claims_survive_lost_answers() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        for round in 0..10 {
+            fleet.platform.set(Mode::LoseAnswers(2));
+            let ask = Ask::new("hail-flag", &format!("Quarter {round}"), 3).key(&format!("flag-{round}"));
+            let answer = fleet.caller(round % 3).ask(&ask).await;
+            assert!(answer.is_whole(&ask), "{answer:?}");
+            assert_eq!(executions(&fleet, &ask.prompt), 1);
+        }
+        fleet.platform.set(Mode::Up);
+        stop_all(&mut fleet).await;
+    });
+}
+
+#[test]
+fn without_the_platform_a_claim_is_refused_not_run_and_can_be_asked_again() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        fleet.platform.set(Mode::Down);
+        let ask = Ask::new("hail-flag", "Hail on NE-12?", 5).key("flag");
+        let answer = fleet.caller(0).ask(&ask).await;
+        assert_eq!(line(&answer), "503 claim_unavailable not-run retry-after=2");
+        assert_eq!(executions(&fleet, &ask.prompt), 0, "not run is true (I4)");
+        fleet.platform.set(Mode::Up);
+        let answer = fleet.caller(0).ask(&ask).await;
+        assert!(answer.is_whole(&ask), "{answer:?}");
+        stop_all(&mut fleet).await;
+        assert_eq!(executions(&fleet, &ask.prompt), 1);
+    });
+}
+
+#[test]
+fn a_frozen_claimant_that_wakes_does_not_run_it_a_second_time() {
+    run(async {
+        let fleet = fleet(Plan::small()).await;
+        let ask = Ask::new("hail-flag", "Hail on NE-12?", 400).key("flag");
+        let caller = fleet.caller(0);
+        let first = net::exec::spawn({
+            let ask = ask.clone();
+            async move { caller.ask(&ask).await }
+        });
+        fleet.until("it is claimed", || async { !fleet.platform.rows("claim/").is_empty() }).await;
+        fleet.nodes[0].process.freeze();
+        for router in [1, 2] {
+            let answer = fleet.caller(router).ask(&ask).await;
+            assert!(answer.status == 409 || answer.is_whole(&ask), "{answer:?}");
+        }
+        assert!(executions(&fleet, &ask.prompt) <= 1);
+        fleet.nodes[0].process.thaw();
+        let answer = first.await;
+        assert!(answer.is_whole(&ask), "{answer:?}");
+        assert_eq!(executions(&fleet, &ask.prompt), 1, "it ran once (I3)");
+    });
+}
+
+#[test]
+fn a_key_that_was_used_for_another_request_is_refused() {
+    run(async {
+        let fleet = fleet(Plan::small()).await;
+        let first = Ask::new("narrator", "One", 3).key("k");
+        assert!(fleet.caller(0).ask(&first).await.is_whole(&first));
+        let answer = fleet.caller(0).ask(&Ask::new("narrator", "Two", 3).key("k")).await;
+        assert_eq!(line(&answer), "422 idempotency_mismatch not-run");
+    });
+}
+
+#[test]
+fn a_repeatable_request_that_ran_at_two_routers_is_charged_once() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let ask = Ask::new("narrator", "Describe the storm.", 300).key("k");
+        for index in 0..3 {
+            fleet.cut_peers(index, true);
+        }
+        let tasks: Vec<_> = (0..2)
+            .map(|router| {
+                let (caller, ask) = (fleet.caller(router), ask.clone());
+                net::exec::spawn(async move { caller.ask(&ask).await })
+            })
+            .collect();
+        for task in tasks {
+            assert!(task.await.is_whole(&ask));
+        }
+        for index in 0..3 {
+            fleet.cut_peers(index, false);
+        }
+        stop_all(&mut fleet).await;
+        assert_eq!(executions(&fleet, &ask.prompt), 2, "cut off from each other, both ran it");
+        let audit = &harness::audit(&fleet)["storm-desk/main"];
+        assert_eq!(audit.spent, 305, "one charge (I2)");
+        assert_eq!(audit.outstanding, 305, "what the second run consumed stays held (I6)");
+    });
+}
+
+#[test]
+fn a_service_call_that_must_not_be_repeated_is_executed_once() {
+    run(async {
+        let fleet = fleet(Plan::small()).await;
+        let mut text = String::new();
+        for router in [0, 1, 2, 0] {
+            let caller = fleet.caller(router);
+            let mut request = caller.request("POST", "/services/tiles/dispatch/crew", "NE-12");
+            request.headers_mut().insert("idempotency-key", "crew-1".parse().expect("a header"));
+            let answer = caller.send(request).await;
+            let _ = writeln!(text, "{} {}", answer.status, answer.text);
+        }
+        for (call, count) in fleet.service.executed() {
+            let _ = writeln!(text, "{call}: {count}");
+        }
+        insta::assert_snapshot!(text);
+    });
+}
