--- /dev/null
+++ b/tests/testsuite/support.rs
@@ -0,0 +1,94 @@
+//! What the tests share.
+
+use harness::{Answer, Fleet, Plan, audit};
+use std::fmt::Write;
+use std::path::Path;
+
+/// The router's program.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_tallypaddle"))
+}
+
+/// Runs a test on the worker threads.
+pub fn run(test: impl Future<Output = ()>) {
+    net::exec::start(4);
+    net::exec::block_on(test);
+}
+
+/// Starts a fleet.
+pub async fn fleet(plan: Plan) -> Fleet {
+    Fleet::start(program(), plan).await
+}
+
+/// An answer in one line that is the same in every run.
+pub fn line(answer: &Answer) -> String {
+    let mut text = format!("{}", answer.status);
+    if !answer.code.is_empty() {
+        let _ = write!(text, " {} {}", answer.code, answer.execution);
+    }
+    if let Some(seconds) = answer.retry_after {
+        let _ = write!(text, " retry-after={seconds}");
+    }
+    if answer.status == 200 {
+        let _ = write!(text, " complete={} usage={}", answer.complete, answer.usage);
+    }
+    text
+}
+
+/// Asks all routers to stop and waits until they have.
+pub async fn stop_all(fleet: &mut Fleet) {
+    for node in &fleet.nodes {
+        node.process.terminate();
+    }
+    for index in 0..fleet.nodes.len() {
+        wait_ended(fleet, index).await;
+    }
+}
+
+/// Waits until a router's process has ended; it must have ended well.
+pub async fn wait_ended(fleet: &mut Fleet, index: usize) {
+    let patience = std::time::Instant::now() + std::time::Duration::from_secs(30);
+    loop {
+        if let Some(status) = fleet.nodes[index].process.ended() {
+            assert!(status.success(), "{status}: {}", fleet.nodes[index].process.log());
+            return;
+        }
+        assert!(std::time::Instant::now() < patience, "still running: {}", fleet.nodes[index].process.log());
+        net::exec::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+/// The budgets by the platform's rows; panics unless I1 holds.
+pub fn budgets(fleet: &Fleet) -> String {
+    let mut text = String::new();
+    for (budget, audit) in audit(fleet) {
+        assert!(audit.balanced, "I1: {budget}: {audit:?}");
+        assert!(audit.accounts_agree, "{budget}: {audit:?}");
+        let _ = writeln!(
+            text,
+            "{budget}: prepaid {} spent {} held {} free {}",
+            audit.credited, audit.spent, audit.outstanding, audit.free
+        );
+    }
+    text
+}
+
+/// Tokens that the engines generated and read for all runs, by their own records.
+pub fn consumed(fleet: &Fleet) -> u64 {
+    fleet
+        .engines
+        .iter()
+        .flat_map(|engine| engine.ledger().usage.into_values())
+        .map(|usage| usage.total())
+        .sum()
+}
+
+/// Runs that neither ended nor were cancelled.
+pub fn open_runs(fleet: &Fleet) -> usize {
+    fleet.engines.iter().map(|engine| engine.ledger().open.len()).sum()
+}
+
+/// How often a prompt was run, by the engines' own records.
+pub fn executions(fleet: &Fleet, prompt: &str) -> u64 {
+    fleet.engines.iter().filter_map(|engine| engine.ledger().prompts.get(prompt).copied()).sum()
+}
--- /dev/null
+++ b/tests/testsuite/upstreams.rs
@@ -0,0 +1,166 @@
+//! Upstreams that fail: no short answers, no orphaned work, no new work for those that leave.
+
+use crate::support::{budgets, executions, fleet, line, open_runs, run, stop_all};
+use harness::{Ask, Plan};
+use standin::{Fault, Rule};
+use std::fmt::Write;
+
+#[test]
+fn a_broken_stream_is_taken_up_again() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        for engine in &fleet.engines {
+            engine.set(Fault::Break(3));
+        }
+        let ask = Ask::new("narrator", "Describe the storm.", 20).streamed();
+        let answer = fleet.caller(0).ask(&ask).await;
+        assert!(answer.is_whole(&ask), "{answer:?}");
+        assert_eq!(executions(&fleet, &ask.prompt), 1);
+        stop_all(&mut fleet).await;
+        insta::assert_snapshot!(format!("{}\n{}", line(&answer), budgets(&fleet)));
+    });
+}
+
+#[test]
+fn a_stream_that_cannot_be_completed_ends_with_an_error_and_an_abort() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        for engine in &fleet.engines {
+            engine.set(Fault::BreakForGood(3));
+        }
+        let ask = Ask::new("narrator", "Describe the storm.", 500).streamed();
+        let answer = fleet.caller(0).ask(&ask).await;
+        assert!(!answer.complete, "never a silently short answer: {answer:?}");
+        let text = format!("{} {} {}", answer.status, answer.code, answer.execution);
+        assert_eq!(text, "200 upstream_broke ran");
+        assert_eq!(open_runs(&fleet), 0, "no orphaned work");
+        let consumed = crate::support::consumed(&fleet);
+        stop_all(&mut fleet).await;
+        assert_eq!(harness::audit(&fleet)["storm-desk/main"].spent, consumed);
+    });
+}
+
+#[test]
+fn a_refusing_engine_is_passed_over() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        fleet.engines[0].set(Fault::Refuse);
+        fleet.engines[1].set(Fault::Refuse);
+        let mut text = String::new();
+        // Each request earns a tenth of a retry, so the first ones may meet the refusal.
+        for index in 0..60 {
+            let ask = Ask::new("narrator", &format!("Cell {index}"), 2);
+            let answer = fleet.caller(0).ask(&ask).await;
+            let ok =
+                answer.is_whole(&ask) || (answer.code == "upstream_failed" && answer.execution == "not-run");
+            assert!(ok, "{answer:?}");
+            if answer.execution == "not-run" {
+                assert_eq!(executions(&fleet, &ask.prompt), 0, "not run is true (I4)");
+            }
+        }
+        let ask = Ask::new("narrator", "After both were ejected or passed over", 2);
+        let answer = fleet.caller(0).ask(&ask).await;
+        let _ = writeln!(text, "{}", line(&answer));
+        stop_all(&mut fleet).await;
+        insta::assert_snapshot!(text);
+    });
+}
+
+#[test]
+fn a_run_that_stalls_before_its_first_token_is_stopped_and_run_elsewhere() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.routers = 1;
+        plan.node.stall_ms = 200;
+        plan.limits.retry_share = 1.0;
+        let mut fleet = fleet(plan).await;
+        for engine in &fleet.engines[..2] {
+            engine.set(Fault::Stall(0));
+        }
+        for index in 0..6 {
+            let ask = Ask::new("narrator", &format!("Sweep {index}"), 5).streamed();
+            let answer = fleet.caller(0).ask(&ask).await;
+            assert!(answer.is_whole(&ask), "{answer:?}");
+        }
+        assert_eq!(open_runs(&fleet), 0, "no orphaned work");
+        stop_all(&mut fleet).await;
+        let audit = &harness::audit(&fleet)["storm-desk/main"];
+        let consumed = crate::support::consumed(&fleet);
+        assert!(consumed <= audit.spent + audit.outstanding, "I6: {consumed} {audit:?}");
+    });
+}
+
+#[test]
+fn an_unreachable_engine_leaves_tokens_held_until_it_tells() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.routers = 1;
+        plan.engines.truncate(1);
+        plan.engine_proxies = true;
+        plan.node.stall_ms = 300;
+        plan.node.call_ms = 200;
+        let mut fleet = fleet(plan).await;
+        let ask = Ask::new("hail-flag", "Is there hail?", 50).streamed();
+        let caller = fleet.caller(0);
+        let asking = net::exec::spawn({
+            let ask = ask.clone();
+            async move { caller.ask(&ask).await }
+        });
+        fleet.until("the engine runs it", || async { executions(&fleet, &ask.prompt) == 1 }).await;
+        fleet.engine_proxies[0].set(Rule::Cut);
+        let answer = asking.await;
+        assert!(!answer.complete, "{answer:?}");
+        let held = fleet.status(0).await.expect("a status")["budgets"]["storm-desk/main"]["unknown"].as_u64();
+        assert!(held.is_some_and(|held| held > 0), "{held:?}");
+        fleet.engine_proxies[0].set(Rule::Pass);
+        fleet
+            .until("the engine tells what the run consumed", || async {
+                let status = fleet.status(0).await.unwrap_or_default();
+                status["budgets"]["storm-desk/main"]["unknown"].as_u64() == Some(0)
+            })
+            .await;
+        let consumed = crate::support::consumed(&fleet);
+        stop_all(&mut fleet).await;
+        assert_eq!(harness::audit(&fleet)["storm-desk/main"].spent, consumed);
+    });
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_new_work_and_finishes_what_it_has() {
+    run(async {
+        for by_list in [true, false] {
+            let mut fleet = fleet(Plan::small()).await;
+            let long = Ask::new("narrator", "A long sweep", 300).streamed();
+            let mut running = vec![];
+            for router in 0..3 {
+                let (caller, long) = (fleet.caller(router), long.clone());
+                running.push(net::exec::spawn(async move { caller.ask(&long).await }));
+            }
+            fleet.until("three runs are open", || async { open_runs(&fleet) == 3 }).await;
+            if by_list {
+                fleet.list(&["engine-1"]);
+            } else {
+                fleet.engines[0].leave(true);
+            }
+            for index in 0..3 {
+                fleet
+                    .until("each router knows that it leaves", || async {
+                        let status = fleet.status(index).await.unwrap_or_default();
+                        status["upstreams"]["engine-1"]["leaving"] == true
+                    })
+                    .await;
+            }
+            let before = fleet.engines[0].ledger().started.len();
+            for index in 0..12 {
+                let ask = Ask::new("narrator", &format!("Cell {index}"), 2);
+                assert!(fleet.caller(index % 3).ask(&ask).await.is_whole(&ask));
+            }
+            assert_eq!(fleet.engines[0].ledger().started.len(), before, "no new work");
+            for answer in running {
+                let answer = answer.await;
+                assert!(answer.is_whole(&long), "{answer:?}");
+            }
+            stop_all(&mut fleet).await;
+        }
+    });
+}
