--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -1,1 +1,218 @@
-//! x
+//! The programs as operators meet them.
+
+use crate::support::{fleet, program, run};
+use harness::Plan;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn ctl() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_tallypaddlectl"))
+}
+
+/// Output in one text, with the folder's name taken out.
+fn told(output: &Output, folder: &Path) -> String {
+    let text = format!(
+        "{}{}exit {}\n",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr),
+        output.status.code().unwrap_or(-1)
+    );
+    text.replace(&format!("{}/", folder.display()), "")
+}
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let path = std::env::temp_dir().join(format!("tallypaddle-cli-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn wrong_settings_are_named_all_at_once() {
+    let folder = Folder::new();
+    let path = folder.write(
+        "router.yaml",
+        "name: vm 1\ndata-centre: regina-a\nlisten: {callers: 127.0.0.1:1, peers: 127.0.0.1:2, operators: 127.0.0.1:3}\n\
+         platform: {address: 127.0.0.1:4, timeout-sm: 5}\nfleet-keys: [short]\ntrust:\n  keys: [abc]\n  needed: 2\n\
+         limits:\n  sync-ms: 0\nlogs: loud\n",
+    );
+    let output = Command::new(program()).arg("check").arg(&path).output().expect("it runs");
+    insta::assert_snapshot!(told(&output, &folder.0));
+}
+
+#[test]
+fn wrong_bundles_are_named_all_at_once() {
+    let folder = Folder::new();
+    let path = folder.write(
+        "bundle.yaml",
+        "teams:\n  storm-desk:\n    keys:\n      - {hash: abc, budget: mian}\n    budgets:\n      main:\n        credits:\n\
+        \x20         - {id: a, tokens: 5}\n          - {id: a, tokens: 6}\n    wieght: 3\n\
+         upstreams:\n  engine-1: {address: nowhere, data-centre: a, slots: 8, models: [narrator]}\n\
+        \x20 engine-2: {address: 127.0.0.1:1, data-centre: a, slots: 0, models: [oracle]}\n\
+         models:\n  narrator: {context: 100, default-max-tokens: 200}\nlimits: {retry-share: 3}\nextra: 1\n",
+    );
+    let output = ctl().args(["bundle", "check"]).arg(&path).output().expect("it runs");
+    insta::assert_snapshot!(told(&output, &folder.0));
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let output = Command::new(program()).args(["check", "/nowhere/router.yaml"]).output().expect("it runs");
+    insta::assert_snapshot!(told(&output, Path::new("/none")));
+}
+
+#[test]
+fn a_bundle_is_checked_signed_twice_rolled_and_rolled_back() {
+    run(async {
+        let folder = Folder::new();
+        let mut plan = Plan::small();
+        plan.needed = 2;
+        let fleet = fleet(plan).await;
+        let mut bundle = fleet.bundle.clone();
+        bundle.limits.queue = 77;
+        let credit = budget::ledger::Credit { id: "prepaid-2".to_owned(), tokens: 500 };
+        bundle
+            .teams
+            .get_mut("storm-desk")
+            .expect("a team")
+            .budgets
+            .get_mut("main")
+            .expect("a budget")
+            .credits
+            .push(credit);
+        let file = folder.write("bundle.yaml", &serde_yaml_ng::to_string(&bundle).expect("YAML"));
+        let settings = fleet.nodes[0].settings.clone();
+        let keys: Vec<PathBuf> = fleet
+            .secrets
+            .iter()
+            .enumerate()
+            .map(|(index, secret)| folder.write(&format!("{index}.key"), &secret.to_hex()))
+            .collect();
+        let path = |name: &str| folder.0.join(name);
+        let text = |path: &Path| path.display().to_string();
+        let settings = text(&settings);
+        let steps: Vec<Vec<String>> = [
+            vec!["bundle", "check", &text(&file)],
+            vec!["bundle", "diff", &text(&file), "-s", &settings],
+            vec![
+                "bundle",
+                "sign",
+                &text(&file),
+                "-k",
+                &text(&keys[0]),
+                "-o",
+                &text(&path("one.json")),
+                "-s",
+                &settings,
+                "-n",
+                "top-up",
+            ],
+            vec!["bundle", "roll", &text(&path("one.json")), "-s", &settings],
+            vec![
+                "bundle",
+                "sign",
+                &text(&path("one.json")),
+                "-k",
+                &text(&keys[1]),
+                "-o",
+                &text(&path("two.json")),
+                "-s",
+                &settings,
+            ],
+            vec!["bundle", "roll", &text(&path("two.json")), "-s", &settings],
+            vec!["bundle", "roll", &text(&path("two.json")), "-s", &settings],
+            vec![
+                "bundle",
+                "rollback",
+                "1",
+                "-k",
+                &text(&keys[0]),
+                "-o",
+                &text(&path("back.json")),
+                "-s",
+                &settings,
+            ],
+            vec![
+                "bundle",
+                "sign",
+                &text(&path("back.json")),
+                "-k",
+                &text(&keys[1]),
+                "-o",
+                &text(&path("back.json")),
+                "-s",
+                &settings,
+            ],
+            vec!["bundle", "roll", &text(&path("back.json")), "-s", &settings],
+            vec![
+                "bundle",
+                "rollback",
+                "9",
+                "-k",
+                &text(&keys[0]),
+                "-o",
+                &text(&path("nine.json")),
+                "-s",
+                &settings,
+            ],
+        ]
+        .into_iter()
+        .map(|step| step.into_iter().map(ToOwned::to_owned).collect())
+        .collect();
+        let mut all = String::new();
+        for step in steps {
+            all.push_str(&format!("$ {}\n", step[..2].join(" ")));
+            all.push_str(&told(&ctl().args(&step).output().expect("it runs"), &folder.0));
+        }
+        for index in 0..3 {
+            fleet
+                .until("the rollback is in force", || async {
+                    fleet.status(index).await.unwrap_or_default()["bundle"]["sequence"] == 3
+                })
+                .await;
+        }
+        let status = ctl().args(["bundle", "status", "-s", &settings]).output().expect("it runs");
+        let status = String::from_utf8_lossy(&status.stdout).into_owned();
+        for line in status.lines() {
+            all.push_str(line.split(" for ").next().unwrap_or_default());
+            all.push('\n');
+        }
+        let log = ctl().args(["bundle", "log", "-s", &settings, "--json"]).output().expect("it runs");
+        let log: serde_json::Value = serde_json::from_slice(&log.stdout).expect("JSON");
+        for accepted in log.as_array().expect("a list") {
+            let by = accepted["by"].as_array().map_or(0, Vec::len);
+            all.push_str(&format!("{} {} by {by}\n", accepted["sequence"], accepted["note"]));
+        }
+        insta::assert_snapshot!(all);
+    });
+}
+
+#[test]
+fn a_new_key_is_written_once_and_only_for_its_owner() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = Folder::new();
+    let path = folder.0.join("author.key");
+    let first = ctl().args(["key", "new"]).arg(&path).output().expect("it runs");
+    assert!(first.status.success());
+    let secret = bundle::Secret::from_hex(&std::fs::read_to_string(&path).expect("a file")).expect("a key");
+    assert_eq!(String::from_utf8_lossy(&first.stdout).trim(), secret.public());
+    let mode = std::fs::metadata(&path).expect("a file").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let second = ctl().args(["key", "new"]).arg(&path).output().expect("it runs");
+    assert_eq!(second.status.code(), Some(2), "an existing key is never overwritten");
+}
