Measure the router and the budget decisions; mend what the figures showed

Since overspend is 0 at any size, only stranding speaks for less; 900 s now. - A budget that ran out cost 102 platform writes/s; a pool seen empty is not asked again for 250 ms.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -28,5 +28,6 @@
 //! ```
 
 pub mod claim;
+pub mod demand;
 pub mod grant;
 pub mod ledger;
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -158,8 +158,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            cover_refusals_s: 900,
-            cover_overspend_s: 60,
+            cover_refusals_s: 1_200,
+            cover_overspend_s: 900,
             grant_min: 4_096,
             budget_wait_ms: 2_000,
             queue: 256,
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -88,12 +88,20 @@
     client: Client,
     address: SocketAddr,
     key: String,
+    straight: bool,
 }
 
 impl Caller {
     /// A caller with an access key.
     pub fn new(client: Client, address: SocketAddr, key: String) -> Caller {
-        Caller { client, address, key }
+        Caller { client, address, key, straight: false }
+    }
+
+    /// Asks an engine itself, as a router would.
+    #[must_use]
+    pub fn straight(mut self) -> Caller {
+        self.straight = true;
+        self
     }
 
     /// Asks a model without streaming.
@@ -118,6 +126,11 @@
         {
             request.headers_mut().insert("idempotency-key", value);
         }
+        if self.straight
+            && let Ok(run) = uuid::Uuid::new_v4().to_string().parse()
+        {
+            request.headers_mut().insert("x-run-id", run);
+        }
         let begun = Instant::now();
         net::exec::timeout(PATIENCE, self.exchange(request, begun)).await.unwrap_or_default()
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -29,6 +29,9 @@
 /// Unused connections kept for one peer.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// Bytes buffered for each direction of a connection.
+const BUFFER: usize = 16 * 1024;
+
 /// Whether a failed request can have reached the peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -71,6 +74,7 @@
             .pool_idle_timeout(IDLE_LIMIT)
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .pool_timer(SmolTimer::new())
+            .http1_max_buf_size(BUFFER)
             .build(Connector);
         Client { pool }
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -9,6 +9,7 @@
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::{Domain, Socket, Type};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -18,6 +19,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 4_096;
+
 /// What one connection may cost.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -71,7 +75,7 @@
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address)?;
     let address = listener.local_addr()?;
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let open = Arc::new(AtomicUsize::new(0));
@@ -80,6 +84,15 @@
     Ok(handle)
 }
 
+/// Binds with a backlog that takes a burst: the usual 128 lets further callers wait for a second.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::try_from(std::net::TcpListener::from(socket))
+}
+
 async fn accept<S, F>(
     listener: TcpListener,
     limits: Limits,
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -58,7 +58,8 @@
     let id = Uuid::new_v4().to_string();
     node.open.fetch_add(1, Ordering::Relaxed);
     node.metrics.open.inc();
-    let mut response = match handle(&node, &id, request).await {
+    // Boxed, so that a stream does not keep the memory of what led to it.
+    let mut response = match Box::pin(handle(&node, &id, request)).await {
         Ok(response) => response,
         Err(refusal) => {
             node.metrics.refusals.with_label_values(&[refusal.code]).inc();
--- a/crates/router/src/grants.rs
+++ b/crates/router/src/grants.rs
@@ -1,5 +1,6 @@
 //! This router's grants: reservations, charges and loans, in shards under their own locks.
 
+use budget::demand::{Demand, Terms, is_off_target};
 use budget::grant::{Grant, Reserve};
 use budget::ledger::{Charge, Credit, Entry, Line, Pool};
 use bundle::Bundle;
@@ -14,33 +15,25 @@
 const BATCH_BUDGETS: usize = 48;
 /// Charges in one batch, so that a transaction stays small.
 const BATCH_CHARGES: usize = 48;
+/// Milliseconds for which a pool that was seen empty is taken to be empty.
+const EMPTY_MS: u64 = 250;
 /// Loans remembered, so that a repeated request lends nothing more.
 const LOANS_KEPT: usize = 10_000;
-/// The weight of a new sample in the average demand.
-const SAMPLE: f64 = 0.2;
-/// Milliseconds without a request after which a budget's tokens are given back.
-const IDLE_MS: u64 = 60_000;
 
 /// What the bundle says of a budget.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct Terms {
-    /// The prepayments.
-    pub credits: Vec<Credit>,
-    /// Seconds of demand to hold.
-    pub cover_s: u64,
-    /// The least to draw at once, in tokens.
-    pub least: u64,
+struct Agreed {
+    credits: Vec<Credit>,
+    terms: Terms,
 }
 
-/// Reads the terms of `budget`, named `team/budget`.
-pub(crate) fn terms(bundle: &Bundle, budget: &str) -> Option<Terms> {
+/// Reads what was agreed on `budget`, named `team/budget`.
+fn agreed(bundle: &Bundle, budget: &str) -> Option<Agreed> {
     let (team, name) = budget.split_once('/')?;
     let content = bundle.teams.get(team)?.budgets.get(name)?;
-    Some(Terms {
-        credits: content.credits.clone(),
-        cover_s: bundle.limits.cover_s(content.weighing),
-        least: bundle.limits.grant_min,
-    })
+    let limits = &bundle.limits;
+    let terms = Terms { cover_s: limits.cover_s(content.weighing), least: limits.grant_min };
+    Some(Agreed { credits: content.credits.clone(), terms })
 }
 
 /// One budget here.
@@ -48,11 +41,10 @@
 struct Slot {
     grant: Grant,
     need: u64,
-    used: u64,
-    demand: f64,
-    asked: u64,
+    demand: Demand,
     pool: Option<Pool>,
     settled: u64,
+    settled_at: u64,
     changed: Arc<Event>,
 }
 
@@ -119,7 +111,7 @@
     /// Reserves the worst case of a request (I6), or notes what is missing.
     pub(crate) fn reserve(&self, budget: &str, tokens: u64, now: u64) -> Result<(), (u64, EventListener)> {
         self.with(budget, |slot| {
-            slot.asked = now;
+            slot.demand.ask(now);
             match slot.grant.reserve(tokens) {
                 Reserve::Held => Ok(()),
                 Reserve::Short(missing) => {
@@ -141,7 +133,7 @@
     /// Charges a reservation; returns the tokens above it that were cut off.
     pub(crate) fn charge(&self, budget: &str, reserved: u64, charge: Charge) -> u64 {
         self.with(budget, |slot| {
-            slot.used += charge.tokens;
+            slot.demand.consume(charge.tokens);
             let excess = slot.grant.charge(reserved, charge);
             slot.changed.notify(usize::MAX);
             excess
@@ -204,15 +196,15 @@
         self.with(budget, |slot| slot.settled)
     }
 
-    /// Whether any budget misses tokens.
-    pub(crate) fn is_short(&self) -> bool {
-        self.shards.iter().any(|shard| {
-            shard
-                .lock()
-                .expect("the grants' lock")
-                .values()
-                .any(|slot| slot.need > 0 && !slot.grant.is_open())
-        })
+    /// Whether any budget misses tokens that the pool may have: one that was just seen empty is not asked
+    /// again for every request.
+    pub(crate) fn is_short(&self, now: u64) -> bool {
+        let is_short = |slot: &Slot| {
+            let empty = slot.pool.as_ref().is_some_and(|pool| pool.free == 0);
+            let known_empty = empty && now.saturating_sub(slot.settled_at) < EMPTY_MS;
+            slot.need > 0 && !slot.grant.is_open() && !known_empty
+        };
+        self.shards.iter().any(|shard| shard.lock().expect("the grants' lock").values().any(is_short))
     }
 
     /// Opens the entries of the next batch. `elapsed_ms` is the time since the last one; with `close`
@@ -243,13 +235,14 @@
     }
 
     /// Closes the entries of a batch that took effect.
-    pub(crate) fn close(&self, budget: &str, line: &Line, pool: Option<&Pool>) {
+    pub(crate) fn close(&self, budget: &str, line: &Line, pool: Option<&Pool>, now: u64) {
         self.with(budget, |slot| {
             slot.grant.close(line);
             if let Some(pool) = pool {
                 slot.pool = Some(Pool { credits: BTreeMap::new(), ..pool.clone() });
             }
             slot.settled += 1;
+            slot.settled_at = now;
             slot.changed.notify(usize::MAX);
         });
     }
@@ -316,21 +309,14 @@
     if slot.grant.is_open() {
         return None;
     }
-    let terms = terms(bundle, budget).unwrap_or_default();
-    let rate = slot.used as f64 * 1_000.0 / pace.elapsed_ms.max(1) as f64;
-    slot.demand += SAMPLE * (rate - slot.demand);
-    slot.used = 0;
-    let idle = pace.now.saturating_sub(slot.asked) > IDLE_MS;
-    let target = match pace.close || (idle && slot.need == 0) {
-        true => 0,
-        false => ((slot.demand * terms.cover_s as f64) as u64).max(terms.least),
-    };
+    let Agreed { credits, terms } = agreed(bundle, budget).unwrap_or_default();
+    slot.demand.tick(pace.elapsed_ms);
+    let target = if pace.close { 0 } else { slot.demand.target(pace.now, &terms) };
     let need = std::mem::take(&mut slot.need);
-    let has_excess = slot.grant.available() > target.saturating_mul(2);
-    let wants_more =
-        slot.grant.available() < target / 2 && slot.pool.as_ref().is_none_or(|pool| pool.free > 0);
-    if need == 0 && !slot.grant.is_dirty() && !has_excess && !wants_more {
+    let pool_free = slot.pool.as_ref().map(|pool| pool.free);
+    let off_target = is_off_target(slot.grant.available(), target, pool_free);
+    if need == 0 && !slot.grant.is_dirty() && !off_target {
         return None;
     }
-    slot.grant.open(target, need, terms.credits, room)
+    slot.grant.open(target, need, credits, room)
 }
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -146,10 +146,10 @@
         if model.repeatable || self.entry.key.is_none() {
             return self.run_claimed(model).await;
         }
-        match claims::gate(&self.node, &self.entry, &self.head, &self.body).await? {
+        match Box::pin(claims::gate(&self.node, &self.entry, &self.head, &self.body)).await? {
             Gate::Run(claim) => {
                 let result = self.run_claimed(model).await;
-                claims::close(&self.node, &self.entry, claim, &result, &self.flight).await;
+                Box::pin(claims::close(&self.node, &self.entry, claim, &result, &self.flight)).await;
                 result
             }
             Gate::Replay(answer) => {
@@ -159,7 +159,7 @@
             }
             Gate::Passed(answer) => {
                 self.node.note(&self.entry.id, "passed on to the router that runs it");
-                self.flight.copy_from(answer).await;
+                Box::pin(self.flight.copy_from(answer)).await;
                 Ok(())
             }
         }
@@ -168,7 +168,7 @@
     async fn run_claimed(&self, model: &Model) -> Result<(), Refusal> {
         let node = &self.node;
         let budget = &self.entry.access.budget;
-        reserve(node, budget, self.ask.worst).await?;
+        Box::pin(reserve(node, budget, self.ask.worst)).await?;
         node.note(&self.entry.id, format!("reserved {} tokens of {budget}", self.ask.worst));
         let mut tries = Tries { arrived: node.clock.now(), ..Tries::default() };
         loop {
@@ -208,7 +208,7 @@
             Next::Anew(why, execution) => {
                 tries.execution = tries.execution.max(execution);
                 self.may_retry(tries.number, &why)?;
-                reserve(node, budget, self.ask.worst).await?;
+                Box::pin(reserve(node, budget, self.ask.worst)).await?;
                 Ok(Step::Again(why))
             }
         }
@@ -289,8 +289,8 @@
             self.flight.abandoned().await;
             None
         };
-        let next = match smol::future::or(started, gone).await {
-            None => return self.abandon(sent).await,
+        let next = match Box::pin(smol::future::or(started, gone)).await {
+            None => return Box::pin(self.abandon(sent)).await,
             Some(Ok(Reply::Refused { status, body })) => self.refused(&sent, status, &body),
             Some(Ok(Reply::Whole(bytes))) => self.whole(&sent, bytes),
             Some(Ok(Reply::Stream(events))) => return self.pump(model, sent, events, tries.arrived).await,
@@ -298,7 +298,7 @@
                 self.note_failure(&sent, &error.to_string());
                 match error.fault {
                     Fault::NotRun => Next::Elsewhere(error.to_string()),
-                    Fault::Unknown => return self.stop_lost(model, sent, error.to_string()).await,
+                    Fault::Unknown => return Box::pin(self.stop_lost(model, sent, error.to_string())).await,
                 }
             }
         };
@@ -385,7 +385,7 @@
                 None
             };
             match smol::future::or(step, gone).await {
-                None => return self.abandon(sent).await,
+                None => return Box::pin(self.abandon(sent)).await,
                 Some(Ok(Event::Chunk(data))) => {
                     taken += 1;
                     if first_at.is_none() {
@@ -416,7 +416,7 @@
                 Some(Err(error)) => {
                     self.note_failure(&sent, &error.to_string());
                     let resumed = if taken > 0 && resumes < RESUMES {
-                        node.engine.resume(sent.peer, &sent.run, taken).await.ok()
+                        Box::pin(node.engine.resume(sent.peer, &sent.run, taken)).await.ok()
                     } else {
                         None
                     };
@@ -428,8 +428,10 @@
                             log::info!("upstream: run={} taken up again after {taken} events", sent.run);
                             events = again;
                         }
-                        None if taken == 0 => return self.stop_lost(model, sent, error.to_string()).await,
-                        None => return self.break_off(sent, &error.to_string()).await,
+                        None if taken == 0 => {
+                            return Box::pin(self.stop_lost(model, sent, error.to_string())).await;
+                        }
+                        None => return Box::pin(self.break_off(sent, &error.to_string())).await,
                     }
                 }
             }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -15,6 +15,8 @@
 
 /// Routers that get heartbeats from one router, whatever the size of the fleet.
 const FANOUT: usize = 6;
+/// Routers that a new one greets before it takes up a bundle.
+const GREETED: usize = 16;
 
 /// Sends heartbeats in regular intervals, and at once when there is news.
 pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, heard: Receiver<()>)
@@ -23,9 +25,6 @@
     E: Engine,
     C: Clock,
 {
-    for seed in &node.settings.seeds {
-        greet(&node, *seed).await;
-    }
     while !node.is_closed() {
         let targets: Vec<(String, SocketAddr)> = {
             let view = node.view();
@@ -44,7 +43,30 @@
     }
 }
 
-async fn greet<P, E, C>(node: &Arc<Node<P, E, C>>, address: SocketAddr)
+/// Makes a new router known to its seeds and to those that the platform lists, and takes up the latest
+/// bundle that one of them has in force: the platform may be away, or answer with an older one.
+pub(crate) async fn introduce<P, E, C>(node: &Arc<Node<P, E, C>>)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    if let Ok(vms) = node.platform.list().await {
+        list(node, &vms);
+    }
+    let mut addresses: Vec<SocketAddr> = node.settings.seeds.clone();
+    addresses.extend(node.alive().into_iter().map(|(_, address)| address));
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.truncate(GREETED);
+    let beats = join_all(addresses.iter().map(|address| greet(node, *address))).await;
+    let latest = beats.into_iter().flatten().max_by_key(|beat| beat.sequence);
+    if let Some(beat) = latest {
+        steer::adopt_from_peer(node, &beat).await;
+    }
+}
+
+async fn greet<P, E, C>(node: &Arc<Node<P, E, C>>, address: SocketAddr) -> Option<Beat>
 where
     P: Services,
     E: Engine,
@@ -53,8 +75,14 @@
     let beat = node.beat();
     let call = |client: LinkClient, context| async move { client.beat(context, beat).await };
     match node.peers.call("beat", address, call).await {
-        Ok(answer) => hear(node, &answer),
-        Err(error) => log::warn!("peer: {error}"),
+        Ok(answer) => {
+            hear(node, &answer);
+            Some(answer)
+        }
+        Err(error) => {
+            log::info!("peer: {error}");
+            None
+        }
     }
 }
 
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -1,6 +1,7 @@
 //! Bundles: learning of the accepted sequence, fetching what changed, and putting it in force.
 
 use crate::clock::Clock;
+use crate::membership;
 use crate::node::{Access, InForce, Node};
 use crate::settings::millis;
 use bundle::{Bundle, Manifest, Signed};
@@ -45,6 +46,7 @@
     E: Engine,
     C: Clock,
 {
+    membership::introduce(&node).await;
     while !node.is_closed() {
         match node.platform.read(&[HEAD.to_owned()]).await {
             Ok(rows) => {
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -68,7 +68,7 @@
         let fleet = node.fleet_size();
         let period = Duration::from_millis(node.settings.limits.sync_ms.max(fleet * 1_000 / FLEET_RATE));
         let spacing = Duration::from_millis(fleet * 500 / FLEET_RATE);
-        if !node.grants.is_short() {
+        if !node.grants.is_short(node.clock.now()) {
             let kick = async {
                 let _ = kicked.recv().await;
             };
@@ -106,7 +106,7 @@
             Attempt::Posted(account, pools) => {
                 for budget in batch.entries.keys() {
                     let line = account.lines.get(budget).copied().unwrap_or_default();
-                    node.grants.close(budget, &line, pools.get(budget));
+                    node.grants.close(budget, &line, pools.get(budget), node.clock.now());
                 }
                 node.set_platform_up(true);
                 return true;
--- /dev/null
+++ b/examples/bench/control.rs
@@ -0,0 +1,2 @@
+//! Not yet.
+pub async fn run(_: &std::path::Path) {}
--- /dev/null
+++ b/examples/bench/policy.rs
@@ -0,0 +1,2 @@
+//! Not yet.
+pub fn run() {}
