--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,12 +16,14 @@
 //! ```
 
 mod board;
+mod desk;
 mod health;
 mod line;
 mod retry;
 mod share;
 
 pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View};
+pub use desk::{Desk, Entered, Want};
 pub use health::Standing;
 pub use line::{Admit, Line, Ticket};
 pub use retry::Budget;
--- a/crates/route/src/line.rs
+++ b/crates/route/src/line.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Changes how many may wait.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.tickets.len()
--- a/crates/router/src/schedule.rs
+++ b/crates/router/src/schedule.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use net::exec;
 use peer::View;
-use route::{Admit, Ask, Board, Budget, Choice, Line, Pick, Report, Spec, Ticket, share, subset};
+use route::{Budget, Choice, Desk, Entered, Report, Spec, Want, share, subset};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -18,30 +18,9 @@
 /// The shortest time after which a refused caller should come back, in milliseconds.
 const COME_BACK_MS: u64 = 500;
 
-/// A request that needs an upstream.
-#[derive(Clone, Debug)]
-pub(crate) struct Want<'a> {
-    pub model: &'a str,
-    pub prefix: u64,
-    pub avoid: &'a [String],
-    pub team: &'a str,
-    pub weight: u32,
-    pub priority: u8,
-    pub deadline: u64,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    prefix: u64,
-    avoid: Vec<String>,
-    chosen: Sender<Choice>,
-}
-
 #[derive(Debug)]
 struct State {
-    board: Board,
-    lines: BTreeMap<String, Line<Waiter>>,
-    most: usize,
+    desk: Desk<Sender<Choice>>,
     retries: Budget,
     cache_seen: BTreeMap<String, u64>,
 }
@@ -55,13 +34,8 @@
 
 impl<C: Clock> Schedule<C> {
     pub(crate) fn new(data_centre: &str, clock: C) -> Schedule<C> {
-        let state = State {
-            board: Board::new(data_centre),
-            lines: BTreeMap::new(),
-            most: 0,
-            retries: Budget::new(0.0),
-            cache_seen: BTreeMap::new(),
-        };
+        let state =
+            State { desk: Desk::new(data_centre), retries: Budget::new(0.0), cache_seen: BTreeMap::new() };
         Schedule { clock, state: Mutex::new(state) }
     }
 
@@ -87,10 +61,10 @@
                 limit: share(upstream.slots, &users, me, name),
                 models: upstream.models.clone(),
             };
-            state.board.set(name, spec);
+            state.desk.board.set(name, spec);
         }
-        state.board.retain(|name| mine.contains(name));
-        state.most = bundle.limits.queue;
+        state.desk.board.retain(|name| mine.contains(name));
+        state.desk.set_most(bundle.limits.queue);
         state.retries.set_share(bundle.limits.retry_share);
         self.advance(&mut state);
     }
@@ -100,10 +74,10 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let report = Report { slots: load.slots, busy: load.running + load.waiting, leaving: load.leaving };
-        state.board.report(name, report, now);
+        state.desk.board.report(name, report, now);
         let seen = state.cache_seen.get(name).copied().unwrap_or(0);
         for event in load.cache.iter().filter(|event| event.sequence > seen) {
-            state.board.cache(name, event.prefix, event.added);
+            state.desk.board.cache(name, event.prefix, event.added);
         }
         if let Some(last) = load.cache.last() {
             state.cache_seen.insert(name.to_owned(), last.sequence.max(seen));
@@ -113,17 +87,17 @@
 
     /// Marks an upstream as leaving or staying.
     pub(crate) fn leave(&self, name: &str, leaving: bool) -> bool {
-        self.lock().board.leave(name, leaving)
+        self.lock().desk.board.leave(name, leaving)
     }
 
     /// The upstreams as operators see them.
     pub(crate) fn view(&self) -> BTreeMap<String, route::View> {
-        self.lock().board.view(self.clock.now())
+        self.lock().desk.board.view(self.clock.now())
     }
 
     /// Requests that wait.
     pub(crate) fn waiting(&self) -> usize {
-        self.lock().lines.values().map(Line::len).sum()
+        self.lock().desk.waiting()
     }
 
     /// Notes a request that earns a share of a retry.
@@ -139,10 +113,16 @@
     /// Waits for an upstream; its slot is taken until [`Schedule::end`].
     pub(crate) async fn choose(&self, want: &Want<'_>) -> Result<Choice, Refusal> {
         let (chosen, choice) = async_channel::bounded(1);
-        let number = match self.enter(want, chosen) {
+        // A displaced request learns it because its sender is dropped.
+        let (entered, _displaced) = self.lock().desk.enter(want, chosen, self.clock.now());
+        let number = match entered {
             Entered::Chosen(choice) => return Ok(choice),
-            Entered::Refused(refusal) => return Err(refusal),
             Entered::Waiting(number) => number,
+            Entered::Nowhere => return Err(nowhere(want.model)),
+            Entered::Full(millis) => return Err(full(millis.max(COME_BACK_MS))),
+            Entered::Late(millis) => {
+                return Err(late("it could not begin before its deadline", millis.max(COME_BACK_MS)));
+            }
         };
         let waiting = Waiting { schedule: self, model: want.model, number, choice };
         let limit = Duration::from_millis(want.deadline.saturating_sub(self.clock.now()));
@@ -153,86 +133,36 @@
         }
     }
 
-    fn enter(&self, want: &Want<'_>, chosen: Sender<Choice>) -> Entered {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let State { board, lines, most, .. } = &mut *state;
-        let line = lines.entry(want.model.to_owned()).or_insert_with(|| Line::new(*most));
-        let urgent = line.first().is_none_or(|(_, first)| first.priority > want.priority);
-        let ask = Ask { model: want.model, prefix: want.prefix, avoid: want.avoid };
-        if urgent {
-            match board.pick(&ask, now) {
-                Pick::Take(choice) => return Entered::Chosen(choice),
-                Pick::Nowhere => return Entered::Refused(nowhere(want.model)),
-                Pick::Wait => {}
-            }
-        }
-        let item = Waiter { prefix: want.prefix, avoid: want.avoid.to_vec(), chosen };
-        let ticket =
-            Ticket { item, team: want.team.to_owned(), priority: want.priority, deadline: want.deadline };
-        match line.push(ticket, want.weight, now) {
-            (Admit::Waiting, number) => {
-                // The displaced request learns it because its sender is dropped.
-                drop(line.overflow());
-                Entered::Waiting(number)
-            }
-            (Admit::Full(millis), _) => Entered::Refused(full(millis.max(COME_BACK_MS))),
-            (Admit::Late(millis), _) => {
-                Entered::Refused(late("it could not begin before its deadline", millis.max(COME_BACK_MS)))
-            }
-        }
-    }
-
     /// Gives back a slot and lets the next request go.
     pub(crate) fn end(&self, name: &str) {
         let mut state = self.lock();
-        state.board.end(name);
+        state.desk.board.end(name);
         self.advance(&mut state);
     }
 
     /// Notes that a run went well.
     pub(crate) fn succeed(&self, name: &str, gap: Option<f64>) {
-        self.lock().board.succeed(name, gap);
+        self.lock().desk.board.succeed(name, gap);
     }
 
     /// Notes that a run failed; `true` if the upstream is ejected for it.
     pub(crate) fn fail(&self, name: &str) -> bool {
         let now = self.clock.now();
-        self.lock().board.fail(name, now)
+        self.lock().desk.board.fail(name, now)
     }
 
     /// Sends waiting requests off while upstreams are free.
     fn advance(&self, state: &mut State) {
-        let now = self.clock.now();
-        let State { board, lines, .. } = state;
-        for (model, line) in lines.iter_mut() {
-            while let Some((number, ticket)) = line.first() {
-                if ticket.item.chosen.is_closed() {
-                    line.remove(number);
-                    continue;
-                }
-                let ask = Ask { model, prefix: ticket.item.prefix, avoid: &ticket.item.avoid };
-                let Pick::Take(choice) = board.pick(&ask, now) else {
-                    break;
-                };
-                let upstream = choice.upstream.clone();
-                let sent = line
-                    .depart(number, now)
-                    .is_some_and(|ticket| ticket.item.chosen.try_send(choice).is_ok());
-                if !sent {
-                    board.end(&upstream);
-                }
+        let sent = state.desk.advance(self.clock.now(), Sender::is_closed);
+        for (chosen, choice) in sent {
+            let upstream = choice.upstream.clone();
+            if chosen.try_send(choice).is_err() {
+                state.desk.board.end(&upstream);
             }
         }
     }
 }
 
-enum Entered {
-    Chosen(Choice),
-    Refused(Refusal),
-    Waiting(u64),
-}
-
 /// Takes a request out of the line when it no longer waits, and gives back a choice that nobody took.
 struct Waiting<'a, C: Clock> {
     schedule: &'a Schedule<C>,
@@ -244,11 +174,9 @@
 impl<C: Clock> Drop for Waiting<'_, C> {
     fn drop(&mut self) {
         let mut state = self.schedule.lock();
-        if let Some(line) = state.lines.get_mut(self.model) {
-            line.remove(self.number);
-        }
+        state.desk.leave(self.model, self.number);
         if let Ok(choice) = self.choice.try_recv() {
-            state.board.end(&choice.upstream);
+            state.desk.board.end(&choice.upstream);
             self.schedule.advance(&mut state);
         }
     }
--- a/examples/bench/policy.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Not yet.
-pub fn run() {}
