Let few routers own an upstream, and lend slots between them

Now an upstream has 2 to 12 owners (slots/4), found by rendezvous hashing with bounded load; a request that must wait at its own router waits also at the owners of its prefix's preferred upstream and at one random peer, and takes the first slot that becomes free. A lent slot counts as taken at its lender until it is given back. Also: an upstream that was marked as leaving by a peer's word stayed so for ever, as peers echoed each other; a peer's word now ages and is not passed on. A mark is kept for upstreams not owned yet.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 mod view;
 
 pub use auth::{FleetKey, KeyError};
-pub use link::{Beat, Borrow, Handler, Lent, LinkClient, Standing, Whereabouts};
+pub use link::{Beat, Borrow, Handler, Lent, LinkClient, SlotAsk, Standing, Whereabouts};
 pub use tarpc::context::Context;
 pub use transport::{Error, Peers, listen};
 pub use view::{Member, State, View};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -45,6 +45,32 @@
     pub tokens: u64,
 }
 
+/// A request for a slot of an upstream that the peer owns. Repeating it with the same `id` takes no second
+/// one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlotAsk {
+    /// Names this request; unique in the fleet.
+    pub id: String,
+    /// The borrower, with its incarnation.
+    pub borrower: String,
+    /// The model.
+    pub model: String,
+    /// The hash of the prompt's prefix.
+    pub prefix: u64,
+    /// Upstreams that failed the request.
+    pub avoid: Vec<String>,
+    /// The team.
+    pub team: String,
+    /// The team's weight.
+    pub weight: u32,
+    /// Lower is more urgent.
+    pub priority: u8,
+    /// How long the request may wait, in milliseconds.
+    pub wait_ms: u64,
+    /// The only upstream that is wanted; then the request does not wait.
+    pub at: Option<String>,
+}
+
 /// Where a request with an idempotency key is being run, or was.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Whereabouts {
@@ -82,9 +108,13 @@
     async fn locate(key: String) -> Option<Whereabouts>;
     /// Tells which bundle is in force.
     async fn standing() -> Standing;
+    /// Lends a slot, as soon as one is free; names its upstream.
+    async fn slot(ask: SlotAsk) -> Option<String>;
+    /// Takes a slot back, or a request for one that still waits.
+    async fn free(id: String, failed: bool);
 }
 
-/// What a router does with the calls of others; all of it is in memory, so nothing waits.
+/// What a router does with the calls of others; all but a request for a slot is answered at once.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Takes in a heartbeat and answers with the router's own.
     fn beat(&self, beat: Beat) -> Beat;
@@ -98,6 +128,10 @@
     fn locate(&self, key: &str) -> Option<Whereabouts>;
     /// Tells which bundle is in force.
     fn standing(&self) -> Standing;
+    /// Lends a slot, as soon as one is free; names its upstream.
+    fn slot(&self, ask: SlotAsk) -> impl Future<Output = Option<String>> + Send;
+    /// Takes a slot back, or a request for one that still waits.
+    fn free(&self, id: &str, failed: bool);
 }
 
 /// Offers a [`Handler`] as a [`Link`].
@@ -128,4 +162,12 @@
     async fn standing(self, _: Context) -> Standing {
         self.0.standing()
     }
+
+    async fn slot(self, _: Context, ask: SlotAsk) -> Option<String> {
+        self.0.slot(ask).await
+    }
+
+    async fn free(self, _: Context, id: String, failed: bool) {
+        self.0.free(&id, failed);
+    }
 }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -132,6 +132,23 @@
         peer: SocketAddr,
         call: impl FnOnce(LinkClient, Context) -> F,
     ) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        self.call_within(self.limit, step, peer, call).await
+    }
+
+    /// Makes one call that may take up to `limit`.
+    ///
+    /// # Errors
+    /// As [`Peers::call`].
+    pub async fn call_within<T, F>(
+        &self,
+        limit: Duration,
+        step: &'static str,
+        peer: SocketAddr,
+        call: impl FnOnce(LinkClient, Context) -> F,
+    ) -> Result<T, Error>
     where
         F: Future<Output = Result<T, RpcError>>,
     {
@@ -148,8 +165,8 @@
             }
         };
         let mut context = Context::current();
-        context.deadline = Instant::now() + self.limit;
-        let answer = exec::timeout(self.limit, Compat::new(call(client, context))).await;
+        context.deadline = Instant::now() + limit;
+        let answer = exec::timeout(limit, Compat::new(call(client, context))).await;
         match answer {
             Some(Ok(answer)) => Ok(answer),
             Some(Err(error)) => {
@@ -158,7 +175,7 @@
             }
             None => {
                 self.rest(peer);
-                Err(failed(format!("no answer within {} ms", self.limit.as_millis())))
+                Err(failed(format!("no answer within {} ms", limit.as_millis())))
             }
         }
     }
--- a/crates/route/src/board.rs
+++ b/crates/route/src/board.rs
@@ -4,7 +4,7 @@
 use crate::health::{Health, Standing};
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Prefixes remembered for each upstream.
@@ -21,10 +21,10 @@
 const PACE_COST: f64 = 0.5;
 /// The cost of each failure in a row.
 const FAILURE_COST: f64 = 1.0;
-/// Of the upstreams of a model, at least this share stays in use however many are found failing.
+/// Of the upstreams at least this share is ejected for a moment only, however many are found failing.
 const FLOOR: f64 = 0.5;
-/// A report older than this says nothing.
-const REPORT_AGE: Millis = 10_000;
+/// How long a peer's word that an upstream leaves counts.
+const HEARSAY_AGE: Millis = 5_000;
 
 /// What the bundle and the share say of an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -71,6 +71,8 @@
     Home,
     /// It costs least.
     LeastCost,
+    /// A peer lent one of its slots there.
+    Lent,
 }
 
 impl Reason {
@@ -81,6 +83,7 @@
             Reason::Cached => "cached",
             Reason::Home => "home",
             Reason::LeastCost => "least-cost",
+            Reason::Lent => "lent",
         }
     }
 }
@@ -127,7 +130,6 @@
     spec: Spec,
     open: u32,
     gone: bool,
-    leaving: bool,
     health: Health,
     report: Option<(Millis, Report)>,
     sent_since: u32,
@@ -140,12 +142,27 @@
 pub struct Board {
     data_centre: String,
     entries: BTreeMap<String, Entry>,
+    leaving: BTreeSet<String>,
+    hearsay: BTreeMap<String, Millis>,
+    warm_until: Millis,
 }
 
 impl Board {
     /// An empty board of a router in `data_centre`.
     pub fn new(data_centre: &str) -> Board {
-        Board { data_centre: data_centre.to_owned(), entries: BTreeMap::new() }
+        Board {
+            data_centre: data_centre.to_owned(),
+            entries: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            hearsay: BTreeMap::new(),
+            warm_until: 0,
+        }
+    }
+
+    /// Trusts the upstreams' reports more than itself until `until`: a router that has just started does not
+    /// know what its predecessor left running.
+    pub fn warm_up(&mut self, until: Millis) {
+        self.warm_until = until;
     }
 
     /// Adds or changes an upstream.
@@ -160,7 +177,6 @@
                     spec,
                     open: 0,
                     gone: false,
-                    leaving: false,
                     health: Health::default(),
                     report: None,
                     sent_since: 0,
@@ -180,13 +196,30 @@
         self.entries.retain(|_, entry| !entry.gone || entry.open > 0);
     }
 
-    /// Marks an upstream as leaving or staying; `true` if that is news.
+    /// Marks an upstream as leaving or staying, whether this router uses it now or only later; `true` if
+    /// that is news.
     pub fn leave(&mut self, name: &str, leaving: bool) -> bool {
-        self.entries.get_mut(name).is_some_and(|entry| {
-            let news = entry.leaving != leaving;
-            entry.leaving = leaving;
-            news
-        })
+        match leaving {
+            true => self.leaving.insert(name.to_owned()),
+            false => self.leaving.remove(name),
+        }
+    }
+
+    /// Takes in that a peer knows an upstream to be leaving; `true` if that is news. It is forgotten unless
+    /// the peer says it again, and never passed on, so that a mark which is taken back does not echo.
+    pub fn hear_leaving(&mut self, name: &str, now: Millis) -> bool {
+        let news = !self.is_leaving(name, now);
+        self.hearsay.insert(name.to_owned(), now + HEARSAY_AGE);
+        news
+    }
+
+    /// The upstreams that this router itself found to be leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = &str> {
+        self.leaving.iter().map(String::as_str)
+    }
+
+    fn is_leaving(&self, name: &str, now: Millis) -> bool {
+        self.leaving.contains(name) || self.hearsay.get(name).is_some_and(|until| now < *until)
     }
 
     /// Takes in a load report.
@@ -210,13 +243,13 @@
 
     /// The upstreams by name.
     pub fn view(&self, now: Millis) -> BTreeMap<String, View> {
-        let view = |entry: &Entry| View {
+        let view = |name: &str, entry: &Entry| View {
             open: entry.open,
             limit: entry.spec.limit,
-            leaving: entry.leaving || entry.gone,
+            leaving: self.is_leaving(name, now) || entry.gone,
             ejected: entry.health.standing(now) == Standing::Ejected,
         };
-        self.entries.iter().map(|(name, entry)| (name.clone(), view(entry))).collect()
+        self.entries.iter().map(|(name, entry)| (name.clone(), view(name, entry))).collect()
     }
 
     /// Chooses an upstream and takes one of its slots.
@@ -266,6 +299,16 @@
         })
     }
 
+    /// Takes a slot of one upstream for a peer, if it is free.
+    pub fn take_at(&mut self, name: &str, ask: &Ask<'_>, now: Millis) -> bool {
+        let serves = |entry: &Entry| !entry.gone && entry.spec.models.iter().any(|model| model == ask.model);
+        let free = self.entries.get(name).is_some_and(serves) && self.is_free(name, ask, now);
+        if free {
+            self.take(name, ask.prefix);
+        }
+        free
+    }
+
     /// Gives back the slot of a run that ended.
     pub fn end(&mut self, name: &str) {
         if let Some(entry) = self.entries.get_mut(name) {
@@ -283,7 +326,8 @@
         }
     }
 
-    /// Notes a failure; `true` if the upstream is ejected for it. The floor keeps part of the pool in use.
+    /// Notes a failure; `true` if the upstream is ejected for it. Where more than a part of the pool would be
+    /// out, the ejection is as short as can be, so that a fault of the detector can't empty the pool.
     pub fn fail(&mut self, name: &str, now: Millis) -> bool {
         let Some(entry) = self.entries.get_mut(name) else {
             return false;
@@ -294,11 +338,9 @@
         let total = self.entries.len();
         let ejected = |entry: &&Entry| entry.health.standing(now) == Standing::Ejected;
         let out = self.entries.values().filter(ejected).count();
-        if ((out + 1) as f64) > (total as f64) * (1.0 - FLOOR) {
-            return false;
-        }
+        let spared = ((out + 1) as f64) > (total as f64) * (1.0 - FLOOR);
         if let Some(entry) = self.entries.get_mut(name) {
-            entry.health.eject(now);
+            entry.health.eject(now, spared);
         }
         true
     }
@@ -311,20 +353,17 @@
             Standing::Fit => entry.spec.limit,
         };
         let reported_leaving = entry.report.is_some_and(|(_, report)| report.leaving);
+        let reported_full = now < self.warm_until
+            && entry.report.is_none_or(|(_, report)| report.busy + entry.sent_since >= report.slots);
         let avoided = ask.avoid.iter().any(|avoid| avoid == name);
-        entry.open < limit && !entry.leaving && !reported_leaving && !avoided
+        entry.open < limit && !self.is_leaving(name, now) && !reported_leaving && !reported_full && !avoided
     }
 
     fn cost(&self, name: &str, ask: &Ask<'_>, home: &str, fastest: f64, now: Millis) -> f64 {
+        // Only this router's own slots count: it knows them exactly, while reports lag.
         let entry = &self.entries[name];
         let own = f64::from(entry.open) / f64::from(entry.spec.limit.max(1));
-        let others = match entry.report {
-            Some((at, report)) if now.saturating_sub(at) < REPORT_AGE => {
-                f64::from(report.busy + entry.sent_since) / f64::from(report.slots.max(1))
-            }
-            _ => own,
-        };
-        let mut cost = LOAD_COST * own.max(others);
+        let mut cost = LOAD_COST * own;
         if entry.cached.contains(&ask.prefix) {
             cost -= CACHE_GAIN;
         } else if name == home {
@@ -365,7 +404,7 @@
 }
 
 /// The upstream that every router prefers for a prefix.
-fn home<'a>(serving: &[&'a str], prefix: u64) -> &'a str {
+pub fn home<'a>(serving: &[&'a str], prefix: u64) -> &'a str {
     let score = |name: &&&str| xxh3_64_with_seed(name.as_bytes(), prefix);
     serving.iter().max_by_key(score).copied().unwrap_or_default()
 }
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -116,10 +116,28 @@
         }
     }
 
-    /// Takes out a request that no longer waits.
-    pub fn leave(&mut self, model: &str, number: u64) {
+    /// Lends a slot to a peer's request, unless a request here that is as urgent waits for one: of the
+    /// upstream `at`, or of any.
+    pub fn lend(&mut self, want: &Want<'_>, at: Option<&str>, now: Millis) -> Option<String> {
+        let line = self.lines.get(want.model);
+        let awaited = line.and_then(Line::first).is_some_and(|(_, first)| first.priority <= want.priority);
+        if awaited {
+            return None;
+        }
+        let ask = Ask { model: want.model, prefix: want.prefix, avoid: want.avoid };
+        match at {
+            Some(at) => self.board.take_at(at, &ask, now).then(|| at.to_owned()),
+            None => match self.board.pick(&ask, now) {
+                Pick::Take(choice) => Some(choice.upstream),
+                Pick::Wait | Pick::Nowhere => None,
+            },
+        }
+    }
+
+    /// Takes out a request that got a slot of another router: the line moves on as if it had left here.
+    pub fn served(&mut self, model: &str, number: u64, now: Millis) {
         if let Some(line) = self.lines.get_mut(model) {
-            line.remove(number);
+            line.depart(number, now);
         }
     }
 
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -72,9 +72,10 @@
         self.failures.saturating_sub(forgotten as u32)
     }
 
-    pub(crate) fn eject(&mut self, now: Millis) {
-        let length = (EJECTION << self.ejections.min(10)).min(EJECTION_MOST);
-        self.until = now + length;
+    /// Ejects it; `spared` ones come back after the shortest time.
+    pub(crate) fn eject(&mut self, now: Millis, spared: bool) {
+        let doublings = if spared { 0 } else { self.ejections.min(10) };
+        self.until = now + (EJECTION << doublings).min(EJECTION_MOST);
         self.ejections += 1;
         self.failures = 0;
         self.proven = 0;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,8 +1,8 @@
 //! Which upstream a request goes to, and when: pure decisions on what this router knows.
 //!
 //! Time comes in as milliseconds of the caller's monotonic clock, so that tests and benches drive the same
-//! code. [`Board`] chooses the upstream, [`Line`] orders the requests that wait, [`share`] splits an
-//! upstream's slots between routers, and [`Budget`] bounds retries.
+//! code. [`Board`] chooses the upstream, [`Line`] orders the requests that wait, [`assign`] splits
+//! the upstreams' slots between routers, and [`Budget`] bounds retries.
 //!
 //! ```
 //! use route::{Ask, Board, Pick, Spec};
@@ -22,12 +22,12 @@
 mod retry;
 mod share;
 
-pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View};
+pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View, home};
 pub use desk::{Desk, Entered, Want};
 pub use health::Standing;
 pub use line::{Admit, Line, Ticket};
 pub use retry::Budget;
-pub use share::{share, subset};
+pub use share::{Owners, assign};
 
 /// A time in milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -1,6 +1,7 @@
 //! Leaving upstreams: the platform's list, the engines' own mark and the peers' word, whichever comes first.
 
 use crate::clock::Clock;
+use crate::forward;
 use crate::membership;
 use crate::node::Node;
 use crate::settings::millis;
@@ -81,6 +82,22 @@
     }
 }
 
+/// Takes back the slots of borrowers that are gone, once their runs must have ended.
+fn reclaim<P, E, C>(node: &Node<P, E, C>)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let now = node.clock.now();
+    let longest = node.settings.limits.start_ms;
+    let is_gone = |borrower: &str| forward::address_of(node, borrower).is_none();
+    for id in node.loans.overdue(now.saturating_sub(longest), is_gone) {
+        log::warn!("route: slot {id} is taken back, its borrower is gone");
+        node.loans.take_back(&node.schedule, &id, false);
+    }
+}
+
 async fn watch_loads<P, E, C>(node: &Arc<Node<P, E, C>>)
 where
     P: Services,
@@ -111,6 +128,7 @@
                 Err(error) => log::debug!("upstream: {name}: {error}"),
             }
         }
+        reclaim(node);
         let pause = node.settings.limits.load_ms.max(used.len() as u64 * 1_000 / REPORTS_PER_SECOND);
         exec::sleep(millis(pause)).await;
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -33,6 +33,7 @@
 mod schedule;
 mod service;
 mod settings;
+mod slot;
 mod steer;
 mod sync;
 
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
-use peer::{Beat, Borrow, Handler, Lent, Standing, Whereabouts};
+use peer::{Beat, Borrow, Handler, Lent, SlotAsk, Standing, Whereabouts};
 use platform::Services;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -78,6 +78,14 @@
         self.0.hints.find(key)
     }
 
+    async fn slot(&self, ask: SlotAsk) -> Option<String> {
+        self.0.loans.lend(&self.0.schedule, self.0.clock.now(), ask).await
+    }
+
+    fn free(&self, id: &str, failed: bool) {
+        self.0.loans.take_back(&self.0.schedule, id, failed);
+    }
+
     fn standing(&self) -> Standing {
         let bundle = self.0.bundle();
         Standing {
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -117,13 +117,10 @@
         log::info!("peer: {} #{} is heard from {}", beat.name, beat.incarnation, beat.address);
         node.share_out();
     }
-    let mut spread = false;
     for name in &beat.leaving {
-        spread |= node.schedule.leave(name, true);
-    }
-    if spread {
-        log::info!("upstream: leaving by the word of {}: {}", beat.name, beat.leaving.join(", "));
-        let _ = node.news.try_send(());
+        if node.schedule.hear_leaving(name) {
+            log::info!("upstream: {name} leaves, it gets no new work, says {}", beat.name);
+        }
     }
     if beat.sequence > node.bundle().sequence {
         let (node, beat) = (node.clone(), beat.clone());
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -8,6 +8,7 @@
 use crate::record::{Record, Records, Step};
 use crate::schedule::Schedule;
 use crate::settings::{Settings, millis};
+use crate::slot::Loans;
 use crate::{admin, front, leaving, link, membership, steer, sync};
 use async_channel::Sender;
 use bundle::Bundle;
@@ -79,6 +80,7 @@
     pub hints: Hints,
     pub records: Records,
     pub schedule: Schedule<C>,
+    pub loans: Loans,
     pub metrics: Metrics,
     pub open: AtomicU64,
     /// Claims of this router whose requests were certainly not dispatched, by request.
@@ -187,7 +189,6 @@
     pub(crate) fn beat(&self) -> Beat {
         let bundle = self.bundle();
         let addresses = self.addresses();
-        let leaving = self.schedule.view().into_iter().filter(|(_, view)| view.leaving);
         Beat {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
@@ -196,7 +197,7 @@
             data_centre: self.settings.data_centre.clone(),
             sequence: bundle.sequence,
             manifest: bundle.manifest.clone(),
-            leaving: leaving.map(|(name, _)| name).collect(),
+            leaving: self.schedule.leaving(),
             stopping: self.phase() == Phase::Draining,
         }
     }
@@ -256,6 +257,7 @@
         hints: Hints::default(),
         records: Records::new(limits.records),
         schedule: Schedule::new(&settings.data_centre, clock.clone()),
+        loans: Loans::default(),
         metrics: Metrics::new(),
         open: AtomicU64::new(0),
         undispatched: Mutex::default(),
--- a/crates/router/src/schedule.rs
+++ b/crates/router/src/schedule.rs
@@ -7,14 +7,14 @@
 use http::StatusCode;
 use net::exec;
 use peer::View;
-use route::{Budget, Choice, Desk, Entered, Report, Spec, Want, share, subset};
+use route::{Budget, Choice, Desk, Entered, Report, Spec, Want, assign};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use upstream::Load;
 
-/// Routers that use one upstream; the others leave it alone, so that connections stay bounded.
-const WIDTH: usize = 12;
+/// How long a new router lets the upstreams' reports limit it, in milliseconds.
+const WARM_MS: u64 = 30_000;
 /// The shortest time after which a refused caller should come back, in milliseconds.
 const COME_BACK_MS: u64 = 500;
 
@@ -23,6 +23,7 @@
     desk: Desk<Sender<Choice>>,
     retries: Budget,
     cache_seen: BTreeMap<String, u64>,
+    owners: BTreeMap<String, Vec<String>>,
 }
 
 /// The upstreams and the requests that wait for them.
@@ -34,8 +35,10 @@
 
 impl<C: Clock> Schedule<C> {
     pub(crate) fn new(data_centre: &str, clock: C) -> Schedule<C> {
+        let mut desk = Desk::new(data_centre);
+        desk.board.warm_up(clock.now() + WARM_MS);
         let state =
-            State { desk: Desk::new(data_centre), retries: Budget::new(0.0), cache_seen: BTreeMap::new() };
+            State { desk, retries: Budget::new(0.0), cache_seen: BTreeMap::new(), owners: BTreeMap::new() };
         Schedule { clock, state: Mutex::new(state) }
     }
 
@@ -46,24 +49,31 @@
     /// Takes in a bundle and the routers that share the upstreams.
     pub(crate) fn configure(&self, bundle: &Bundle, view: &View, me: &str) {
         let sharers = view.sharers();
-        let names: Vec<&str> = bundle.upstreams.keys().map(String::as_str).collect();
-        let mine: HashSet<&str> = subset(&names, &sharers, me, WIDTH).into_iter().collect();
+        let upstreams: Vec<(&str, u32)> =
+            bundle.upstreams.iter().map(|(name, upstream)| (name.as_str(), upstream.slots)).collect();
+        let shares = assign(&upstreams, &sharers);
         let mut state = self.lock();
-        for (name, upstream) in bundle.upstreams.iter().filter(|(name, _)| mine.contains(name.as_str())) {
-            // Only the routers that use the upstream have a share of it.
-            let users: Vec<&str> = sharers
-                .iter()
-                .copied()
-                .filter(|who| !subset(&[name], &sharers, who, WIDTH).is_empty())
-                .collect();
-            let spec = Spec {
-                data_centre: upstream.data_centre.clone(),
-                limit: share(upstream.slots, &users, me, name),
-                models: upstream.models.clone(),
-            };
-            state.desk.board.set(name, spec);
+        let mut mine = HashSet::new();
+        for (name, upstream) in &bundle.upstreams {
+            let owners = &shares[name.as_str()];
+            if let Some((_, slots)) = owners.iter().find(|(owner, _)| *owner == me) {
+                mine.insert(name.as_str());
+                let spec = Spec {
+                    data_centre: upstream.data_centre.clone(),
+                    limit: *slots,
+                    models: upstream.models.clone(),
+                };
+                state.desk.board.set(name, spec);
+            }
         }
         state.desk.board.retain(|name| mine.contains(name));
+        state.owners = shares
+            .iter()
+            .map(|(name, owners)| {
+                let owners = owners.iter().map(|(owner, _)| (*owner).to_owned()).collect();
+                ((*name).to_owned(), owners)
+            })
+            .collect();
         state.desk.set_most(bundle.limits.queue);
         state.retries.set_share(bundle.limits.retry_share);
         self.advance(&mut state);
@@ -90,6 +100,17 @@
         self.lock().desk.board.leave(name, leaving)
     }
 
+    /// Takes in that a peer knows an upstream to be leaving.
+    pub(crate) fn hear_leaving(&self, name: &str) -> bool {
+        let now = self.clock.now();
+        self.lock().desk.board.hear_leaving(name, now)
+    }
+
+    /// The upstreams that this router itself found to be leaving.
+    pub(crate) fn leaving(&self) -> Vec<String> {
+        self.lock().desk.board.leaving().map(ToOwned::to_owned).collect()
+    }
+
     /// The upstreams as operators see them.
     pub(crate) fn view(&self) -> BTreeMap<String, route::View> {
         self.lock().desk.board.view(self.clock.now())
@@ -133,6 +154,28 @@
         }
     }
 
+    /// The upstream that all routers prefer for a prefix, and the routers that own it.
+    pub(crate) fn home(&self, bundle: &Bundle, model: &str, prefix: u64) -> Option<(String, Vec<String>)> {
+        let serving: Vec<&str> = bundle
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.models.iter().any(|one| one == model))
+            .map(|(name, _)| name.as_str())
+            .collect();
+        if serving.is_empty() {
+            return None;
+        }
+        let home = route::home(&serving, prefix);
+        let owners = self.lock().owners.get(home).cloned()?;
+        Some((home.to_owned(), owners))
+    }
+
+    /// Takes a slot of one upstream for a peer's request, if it is free.
+    pub(crate) fn take_at(&self, want: &Want<'_>, at: &str) -> Option<String> {
+        let now = self.clock.now();
+        self.lock().desk.lend(want, Some(at), now)
+    }
+
     /// Gives back a slot and lets the next request go.
     pub(crate) fn end(&self, name: &str) {
         let mut state = self.lock();
@@ -174,7 +217,8 @@
 impl<C: Clock> Drop for Waiting<'_, C> {
     fn drop(&mut self) {
         let mut state = self.schedule.lock();
-        state.desk.leave(self.model, self.number);
+        // Whether it got a slot here or at a peer, the line moved on by one.
+        state.desk.served(self.model, self.number, self.schedule.clock.now());
         if let Ok(choice) = self.choice.try_recv() {
             state.desk.board.end(&choice.upstream);
             self.schedule.advance(&mut state);
--- /dev/null
+++ b/crates/router/src/slot.rs
@@ -0,0 +1,366 @@
+//! Slots of upstreams, this router's own and those that peers lend.
+//!
+//! A request waits at its own router and, if it has to wait, at the owners of its prefix's preferred upstream
+//! and at one more peer; the first slot that becomes free is taken and the other requests are withdrawn. A
+//! lender counts a lent slot as taken until it is given back, so the limit of an upstream holds whatever is
+//! lost on the way.
+
+use crate::ask::Ask;
+use crate::clock::Clock;
+use crate::front::Entry;
+use crate::node::Node;
+use crate::refusal::Refusal;
+use crate::schedule::Schedule;
+use crate::settings::millis;
+use async_channel::Sender;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use net::exec;
+use peer::{LinkClient, SlotAsk};
+use platform::Services;
+use rand::Rng;
+use route::{Choice, Reason, Want};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use upstream::Engine;
+use uuid::Uuid;
+
+/// Bytes of a request from which a slot at the prefix's preferred upstream is worth a message to its owner.
+const HOME_BYTES: u64 = 1_024;
+/// Ended loans that are remembered, so that a late request takes nothing.
+const ENDED_KEPT: usize = 10_000;
+/// How often a slot is given back until the lender has answered, and the pause between, in milliseconds.
+const GIVE_BACK_ATTEMPTS: u32 = 40;
+const GIVE_BACK_PAUSE_MS: u64 = 250;
+
+/// A taken slot.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    /// The upstream.
+    pub upstream: String,
+    loan: Option<Loan>,
+    failed: AtomicBool,
+}
+
+impl Slot {
+    /// Notes that the upstream failed the run.
+    pub(crate) fn fail(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A request for a slot at a peer.
+#[derive(Clone, Debug)]
+struct Loan {
+    id: String,
+    lender: SocketAddr,
+}
+
+/// Gets a slot for a request.
+pub(crate) async fn acquire<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    entry: &Entry,
+    ask: &Ask,
+    want: &Want<'_>,
+) -> Result<(Choice, Slot), Refusal>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let home = node.schedule.home(&entry.bundle.content, want.model, want.prefix);
+    let (home, owners) = home.unwrap_or_default();
+    let is_mine = owners.contains(&node.settings.name);
+    let owners = addresses(node, &owners);
+    if ask.prompt_bound >= HOME_BYTES && !is_mine && !want.avoid.contains(&home) {
+        for lender in &owners {
+            if let Some(taken) = ask_peer(node, *lender, want, Some(&home)).await {
+                return Ok(taken);
+            }
+        }
+    }
+    let own = async {
+        let choice = node.schedule.choose(want).await?;
+        let slot = Slot { upstream: choice.upstream.clone(), loan: None, failed: AtomicBool::new(false) };
+        Ok((choice, slot))
+    };
+    let lent = async {
+        match wait_at_peers(node, &owners, want).await {
+            Some(taken) => Ok(taken),
+            // Its own router still has it in line.
+            None => std::future::pending().await,
+        }
+    };
+    // The first is polled first: peers are only asked if the request has to wait here.
+    smol::future::or(own, lent).await
+}
+
+/// The addresses of those of `names` that are thought to be alive.
+fn addresses<P, E, C>(node: &Node<P, E, C>, names: &[String]) -> Vec<SocketAddr>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let alive = node.alive();
+    alive.into_iter().filter(|(name, _)| names.contains(name)).map(|(_, address)| address).collect()
+}
+
+async fn wait_at_peers<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    owners: &[SocketAddr],
+    want: &Want<'_>,
+) -> Option<(Choice, Slot)>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let mut lenders = owners.to_vec();
+    let alive = node.alive();
+    if !alive.is_empty() {
+        let random = rand::thread_rng().gen_range(0..alive.len());
+        lenders.push(alive[random].1);
+    }
+    lenders.sort_unstable();
+    lenders.dedup();
+    let mut asks: FuturesUnordered<_> =
+        lenders.into_iter().map(|lender| ask_peer(node, lender, want, None)).collect();
+    while let Some(taken) = asks.next().await {
+        if taken.is_some() {
+            return taken;
+        }
+    }
+    None
+}
+
+async fn ask_peer<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    lender: SocketAddr,
+    want: &Want<'_>,
+    at: Option<&str>,
+) -> Option<(Choice, Slot)>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let wait_ms = if at.is_some() { 0 } else { want.deadline.saturating_sub(node.clock.now()) };
+    let ask = SlotAsk {
+        id: Uuid::new_v4().to_string(),
+        borrower: node.holder.clone(),
+        model: want.model.to_owned(),
+        prefix: want.prefix,
+        avoid: want.avoid.to_vec(),
+        team: want.team.to_owned(),
+        weight: want.weight,
+        priority: want.priority,
+        wait_ms,
+        at: at.map(ToOwned::to_owned),
+    };
+    // Whatever happens to this request, the lender learns that it is over: the guard gives back.
+    let mut guard = Guard { node: node.clone(), loan: Some(Loan { id: ask.id.clone(), lender }) };
+    let limit = millis(wait_ms + node.settings.limits.peer_ms);
+    let call = |client: LinkClient, context| async move { client.slot(context, ask).await };
+    let upstream = match node.peers.call_within(limit, "slot", lender, call).await {
+        Ok(Some(upstream)) => upstream,
+        Ok(None) => {
+            guard.loan = None;
+            return None;
+        }
+        Err(error) => {
+            log::debug!("peer: {error}");
+            return None;
+        }
+    };
+    let choice = Choice { upstream: upstream.clone(), runner_up: None, reason: Reason::Lent, candidates: 1 };
+    let slot = Slot { upstream, loan: guard.loan.take(), failed: AtomicBool::new(false) };
+    Some((choice, slot))
+}
+
+/// Gives a loan back when it is dropped before it was taken.
+struct Guard<P: Services, E: Engine, C: Clock> {
+    node: Arc<Node<P, E, C>>,
+    loan: Option<Loan>,
+}
+
+impl<P: Services, E: Engine, C: Clock> Drop for Guard<P, E, C> {
+    fn drop(&mut self) {
+        if let Some(loan) = self.loan.take() {
+            give_back(&self.node, loan, false);
+        }
+    }
+}
+
+/// Ends the use of a slot.
+pub(crate) fn end<P, E, C>(node: &Arc<Node<P, E, C>>, slot: Slot)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    match slot.loan {
+        None => node.schedule.end(&slot.upstream),
+        Some(loan) => give_back(node, loan, slot.failed.load(Ordering::Relaxed)),
+    }
+}
+
+/// Tells the lender until it answers; if it never does, it takes the slot back by itself.
+fn give_back<P, E, C>(node: &Arc<Node<P, E, C>>, loan: Loan, failed: bool)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let node = node.clone();
+    exec::spawn(async move {
+        for _ in 0..GIVE_BACK_ATTEMPTS {
+            let id = loan.id.clone();
+            let call = |client: LinkClient, context| async move { client.free(context, id, failed).await };
+            if node.peers.call("free", loan.lender, call).await.is_ok() {
+                return;
+            }
+            exec::sleep(millis(GIVE_BACK_PAUSE_MS)).await;
+        }
+        log::warn!("route: slot {} could not be given back to {}", loan.id, loan.lender);
+    })
+    .detach();
+}
+
+/// The slots that this router lends.
+#[derive(Debug, Default)]
+pub(crate) struct Loans {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    loans: HashMap<String, Lent>,
+    ended: VecDeque<String>,
+}
+
+#[derive(Debug)]
+enum Lent {
+    /// A request waits; closing the channel withdraws it.
+    Waiting(Sender<()>),
+    /// A slot is lent.
+    Held { upstream: String, borrower: String, since: u64 },
+    /// It is over: a late request takes nothing.
+    Ended,
+}
+
+impl Loans {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while it holds the loans")
+    }
+
+    /// Lends a slot, as soon as one is free.
+    pub(crate) async fn lend<C: Clock>(
+        &self,
+        schedule: &Schedule<C>,
+        now: u64,
+        ask: SlotAsk,
+    ) -> Option<String> {
+        let (withdraw, withdrawn) = async_channel::bounded::<()>(1);
+        {
+            let mut state = self.lock();
+            match state.loans.get(&ask.id) {
+                Some(Lent::Held { upstream, .. }) => return Some(upstream.clone()),
+                Some(_) => return None,
+                None => state.loans.insert(ask.id.clone(), Lent::Waiting(withdraw)),
+            };
+        }
+        let want = Want {
+            model: &ask.model,
+            prefix: ask.prefix,
+            avoid: &ask.avoid,
+            team: &ask.team,
+            weight: ask.weight,
+            priority: ask.priority,
+            deadline: now + ask.wait_ms,
+        };
+        let upstream = match &ask.at {
+            Some(at) => schedule.take_at(&want, at),
+            None => {
+                let chosen = async { schedule.choose(&want).await.ok().map(|choice| choice.upstream) };
+                let over = async {
+                    let _ = withdrawn.recv().await;
+                    None
+                };
+                smol::future::or(chosen, over).await
+            }
+        };
+        self.conclude(schedule, now, ask, upstream)
+    }
+
+    /// Notes what a request got, unless it was withdrawn meanwhile.
+    fn conclude<C: Clock>(
+        &self,
+        schedule: &Schedule<C>,
+        now: u64,
+        ask: SlotAsk,
+        upstream: Option<String>,
+    ) -> Option<String> {
+        let mut state = self.lock();
+        let waits = matches!(state.loans.get(&ask.id), Some(Lent::Waiting(_)));
+        match upstream {
+            Some(upstream) if waits => {
+                let held = Lent::Held { upstream: upstream.clone(), borrower: ask.borrower, since: now };
+                state.loans.insert(ask.id, held);
+                Some(upstream)
+            }
+            Some(upstream) => {
+                drop(state);
+                schedule.end(&upstream);
+                None
+            }
+            None => {
+                if waits {
+                    state.loans.remove(&ask.id);
+                }
+                None
+            }
+        }
+    }
+
+    /// Takes a slot back, or withdraws a request that waits.
+    pub(crate) fn take_back<C: Clock>(&self, schedule: &Schedule<C>, id: &str, failed: bool) {
+        let before = {
+            let mut state = self.lock();
+            let before = state.loans.insert(id.to_owned(), Lent::Ended);
+            if !matches!(before, Some(Lent::Ended)) {
+                state.ended.push_back(id.to_owned());
+            }
+            if state.ended.len() > ENDED_KEPT
+                && let Some(oldest) = state.ended.pop_front()
+            {
+                state.loans.remove(&oldest);
+            }
+            before
+        };
+        match before {
+            Some(Lent::Held { upstream, .. }) => {
+                if failed {
+                    schedule.fail(&upstream);
+                }
+                schedule.end(&upstream);
+            }
+            Some(Lent::Waiting(withdraw)) => {
+                withdraw.close();
+            }
+            Some(Lent::Ended) | None => {}
+        }
+    }
+
+    /// The slots lent before `then` whose borrower is gone.
+    pub(crate) fn overdue(&self, then: u64, is_gone: impl Fn(&str) -> bool) -> Vec<String> {
+        let state = self.lock();
+        let overdue = |lent: &Lent| match lent {
+            Lent::Held { borrower, since, .. } => *since < then && is_gone(borrower),
+            Lent::Waiting(_) | Lent::Ended => false,
+        };
+        state.loans.iter().filter(|(_, lent)| overdue(lent)).map(|(id, _)| id.clone()).collect()
+    }
+}
