--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -67,6 +67,9 @@
         Phase::Serving if node.bundle().sequence == 0 => {
             Some("it has no bundle: neither the platform nor a peer has given one yet")
         }
+        Phase::Serving if !node.surveyed.load(Ordering::Relaxed) => {
+            Some("it has not yet asked its upstreams for their load")
+        }
         Phase::Serving => None,
     }
 }
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -10,6 +10,7 @@
 use platform::{Role, Services, Vm};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use upstream::Engine;
 
 /// Load reports that one router asks for in a second, however many upstreams it uses.
@@ -128,6 +129,9 @@
                 Err(error) => log::debug!("upstream: {name}: {error}"),
             }
         }
+        if bundle.sequence > 0 {
+            node.surveyed.store(true, Ordering::Relaxed);
+        }
         reclaim(node);
         let pause = node.settings.limits.load_ms.max(used.len() as u64 * 1_000 / REPORTS_PER_SECOND);
         exec::sleep(millis(pause)).await;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -95,6 +95,8 @@
     kick: Sender<()>,
     pub news: Sender<()>,
     platform_up: AtomicBool,
+    /// Whether the upstreams of a bundle were asked for their load once.
+    pub surveyed: AtomicBool,
     closed: AtomicBool,
 }
 
@@ -270,6 +272,7 @@
         kick,
         news,
         platform_up: AtomicBool::new(true),
+        surveyed: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         clock,
         settings,
