Let a change of the bundle cost its own size, and bound what the VM list costs

Now teams are named by indexes (about the square root of them), unchanged teams are not read again, and the list is read so that it costs 2 KB/s on average; the router that sees an upstream leave tells its owners at once, and they look at the list themselves.

--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -1,7 +1,8 @@
 //! Reading a bundle: every mistake at once, each with its line and key path.
 
-use crate::model::{Budget, Bundle};
+use crate::model::{Budget, Bundle, Team};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use yaml::{Mistake, Reader};
 
 /// Hex digits of a key's hash.
@@ -18,7 +19,11 @@
 pub fn read(text: &str) -> Result<Bundle, Vec<Mistake>> {
     yaml::read(text, |reader, mut root| {
         let bundle = Bundle {
-            teams: reader.take_entries(&mut root, "teams"),
+            teams: reader
+                .take_entries::<Team>(&mut root, "teams")
+                .into_iter()
+                .map(|(name, team)| (name, Arc::new(team)))
+                .collect(),
             upstreams: reader.take_entries(&mut root, "upstreams"),
             models: reader.take_entries(&mut root, "models"),
             services: reader.take_entries(&mut root, "services"),
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -5,13 +5,14 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Everything that operators decide.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, rename_all = "kebab-case")]
 pub struct Bundle {
     /// The teams by name.
-    pub teams: BTreeMap<String, Team>,
+    pub teams: BTreeMap<String, Arc<Team>>,
     /// The model servers by name.
     pub upstreams: BTreeMap<String, Upstream>,
     /// The models by the name that callers use.
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -3,12 +3,16 @@
 //! A manifest names the sequence it follows, so a signature is good for one place in the history: replaying
 //! an older signed bundle, or rolling it on top of another one, is refused.
 
-use crate::model::Bundle;
+use crate::model::{Bundle, Team};
 use ed25519_dalek::{Signature, Signer, SigningKey, Verifier, VerifyingKey};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
+/// The start of an index's name.
+const GROUP: &str = "teams/";
 /// Bytes of a key.
 const KEY_BYTES: usize = 32;
 
@@ -54,7 +58,7 @@
     pub parent: u64,
     /// For a rollback, the sequence whose content is taken up again.
     pub rollback_to: Option<u64>,
-    /// The hash of each section by name.
+    /// The hash of each section that is not named by an index, by name.
     pub sections: BTreeMap<String, String>,
     /// Why, in the author's words.
     pub note: String,
@@ -138,53 +142,116 @@
     hex::encode(Sha256::digest(text.as_bytes()))
 }
 
-/// Splits a bundle into sections: one for each team, one for each other part.
+/// Splits a bundle into sections: one for each team, an index for each group of teams, and one for each
+/// other part. The manifest names the indexes, so that a change of one team costs the size of that team, its
+/// index and the manifest, which all grow with the square root of the bundle at most.
 ///
 /// # Panics
 /// Never: a bundle always serializes.
 pub fn split(bundle: &Bundle) -> Vec<Section> {
-    let section = |name: String, json: Result<String, serde_json::Error>| Section {
-        name,
-        json: json.expect("a bundle serializes to JSON"),
-    };
-    let mut sections: Vec<Section> = bundle
-        .teams
-        .iter()
-        .map(|(name, team)| section(format!("team/{name}"), serde_json::to_string(team)))
-        .collect();
-    sections.push(section("limits".into(), serde_json::to_string(&bundle.limits)));
-    sections.push(section("models".into(), serde_json::to_string(&bundle.models)));
-    sections.push(section("services".into(), serde_json::to_string(&bundle.services)));
-    sections.push(section("upstreams".into(), serde_json::to_string(&bundle.upstreams)));
+    let groups = group_count(bundle.teams.len());
+    let mut indexes: BTreeMap<String, BTreeMap<&str, String>> = BTreeMap::new();
+    let mut sections = vec![];
+    for (name, team) in &bundle.teams {
+        let section = section(format!("team/{name}"), team);
+        let index = indexes.entry(group_of(name, groups)).or_default();
+        index.insert(name, digest(&section.json));
+        sections.push(section);
+    }
+    sections.extend(indexes.into_iter().map(|(group, index)| section(group, &index)));
+    sections.push(section("limits".to_owned(), &bundle.limits));
+    sections.push(section("models".to_owned(), &bundle.models));
+    sections.push(section("services".to_owned(), &bundle.services));
+    sections.push(section("upstreams".to_owned(), &bundle.upstreams));
     sections
 }
 
-/// Puts a bundle together from the sections that the manifest names; `find` looks one up by hash.
+fn section(name: String, content: &impl Serialize) -> Section {
+    Section { name, json: serde_json::to_string(content).expect("a bundle serializes to JSON") }
+}
+
+/// A power of two near the square root.
+fn group_count(teams: usize) -> usize {
+    teams.isqrt().next_power_of_two()
+}
+
+fn group_of(team: &str, groups: usize) -> String {
+    let hash = Sha256::digest(team.as_bytes());
+    let number = usize::from(u16::from_be_bytes([hash[0], hash[1]])) % groups;
+    format!("{GROUP}{number:04}")
+}
+
+/// Whether a section is named by the manifest itself, and not by an index.
+pub fn is_top(name: &str) -> bool {
+    !name.starts_with("team/")
+}
+
+/// Reads the digests of the teams that an index names.
+///
+/// # Errors
+/// Fails if it is not an index.
+pub fn read_index(name: &str, json: &str) -> Result<BTreeMap<String, String>, Error> {
+    serde_json::from_str(json).map_err(|error| Error::Unreadable(name.to_owned(), error.to_string()))
+}
+
+/// The digests of the teams, from the indexes that are found.
+///
+/// # Errors
+/// Fails if an index is missing or is not one.
+pub fn team_digests<'a>(
+    manifest: &Manifest,
+    find: impl Fn(&str) -> Option<&'a str>,
+) -> Result<BTreeMap<String, String>, Error> {
+    let mut teams = BTreeMap::new();
+    for (name, hash) in manifest.sections.iter().filter(|(name, _)| name.starts_with(GROUP)) {
+        teams.extend(read_index(name, get(name, hash, &find)?)?);
+    }
+    Ok(teams)
+}
+
+fn get<'a>(name: &str, hash: &str, find: &impl Fn(&str) -> Option<&'a str>) -> Result<&'a str, Error> {
+    let json = find(hash).ok_or_else(|| Error::Missing(name.to_owned()))?;
+    if digest(json) != *hash {
+        return Err(Error::Tampered(name.to_owned()));
+    }
+    Ok(json)
+}
+
+/// Puts a bundle together from the sections that the manifest names; `find` looks one up by hash, and
+/// `reuse` gives a team that was read before.
 ///
 /// # Errors
 /// Fails if a section is missing, was tampered with, or is not understood.
-pub fn join<'a>(manifest: &Manifest, find: impl Fn(&str) -> Option<&'a str>) -> Result<Bundle, Error> {
+pub fn join<'a>(
+    manifest: &Manifest,
+    find: impl Fn(&str) -> Option<&'a str>,
+    reuse: impl Fn(&str) -> Option<Arc<Team>>,
+) -> Result<Bundle, Error> {
     let mut bundle = Bundle::default();
-    for (name, hash) in &manifest.sections {
-        let json = find(hash).ok_or_else(|| Error::Missing(name.clone()))?;
-        if digest(json) != *hash {
-            return Err(Error::Tampered(name.clone()));
-        }
-        let unreadable = |error: serde_json::Error| Error::Unreadable(name.clone(), error.to_string());
-        match (name.as_str(), name.strip_prefix("team/")) {
-            (_, Some(team)) => {
-                bundle.teams.insert(team.to_owned(), serde_json::from_str(json).map_err(unreadable)?);
-            }
-            ("limits", _) => bundle.limits = serde_json::from_str(json).map_err(unreadable)?,
-            ("models", _) => bundle.models = serde_json::from_str(json).map_err(unreadable)?,
-            ("services", _) => bundle.services = serde_json::from_str(json).map_err(unreadable)?,
-            ("upstreams", _) => bundle.upstreams = serde_json::from_str(json).map_err(unreadable)?,
+    for (name, hash) in team_digests(manifest, &find)? {
+        let team = match reuse(&hash) {
+            Some(team) => team,
+            None => Arc::new(parse(&name, get(&name, &hash, &find)?)?),
+        };
+        bundle.teams.insert(name, team);
+    }
+    for (name, hash) in manifest.sections.iter().filter(|(name, _)| !name.starts_with(GROUP)) {
+        let json = get(name, hash, &find)?;
+        match name.as_str() {
+            "limits" => bundle.limits = parse(name, json)?,
+            "models" => bundle.models = parse(name, json)?,
+            "services" => bundle.services = parse(name, json)?,
+            "upstreams" => bundle.upstreams = parse(name, json)?,
             _ => return Err(Error::Unreadable(name.clone(), "unknown section".to_owned())),
         }
     }
     Ok(bundle)
 }
 
+fn parse<T: DeserializeOwned>(name: &str, json: &str) -> Result<T, Error> {
+    serde_json::from_str(json).map_err(|error| Error::Unreadable(name.to_owned(), error.to_string()))
+}
+
 /// Checks the signatures and reads the manifest.
 ///
 /// # Errors
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -5,6 +5,7 @@
 use standin::Shape;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The names of the first two teams.
 pub const TEAMS: [&str; 2] = ["storm-desk", "field-office"];
@@ -91,7 +92,7 @@
             let key = Key { hash: hash_key(&team.key()), budget: "main".to_owned() };
             let content =
                 Team { weight: team.weight, keys: vec![key], budgets: [("main".to_owned(), budget)].into() };
-            (team.name.clone(), content)
+            (team.name.clone(), Arc::new(content))
         });
         let upstreams = engines.iter().zip(&self.engines).enumerate().map(|(index, (address, shape))| {
             let upstream = Upstream {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -112,6 +112,8 @@
     async fn slot(ask: SlotAsk) -> Option<String>;
     /// Takes a slot back, or a request for one that still waits.
     async fn free(id: String, failed: bool);
+    /// Hints that an upstream which the receiver owns is leaving.
+    async fn hint_leaving(upstream: String, from: String);
 }
 
 /// What a router does with the calls of others; all but a request for a slot is answered at once.
@@ -132,6 +134,8 @@
     fn slot(&self, ask: SlotAsk) -> impl Future<Output = Option<String>> + Send;
     /// Takes a slot back, or a request for one that still waits.
     fn free(&self, id: &str, failed: bool);
+    /// Takes in a hint that an upstream is leaving.
+    fn hint_leaving(&self, upstream: &str, from: &str);
 }
 
 /// Offers a [`Handler`] as a [`Link`].
@@ -170,4 +174,8 @@
     async fn free(self, _: Context, id: String, failed: bool) {
         self.0.free(&id, failed);
     }
+
+    async fn hint_leaving(self, _: Context, upstream: String, from: String) {
+        self.0.hint_leaving(&upstream, &from);
+    }
 }
--- a/crates/roll/src/accept.rs
+++ b/crates/roll/src/accept.rs
@@ -93,7 +93,11 @@
     for digest in manifest.sections.values() {
         parts.insert(digest.clone(), object(platform, digest).await?);
     }
-    Ok(bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str))?)
+    let teams = bundle::team_digests(&manifest, |digest| parts.get(digest).map(String::as_str))?;
+    for digest in teams.values() {
+        parts.insert(digest.clone(), object(platform, digest).await?);
+    }
+    Ok(bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str), |_| None)?)
 }
 
 async fn object(platform: &impl Services, digest: &str) -> Result<String, Error> {
--- a/crates/roll/src/package.rs
+++ b/crates/roll/src/package.rs
@@ -18,7 +18,8 @@
     /// Packs a bundle that follows sequence `parent`; nobody has signed it yet.
     pub fn new(bundle: &Bundle, parent: u64, rollback_to: Option<u64>, note: &str) -> Package {
         let parts = bundle::split(bundle);
-        let names = parts.iter().map(|part| (part.name.clone(), bundle::digest(&part.json))).collect();
+        let top = parts.iter().filter(|part| bundle::is_top(&part.name));
+        let names = top.map(|part| (part.name.clone(), bundle::digest(&part.json))).collect();
         let manifest = Manifest { parent, rollback_to, sections: names, note: note.to_owned() };
         let sections = parts.into_iter().map(|part| (bundle::digest(&part.json), part.json)).collect();
         Package { signed: Signed::new(&manifest), sections }
@@ -30,7 +31,8 @@
     /// Fails if it is under-signed, tampered with or incomplete.
     pub fn verify(&self, trusted: &[String], needed: usize) -> Result<(Manifest, Bundle), Error> {
         let manifest = bundle::verify(&self.signed, trusted, needed)?;
-        let content = bundle::join(&manifest, |digest| self.sections.get(digest).map(String::as_str))?;
+        let content =
+            bundle::join(&manifest, |digest| self.sections.get(digest).map(String::as_str), |_| None)?;
         Ok((manifest, content))
     }
 }
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -5,8 +5,10 @@
 use crate::membership;
 use crate::node::Node;
 use crate::settings::millis;
+use async_channel::Receiver;
 use futures::future::join_all;
 use net::exec;
+use peer::LinkClient;
 use platform::{Role, Services, Vm};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,20 +19,23 @@
 const REPORTS_PER_SECOND: u64 = 50;
 /// Lists of VMs that all routers together ask for in a second.
 const FLEET_RATE: u64 = 400;
+/// Bytes of one entry of the list, and bytes of the list that one router reads in a second on average.
+const ENTRY_BYTES: u64 = 120;
+const LIST_BYTES_PER_SECOND: u64 = 2_000;
 
 /// Watches the upstreams and the VM list.
-pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>)
+pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, looked: Receiver<()>)
 where
     P: Services,
     E: Engine,
     C: Clock,
 {
-    let lists = watch_list(&node);
+    let lists = watch_list(&node, &looked);
     let loads = watch_loads(&node);
     futures::future::join(lists, loads).await;
 }
 
-async fn watch_list<P, E, C>(node: &Arc<Node<P, E, C>>)
+async fn watch_list<P, E, C>(node: &Arc<Node<P, E, C>>, looked: &Receiver<()>)
 where
     P: Services,
     E: Engine,
@@ -38,17 +43,24 @@
 {
     let mut marked: BTreeSet<String> = BTreeSet::new();
     while !node.is_closed() {
+        let mut listed = 0;
         if let Ok(vms) = node.platform.list().await {
+            listed = vms.len() as u64;
             membership::list(node, &vms);
             mark(node, &vms, &mut marked);
         }
-        let pause = node.settings.limits.poll_ms.max(node.fleet_size() * 1_000 / FLEET_RATE);
-        exec::sleep(millis(pause)).await;
+        let by_rate = node.fleet_size() * 1_000 / FLEET_RATE;
+        let by_bytes = listed * ENTRY_BYTES * 1_000 / LIST_BYTES_PER_SECOND;
+        let pause = node.settings.limits.poll_ms.max(by_rate).max(by_bytes);
+        let hint = async {
+            let _ = looked.recv().await;
+        };
+        smol::future::or(hint, exec::sleep(millis(pause))).await;
     }
 }
 
 /// Marks the upstreams that the list says are leaving, and those that it no longer says so of.
-fn mark<P, E, C>(node: &Node<P, E, C>, vms: &[Vm], marked: &mut BTreeSet<String>)
+fn mark<P, E, C>(node: &Arc<Node<P, E, C>>, vms: &[Vm], marked: &mut BTreeSet<String>)
 where
     P: Services,
     E: Engine,
@@ -70,7 +82,7 @@
     }
 }
 
-fn note<P, E, C>(node: &Node<P, E, C>, name: &str, leaving: bool, source: &str)
+fn note<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str, leaving: bool, source: &str)
 where
     P: Services,
     E: Engine,
@@ -80,6 +92,31 @@
         let what = if leaving { "leaves, it gets no new work" } else { "stays" };
         log::info!("upstream: {name} {what}, says {source}");
         let _ = node.news.try_send(());
+        if leaving {
+            hint_owners(node, name);
+        }
+    }
+}
+
+/// Tells the routers that send work to an upstream: they may look at the list only much later.
+fn hint_owners<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str)
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let owners = node.schedule.owners(name);
+    for (_, address) in node.alive().into_iter().filter(|(owner, _)| owners.contains(owner)) {
+        let (node, name) = (node.clone(), name.to_owned());
+        exec::spawn(async move {
+            let me = node.settings.name.clone();
+            let call =
+                |client: LinkClient, context| async move { client.hint_leaving(context, name, me).await };
+            if let Err(error) = node.peers.call("hint", address, call).await {
+                log::debug!("peer: {error}");
+            }
+        })
+        .detach();
     }
 }
 
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -86,6 +86,14 @@
         self.0.loans.take_back(&self.0.schedule, id, failed);
     }
 
+    fn hint_leaving(&self, upstream: &str, from: &str) {
+        if self.0.schedule.hear_leaving(upstream) {
+            log::info!("upstream: {upstream} leaves, it gets no new work, hints {from}");
+        }
+        // A hint ages; only this router's own look at the list makes it last.
+        let _ = self.0.look.try_send(());
+    }
+
     fn standing(&self) -> Standing {
         let bundle = self.0.bundle();
         Standing {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -11,7 +11,7 @@
 use crate::slot::Loans;
 use crate::{admin, front, leaving, link, membership, steer, sync};
 use async_channel::Sender;
-use bundle::Bundle;
+use bundle::{Bundle, Team};
 use net::{Handle, exec};
 use peer::{Beat, Peers, State, View};
 use platform::Services;
@@ -37,6 +37,8 @@
     pub manifest: String,
     /// The signed manifest and the sections by digest, for peers.
     pub parts: HashMap<String, String>,
+    /// The teams by digest, so that unchanged ones are not read again.
+    pub teams: HashMap<String, Arc<Team>>,
     /// What it says.
     pub content: Bundle,
     /// The access keys by hash.
@@ -94,6 +96,8 @@
     batch: AtomicU64,
     kick: Sender<()>,
     pub news: Sender<()>,
+    /// Asks for a look at the platform's list now.
+    pub look: Sender<()>,
     platform_up: AtomicBool,
     /// Whether the upstreams of a bundle were asked for their load once.
     pub surveyed: AtomicBool,
@@ -242,6 +246,7 @@
     };
     let (kick, kicked) = async_channel::bounded(1);
     let (news, heard) = async_channel::bounded(1);
+    let (look, looked) = async_channel::bounded(1);
     let limits = settings.limits.clone();
     let addresses = Addresses {
         callers: settings.listen.callers,
@@ -271,6 +276,7 @@
         batch: AtomicU64::new(0),
         kick,
         news,
+        look,
         platform_up: AtomicBool::new(true),
         surveyed: AtomicBool::new(false),
         closed: AtomicBool::new(false),
@@ -297,7 +303,7 @@
 
     exec::spawn(steer::run(node.clone())).detach();
     exec::spawn(membership::run(node.clone(), heard)).detach();
-    exec::spawn(leaving::run(node.clone())).detach();
+    exec::spawn(leaving::run(node.clone(), looked)).detach();
     exec::spawn(sync::run(node.clone(), kicked)).detach();
     let bound = node.addresses();
     log::info!(
--- a/crates/router/src/schedule.rs
+++ b/crates/router/src/schedule.rs
@@ -170,6 +170,11 @@
         Some((home.to_owned(), owners))
     }
 
+    /// The routers that own an upstream.
+    pub(crate) fn owners(&self, upstream: &str) -> Vec<String> {
+        self.lock().owners.get(upstream).cloned().unwrap_or_default()
+    }
+
     /// Takes a slot of one upstream for a peer's request, if it is free.
     pub(crate) fn take_at(&self, want: &Want<'_>, at: &str) -> Option<String> {
         let now = self.clock.now();
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -29,6 +29,8 @@
 
 /// Bytes of a request from which a slot at the prefix's preferred upstream is worth a message to its owner.
 const HOME_BYTES: u64 = 1_024;
+/// The pause before other peers are asked, after all that were asked have declined, in milliseconds.
+const ASK_AGAIN_MS: u64 = 250;
 /// Ended loans that are remembered, so that a late request takes nothing.
 const ENDED_KEPT: usize = 10_000;
 /// How often a slot is given back until the lender has answered, and the pause between, in milliseconds.
@@ -87,10 +89,12 @@
         Ok((choice, slot))
     };
     let lent = async {
-        match wait_at_peers(node, &owners, want).await {
-            Some(taken) => Ok(taken),
-            // Its own router still has it in line.
-            None => std::future::pending().await,
+        loop {
+            if let Some(taken) = wait_at_peers(node, &owners, want).await {
+                return Ok(taken);
+            }
+            // None of them can serve it now; its own router still has it in line.
+            exec::sleep(millis(ASK_AGAIN_MS)).await;
         }
     };
     // The first is polled first: peers are only asked if the request has to wait here.
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -129,19 +129,46 @@
         return Err(Error::Replayed { parent: manifest.parent, sequence });
     }
 
-    let missing: Vec<String> =
-        manifest.sections.values().filter(|digest| !current.parts.contains_key(*digest)).cloned().collect();
-    let mut parts = fetch(node, &missing, source).await?;
-    for digest in manifest.sections.values() {
-        if let Some(part) = current.parts.get(digest) {
-            parts.insert(digest.clone(), part.clone());
-        }
-    }
+    let mut parts = HashMap::new();
+    collect(node, current, manifest.sections.values(), source, &mut parts).await?;
+    let teams = bundle::team_digests(&manifest, |digest| parts.get(digest).map(String::as_str))?;
+    collect(node, current, teams.values(), source, &mut parts).await?;
     parts.insert(digest.to_owned(), text.clone());
-    let content = bundle::join(&manifest, |digest| parts.get(digest).map(String::as_str))?;
+    let find = |digest: &str| parts.get(digest).map(String::as_str);
+    let content = bundle::join(&manifest, find, |digest| current.teams.get(digest).cloned())?;
+    let teams = teams
+        .into_iter()
+        .filter_map(|(name, digest)| content.teams.get(&name).map(|team| (digest, team.clone())))
+        .collect();
     let keys = access(&content);
     let since = node.clock.now();
-    Ok(InForce { sequence, manifest: digest.to_owned(), parts, content, keys, since })
+    Ok(InForce { sequence, manifest: digest.to_owned(), parts, teams, content, keys, since })
+}
+
+/// Gathers parts: those in force are at hand, the others are fetched.
+async fn collect<P, E, C>(
+    node: &Arc<Node<P, E, C>>,
+    current: &InForce,
+    digests: impl Iterator<Item = &String>,
+    source: Source,
+    parts: &mut HashMap<String, String>,
+) -> Result<(), Error>
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let mut missing = vec![];
+    for digest in digests {
+        match current.parts.get(digest) {
+            Some(part) => {
+                parts.insert(digest.clone(), part.clone());
+            }
+            None => missing.push(digest.clone()),
+        }
+    }
+    parts.extend(fetch(node, &missing, source).await?);
+    Ok(())
 }
 
 async fn fetch<P, E, C>(
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -6,6 +6,7 @@
 use smol::net::{TcpListener, TcpStream};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +38,7 @@
 pub struct Proxy {
     address: SocketAddr,
     rule: Arc<Mutex<Rule>>,
+    passed: Arc<AtomicU64>,
     _stop: Sender<()>,
 }
 
@@ -50,11 +52,12 @@
         let address = listener.local_addr()?;
         let rule = Arc::new(Mutex::new(Rule::Pass));
         let (stop, stopped) = async_channel::bounded::<()>(1);
-        let shared = rule.clone();
+        let passed = Arc::new(AtomicU64::new(0));
+        let shared = (rule.clone(), passed.clone());
         net::exec::spawn(async move {
             let accepting = async {
                 while let Ok((stream, _)) = listener.accept().await {
-                    net::exec::spawn(relay(stream, target, shared.clone())).detach();
+                    net::exec::spawn(relay(stream, target, shared.0.clone(), shared.1.clone())).detach();
                 }
             };
             smol::future::or(accepting, async {
@@ -63,7 +66,7 @@
             .await;
         })
         .detach();
-        Ok(Proxy { address, rule, _stop: stop })
+        Ok(Proxy { address, rule, passed, _stop: stop })
     }
 
     /// Where it listens.
@@ -71,6 +74,11 @@
         self.address
     }
 
+    /// Bytes that passed in both directions.
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
     /// Changes what happens to the bytes, on open connections too.
     pub fn set(&self, rule: Rule) {
         *self.rule.lock().expect("the rule's lock") = rule;
@@ -81,7 +89,7 @@
     *rule.lock().expect("the rule's lock")
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, rule: Arc<Mutex<Rule>>) {
+async fn relay(near: TcpStream, target: SocketAddr, rule: Arc<Mutex<Rule>>, total: Arc<AtomicU64>) {
     if current(&rule) == Rule::Cut {
         return;
     }
@@ -89,8 +97,8 @@
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let forward = pump(near.clone(), far.clone(), &rule, Direction::Forward);
-    let back = pump(far, near, &rule, Direction::Back);
+    let forward = pump(near.clone(), far.clone(), &rule, &total, Direction::Forward);
+    let back = pump(far, near, &rule, &total, Direction::Back);
     let cut = async {
         while current(&rule) != Rule::Cut {
             net::exec::sleep(RECHECK).await;
@@ -108,7 +116,13 @@
     Back,
 }
 
-async fn pump(mut from: TcpStream, mut to: TcpStream, rule: &Mutex<Rule>, direction: Direction) {
+async fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    rule: &Mutex<Rule>,
+    total: &AtomicU64,
+    direction: Direction,
+) {
     let mut chunk = vec![0; CHUNK];
     let mut passed = 0;
     while let Ok(count @ 1..) = from.read(&mut chunk).await {
@@ -125,6 +139,7 @@
             count = count.min(limit.saturating_sub(passed));
         }
         passed += count;
+        total.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&chunk[..count]).await.is_err() || last {
             break;
         }
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -143,7 +143,8 @@
         fleet.cut_peers(2, true);
         let mut bundle = fleet.bundle.clone();
         let credit = budget::ledger::Credit { id: "prepaid-2".to_owned(), tokens: 4_000 };
-        let budget = bundle.teams.get_mut("storm-desk").and_then(|team| team.budgets.get_mut("main"));
+        let team = bundle.teams.get_mut("storm-desk").map(std::sync::Arc::make_mut);
+        let budget = team.and_then(|team| team.budgets.get_mut("main"));
         budget.expect("the budget").credits.push(credit);
         fleet.roll(&bundle).await.expect("a top-up");
         answers.extend(load(&fleet, &[0, 1, 2], 60, 10).await);
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -86,15 +86,8 @@
         let mut bundle = fleet.bundle.clone();
         bundle.limits.queue = 77;
         let credit = budget::ledger::Credit { id: "prepaid-2".to_owned(), tokens: 500 };
-        bundle
-            .teams
-            .get_mut("storm-desk")
-            .expect("a team")
-            .budgets
-            .get_mut("main")
-            .expect("a budget")
-            .credits
-            .push(credit);
+        let team = std::sync::Arc::make_mut(bundle.teams.get_mut("storm-desk").expect("a team"));
+        team.budgets.get_mut("main").expect("a budget").credits.push(credit);
         let file = folder.write("bundle.yaml", &serde_yaml_ng::to_string(&bundle).expect("YAML"));
         let settings = fleet.nodes[0].settings.clone();
         let keys: Vec<PathBuf> = fleet
