Write the book, and check it against the code; split a request's attempts from its life

Each settings and bundle key, default, metric and refusal code in the book is now compared with the code by a test.

--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -21,7 +21,7 @@
 const FLEET_RATE: u64 = 400;
 /// Bytes of one entry of the list, and bytes of the list that one router reads in a second on average.
 const ENTRY_BYTES: u64 = 120;
-const LIST_BYTES_PER_SECOND: u64 = 2_000;
+const LIST_BYTES_PER_SECOND: u64 = 1_500;
 
 /// Watches the upstreams and the VM list.
 pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, looked: Receiver<()>)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod admin;
 mod ask;
+mod attempt;
 mod claims;
 mod clock;
 mod flight;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -126,7 +126,7 @@
             peer_ms: 500,
             sync_ms: 1_000,
             poll_ms: 500,
-            beat_ms: 500,
+            beat_ms: 1_000,
             load_ms: 500,
             stop_delay_ms: 2_000,
             answer_ms: 600_000,
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -212,3 +212,36 @@
         assert!(audit.free < 200, "after it woke, its tokens were spent too: {audit:?}");
     });
 }
+
+#[test]
+fn a_retry_elsewhere_is_served_after_its_router_died_while_the_platform_is_away() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 24, 4).await;
+        fleet.platform.set(Mode::Down);
+        let ask = Ask::new("narrator", "A long sweep", 600).key("sweep").streamed();
+        let caller = fleet.caller(0);
+        let first = net::exec::spawn({
+            let ask = ask.clone();
+            async move { caller.ask(&ask).await }
+        });
+        fleet.until("the run is open", || async { crate::support::open_runs(&fleet) == 1 }).await;
+        fleet.nodes[0].process.kill();
+        assert!(!first.await.complete);
+        let again = fleet.caller(1).ask(&ask).await;
+        assert!(again.is_whole(&ask), "{again:?}");
+        let joined = fleet.caller(2).ask(&ask).await;
+        assert!(joined.is_whole(&ask), "{joined:?}");
+        fleet.platform.set(Mode::Up);
+        for index in 1..3 {
+            fleet.nodes[index].process.terminate();
+            crate::support::wait_ended(&mut fleet, index).await;
+        }
+        answers.push(again);
+        let told: u64 = answers.iter().map(|answer| answer.usage).sum();
+        let audit = &audit(&fleet)[BUDGET];
+        assert!(audit.balanced && audit.accounts_agree, "I1: {audit:?}");
+        assert!(audit.spent <= told, "the sweep is charged once (I2): {audit:?}");
+        assert!(consumed(&fleet) <= audit.spent + audit.outstanding, "I6: {audit:?}");
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod bundles;
 mod callers;
 mod command_line;
+mod documents;
 mod once;
 mod stops;
 mod support;
