Give back what a lost router can't have used, by a transaction and no clock

Ruled out: a lease (a paused holder spends what was given to another). Now each settlement also writes the most that the router will use until the next one; a keeper, a peer named in the account row, closes the account of a router that is gone and gives back the rest. Safe even if the router lives on, frozen or cut off, since it never uses more; while the platform is away its keeper promises not to close, and the bound is lifted. The model found that a batch on its way returned tokens a second time after a closing; a closed account takes no return.

--- a/crates/budget/src/demand.rs
+++ b/crates/budget/src/demand.rs
@@ -2,7 +2,7 @@
 //!
 //! ```
 //! let mut demand = budget::demand::Demand::default();
-//! let terms = budget::demand::Terms { cover_s: 60, least: 1_000 };
+//! let terms = budget::demand::Terms { cover_s: 60, least: 1_000, expose_s: 10 };
 //! demand.ask(0);
 //! for second in 1..=100 {
 //!     demand.ask(second * 1_000);
@@ -26,6 +26,8 @@
     pub cover_s: u64,
     /// The least to draw at once, in tokens.
     pub least: u64,
+    /// Seconds of demand that may be used between two settlements.
+    pub expose_s: u64,
 }
 
 /// One router's demand for one budget.
@@ -54,6 +56,11 @@
         self.consumed = 0;
     }
 
+    /// The tokens that may be used between two settlements beyond what is in use: what a lost VM strands.
+    pub fn spare(&self, terms: &Terms) -> u64 {
+        ((self.rate * terms.expose_s as f64) as u64).max(terms.least)
+    }
+
     /// The tokens that should be available here at time `now`.
     pub fn target(&self, now: u64, terms: &Terms) -> u64 {
         if now.saturating_sub(self.asked) > IDLE_MS {
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -17,6 +17,7 @@
     received: u64,
     line: Line,
     open: Option<Entry>,
+    raised: bool,
 }
 
 /// The outcome of a reservation.
@@ -26,6 +27,8 @@
     Held,
     /// So many tokens are missing.
     Short(u64),
+    /// The tokens are here, but using them would pass what was exposed at the last settlement.
+    Capped,
 }
 
 impl Grant {
@@ -53,6 +56,7 @@
     /// Reserves the worst case of a request.
     pub fn reserve(&mut self, tokens: u64) -> Reserve {
         match self.available.checked_sub(tokens) {
+            Some(_) if tokens > self.room() => Reserve::Capped,
             Some(rest) => {
                 self.available = rest;
                 self.reserved += tokens;
@@ -62,6 +66,46 @@
         }
     }
 
+    /// Tokens in use since the last settlement, beside those of an open batch.
+    pub fn in_use(&self) -> u64 {
+        self.reserved + self.unknown + sum(&self.charges) + self.sent
+    }
+
+    /// Tokens that may still be used before the next settlement. Tokens taken over from peers since the last
+    /// one are not in the account yet, so they need no exposure. While a batch is on its way both what it
+    /// would expose and what was exposed before bound the use.
+    fn room(&self) -> u64 {
+        if self.raised {
+            return u64::MAX;
+        }
+        let fresh = self.in_use();
+        match &self.open {
+            None => (self.line.exposed + self.received).saturating_sub(fresh),
+            Some(entry) => {
+                let settling = sum(&entry.charges) + entry.sent;
+                let before = self.line.exposed + self.received + entry.received;
+                let after = entry.exposed + self.received;
+                before.saturating_sub(fresh + settling).min(after.saturating_sub(fresh))
+            }
+        }
+    }
+
+    /// Lifts the bound until the next settlement: every router that may close this account has promised not
+    /// to.
+    pub fn raise(&mut self) {
+        self.raised = true;
+    }
+
+    /// Tokens that can be used now: those that are available, within the bound.
+    pub fn usable(&self) -> u64 {
+        self.available.min(self.room())
+    }
+
+    /// Whether the bound is lifted.
+    pub fn is_raised(&self) -> bool {
+        self.raised
+    }
+
     /// Gives back a reservation whose request certainly consumed nothing.
     pub fn release(&mut self, tokens: u64) {
         self.reserved -= tokens;
@@ -110,7 +154,7 @@
 
     /// Takes tokens out for a peer, keeping `keep` available.
     pub fn give(&mut self, tokens: u64, keep: u64) -> u64 {
-        let given = tokens.min(self.available.saturating_sub(keep));
+        let given = tokens.min(self.available.saturating_sub(keep)).min(self.room());
         self.available -= given;
         self.sent += given;
         given
@@ -136,14 +180,24 @@
     ///
     /// `target` is how many available tokens this router should have, `need` how many are missing for
     /// waiting requests. More than twice the target is given back. At most `most` charges are settled.
-    pub fn open(&mut self, target: u64, need: u64, credits: Vec<Credit>, most: usize) -> Option<Entry> {
+    /// `spare` is how much may be used beyond what is in use now, until the next settlement.
+    pub fn open(
+        &mut self,
+        target: u64,
+        need: u64,
+        spare: u64,
+        credits: Vec<Credit>,
+        most: usize,
+    ) -> Option<Entry> {
         if self.open.is_some() {
             return None;
         }
         let excess =
             if self.available > target.saturating_mul(2) && need == 0 { self.available - target } else { 0 };
         self.available -= excess;
+        let exposed = self.in_use() + need + spare;
         let entry = Entry {
+            exposed,
             charges: self.charges.drain(..self.charges.len().min(most)).collect(),
             credits,
             returned: excess,
@@ -160,8 +214,12 @@
     ///
     /// Also right when the answer was lost and the line was read back: the sums are cumulative.
     pub fn close(&mut self, line: &Line) {
-        if self.open.take().is_some() {
+        if let Some(entry) = self.open.take() {
             self.available += line.granted - self.line.granted;
+            // More returned than was asked means that the account was closed meanwhile.
+            let taken = (line.returned - self.line.returned).saturating_sub(entry.returned);
+            self.available = self.available.saturating_sub(taken);
+            self.raised = false;
             // Consumed by a second run of a request that another router charged: not charged, but held.
             self.unknown += line.voided - self.line.voided;
             self.line = *line;
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -78,6 +78,8 @@
     pub sent: u64,
     /// Taken over from other routers.
     pub received: u64,
+    /// The most that the router may use until it settles again: reserve, consume or lend.
+    pub exposed: u64,
 }
 
 impl Line {
@@ -95,6 +97,36 @@
     pub sequence: u64,
     /// The sums for each budget.
     pub lines: BTreeMap<String, Line>,
+    /// The router that may close this account once its owner is gone.
+    pub keeper: String,
+    /// Whether it was closed: then nothing is granted to it any more.
+    pub closed: bool,
+}
+
+/// Closes the account of a router that is gone, and gives back what it can't have used; returns the tokens by
+/// budget.
+///
+/// Safe even if the router lives on unaware: between settlements it never uses more than `exposed`, and that
+/// part stays outstanding. So no clock and no list is part of the argument (I1, I6).
+///
+/// # Errors
+/// Fails if a pool does not hold the tokens; then nothing must be written.
+pub fn release(
+    account: &mut Account,
+    pools: &mut BTreeMap<String, Pool>,
+) -> Result<BTreeMap<String, u64>, Error> {
+    let mut released = BTreeMap::new();
+    for (budget, line) in &mut account.lines {
+        let tokens = line.held().saturating_sub(line.exposed);
+        let pool = pools.entry(budget.clone()).or_default();
+        let imbalance = || Error::Imbalance(budget.clone());
+        pool.outstanding = pool.outstanding.checked_sub(tokens).ok_or_else(imbalance)?;
+        pool.free += tokens;
+        line.returned += tokens;
+        released.insert(budget.clone(), tokens);
+    }
+    account.closed = true;
+    Ok(released)
 }
 
 /// What one router asks for one budget in a batch.
@@ -114,6 +146,8 @@
     pub want: u64,
     /// Tokens without which a waiting request is refused.
     pub need: u64,
+    /// The most that the router will use until it settles again.
+    pub exposed: u64,
 }
 
 /// Everything one router settles in one transaction.
@@ -123,6 +157,8 @@
     pub sequence: u64,
     /// The entries by budget.
     pub entries: BTreeMap<String, Entry>,
+    /// The router that may close the account once its owner is gone.
+    pub keeper: String,
 }
 
 /// Why a batch can't be posted.
@@ -162,10 +198,14 @@
     for (budget, entry) in &batch.entries {
         let pool = pools.entry(budget.clone()).or_default();
         let line = account.lines.entry(budget.clone()).or_default();
-        post_entry(budget, pool, line, charged, entry, fleet)
+        let most = if account.closed { 0 } else { u64::MAX };
+        post_entry(budget, pool, line, charged, entry, (fleet, most))
             .ok_or_else(|| Error::Imbalance(budget.clone()))?;
     }
     account.sequence = batch.sequence;
+    if !account.closed {
+        account.keeper.clone_from(&batch.keeper);
+    }
     Ok(())
 }
 
@@ -186,7 +226,7 @@
     line: &mut Line,
     charged: &impl Fn(&KeyRef<'_>) -> bool,
     entry: &Entry,
-    fleet: u64,
+    (fleet, most): (u64, u64),
 ) -> Option<()> {
     for credit in &entry.credits {
         pool.credit(&credit.id, credit.tokens);
@@ -202,13 +242,18 @@
             pool.outstanding = pool.outstanding.checked_sub(charge.tokens)?;
         }
     }
-    pool.outstanding = pool.outstanding.checked_sub(entry.returned)?;
-    pool.free += entry.returned;
-    line.returned += entry.returned;
+    // A closed account gave back everything that was not exposed, this batch's part included.
+    let returned = entry.returned.min(most);
+    pool.outstanding = pool.outstanding.checked_sub(returned)?;
+    pool.free += returned;
+    line.returned += returned;
     line.sent += entry.sent;
     line.received += entry.received;
 
-    let grant = size(pool.free, entry.want, entry.need, fleet);
+    if most > 0 {
+        line.exposed = entry.exposed;
+    }
+    let grant = size(pool.free, entry.want, entry.need, fleet).min(most);
     pool.free -= grant;
     pool.outstanding += grant;
     line.granted += grant;
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -19,7 +19,7 @@
 //! assert_eq!(grant.reserve(400), Reserve::Short(400));
 //!
 //! let mut batch = Batch { sequence: 1, ..Batch::default() };
-//! batch.entries.insert("radar".into(), grant.open(500, 400, vec![], 10).unwrap());
+//! batch.entries.insert("radar".into(), grant.open(500, 400, 0, vec![], 10).unwrap());
 //! let mut account = Account::default();
 //! let mut pools = [("radar".to_owned(), pool)].into();
 //! post(&mut account, &mut pools, &|_| false, &batch, 1).unwrap();
--- a/crates/budget/tests/model/money.rs
+++ b/crates/budget/tests/model/money.rs
@@ -7,7 +7,7 @@
 
 use crate::search::{Model, assert_breaks, assert_holds, search};
 use budget::grant::{Grant, Reserve};
-use budget::ledger::{Account, Batch, Charge, Credit, Pool, post};
+use budget::ledger::{Account, Batch, Charge, Credit, Pool, post, release};
 use std::collections::{BTreeMap, BTreeSet};
 
 const BUDGET: &str = "radar/main";
@@ -28,6 +28,7 @@
     losses: u8,
     crashes: u8,
     loans: u8,
+    releases: u8,
 }
 
 /// A deliberate mistake.
@@ -48,6 +49,8 @@
     NoReservation,
     /// A crashed router's tokens are given back to the pool without knowing what it consumed.
     ReleaseDead,
+    /// A router lends and reserves beyond what it exposed.
+    NoCap,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -102,6 +105,7 @@
     attempts: u8,
     losses: u8,
     crashes: u8,
+    releases: u8,
     consumed: u64,
     uncovered: bool,
     posted: BTreeSet<String>,
@@ -126,13 +130,16 @@
         let mut next = state.clone();
         next.submitted += 1;
         let router = &mut next.routers[index];
+        if self.flaw == Flaw::NoCap {
+            router.grant.raise();
+        }
         if router.running.iter().any(|running| running.keyed && keyed) {
             return None;
         }
         let reserved = match router.grant.reserve(WORST) {
             Reserve::Held => WORST,
-            Reserve::Short(_) if self.flaw == Flaw::NoReservation => 0,
-            Reserve::Short(_) => return None,
+            _ if self.flaw == Flaw::NoReservation => 0,
+            Reserve::Short(_) | Reserve::Capped => return None,
         };
         router.running.push(Running { request: state.submitted, reserved, keyed, consumed: false });
         Some(next)
@@ -167,10 +174,13 @@
         let mut next = state.clone();
         let credits = self.credits(state);
         let router = &mut next.routers[index];
-        let entry = router.grant.open(target, need, credits, 4)?;
+        let entry = router.grant.open(target, need, 0, credits, 4)?;
         router.sequence += 1;
-        router.batch =
-            Some(Batch { sequence: router.sequence, entries: [(BUDGET.to_owned(), entry)].into() });
+        router.batch = Some(Batch {
+            sequence: router.sequence,
+            entries: [(BUDGET.to_owned(), entry)].into(),
+            keeper: String::new(),
+        });
         Some(next)
     }
 
@@ -225,7 +235,9 @@
         let sent = next.sent.remove(at);
         let key = (sent.router, sent.incarnation);
         let known = state.accounts.get(&key).cloned().unwrap_or_default();
-        if state.pool_version != sent.pool_version || known.sequence + 1 != sent.account.sequence {
+        let is_stale = known.closed != sent.account.closed;
+        if state.pool_version != sent.pool_version || known.sequence + 1 != sent.account.sequence || is_stale
+        {
             return next;
         }
         for charge in &sent.batch.entries[BUDGET].charges {
@@ -273,6 +285,18 @@
         next
     }
 
+    /// A keeper closes an account, whether its router is gone, or lives on unaware.
+    fn release(&self, state: &State, index: usize, incarnation: u8) -> Option<State> {
+        let mut next = state.clone();
+        let account = next.accounts.get_mut(&(index, incarnation)).filter(|account| !account.closed)?;
+        let mut pools: BTreeMap<String, Pool> = [(BUDGET.to_owned(), state.pool.clone())].into();
+        release(account, &mut pools).ok()?;
+        next.pool = pools.remove(BUDGET)?;
+        next.pool_version += 1;
+        next.releases += 1;
+        Some(next)
+    }
+
     fn ask_loan(&self, state: &State, to: usize) -> State {
         let mut next = state.clone();
         let from = 1 - to;
@@ -319,17 +343,22 @@
         Some(next)
     }
 
-    /// Tokens that a router can still charge.
+    /// Tokens that a router can still charge. One whose account was closed may hold more, but not use it.
     fn possible(&self, state: &State, index: usize) -> u64 {
         let router = &state.routers[index];
         let account = self.account(state, index);
-        match &router.batch {
-            Some(batch) if account.sequence >= batch.sequence => {
-                let mut grant = router.grant.clone();
+        let mut grant = router.grant.clone();
+        let mut returning = 0;
+        if let Some(batch) = &router.batch {
+            if account.sequence >= batch.sequence {
                 grant.close(&account.lines[BUDGET]);
-                grant.total()
+            } else {
+                returning = batch.entries[BUDGET].returned;
             }
-            _ => router.grant.total(),
+        }
+        match account.closed {
+            true => grant.total() - returning - grant.available() + grant.usable(),
+            false => grant.total(),
         }
     }
 }
@@ -366,6 +395,11 @@
             if state.crashes < bounds.crashes {
                 next.push(self.crash(state, index));
             }
+            if state.releases < bounds.releases {
+                for incarnation in 0..=router.incarnation {
+                    next.extend(self.release(state, index, incarnation));
+                }
+            }
             if state.loans.len() < usize::from(bounds.loans) {
                 next.push(self.ask_loan(state, index));
             }
@@ -412,12 +446,17 @@
 }
 
 /// The bounds of CI: each exercises some of the events together.
-const LOST_ANSWERS: Bounds = Bounds { submissions: 1, attempts: 4, losses: 1, crashes: 0, loans: 0 };
-const RETRY_ELSEWHERE: Bounds = Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 0, loans: 0 };
-const CRASH: Bounds = Bounds { submissions: 1, attempts: 3, losses: 1, crashes: 1, loans: 0 };
-const LOAN: Bounds = Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 1, loans: 1 };
+const LOST_ANSWERS: Bounds =
+    Bounds { submissions: 1, attempts: 4, losses: 1, crashes: 0, loans: 0, releases: 0 };
+const RETRY_ELSEWHERE: Bounds =
+    Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 0, loans: 0, releases: 0 };
+const CRASH: Bounds = Bounds { submissions: 1, attempts: 3, losses: 1, crashes: 1, loans: 0, releases: 0 };
+const LOAN: Bounds = Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 1, loans: 1, releases: 0 };
+const RELEASE: Bounds = Bounds { submissions: 2, attempts: 2, losses: 0, crashes: 1, loans: 0, releases: 1 };
+const RELEASE_LENT: Bounds =
+    Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 0, loans: 1, releases: 1 };
 /// Only with the command for the larger check.
-const LARGE: Bounds = Bounds { submissions: 2, attempts: 4, losses: 1, crashes: 1, loans: 0 };
+const LARGE: Bounds = Bounds { submissions: 2, attempts: 4, losses: 1, crashes: 1, loans: 0, releases: 0 };
 
 fn check(flaw: Flaw, bounds: Bounds) -> Money {
     Money { bounds, flaw }
@@ -449,6 +488,23 @@
     holds(LOAN, 1_000);
 }
 
+#[test]
+fn safe_when_the_account_of_a_dead_or_living_router_is_closed() {
+    holds(RELEASE, 1_000);
+}
+
+#[test]
+fn safe_when_an_account_is_closed_while_tokens_are_lent() {
+    holds(RELEASE_LENT, 1_000);
+}
+
+#[test]
+fn using_more_than_was_exposed_breaks_i1() {
+    let found = search(&check(Flaw::NoCap, RELEASE));
+    let broken = found.counterexample.map(|(broken, _)| broken);
+    assert!(matches!(broken, Some("I1" | "I6")), "{broken:?} after {} states", found.states);
+}
+
 #[test]
 #[ignore = "takes minutes and gigabytes; run with --ignored"]
 fn safe_in_larger_bounds() {
@@ -479,7 +535,7 @@
 
 #[test]
 fn charging_without_a_look_at_the_key_breaks_i2() {
-    let bounds = Bounds { submissions: 2, attempts: 4, losses: 0, crashes: 0, loans: 0 };
+    let bounds = Bounds { submissions: 2, attempts: 4, losses: 0, crashes: 0, loans: 0, releases: 0 };
     assert_breaks(&check(Flaw::NoKeyCheck, bounds), "I2");
 }
 
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -144,6 +144,11 @@
     pub cover_refusals_s: u64,
     /// Seconds of demand that a router holds in tokens, where overspend weighs more.
     pub cover_overspend_s: u64,
+    /// Seconds of demand that a router may use between two settlements, where refusals weigh more: what a
+    /// lost VM strands for good.
+    pub expose_refusals_s: u64,
+    /// The same, where overspend and stranded tokens weigh more.
+    pub expose_overspend_s: u64,
     /// The least that a router draws at once, in tokens.
     pub grant_min: u64,
     /// How long a request may wait for tokens, in milliseconds.
@@ -161,6 +166,8 @@
         Limits {
             cover_refusals_s: 1_200,
             cover_overspend_s: 900,
+            expose_refusals_s: 120,
+            expose_overspend_s: 30,
             grant_min: 4_096,
             budget_wait_ms: 2_000,
             queue: 256,
@@ -180,6 +187,16 @@
     }
 }
 
+impl Limits {
+    /// Seconds of demand that a router may use of a budget between two settlements.
+    pub fn expose_s(&self, weighing: Weighing) -> u64 {
+        match weighing {
+            Weighing::Refusals => self.expose_refusals_s,
+            Weighing::Overspend => self.expose_overspend_s,
+        }
+    }
+}
+
 /// The hash by which the bundle names an access key.
 pub fn hash_key(key: &str) -> String {
     hex::encode(Sha256::digest(key.as_bytes()))
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -48,6 +48,7 @@
     /// Its process.
     pub process: Process,
     vm: Vm,
+    listed: bool,
     log: PathBuf,
 }
 
@@ -190,6 +191,7 @@
             from_forwards,
             process,
             vm,
+            listed: true,
             log,
         });
         self.list(&[]);
@@ -207,7 +209,8 @@
 
     /// Publishes the list of VMs, with these upstreams marked as leaving.
     pub fn list(&self, leaving: &[&str]) {
-        let mut vms: Vec<Vm> = self.nodes.iter().map(|node| node.vm.clone()).collect();
+        let mut vms: Vec<Vm> =
+            self.nodes.iter().filter(|node| node.listed).map(|node| node.vm.clone()).collect();
         for (name, upstream) in &self.bundle.upstreams {
             vms.push(Vm {
                 name: name.clone(),
@@ -220,6 +223,12 @@
         self.platform.set_vms(vms);
     }
 
+    /// Takes a router out of the list of VMs, as the platform does once it is gone.
+    pub fn unlist(&mut self, index: usize) {
+        self.nodes[index].listed = false;
+        self.list(&[]);
+    }
+
     /// Cuts a router off from the platform, or joins it again.
     pub fn cut_platform(&self, index: usize, cut: bool) {
         self.nodes[index].to_platform.set(if cut { Rule::Cut } else { Rule::Pass });
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -114,6 +114,10 @@
     async fn free(id: String, failed: bool);
     /// Hints that an upstream which the receiver owns is leaving.
     async fn hint_leaving(upstream: String, from: String);
+    /// Asks the receiver to keep a router's account: to close it once that router is gone.
+    async fn keep(holder: String);
+    /// Asks the keeper of an account never to close it; `false` if it may have done so.
+    async fn spare(holder: String) -> bool;
 }
 
 /// What a router does with the calls of others; all but a request for a slot is answered at once.
@@ -136,6 +140,10 @@
     fn free(&self, id: &str, failed: bool);
     /// Takes in a hint that an upstream is leaving.
     fn hint_leaving(&self, upstream: &str, from: &str);
+    /// Takes a router's account into keeping.
+    fn keep(&self, holder: &str);
+    /// Promises never to close an account; `false` if it may be closed already.
+    fn spare(&self, holder: &str) -> bool;
 }
 
 /// Offers a [`Handler`] as a [`Link`].
@@ -178,4 +186,12 @@
     async fn hint_leaving(self, _: Context, upstream: String, from: String) {
         self.0.hint_leaving(&upstream, &from);
     }
+
+    async fn keep(self, _: Context, holder: String) {
+        self.0.keep(&holder);
+    }
+
+    async fn spare(self, _: Context, holder: String) -> bool {
+        self.0.spare(&holder)
+    }
 }
--- a/crates/router/src/grants.rs
+++ b/crates/router/src/grants.rs
@@ -32,7 +32,11 @@
     let (team, name) = budget.split_once('/')?;
     let content = bundle.teams.get(team)?.budgets.get(name)?;
     let limits = &bundle.limits;
-    let terms = Terms { cover_s: limits.cover_s(content.weighing), least: limits.grant_min };
+    let terms = Terms {
+        cover_s: limits.cover_s(content.weighing),
+        least: limits.grant_min,
+        expose_s: limits.expose_s(content.weighing),
+    };
     Some(Agreed { credits: content.credits.clone(), terms })
 }
 
@@ -41,6 +45,7 @@
 struct Slot {
     grant: Grant,
     need: u64,
+    capped: u64,
     demand: Demand,
     pool: Option<Pool>,
     settled: u64,
@@ -59,6 +64,15 @@
     pub free: Option<u64>,
 }
 
+/// A reservation that fell short.
+#[derive(Debug)]
+pub(crate) struct Shortage {
+    /// Tokens that are missing; 0 if they are here, but their use was not exposed yet.
+    pub missing: u64,
+    /// Notified when something changes.
+    pub changed: EventListener,
+}
+
 /// What is known about tokens that are missing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Outlook {
@@ -109,14 +123,18 @@
     }
 
     /// Reserves the worst case of a request (I6), or notes what is missing.
-    pub(crate) fn reserve(&self, budget: &str, tokens: u64, now: u64) -> Result<(), (u64, EventListener)> {
+    pub(crate) fn reserve(&self, budget: &str, tokens: u64, now: u64) -> Result<(), Shortage> {
         self.with(budget, |slot| {
             slot.demand.ask(now);
             match slot.grant.reserve(tokens) {
                 Reserve::Held => Ok(()),
                 Reserve::Short(missing) => {
                     slot.need = slot.need.max(missing);
-                    Err((missing, slot.changed.listen()))
+                    Err(Shortage { missing, changed: slot.changed.listen() })
+                }
+                Reserve::Capped => {
+                    slot.capped = slot.capped.max(tokens);
+                    Err(Shortage { missing: 0, changed: slot.changed.listen() })
                 }
             }
         })
@@ -201,8 +219,9 @@
     pub(crate) fn is_short(&self, now: u64) -> bool {
         let is_short = |slot: &Slot| {
             let empty = slot.pool.as_ref().is_some_and(|pool| pool.free == 0);
+            let capped = slot.capped > 0 && !slot.grant.is_open();
             let known_empty = empty && now.saturating_sub(slot.settled_at) < EMPTY_MS;
-            slot.need > 0 && !slot.grant.is_open() && !known_empty
+            capped || (slot.need > 0 && !slot.grant.is_open() && !known_empty)
         };
         self.shards.iter().any(|shard| shard.lock().expect("the grants' lock").values().any(is_short))
     }
@@ -247,6 +266,14 @@
         });
     }
 
+    /// Lifts the bound on what may be used of a budget until the next settlement.
+    pub(crate) fn raise(&self, budget: &str) {
+        self.with(budget, |slot| {
+            slot.grant.raise();
+            slot.changed.notify(usize::MAX);
+        });
+    }
+
     /// Lends tokens to a peer; the same `id` lends nothing more.
     pub(crate) fn lend(&self, id: &str, budget: &str, tokens: u64) -> u64 {
         let mut loans = self.loans.lock().expect("the loans' lock");
@@ -315,8 +342,9 @@
     let need = std::mem::take(&mut slot.need);
     let pool_free = slot.pool.as_ref().map(|pool| pool.free);
     let off_target = is_off_target(slot.grant.available(), target, pool_free);
-    if need == 0 && !slot.grant.is_dirty() && !off_target {
+    let capped = std::mem::take(&mut slot.capped);
+    if need == 0 && capped == 0 && !slot.grant.is_dirty() && !off_target {
         return None;
     }
-    slot.grant.open(target, need, credits, room)
+    slot.grant.open(target, need, slot.demand.spare(&terms) + capped, credits, room)
 }
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -150,8 +150,9 @@
     async fn try_once(&self, model: &Model, tries: &mut Tries) -> Result<Step, Refusal> {
         let node = &self.node;
         let budget = &self.entry.access.budget;
-        let (choice, slot) =
-            self.choose(model, tries).await.inspect_err(|_| node.grants.release(budget, self.ask.worst))?;
+        let (choice, slot) = Box::pin(self.choose(model, tries))
+            .await
+            .inspect_err(|_| node.grants.release(budget, self.ask.worst))?;
         tries.number += 1;
         let next = self.attempt(model, slot, tries).await;
         tries.avoid.push(choice.upstream);
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::forward;
+use crate::keep;
 use crate::membership;
 use crate::node::Node;
 use crate::settings::millis;
@@ -48,6 +49,7 @@
             listed = vms.len() as u64;
             membership::list(node, &vms);
             mark(node, &vms, &mut marked);
+            keep::release_gone(node, &vms).await;
         }
         let by_rate = node.fleet_size() * 1_000 / FLEET_RATE;
         let by_bytes = listed * ENTRY_BYTES * 1_000 / LIST_BYTES_PER_SECOND;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod front;
 mod grants;
 mod job;
+mod keep;
 mod leaving;
 mod link;
 mod membership;
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -94,6 +94,14 @@
         let _ = self.0.look.try_send(());
     }
 
+    fn keep(&self, holder: &str) {
+        self.0.keep.take_in(holder);
+    }
+
+    fn spare(&self, holder: &str) -> bool {
+        self.0.keep.spare(holder)
+    }
+
     fn standing(&self) -> Standing {
         let bundle = self.0.bundle();
         Standing {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::flight::Flights;
 use crate::grants::Grants;
+use crate::keep::Keep;
 use crate::link::Hints;
 use crate::metrics::Metrics;
 use crate::record::{Record, Records, Step};
@@ -83,6 +84,7 @@
     pub records: Records,
     pub schedule: Schedule<C>,
     pub loans: Loans,
+    pub keep: Keep,
     pub metrics: Metrics,
     pub open: AtomicU64,
     /// Claims of this router whose requests were certainly not dispatched, by request.
@@ -185,6 +187,11 @@
         self.closed.load(Ordering::Relaxed)
     }
 
+    /// Takes no new work any more: another router closed this one's account.
+    pub(crate) fn fence(&self) {
+        *self.phase.lock().expect("the phase's lock") = Phase::Draining;
+    }
+
     /// Notes what happened to a request.
     pub(crate) fn note(&self, request: &str, what: impl Into<String>) {
         let step = Step { at: self.clock.now(), what: what.into() };
@@ -265,6 +272,7 @@
         records: Records::new(limits.records),
         schedule: Schedule::new(&settings.data_centre, clock.clone()),
         loans: Loans::default(),
+        keep: Keep::default(),
         metrics: Metrics::new(),
         open: AtomicU64::new(0),
         undispatched: Mutex::default(),
--- a/crates/router/src/reserve.rs
+++ b/crates/router/src/reserve.rs
@@ -42,15 +42,20 @@
     let deadline = begin + node.bundle().content.limits.budget_wait_ms;
     let settled = node.grants.settlements(budget);
     loop {
-        let (_, changed) = match node.grants.reserve(budget, tokens, node.clock.now()) {
-            Ok(()) => return Ok(()),
-            Err(short) => short,
-        };
+        let Err(shortage) = node.grants.reserve(budget, tokens, node.clock.now()) else { return Ok(()) };
         node.kick();
-        exec::timeout(millis(SLICE_MS), changed).await;
-        let Err((missing, _)) = node.grants.reserve(budget, tokens, node.clock.now()) else {
-            return Ok(());
-        };
+        exec::timeout(millis(SLICE_MS), shortage.changed).await;
+        let Err(shortage) = node.grants.reserve(budget, tokens, node.clock.now()) else { return Ok(()) };
+        let missing = shortage.missing;
+        if missing == 0 {
+            // The tokens are here, but the platform is slow to take in that they are used.
+            if node.keep.raise(node).await {
+                node.grants.raise(budget);
+            } else if node.clock.now() >= deadline {
+                return Err(give_up(node, budget, tokens));
+            }
+            continue;
+        }
 
         let has_settled = node.grants.settlements(budget) > settled;
         if has_settled && node.grants.outlook(budget, tokens) == Outlook::Exhausted {
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -99,7 +99,7 @@
         return false;
     }
     let sequence = node.next_batch();
-    let batch = Batch { sequence, entries };
+    let batch = Batch { sequence, entries, keeper: node.keep.choose(node) };
     let mut pause = BACKOFF_MS.0;
     loop {
         match attempt(node, &batch).await {
@@ -109,6 +109,7 @@
                     node.grants.close(budget, &line, pools.get(budget), node.clock.now());
                 }
                 node.set_platform_up(true);
+                node.keep.settled(node, &batch.keeper, account.closed).await;
                 return true;
             }
             Attempt::Conflict => node.count_platform("settle", "conflict"),
--- a/examples/bench/budgets.rs
+++ b/examples/bench/budgets.rs
@@ -34,6 +34,7 @@
 struct Mix {
     name: &'static str,
     cover_s: u64,
+    expose_s: u64,
     classes: [Class; 3],
 }
 
@@ -41,11 +42,13 @@
     Mix {
         name: "Chinook (refusals weigh more)",
         cover_s: 1_200,
+        expose_s: 120,
         classes: [Class(3_000, 1_250, 12.0, 0.2), Class(700, 200, 3.0, 0.5), Class(200, 60, 0.3, 0.3)],
     },
     Mix {
         name: "Učňovská Sieť (overspend weighs more)",
         cover_s: 900,
+        expose_s: 30,
         classes: [Class(8_000, 3_000, 25.0, 0.1), Class(1_500, 500, 5.0, 0.5), Class(300, 90, 0.5, 0.4)],
     },
 ];
@@ -73,6 +76,7 @@
     account: Account,
     sequence: u64,
     need: u64,
+    capped: u64,
     synced: u64,
     free: Option<u64>,
 }
@@ -156,13 +160,19 @@
                 let node = &mut self.nodes[router];
                 node.need = node.need.max(missing);
             }
+            Reserve::Capped => self.nodes[router].capped = class.0,
         }
         self.sync(router);
         if self.nodes[router].grant.reserve(class.0) == Reserve::Held {
             return true;
         }
         if self.policy == Policy::Tallypaddle {
-            self.borrow(router, class.0 - self.nodes[router].grant.available());
+            // Its keeper is its neighbour; while it can be reached it lifts the bound.
+            if self.nodes[router].capped > 0 && self.reaches_peer(router, (router + 1) % ROUTERS) {
+                self.nodes[router].grant.raise();
+                self.nodes[router].capped = 0;
+            }
+            self.borrow(router, class.0.saturating_sub(self.nodes[router].grant.available()));
         }
         self.nodes[router].grant.reserve(class.0) == Reserve::Held
     }
@@ -182,20 +192,24 @@
         let now = self.now;
         let reaches = self.reaches_platform(router) && self.policy != Policy::StaticSplit;
         let node = &mut self.nodes[router];
-        let known_empty = node.free == Some(0) && now < node.synced + EMPTY_MS;
+        let known_empty = node.free == Some(0) && node.capped == 0 && now < node.synced + EMPTY_MS;
         if !reaches || known_empty || now < node.synced + SPACING_MS {
             return;
         }
         node.demand.tick(now - node.synced);
         let target = node.demand.target(now, &self.terms);
         let off_target = is_off_target(node.grant.available(), target, node.free);
-        if node.need == 0 && !node.grant.is_dirty() && !off_target {
+        if node.need == 0 && node.capped == 0 && !node.grant.is_dirty() && !off_target {
             return;
         }
         let need = std::mem::take(&mut node.need);
-        let Some(entry) = node.grant.open(target, need, self.credits.clone(), usize::MAX) else { return };
+        let spare = node.demand.spare(&self.terms) + std::mem::take(&mut node.capped);
+        let Some(entry) = node.grant.open(target, need, spare, self.credits.clone(), usize::MAX) else {
+            return;
+        };
         node.sequence += 1;
-        let batch = Batch { sequence: node.sequence, entries: [(BUDGET.to_owned(), entry)].into() };
+        let entries = [(BUDGET.to_owned(), entry)].into();
+        let batch = Batch { sequence: node.sequence, entries, keeper: String::new() };
         post(&mut node.account, &mut self.pools, &|_| false, &batch, ROUTERS as u64)
             .expect("a batch in order");
         node.grant.close(&node.account.lines[BUDGET]);
@@ -251,6 +265,15 @@
         self.waiting.push(Waiting { router, class, until: self.now + WAIT_MS });
     }
 
+    /// What the loss of a router would strand for good.
+    fn stranded(&self, node: &Node) -> u64 {
+        let total = node.grant.total();
+        match (self.policy, node.account.lines.get(BUDGET)) {
+            (Policy::Tallypaddle, Some(line)) if !node.grant.is_raised() => total.min(line.exposed),
+            _ => total,
+        }
+    }
+
     fn split(&mut self, tokens: u64, routers: &[usize]) {
         for router in routers {
             self.nodes[*router].grant.receive(tokens / ROUTERS as u64);
@@ -269,7 +292,7 @@
     let mut world = World {
         policy,
         scene,
-        terms: Terms { cover_s: mix.cover_s, least: LEAST },
+        terms: Terms { cover_s: mix.cover_s, least: LEAST, expose_s: mix.expose_s },
         now: 0,
         nodes: vec![Node::default(); ROUTERS],
         pools: BTreeMap::new(),
@@ -304,7 +327,7 @@
             }
         }
         if world.now.is_multiple_of(10_000) {
-            world.result.stranded += world.nodes.iter().map(|node| node.grant.total()).sum::<u64>();
+            world.result.stranded += world.nodes.iter().map(|node| world.stranded(node)).sum::<u64>();
             world.result.samples += ROUTERS as u64;
         }
         world.now += STEP_MS;
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -245,3 +245,77 @@
         assert!(consumed(&fleet) <= audit.spent + audit.outstanding, "I6: {audit:?}");
     });
 }
+
+/// Tokens outstanding for a budget.
+fn outstanding(fleet: &Fleet) -> u64 {
+    audit(fleet).get(BUDGET).map_or(0, |audit| audit.outstanding)
+}
+
+#[test]
+fn most_of_a_lost_routers_tokens_come_back_without_any_being_spent_twice() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.limits.grant_min = 500;
+        plan.limits.expose_refusals_s = 5;
+        let mut fleet = fleet(plan).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 240, 20).await;
+        fleet.until("grants have grown with demand", || async { outstanding(&fleet) > 30_000 }).await;
+        fleet
+            .until("a keeper knows its task", || async {
+                let kept = fleet.platform.rows("account/");
+                kept.iter().any(|(key, row)| key.contains("vm-1#") && row.value.contains(r#""keeper":"vm-"#))
+            })
+            .await;
+        let held_by = |fleet: &Fleet| {
+            let rows = fleet.platform.rows("account/vm-1#");
+            let row = rows.values().next().expect("the account of vm-1");
+            let account: budget::ledger::Account = row.decode().expect("an account");
+            (account.lines[BUDGET].held(), account.lines[BUDGET].exposed, account.closed)
+        };
+        fleet.nodes[0].process.kill();
+        let (before, exposed, _) = held_by(&fleet);
+        assert!(before > 3 * exposed, "there is something to give back: {before}, exposed {exposed}");
+        fleet.unlist(0);
+        fleet.until("the account is closed", || async { held_by(&fleet).2 }).await;
+        let (after, _, _) = held_by(&fleet);
+        assert!(after <= exposed, "only what it may have used stays held: {after}, exposed {exposed}");
+        answers.extend(load(&fleet, &[1, 2], 40, 20).await);
+        for index in 1..3 {
+            fleet.nodes[index].process.terminate();
+            crate::support::wait_ended(&mut fleet, index).await;
+        }
+        let audit = &audit(&fleet)[BUDGET];
+        assert!(audit.balanced && audit.accounts_agree, "I1: {audit:?}");
+        assert!(consumed(&fleet) <= audit.spent + audit.outstanding, "I6: {audit:?}");
+    });
+}
+
+#[test]
+fn a_router_whose_account_was_closed_while_it_was_frozen_spends_nothing_twice() {
+    run(async {
+        let mut plan = Plan::small();
+        plan.teams[0].tokens = 20_000;
+        plan.limits.grant_min = 500;
+        let mut fleet = fleet(plan).await;
+        let mut answers = load(&fleet, &[0, 1, 2], 60, 20).await;
+        fleet.nodes[0].process.freeze();
+        fleet.unlist(0);
+        fleet
+            .until("its account is closed by mistake", || async {
+                fleet
+                    .platform
+                    .rows("account/vm-1#")
+                    .values()
+                    .any(|row| row.value.contains(r#""closed":true"#))
+            })
+            .await;
+        answers.extend(load(&fleet, &[1, 2], 200, 30).await);
+        fleet.nodes[0].process.thaw();
+        answers.extend(load(&fleet, &[0], 40, 30).await);
+        answers.extend(load(&fleet, &[1, 2], 300, 40).await);
+        stop_all(&mut fleet).await;
+        assert_accounts(&fleet, &answers);
+        assert!(consumed(&fleet) <= 20_000, "no overspend");
+        assert!(fleet.nodes[0].process.log().contains("account was closed"), "it learns of it");
+    });
+}
