--- a/crates/router/src/grants.rs
+++ b/crates/router/src/grants.rs
@@ -3,7 +3,7 @@
 use budget::demand::{Demand, Terms, is_off_target};
 use budget::grant::{Grant, Reserve};
 use budget::ledger::{Charge, Credit, Entry, Line, Pool};
-use bundle::Bundle;
+use bundle::{Bundle, Weighing};
 use event_listener::{Event, EventListener};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -27,6 +27,14 @@
     terms: Terms,
 }
 
+/// Which error weighs more for `budget`.
+pub(crate) fn weighing(bundle: &Bundle, budget: &str) -> Weighing {
+    let content = budget
+        .split_once('/')
+        .and_then(|(team, name)| bundle.teams.get(team).and_then(|team| team.budgets.get(name)));
+    content.map(|content| content.weighing).unwrap_or_default()
+}
+
 /// Reads what was agreed on `budget`, named `team/budget`.
 fn agreed(bundle: &Bundle, budget: &str) -> Option<Agreed> {
     let (team, name) = budget.split_once('/')?;
--- a/crates/router/src/reserve.rs
+++ b/crates/router/src/reserve.rs
@@ -1,10 +1,11 @@
 //! Getting the tokens for a request: from this router's grant, from the pool, or from peers (I6).
 
 use crate::clock::Clock;
-use crate::grants::Outlook;
+use crate::grants::{self, Outlook};
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::settings::millis;
+use bundle::Weighing;
 use http::StatusCode;
 use net::exec;
 use peer::{Borrow, LinkClient};
@@ -49,7 +50,7 @@
         let missing = shortage.missing;
         if missing == 0 {
             // The tokens are here, but the platform is slow to take in that they are used.
-            if node.keep.raise(node).await {
+            if node.keep.raise(node).await || goes_on_alone(node, budget) {
                 node.grants.raise(budget);
             } else if node.clock.now() >= deadline {
                 return Err(give_up(node, budget, tokens));
@@ -72,6 +73,22 @@
     }
 }
 
+/// Whether a router that reaches neither the platform nor its keeper may use all it holds: where refusals weigh
+/// more. Then the platform's list is trusted not to drop a VM that lives.
+fn goes_on_alone<P, E, C>(node: &Node<P, E, C>, budget: &str) -> bool
+where
+    P: Services,
+    E: Engine,
+    C: Clock,
+{
+    let alone =
+        !node.is_platform_up() && grants::weighing(&node.bundle().content, budget) == Weighing::Refusals;
+    if alone {
+        log::warn!("budget: {budget} is used beyond what was exposed; neither platform nor keeper answers");
+    }
+    alone
+}
+
 fn exhausted(budget: &str, tokens: u64) -> Refusal {
     let message = format!("budget {budget} has fewer than the {tokens} tokens that this request may need");
     Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "insufficient_quota", "budget", message)
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -319,3 +319,46 @@
         assert!(fleet.nodes[0].process.log().contains("account was closed"), "it learns of it");
     });
 }
+
+#[test]
+fn cut_off_from_everything_the_weighing_decides_between_serving_and_refusing() {
+    run(async {
+        for weighing in [bundle::Weighing::Refusals, bundle::Weighing::Overspend] {
+            let mut plan = Plan::small();
+            plan.teams[0].weighing = weighing;
+            plan.limits.grant_min = 400;
+            plan.limits.expose_refusals_s = 0;
+            plan.limits.expose_overspend_s = 0;
+            let mut fleet = fleet(plan).await;
+            // Demand makes each router hold far more than it exposes.
+            let mut answers = load(&fleet, &[0, 1, 2], 240, 20).await;
+            fleet
+                .until("its grant has grown", || async {
+                    let status = fleet.status(0).await.unwrap_or_default();
+                    status["budgets"][BUDGET]["available"].as_u64() > Some(20_000)
+                })
+                .await;
+            for index in 0..3 {
+                fleet.cut_platform(index, true);
+                fleet.cut_peers(index, true);
+            }
+            answers.extend(load(&fleet, &[0], 40, 20).await);
+            let served = served(&answers) - 240;
+            match weighing {
+                bundle::Weighing::Refusals => assert_eq!(served, 40, "{:?}", counts(&answers)),
+                bundle::Weighing::Overspend => {
+                    assert!(served < 40, "{:?}", counts(&answers));
+                    assert!(
+                        answers.iter().all(|answer| answer.status == 200 || answer.execution == "not-run")
+                    );
+                }
+            }
+            for index in 0..3 {
+                fleet.cut_platform(index, false);
+                fleet.cut_peers(index, false);
+            }
+            stop_all(&mut fleet).await;
+            assert_accounts(&fleet, &answers);
+        }
+    });
+}
