--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -2,23 +2,17 @@
 
 use crate::clock::Clock;
 use crate::node::{Node, Phase};
+use crate::ports::Ports;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::Body;
 use peer::State;
-use platform::Services;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use upstream::Engine;
 
 /// Answers one request of an operator.
-pub(crate) async fn answer<P, E, C>(node: Arc<Node<P, E, C>>, request: Request<Incoming>) -> Response<Body>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn answer<W: Ports>(node: Arc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     if request.method() != Method::GET {
         return reply(StatusCode::METHOD_NOT_ALLOWED, &json!({"error": "only GET is known here"}));
     }
@@ -56,12 +50,7 @@
     }
 }
 
-fn unready<P, E, C>(node: &Node<P, E, C>) -> Option<&'static str>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn unready<W: Ports>(node: &Node<W>) -> Option<&'static str> {
     match node.phase() {
         Phase::Leaving | Phase::Draining => Some("it is stopping"),
         Phase::Serving if node.bundle().sequence == 0 => {
@@ -74,12 +63,7 @@
     }
 }
 
-fn status<P, E, C>(node: &Node<P, E, C>) -> Value
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn status<W: Ports>(node: &Node<W>) -> Value {
     let now = node.clock.now();
     let bundle = node.bundle();
     let view = node.view();
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::clock::Clock;
 use crate::flight::{End, Head};
 use crate::job::{FAILED_RETRY_MS, Job};
+use crate::ports::Ports;
 use crate::refusal::{Execution, Refusal};
 use crate::settings::millis;
 use crate::slot::{self, Slot};
@@ -14,7 +15,6 @@
 use http::StatusCode;
 use hyper::body::Bytes;
 use net::exec;
-use platform::Services;
 use std::net::SocketAddr;
 use upstream::{Call, Engine, Event, Events, Fault, Outcome, Reply, Usage};
 
@@ -55,12 +55,7 @@
     peer: SocketAddr,
 }
 
-impl<P, E, C> Job<P, E, C>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+impl<W: Ports> Job<W> {
     /// Runs the request at one upstream.
     pub(crate) async fn attempt(&self, model: &Model, slot: Slot, tries: &Tries) -> Next {
         let node = &self.node;
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -8,6 +8,7 @@
 use crate::forward;
 use crate::front::Entry;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::refusal::{Execution, Refusal};
 use crate::settings::millis;
 use crate::sync::identity_key;
@@ -16,9 +17,8 @@
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
 use net::{Body, exec};
-use platform::{Row, Services, Tx, Verdict};
+use platform::{Row, Table, Tx, Verdict};
 use std::sync::Arc;
-use upstream::Engine;
 
 /// How long a claim is tried before the request is refused, in milliseconds.
 const CLAIM_MS: u64 = 2_000;
@@ -39,17 +39,7 @@
 }
 
 /// Claims a request, or finds who did.
-async fn claim<P, E, C>(
-    node: &Node<P, E, C>,
-    budget: &str,
-    key: &str,
-    request: &str,
-) -> Result<Claimed, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn claim<W: Ports>(node: &Node<W>, budget: &str, key: &str, request: &str) -> Result<Claimed, Refusal> {
     let row_key = identity_key("claim", budget, key);
     let claim = Claim { holder: node.holder.clone(), request: request.to_owned(), state: State::Claimed };
     let deadline = node.clock.now() + CLAIM_MS;
@@ -86,23 +76,13 @@
         .retry_after(CLAIM_MS))
 }
 
-async fn read<P, E, C>(node: &Node<P, E, C>, key: &str) -> Result<Option<Row>, platform::Error>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn read<W: Ports>(node: &Node<W>, key: &str) -> Result<Option<Row>, platform::Error> {
     let rows = node.platform.read(&[key.to_owned()]).await?;
     Ok(rows.into_iter().next().flatten())
 }
 
 /// Records the answer of a claimed request, so that it is given again and never run again.
-async fn finish<P, E, C>(node: &Node<P, E, C>, budget: &str, key: &str, request: &str, answer: Answer)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn finish<W: Ports>(node: &Node<W>, budget: &str, key: &str, request: &str, answer: Answer) {
     let row_key = identity_key("claim", budget, key);
     let claim =
         Claim { holder: node.holder.clone(), request: request.to_owned(), state: State::Done(answer) };
@@ -133,17 +113,12 @@
 }
 
 /// Claims a keyed request that may run only once, or finds its one answer.
-pub(crate) async fn gate<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn gate<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     head: &Parts,
     body: &Bytes,
-) -> Result<Gate, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Gate, Refusal> {
     let key = entry.key.as_deref().unwrap_or_default();
     match claim(node, &entry.access.budget, key, &entry.id).await? {
         Claimed::Ours => Ok(Gate::Run(entry.id.clone())),
@@ -166,17 +141,13 @@
 }
 
 /// Notes how a claimed request ended.
-pub(crate) async fn close<P, E, C>(
-    node: &Node<P, E, C>,
+pub(crate) async fn close<W: Ports>(
+    node: &Node<W>,
     entry: &Entry,
     claim: String,
     result: &Result<(), Refusal>,
     flight: &Flight,
-) where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) {
     let not_run = matches!(result, Err(refusal) if refusal.execution == Execution::NotRun);
     if not_run {
         node.undispatched.lock().expect("the claims' lock").insert(claim);
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::front::Entry;
 use crate::node::Node;
+use crate::ports::Ports;
 use futures::StreamExt;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
@@ -11,7 +12,6 @@
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
 use peer::{LinkClient, State, Whereabouts};
-use platform::Services;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,18 +25,13 @@
 
 /// Passes a request with a key on to the router that runs it already, if a hint names one that answers;
 /// else leaves a hint that it runs here.
-pub(crate) async fn elsewhere<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn elsewhere<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     key: &str,
     head: &Parts,
     body: &Bytes,
-) -> Option<Response<Body>>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Option<Response<Body>> {
     if entry.forwarded {
         return None;
     }
@@ -65,24 +60,14 @@
     None
 }
 
-async fn locate<P, E, C>(node: &Node<P, E, C>, keeper: SocketAddr, key: &str) -> Option<Whereabouts>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn locate<W: Ports>(node: &Node<W>, keeper: SocketAddr, key: &str) -> Option<Whereabouts> {
     let key = key.to_owned();
     let call = |client: LinkClient, context| async move { client.locate(context, key).await };
     node.peers.call("locate", keeper, call).await.ok().flatten()
 }
 
 /// Where callers reach a holder, if it is thought to be alive in the same incarnation.
-pub(crate) fn address_of<P, E, C>(node: &Node<P, E, C>, holder: &str) -> Option<SocketAddr>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) fn address_of<W: Ports>(node: &Node<W>, holder: &str) -> Option<SocketAddr> {
     let (name, incarnation) = holder.split_once('#')?;
     let now = node.clock.now();
     let view = node.view();
@@ -93,17 +78,12 @@
 
 /// Passes a request on to `holder` and hands back the answer as it comes; `None` if that router can't be
 /// reached or falls silent before it answers.
-pub(crate) async fn pass_on<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn pass_on<W: Ports>(
+    node: &Arc<Node<W>>,
     holder: &str,
     head: &Parts,
     body: &Bytes,
-) -> Option<Response<Body>>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Option<Response<Body>> {
     let callers = address_of(node, holder)?;
     let mut request = Request::new(Body::from(body.clone()));
     *request.method_mut() = head.method.clone();
@@ -122,12 +102,7 @@
 }
 
 /// Waits until a holder is no longer thought to be alive in the same incarnation.
-async fn silence<P, E, C>(node: &Node<P, E, C>, holder: &str)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn silence<W: Ports>(node: &Node<W>, holder: &str) {
     while address_of(node, holder).is_some() {
         exec::sleep(LOOK).await;
     }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,6 +5,7 @@
 use crate::flight::{Flight, Found};
 use crate::job::{self, Job};
 use crate::node::{Access, InForce, Node, Phase};
+use crate::ports::Ports;
 use crate::refusal::Refusal;
 use crate::{forward, service};
 use bundle::hash_key;
@@ -13,11 +14,9 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
-use platform::Services;
 use serde_json::json;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use upstream::Engine;
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -49,12 +48,7 @@
 }
 
 /// Answers one request of a caller.
-pub(crate) async fn answer<P, E, C>(node: Arc<Node<P, E, C>>, request: Request<Incoming>) -> Response<Body>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn answer<W: Ports>(node: Arc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     let id = Uuid::new_v4().to_string();
     node.open.fetch_add(1, Ordering::Relaxed);
     node.metrics.open.inc();
@@ -77,16 +71,11 @@
     response
 }
 
-async fn handle<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn handle<W: Ports>(
+    node: &Arc<Node<W>>,
     id: &str,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Response<Body>, Refusal> {
     let bundle = node.bundle();
     check_phase(node, &bundle)?;
     let access = authenticate(&bundle, &request)?;
@@ -111,12 +100,7 @@
     }
 }
 
-fn check_phase<P, E, C>(node: &Node<P, E, C>, bundle: &InForce) -> Result<(), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn check_phase<W: Ports>(node: &Node<W>, bundle: &InForce) -> Result<(), Refusal> {
     let refuse = |code, message: &str| {
         Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, "accept", message.to_owned())
             .retry_after(ELSEWHERE_MS))
@@ -167,16 +151,11 @@
 }
 
 /// Reads a whole body within the limits.
-pub(crate) async fn read_body<P, E, C>(
-    node: &Node<P, E, C>,
+pub(crate) async fn read_body<W: Ports>(
+    node: &Node<W>,
     bundle: &InForce,
     body: Incoming,
-) -> Result<Bytes, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Bytes, Refusal> {
     let limit = bundle.content.limits.body_bytes;
     let time = crate::settings::millis(node.settings.limits.body_ms);
     match exec::timeout(time, net::collect(body, limit)).await {
@@ -195,17 +174,12 @@
     }
 }
 
-async fn model<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn model<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: Entry,
     path: String,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Response<Body>, Refusal> {
     let (parts, body) = request.into_parts();
     let body = read_body(node, &entry.bundle, body).await?;
     let ask = Ask::read(&body, &entry.bundle.content)?;
@@ -223,18 +197,13 @@
 }
 
 /// Answers a keyed request from a run that is here or at another router; `None` if it is to be run here.
-pub(crate) async fn join<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn join<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     flight: &Arc<Flight>,
     head: &Parts,
     body: &Bytes,
-) -> Result<Option<Response<Body>>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Option<Response<Body>>, Refusal> {
     let Some(key) = entry.flight_key() else {
         return Ok(None);
     };
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -11,6 +11,7 @@
 use crate::flight::Flight;
 use crate::front::Entry;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::refusal::Refusal;
 use crate::reserve::reserve;
 use crate::slot::{self, Slot};
@@ -18,11 +19,9 @@
 use http::StatusCode;
 use http::request::Parts;
 use hyper::body::Bytes;
-use platform::Services;
 use route::{Choice, Want};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use upstream::Engine;
 
 /// Attempts at most, however many retries were earned.
 const ATTEMPTS: u32 = 4;
@@ -30,9 +29,8 @@
 pub(crate) const FAILED_RETRY_MS: u64 = 1_000;
 
 /// One request to a model.
-#[derive(Debug)]
-pub(crate) struct Job<P, E, C> {
-    pub node: Arc<Node<P, E, C>>,
+pub(crate) struct Job<W: Ports> {
+    pub node: Arc<Node<W>>,
     pub entry: Entry,
     pub path: String,
     pub ask: Ask,
@@ -50,28 +48,14 @@
 }
 
 /// Serves a request and ends its flight.
-pub(crate) async fn run<P, E, C>(job: Job<P, E, C>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn run<W: Ports>(job: Job<W>) {
     let result = job.serve().await;
     let node = &job.node;
     finish(node, &job.entry, &job.flight, &result);
 }
 
 /// Ends a request's flight and record. A request that was refused may be asked again with its key.
-pub(crate) fn finish<P, E, C>(
-    node: &Node<P, E, C>,
-    entry: &Entry,
-    flight: &Flight,
-    result: &Result<(), Refusal>,
-) where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) fn finish<W: Ports>(node: &Node<W>, entry: &Entry, flight: &Flight, result: &Result<(), Refusal>) {
     let outcome = match result {
         Ok(()) => "complete",
         Err(refusal) => refusal.code,
@@ -90,12 +74,7 @@
     node.open.fetch_sub(1, Ordering::Relaxed);
 }
 
-impl<P, E, C> Job<P, E, C>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+impl<W: Ports> Job<W> {
     fn model(&self) -> Result<&Model, Refusal> {
         self.entry.bundle.content.models.get(&self.ask.model).ok_or_else(|| {
             Refusal::bad("parse", "model_not_found", "the model is not in the bundle in force")
--- a/crates/router/src/keep.rs
+++ b/crates/router/src/keep.rs
@@ -9,14 +9,14 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::sync::{account_key, pool_key};
 use budget::ledger::{Account, Pool, release};
 use peer::{LinkClient, State as Life};
-use platform::{Role, Services, Tx, Verdict, Vm};
+use platform::{Role, Table, Tx, Verdict, Vm};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use upstream::Engine;
 
 /// Keepings and promises.
 #[derive(Debug, Default)]
@@ -47,12 +47,7 @@
     }
 
     /// The keeper for the next batch: the present one if it is alive, else the first alive on the ring.
-    pub(crate) fn choose<P, E, C>(&self, node: &Node<P, E, C>) -> String
-    where
-        P: Services,
-        E: Engine,
-        C: Clock,
-    {
+    pub(crate) fn choose<W: Ports>(&self, node: &Node<W>) -> String {
         let now = node.clock.now();
         let alive: Vec<String> = {
             let view = node.view();
@@ -74,12 +69,7 @@
 
     /// Notes that a batch took effect, and tells the keeper of its task until it has heard. If it never
     /// hears, the account is never closed, which is safe.
-    pub(crate) async fn settled<P, E, C>(&self, node: &Node<P, E, C>, keeper: &str, closed: bool)
-    where
-        P: Services,
-        E: Engine,
-        C: Clock,
-    {
+    pub(crate) async fn settled<W: Ports>(&self, node: &Node<W>, keeper: &str, closed: bool) {
         if closed {
             log::error!("budget: this router's account was closed by its keeper; it takes no new work");
             return node.fence();
@@ -102,12 +92,7 @@
     }
 
     /// Gets the promise of every possible keeper that this router's account is not closed.
-    pub(crate) async fn raise<P, E, C>(&self, node: &Node<P, E, C>) -> bool
-    where
-        P: Services,
-        E: Engine,
-        C: Clock,
-    {
+    pub(crate) async fn raise<W: Ports>(&self, node: &Node<W>) -> bool {
         let keepers: Vec<String> = self.lock().keepers.iter().cloned().collect();
         for keeper in keepers.iter().filter(|keeper| !keeper.is_empty()) {
             let Some(address) = address_of(node, keeper) else { return false };
@@ -153,12 +138,7 @@
 }
 
 /// Where a router of this incarnation is reached by its peers.
-fn address_of<P, E, C>(node: &Node<P, E, C>, holder: &str) -> Option<SocketAddr>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn address_of<W: Ports>(node: &Node<W>, holder: &str) -> Option<SocketAddr> {
     let (name, incarnation) = holder.split_once('#')?;
     let view = node.view();
     let member = view.member(name)?;
@@ -167,12 +147,7 @@
 
 /// Closes the accounts of kept routers that the platform no longer lists and that don't answer, or that came
 /// back as another incarnation.
-pub(crate) async fn release_gone<P, E, C>(node: &Arc<Node<P, E, C>>, vms: &[Vm])
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn release_gone<W: Ports>(node: &Arc<Node<W>>, vms: &[Vm]) {
     let now = node.clock.now();
     let is_listed = |name: &str| vms.iter().any(|vm| vm.role == Role::Router && vm.name == name);
     let is_gone = |holder: &str| {
@@ -199,12 +174,7 @@
 }
 
 /// Closes one account; `None` if it is closed already or another router keeps it.
-async fn close<P, E, C>(node: &Node<P, E, C>, holder: &str) -> Result<Option<BTreeMap<String, u64>>, String>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn close<W: Ports>(node: &Node<W>, holder: &str) -> Result<Option<BTreeMap<String, u64>>, String> {
     let key = account_key(holder);
     let read = node.platform.read(std::slice::from_ref(&key)).await.map_err(|error| error.to_string())?;
     let Some(row) = read.into_iter().next().flatten() else { return Ok(None) };
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -5,12 +5,13 @@
 use crate::keep;
 use crate::membership;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::settings::millis;
 use async_channel::Receiver;
 use futures::future::join_all;
 use net::exec;
 use peer::LinkClient;
-use platform::{Role, Services, Vm};
+use platform::{List, Role, Vm};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -25,23 +26,13 @@
 const LIST_BYTES_PER_SECOND: u64 = 1_500;
 
 /// Watches the upstreams and the VM list.
-pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, looked: Receiver<()>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn run<W: Ports>(node: Arc<Node<W>>, looked: Receiver<()>) {
     let lists = watch_list(&node, &looked);
     let loads = watch_loads(&node);
     futures::future::join(lists, loads).await;
 }
 
-async fn watch_list<P, E, C>(node: &Arc<Node<P, E, C>>, looked: &Receiver<()>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn watch_list<W: Ports>(node: &Arc<Node<W>>, looked: &Receiver<()>) {
     let mut marked: BTreeSet<String> = BTreeSet::new();
     while !node.is_closed() {
         let mut listed = 0;
@@ -62,12 +53,7 @@
 }
 
 /// Marks the upstreams that the list says are leaving, and those that it no longer says so of.
-fn mark<P, E, C>(node: &Arc<Node<P, E, C>>, vms: &[Vm], marked: &mut BTreeSet<String>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn mark<W: Ports>(node: &Arc<Node<W>>, vms: &[Vm], marked: &mut BTreeSet<String>) {
     let upstreams: BTreeMap<&str, bool> =
         vms.iter().filter(|vm| vm.role == Role::Upstream).map(|vm| (vm.name.as_str(), vm.leaving)).collect();
     for (name, leaving) in upstreams {
@@ -84,12 +70,7 @@
     }
 }
 
-fn note<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str, leaving: bool, source: &str)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn note<W: Ports>(node: &Arc<Node<W>>, name: &str, leaving: bool, source: &str) {
     if node.schedule.leave(name, leaving) {
         let what = if leaving { "leaves, it gets no new work" } else { "stays" };
         log::info!("upstream: {name} {what}, says {source}");
@@ -101,12 +82,7 @@
 }
 
 /// Tells the routers that send work to an upstream: they may look at the list only much later.
-fn hint_owners<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn hint_owners<W: Ports>(node: &Arc<Node<W>>, name: &str) {
     let owners = node.schedule.owners(name);
     for (_, address) in node.alive().into_iter().filter(|(owner, _)| owners.contains(owner)) {
         let (node, name) = (node.clone(), name.to_owned());
@@ -123,12 +99,7 @@
 }
 
 /// Takes back the slots of borrowers that are gone, once their runs must have ended.
-fn reclaim<P, E, C>(node: &Node<P, E, C>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn reclaim<W: Ports>(node: &Node<W>) {
     let now = node.clock.now();
     let longest = node.settings.limits.start_ms;
     let is_gone = |borrower: &str| forward::address_of(node, borrower).is_none();
@@ -138,12 +109,7 @@
     }
 }
 
-async fn watch_loads<P, E, C>(node: &Arc<Node<P, E, C>>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn watch_loads<W: Ports>(node: &Arc<Node<W>>) {
     let mut marked: BTreeSet<String> = BTreeSet::new();
     while !node.is_closed() {
         let bundle = node.bundle();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod ports;
 mod record;
 mod refusal;
 mod reserve;
@@ -41,17 +42,26 @@
 
 pub use clock::{Clock, Monotonic};
 pub use node::{Addresses, Running, start};
+pub use ports::Ports;
 pub use settings::{Limits, Listen, Platform, Settings, Trust};
 
 use std::time::Duration;
 
+/// The HTTP adapters and the system's clock.
+#[derive(Debug)]
+pub struct OnHttp;
+
+impl Ports for OnHttp {
+    type Clock = Monotonic;
+    type Engine = upstream::Http;
+    type Platform = platform::Http;
+}
+
 /// Starts a router with the HTTP adapters.
 ///
 /// # Errors
 /// Fails if an address can't be bound.
-pub async fn start_with_http(
-    settings: Settings,
-) -> std::io::Result<Running<platform::Http, upstream::Http, Monotonic>> {
+pub async fn start_with_http(settings: Settings) -> std::io::Result<Running<OnHttp>> {
     let client = net::Client::new();
     let time = Duration::from_millis(settings.platform.timeout_ms);
     let platform = platform::Http::new(client.clone(), settings.platform.address, time);
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -2,11 +2,10 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::ports::Ports;
 use peer::{Beat, Borrow, Handler, Lent, SlotAsk, Standing, Whereabouts};
-use platform::Services;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
-use upstream::Engine;
 
 /// Hints kept.
 const HINTS_KEPT: usize = 50_000;
@@ -41,16 +40,15 @@
 }
 
 /// The service that this router offers.
-#[derive(Debug)]
-pub(crate) struct Service<P, E, C>(pub(crate) Arc<Node<P, E, C>>);
+pub(crate) struct Service<W: Ports>(pub(crate) Arc<Node<W>>);
 
-impl<P, E, C> Clone for Service<P, E, C> {
+impl<W: Ports> Clone for Service<W> {
     fn clone(&self) -> Self {
         Service(self.0.clone())
     }
 }
 
-impl<P: Services, E: Engine, C: Clock> Handler for Service<P, E, C> {
+impl<W: Ports> Handler for Service<W> {
     fn beat(&self, beat: Beat) -> Beat {
         crate::membership::hear(&self.0, &beat);
         self.0.beat()
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -2,16 +2,16 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::settings::millis;
 use crate::steer;
 use async_channel::Receiver;
 use futures::future::join_all;
 use net::exec;
 use peer::{Beat, LinkClient, Member};
-use platform::{Role, Services};
+use platform::{List, Role};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use upstream::Engine;
 
 /// Routers that get heartbeats from one router, whatever the size of the fleet.
 const FANOUT: usize = 6;
@@ -19,12 +19,7 @@
 const GREETED: usize = 16;
 
 /// Sends heartbeats in regular intervals, and at once when there is news.
-pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, heard: Receiver<()>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn run<W: Ports>(node: Arc<Node<W>>, heard: Receiver<()>) {
     while !node.is_closed() {
         let targets: Vec<(String, SocketAddr)> = {
             let view = node.view();
@@ -45,12 +40,7 @@
 
 /// Makes a new router known to its seeds and to those that the platform lists, and takes up the latest
 /// bundle that one of them has in force: the platform may be away, or answer with an older one.
-pub(crate) async fn introduce<P, E, C>(node: &Arc<Node<P, E, C>>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn introduce<W: Ports>(node: &Arc<Node<W>>) {
     if let Ok(vms) = node.platform.list().await {
         list(node, &vms);
     }
@@ -66,12 +56,7 @@
     }
 }
 
-async fn greet<P, E, C>(node: &Arc<Node<P, E, C>>, address: SocketAddr) -> Option<Beat>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn greet<W: Ports>(node: &Arc<Node<W>>, address: SocketAddr) -> Option<Beat> {
     let beat = node.beat();
     let call = |client: LinkClient, context| async move { client.beat(context, beat).await };
     match node.peers.call("beat", address, call).await {
@@ -80,37 +65,21 @@
             Some(answer)
         }
         Err(error) => {
-            log::info!("peer: {error}");
+            log::debug!("peer: {error}");
             None
         }
     }
 }
 
-async fn exchange<P, E, C>(node: &Arc<Node<P, E, C>>, name: &str, address: SocketAddr)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
-    let beat = node.beat();
-    let call = |client: LinkClient, context| async move { client.beat(context, beat).await };
-    match node.peers.call("beat", address, call).await {
-        Ok(answer) => hear(node, &answer),
-        Err(error) => {
-            log::debug!("peer: {error}");
-            let now = node.clock.now();
-            node.view().miss(name, now);
-        }
+async fn exchange<W: Ports>(node: &Arc<Node<W>>, name: &str, address: SocketAddr) {
+    if greet(node, address).await.is_none() {
+        let now = node.clock.now();
+        node.view().miss(name, now);
     }
 }
 
 /// Takes in a heartbeat.
-pub(crate) fn hear<P, E, C>(node: &Arc<Node<P, E, C>>, beat: &Beat)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) fn hear<W: Ports>(node: &Arc<Node<W>>, beat: &Beat) {
     let now = node.clock.now();
     let news = node.view().hear(beat, now);
     if news {
@@ -129,12 +98,7 @@
 }
 
 /// Takes in the platform's list of VMs.
-pub(crate) fn list<P, E, C>(node: &Node<P, E, C>, vms: &[platform::Vm])
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) fn list<W: Ports>(node: &Node<W>, vms: &[platform::Vm]) {
     let routers: Vec<Member> = vms
         .iter()
         .filter(|vm| vm.role == Role::Router && vm.name != node.settings.name)
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -6,6 +6,7 @@
 use crate::keep::Keep;
 use crate::link::Hints;
 use crate::metrics::Metrics;
+use crate::ports::Ports;
 use crate::record::{Record, Records, Step};
 use crate::schedule::Schedule;
 use crate::settings::{Settings, millis};
@@ -15,14 +16,12 @@
 use bundle::{Bundle, Team};
 use net::{Handle, exec};
 use peer::{Beat, Peers, State, View};
-use platform::Services;
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
-use upstream::Engine;
 
 /// Time for the balancer's and the peers' last calls after everything has ended, in milliseconds.
 const LAST_CALLS_MS: u64 = 50;
@@ -68,21 +67,20 @@
 }
 
 /// One router.
-#[derive(Debug)]
-pub(crate) struct Node<P, E, C> {
+pub(crate) struct Node<W: Ports> {
     pub settings: Settings,
     /// The VM with its incarnation.
     pub holder: String,
     pub incarnation: u64,
-    pub platform: P,
-    pub engine: E,
-    pub clock: C,
+    pub platform: W::Platform,
+    pub engine: W::Engine,
+    pub clock: W::Clock,
     pub peers: Peers,
     pub grants: Grants,
     pub flights: Flights,
     pub hints: Hints,
     pub records: Records,
-    pub schedule: Schedule<C>,
+    pub schedule: Schedule<W::Clock>,
     pub loans: Loans,
     pub keep: Keep,
     pub metrics: Metrics,
@@ -117,7 +115,7 @@
     pub operators: SocketAddr,
 }
 
-impl<P: Services, E: Engine, C: Clock> Node<P, E, C> {
+impl<W: Ports> Node<W> {
     pub(crate) fn bundle(&self) -> Arc<InForce> {
         self.bundle.read().expect("the bundle's lock").clone()
     }
@@ -223,10 +221,16 @@
     }
 }
 
+impl<W: Ports> std::fmt::Debug for Node<W> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Node").field("holder", &self.holder).finish_non_exhaustive()
+    }
+}
+
 /// A router that has been started.
 #[derive(Debug)]
-pub struct Running<P, E, C> {
-    node: Arc<Node<P, E, C>>,
+pub struct Running<W: Ports> {
+    node: Arc<Node<W>>,
     callers: Handle,
     operators: Handle,
 }
@@ -235,17 +239,12 @@
 ///
 /// # Errors
 /// Fails if an address can't be bound.
-pub async fn start<P, E, C>(
+pub async fn start<W: Ports>(
     settings: Settings,
-    platform: P,
-    engine: E,
-    clock: C,
-) -> io::Result<Running<P, E, C>>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+    platform: W::Platform,
+    engine: W::Engine,
+    clock: W::Clock,
+) -> io::Result<Running<W>> {
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
     let keys = settings.keys();
     let Some(key) = keys.first().cloned() else {
@@ -324,12 +323,7 @@
     Ok(Running { node, callers, operators })
 }
 
-impl<P, E, C> Running<P, E, C>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+impl<W: Ports> Running<W> {
     /// The addresses bound.
     pub fn addresses(&self) -> Addresses {
         self.node.addresses()
--- a/crates/router/src/reserve.rs
+++ b/crates/router/src/reserve.rs
@@ -3,16 +3,15 @@
 use crate::clock::Clock;
 use crate::grants::{self, Outlook};
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::refusal::Refusal;
 use crate::settings::millis;
 use bundle::Weighing;
 use http::StatusCode;
 use net::exec;
 use peer::{Borrow, LinkClient};
-use platform::Services;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use upstream::Engine;
 use uuid::Uuid;
 
 /// How long a settlement or a release is waited for before peers are asked, in milliseconds.
@@ -29,16 +28,7 @@
 const BUSY_RETRY_MS: u64 = 1_000;
 
 /// Reserves `tokens` of `budget`, waiting for them if they are on their way.
-pub(crate) async fn reserve<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
-    budget: &str,
-    tokens: u64,
-) -> Result<(), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn reserve<W: Ports>(node: &Arc<Node<W>>, budget: &str, tokens: u64) -> Result<(), Refusal> {
     let begin = node.clock.now();
     let deadline = begin + node.bundle().content.limits.budget_wait_ms;
     let settled = node.grants.settlements(budget);
@@ -75,12 +65,7 @@
 
 /// Whether a router that reaches neither the platform nor its keeper may use all it holds: where refusals weigh
 /// more. Then the platform's list is trusted not to drop a VM that lives.
-fn goes_on_alone<P, E, C>(node: &Node<P, E, C>, budget: &str) -> bool
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn goes_on_alone<W: Ports>(node: &Node<W>, budget: &str) -> bool {
     let alone =
         !node.is_platform_up() && grants::weighing(&node.bundle().content, budget) == Weighing::Refusals;
     if alone {
@@ -94,12 +79,7 @@
     Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "insufficient_quota", "budget", message)
 }
 
-fn give_up<P, E, C>(node: &Node<P, E, C>, budget: &str, tokens: u64) -> Refusal
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn give_up<W: Ports>(node: &Node<W>, budget: &str, tokens: u64) -> Refusal {
     if node.is_platform_up() {
         let message = format!("{tokens} tokens of budget {budget} are in use by other requests");
         return Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "budget_busy", "budget", message)
@@ -111,12 +91,7 @@
 }
 
 /// Asks peers for tokens that they don't use; returns what came.
-async fn borrow<P, E, C>(node: &Arc<Node<P, E, C>>, budget: &str, missing: u64) -> u64
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn borrow<W: Ports>(node: &Arc<Node<W>>, budget: &str, missing: u64) -> u64 {
     let mut got = 0;
     for (name, address) in node.alive().into_iter().take(LENDERS) {
         if got >= missing {
@@ -141,23 +116,13 @@
     got
 }
 
-async fn ask_once<P, E, C>(node: &Node<P, E, C>, address: SocketAddr, ask: &Borrow) -> Option<u64>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn ask_once<W: Ports>(node: &Node<W>, address: SocketAddr, ask: &Borrow) -> Option<u64> {
     let ask = ask.clone();
     let call = |client: LinkClient, context| async move { client.borrow(context, ask).await };
     node.peers.call("borrow", address, call).await.ok().map(|lent| lent.tokens)
 }
 
-async fn ask_again<P, E, C>(node: Arc<Node<P, E, C>>, name: String, address: SocketAddr, ask: Borrow)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn ask_again<W: Ports>(node: Arc<Node<W>>, name: String, address: SocketAddr, ask: Borrow) {
     node.metrics.loans_open.inc();
     let mut answer = None;
     for _ in 0..LOAN_ATTEMPTS {
@@ -175,12 +140,7 @@
     }
 }
 
-fn take_in<P, E, C>(node: &Node<P, E, C>, name: &str, ask: &Borrow, tokens: u64)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn take_in<W: Ports>(node: &Node<W>, name: &str, ask: &Borrow, tokens: u64) {
     node.grants.receive(&ask.budget, tokens);
     node.metrics.borrowed.inc_by(tokens);
     log::info!("budget: borrowed {tokens} tokens of {} from {name} under {}", ask.budget, ask.id);
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -5,12 +5,12 @@
 //! a model request is.
 
 use crate::claims::{self, Gate};
-use crate::clock::Clock;
 use crate::flight::Flight;
 use crate::forward;
 use crate::front::{Entry, join, read_body};
 use crate::job;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::refusal::{Execution, Refusal};
 use crate::reserve::reserve;
 use budget::ledger::Charge;
@@ -20,7 +20,6 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
-use platform::Services;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -33,16 +32,11 @@
 const FAILED_RETRY_MS: u64 = 1_000;
 
 /// Answers a call to a service.
-pub(crate) async fn answer<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn answer<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: Entry,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Response<Body>, Refusal> {
     let target = Target::find(&entry, &request)?;
     node.records.begin(&entry.id, &entry.access.budget, entry.bundle.sequence);
     if entry.key.is_some() {
@@ -120,12 +114,7 @@
         .retry_after(FAILED_RETRY_MS)
 }
 
-async fn pay<P, E, C>(node: &Arc<Node<P, E, C>>, entry: &Entry, target: &Target) -> Result<(), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn pay<W: Ports>(node: &Arc<Node<W>>, entry: &Entry, target: &Target) -> Result<(), Refusal> {
     match target.service.cost {
         0 => Ok(()),
         cost => reserve(node, &entry.access.budget, cost).await,
@@ -133,12 +122,7 @@
 }
 
 /// Charges a call that was or may have been executed; gives its tokens back if it certainly was not.
-fn settle<P, E, C>(node: &Node<P, E, C>, entry: &Entry, target: &Target, refusal: Option<&Refusal>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn settle<W: Ports>(node: &Node<W>, entry: &Entry, target: &Target, refusal: Option<&Refusal>) {
     let tokens = target.service.cost;
     if tokens == 0 {
         return;
@@ -153,18 +137,13 @@
 }
 
 /// Calls one server after the other, as long as trying again is safe.
-async fn call<P, E, C>(
-    node: &Node<P, E, C>,
+async fn call<W: Ports>(
+    node: &Node<W>,
     entry: &Entry,
     target: &Target,
     parts: &Parts,
     body: &Bytes,
-) -> Result<Response<Incoming>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Response<Incoming>, Refusal> {
     let mut worst = Fault::NotRun;
     let mut reason = String::new();
     for address in target.addresses(&entry.id) {
@@ -193,17 +172,12 @@
     Err(failed(&reason, worst))
 }
 
-async fn keyed<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn keyed<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: Entry,
     target: Target,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<Response<Body>, Refusal> {
     let (parts, body) = request.into_parts();
     let body = read_body(node, &entry.bundle, body).await?;
     let content = format!("{} {} {}", parts.method, target.path, xxh3_64(&body));
@@ -222,19 +196,14 @@
     Ok(following.await)
 }
 
-async fn run<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn run<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     target: &Target,
     parts: &Parts,
     body: &Bytes,
     flight: &Arc<Flight>,
-) -> Result<(), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<(), Refusal> {
     if target.repeatable {
         return run_claimed(node, entry, target, parts, body, flight).await;
     }
@@ -255,19 +224,14 @@
     }
 }
 
-async fn run_claimed<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn run_claimed<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     target: &Target,
     parts: &Parts,
     body: &Bytes,
     flight: &Flight,
-) -> Result<(), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<(), Refusal> {
     pay(node, entry, target).await?;
     let result = call(node, entry, target, parts, body).await;
     settle(node, entry, target, result.as_ref().err());
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::front::Entry;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::refusal::Refusal;
 use crate::schedule::Schedule;
 use crate::settings::millis;
@@ -17,14 +18,12 @@
 use futures::stream::FuturesUnordered;
 use net::exec;
 use peer::{LinkClient, SlotAsk};
-use platform::Services;
 use rand::Rng;
 use route::{Choice, Reason, Want};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use upstream::Engine;
 use uuid::Uuid;
 
 /// Bytes of a request from which a slot at the prefix's preferred upstream is worth a message to its owner.
@@ -61,17 +60,12 @@
 }
 
 /// Gets a slot for a request.
-pub(crate) async fn acquire<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+pub(crate) async fn acquire<W: Ports>(
+    node: &Arc<Node<W>>,
     entry: &Entry,
     ask: &Ask,
     want: &Want<'_>,
-) -> Result<(Choice, Slot), Refusal>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<(Choice, Slot), Refusal> {
     let home = node.schedule.home(&entry.bundle.content, want.model, want.prefix);
     let (home, owners) = home.unwrap_or_default();
     let is_mine = owners.contains(&node.settings.name);
@@ -102,26 +96,16 @@
 }
 
 /// The addresses of those of `names` that are thought to be alive.
-fn addresses<P, E, C>(node: &Node<P, E, C>, names: &[String]) -> Vec<SocketAddr>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn addresses<W: Ports>(node: &Node<W>, names: &[String]) -> Vec<SocketAddr> {
     let alive = node.alive();
     alive.into_iter().filter(|(name, _)| names.contains(name)).map(|(_, address)| address).collect()
 }
 
-async fn wait_at_peers<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn wait_at_peers<W: Ports>(
+    node: &Arc<Node<W>>,
     owners: &[SocketAddr],
     want: &Want<'_>,
-) -> Option<(Choice, Slot)>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Option<(Choice, Slot)> {
     let mut lenders = owners.to_vec();
     let alive = node.alive();
     if !alive.is_empty() {
@@ -140,17 +124,12 @@
     None
 }
 
-async fn ask_peer<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn ask_peer<W: Ports>(
+    node: &Arc<Node<W>>,
     lender: SocketAddr,
     want: &Want<'_>,
     at: Option<&str>,
-) -> Option<(Choice, Slot)>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Option<(Choice, Slot)> {
     let wait_ms = if at.is_some() { 0 } else { want.deadline.saturating_sub(node.clock.now()) };
     let ask = SlotAsk {
         id: Uuid::new_v4().to_string(),
@@ -185,12 +164,12 @@
 }
 
 /// Gives a loan back when it is dropped before it was taken.
-struct Guard<P: Services, E: Engine, C: Clock> {
-    node: Arc<Node<P, E, C>>,
+struct Guard<W: Ports> {
+    node: Arc<Node<W>>,
     loan: Option<Loan>,
 }
 
-impl<P: Services, E: Engine, C: Clock> Drop for Guard<P, E, C> {
+impl<W: Ports> Drop for Guard<W> {
     fn drop(&mut self) {
         if let Some(loan) = self.loan.take() {
             give_back(&self.node, loan, false);
@@ -199,12 +178,7 @@
 }
 
 /// Ends the use of a slot.
-pub(crate) fn end<P, E, C>(node: &Arc<Node<P, E, C>>, slot: Slot)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) fn end<W: Ports>(node: &Arc<Node<W>>, slot: Slot) {
     match slot.loan {
         None => node.schedule.end(&slot.upstream),
         Some(loan) => give_back(node, loan, slot.failed.load(Ordering::Relaxed)),
@@ -212,12 +186,7 @@
 }
 
 /// Tells the lender until it answers; if it never does, it takes the slot back by itself.
-fn give_back<P, E, C>(node: &Arc<Node<P, E, C>>, loan: Loan, failed: bool)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+fn give_back<W: Ports>(node: &Arc<Node<W>>, loan: Loan, failed: bool) {
     let node = node.clone();
     exec::spawn(async move {
         for _ in 0..GIVE_BACK_ATTEMPTS {
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -3,16 +3,16 @@
 use crate::clock::Clock;
 use crate::membership;
 use crate::node::{Access, InForce, Node};
+use crate::ports::Ports;
 use crate::settings::millis;
 use bundle::{Bundle, Manifest, Signed};
 use net::exec;
 use peer::{Beat, LinkClient};
-use platform::Services;
+use platform::{Store, Table};
 use roll::{Accepted, HEAD, object_key};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use upstream::Engine;
 
 /// Reads of the head that all routers together make in a second.
 const FLEET_RATE: u64 = 400;
@@ -40,12 +40,7 @@
 }
 
 /// Watches the platform's head row.
-pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn run<W: Ports>(node: Arc<Node<W>>) {
     membership::introduce(&node).await;
     while !node.is_closed() {
         match node.platform.read(&[HEAD.to_owned()]).await {
@@ -64,12 +59,7 @@
 }
 
 /// Adopts the bundle that a peer has in force, if it is later.
-pub(crate) async fn adopt_from_peer<P, E, C>(node: &Arc<Node<P, E, C>>, beat: &Beat)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn adopt_from_peer<W: Ports>(node: &Arc<Node<W>>, beat: &Beat) {
     adopt(node, beat.sequence, &beat.manifest, Source::Peer(beat.address)).await;
 }
 
@@ -80,12 +70,7 @@
     Peer(SocketAddr),
 }
 
-async fn adopt<P, E, C>(node: &Arc<Node<P, E, C>>, sequence: u64, manifest: &str, source: Source)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn adopt<W: Ports>(node: &Arc<Node<W>>, sequence: u64, manifest: &str, source: Source) {
     let current = node.bundle();
     if sequence <= current.sequence {
         return;
@@ -104,18 +89,13 @@
     }
 }
 
-async fn build<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn build<W: Ports>(
+    node: &Arc<Node<W>>,
     current: &InForce,
     sequence: u64,
     digest: &str,
     source: Source,
-) -> Result<InForce, Error>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<InForce, Error> {
     let fetched = fetch(node, &[digest.to_owned()], source).await?;
     let text = fetched.get(digest).ok_or_else(|| Error::Fetch("the manifest is not there".to_owned()))?;
     let signed: Signed = serde_json::from_str(text)
@@ -146,18 +126,13 @@
 }
 
 /// Gathers parts: those in force are at hand, the others are fetched.
-async fn collect<P, E, C>(
-    node: &Arc<Node<P, E, C>>,
+async fn collect<W: Ports>(
+    node: &Arc<Node<W>>,
     current: &InForce,
     digests: impl Iterator<Item = &String>,
     source: Source,
     parts: &mut HashMap<String, String>,
-) -> Result<(), Error>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<(), Error> {
     let mut missing = vec![];
     for digest in digests {
         match current.parts.get(digest) {
@@ -171,16 +146,11 @@
     Ok(())
 }
 
-async fn fetch<P, E, C>(
-    node: &Node<P, E, C>,
+async fn fetch<W: Ports>(
+    node: &Node<W>,
     digests: &[String],
     source: Source,
-) -> Result<HashMap<String, String>, Error>
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+) -> Result<HashMap<String, String>, Error> {
     let mut found = HashMap::new();
     match source {
         Source::Platform => {
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -5,17 +5,17 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::ports::Ports;
 use crate::settings::millis;
 use budget::ledger::{Account, Batch, Error as PostError, KeyRef, Pool, post};
 use net::exec;
-use platform::{Error, Fault, Row, Services, Tx, Verdict};
+use platform::{Error, Fault, Row, Table, Tx, Verdict};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use upstream::Engine;
 
 /// Settlements a second that all routers together may ask of the platform.
 const FLEET_RATE: u64 = 280;
@@ -57,12 +57,7 @@
 }
 
 /// Runs settlements until the node has stopped.
-pub(crate) async fn run<P, E, C>(node: Arc<Node<P, E, C>>, kicked: async_channel::Receiver<()>)
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn run<W: Ports>(node: Arc<Node<W>>, kicked: async_channel::Receiver<()>) {
     let mut last = node.clock.now();
     while !node.is_closed() {
         let fleet = node.fleet_size();
@@ -82,12 +77,7 @@
 }
 
 /// Settles everything that is dirty in one batch; `false` if there was nothing.
-pub(crate) async fn settle<P, E, C>(node: &Node<P, E, C>, now: u64, elapsed_ms: u64, close: bool) -> bool
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+pub(crate) async fn settle<W: Ports>(node: &Node<W>, now: u64, elapsed_ms: u64, close: bool) -> bool {
     let _settling = node.settling.lock().await;
     // After the last settlement nothing may be drawn again.
     if node.is_closed() && !close {
@@ -125,12 +115,7 @@
     }
 }
 
-async fn attempt<P, E, C>(node: &Node<P, E, C>, batch: &Batch) -> Attempt
-where
-    P: Services,
-    E: Engine,
-    C: Clock,
-{
+async fn attempt<W: Ports>(node: &Node<W>, batch: &Batch) -> Attempt {
     let account_key = account_key(&node.holder);
     let identities: Vec<(&str, &str)> = batch
         .entries
