--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -342,12 +342,13 @@
                 fleet.cut_platform(index, true);
                 fleet.cut_peers(index, true);
             }
-            answers.extend(load(&fleet, &[0], 40, 20).await);
+            // Far more than what was in use when it settled last.
+            answers.extend(load(&fleet, &[0], 120, 20).await);
             let served = served(&answers) - 240;
             match weighing {
-                bundle::Weighing::Refusals => assert_eq!(served, 40, "{:?}", counts(&answers)),
+                bundle::Weighing::Refusals => assert_eq!(served, 120, "{:?}", counts(&answers)),
                 bundle::Weighing::Overspend => {
-                    assert!(served < 40, "{:?}", counts(&answers));
+                    assert!(served < 120, "{:?}", counts(&answers));
                     assert!(
                         answers.iter().all(|answer| answer.status == 200 || answer.execution == "not-run")
                     );
