Give the tampered section a bundle of its own

Cause of a test that waited in vain in 3 of about 20 runs, found in the routers' log: sequence 2 came into force, rightly. The case after it stored the untampered sections of the same bundle while the head still named the rightly signed manifest, which was whole then. Ruled out: a router that takes an unsigned or replayed bundle.

--- a/tests/testsuite/bundles.rs
+++ b/tests/testsuite/bundles.rs
@@ -157,10 +157,12 @@
         sign(&mut tampered, &both);
         tampered.signed.manifest = tampered.signed.manifest.replace("\"parent\":1", "\"parent\": 1");
         cases.push(("a manifest that was changed", tampered));
-        let mut section = Package::new(&bundle, 1, None, "");
+        // A content of its own: the next case stores the right sections of the bundle that the others share,
+        // and then this one, rightly signed but for them, would be whole.
+        let mut section = Package::new(&changed(&fleet, 997), 1, None, "");
         sign(&mut section, &both);
         for json in section.sections.values_mut() {
-            *json = json.replace("999", "998");
+            *json = json.replace("997", "996");
         }
         cases.push(("a section that was changed", section));
         let mut replayed = Package::new(&bundle, 0, None, "");
