--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -44,6 +44,8 @@
     let claim = Claim { holder: node.holder.clone(), request: request.to_owned(), state: State::Claimed };
     let deadline = node.clock.now() + CLAIM_MS;
     let mut reason = String::new();
+    // Until the claim is known to be absent, an earlier attempt under this key may have run elsewhere (I4).
+    let mut execution = Execution::Unknown;
     while node.clock.now() < deadline {
         match read(node, &row_key).await {
             Ok(row) => {
@@ -52,7 +54,7 @@
                     Next::Dispatch => return Ok(Claimed::Ours),
                     Next::Replay(answer) => return Ok(Claimed::Before(answer)),
                     Next::Attach(claim) => return Ok(Claimed::By(claim)),
-                    Next::Insert => {}
+                    Next::Insert => execution = Execution::NotRun,
                 }
                 let tx = Tx::default().absent(&row_key).put(&row_key, &claim);
                 match node.platform.commit(&tx).await {
@@ -73,6 +75,7 @@
         "this request may run only once and its claim could not be recorded ({reason}); ask again with the same key"
     );
     Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "claim_unavailable", "claim", message)
+        .execution(execution)
         .retry_after(CLAIM_MS))
 }
 
