--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -257,19 +257,24 @@
     async fn abandon(&self, sent: Sent) -> Next {
         let node = &self.node;
         node.note(&self.entry.id, "the caller went away");
-        match node.engine.cancel(sent.peer, &sent.run).await {
+        let execution = match node.engine.cancel(sent.peer, &sent.run).await {
             Ok(Outcome::Stopped(usage)) => {
                 self.charge(usage.total());
                 slot::end(node, sent.slot);
+                Execution::Ran
             }
             Ok(Outcome::Unseen) => {
                 node.grants.release(&self.entry.access.budget, self.ask.worst);
                 slot::end(node, sent.slot);
+                Execution::NotRun
             }
-            Err(_) => self.hold(sent, Some(self.bill(0))),
-        }
+            Err(_) => {
+                self.hold(sent, Some(self.bill(0)));
+                Execution::Unknown
+            }
+        };
         let refusal = Refusal::bad("stream", "caller_gone", "the caller went away");
-        Next::Refuse(refusal.execution(Execution::Ran))
+        Next::Refuse(refusal.execution(execution))
     }
 
     /// Decides after a failure that leaves open whether the run goes on, before any of it was passed on.
--- a/examples/bench/control.rs
+++ b/examples/bench/control.rs
@@ -78,6 +78,11 @@
     (peers, platform)
 }
 
+/// Processor time that all routers have used.
+fn processor_time(fleet: &Fleet) -> Duration {
+    fleet.nodes.iter().map(|node| cpu(node.process.id())).sum()
+}
+
 async fn quiet(program: &Path) {
     println!(
         "\n| routers | peer bytes/s a router | platform bytes/s a router | platform reads/s in all | CPU % of a core | memory MB |"
@@ -88,17 +93,12 @@
         net::exec::sleep(Duration::from_secs(2)).await;
         let (peers, platform) = traffic(&fleet);
         let reads = fleet.platform.counts().reads;
-        let used: Vec<Duration> = fleet.nodes.iter().map(|node| cpu(node.process.id())).collect();
+        let used = processor_time(&fleet);
         let begun = Instant::now();
         net::exec::sleep(QUIET).await;
         let seconds = begun.elapsed().as_secs_f64();
         let (peers_after, platform_after) = traffic(&fleet);
-        let spent: f64 = fleet
-            .nodes
-            .iter()
-            .zip(&used)
-            .map(|(node, before)| (cpu(node.process.id()) - *before).as_secs_f64())
-            .sum();
+        let spent = (processor_time(&fleet) - used).as_secs_f64();
         let held: u64 = fleet.nodes.iter().map(|node| memory(node.process.id())).sum();
         let share = |bytes: u64| bytes as f64 / seconds / routers as f64;
         println!(
@@ -128,7 +128,7 @@
         let size: usize = bundle::split(&bundle).iter().map(|section| section.json.len()).sum();
         let (_, before) = traffic(&fleet);
         let (peers_before, _) = traffic(&fleet);
-        let used: Vec<Duration> = fleet.nodes.iter().map(|node| cpu(node.process.id())).collect();
+        let used = processor_time(&fleet);
         let changes = 10;
         let begun = Instant::now();
         for change in 0..changes {
@@ -139,12 +139,7 @@
         }
         let seconds = begun.elapsed().as_secs_f64();
         let (peers_after, after) = traffic(&fleet);
-        let spent: f64 = fleet
-            .nodes
-            .iter()
-            .zip(&used)
-            .map(|(node, before)| (cpu(node.process.id()) - *before).as_secs_f64())
-            .sum();
+        let spent = (processor_time(&fleet) - used).as_secs_f64();
         let held = memory(fleet.nodes[0].process.id());
         let first = *smallest.get_or_insert((budgets, held));
         let slope = if budgets > first.0 {
--- a/examples/bench/policy/mod.rs
+++ b/examples/bench/policy/mod.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod plot;
+mod score;
 mod world;
 
 use world::{Class, Mix, Outcome, Policy, Scene, simulate};
--- /dev/null
+++ b/examples/bench/policy/score.rs
@@ -0,0 +1,31 @@
+//! The figures that are made of what a world counted.
+
+use std::collections::BTreeMap;
+
+/// A part of a whole in percent.
+pub fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
+
+/// The value at a quantile of sorted values.
+pub fn at(sorted: &[u64], quantile: f64) -> u64 {
+    let last = sorted.len().saturating_sub(1);
+    sorted.get((last as f64 * quantile) as usize).copied().unwrap_or(0)
+}
+
+/// Jain's index of what each team got, against the lesser of its offer and an equal share of all that was
+/// served: 1 is fair.
+pub fn fairness(good: &[u64], offered: &[u64]) -> f64 {
+    let total: u64 = good.iter().sum();
+    let equal = total as f64 / good.len() as f64;
+    let shares: BTreeMap<usize, f64> = good
+        .iter()
+        .zip(offered)
+        .enumerate()
+        .filter(|(_, (_, offered))| **offered > 0)
+        .map(|(team, (good, offered))| (team, (*good as f64 / equal.min(*offered as f64)).min(1.0)))
+        .collect();
+    let sum: f64 = shares.values().sum();
+    let squares: f64 = shares.values().map(|share| share * share).sum();
+    sum * sum / (shares.len() as f64 * squares)
+}
