--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -39,9 +39,40 @@
     pub spent: u64,
     /// The credits applied so far.
     pub credits: BTreeMap<String, u64>,
+    /// The level that the operator sets instead of single credits, if that is how the budget is prepaid.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub level: Option<Level>,
+}
+
+/// A prepaid total that may be raised and lowered; the latest version of the configuration decides.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Level {
+    /// The version of the configuration that set it.
+    pub version: u64,
+    /// Tokens that may be spent in all.
+    pub tokens: u64,
 }
 
 impl Pool {
+    /// Sets the prepaid total, unless a later version of the configuration set it before.
+    ///
+    /// A total below what is spent and outstanding leaves nothing free until enough tokens came back.
+    pub fn set_level(&mut self, level: Level) -> bool {
+        if self.level.is_some_and(|known| known.version >= level.version) {
+            return false;
+        }
+        self.level = Some(level);
+        self.refill();
+        true
+    }
+
+    /// With a level, what is free follows from what is spent and outstanding.
+    fn refill(&mut self) {
+        if let Some(level) = self.level {
+            self.free = level.tokens.saturating_sub(self.outstanding + self.spent);
+        }
+    }
+
     /// Adds a credit unless its identifier was added before (I5).
     pub fn credit(&mut self, id: &str, tokens: u64) -> bool {
         if self.credits.contains_key(id) {
@@ -59,7 +90,12 @@
 
     /// Whether every prepaid token is in exactly one place (I1).
     pub fn balance(&self) -> bool {
-        self.credited() == self.free + self.outstanding + self.spent
+        let held = self.outstanding + self.spent;
+        match self.level {
+            // A level may have been lowered below what routers hold; then nothing more is granted.
+            Some(level) => self.free == level.tokens.saturating_sub(held),
+            None => self.credited() == self.free + held,
+        }
     }
 }
 
@@ -122,6 +158,7 @@
         let imbalance = || Error::Imbalance(budget.clone());
         pool.outstanding = pool.outstanding.checked_sub(tokens).ok_or_else(imbalance)?;
         pool.free += tokens;
+        pool.refill();
         line.returned += tokens;
         released.insert(budget.clone(), tokens);
     }
@@ -246,6 +283,7 @@
     let returned = entry.returned.min(most);
     pool.outstanding = pool.outstanding.checked_sub(returned)?;
     pool.free += returned;
+    pool.refill();
     line.returned += returned;
     line.sent += entry.sent;
     line.received += entry.received;
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,298 @@
+//! One dispatch of a request to an upstream, up to its first answer.
+
+use crate::event::Splitter;
+use crate::job::{Job, Seat};
+use crate::manifest::Kind;
+use crate::ports::{Reply, Wire};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::response;
+use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Incoming};
+use net::exec;
+use route::place::Chosen;
+use std::pin::pin;
+use std::time::Duration;
+use store::rows::Rows;
+
+/// An idempotent call is tried elsewhere after this multiple of its target without an answer.
+const CALL_PATIENCE: f64 = 1.5;
+/// A stream is tried elsewhere after this multiple of its target without an event.
+const STREAM_PATIENCE: f64 = 1.6;
+/// Any other request counts as overdue after this multiple of its target.
+const OVERDUE: f64 = 2.0;
+/// Time between the end of the answer's deadline and the moment at which the router gives up, in milliseconds:
+/// the upstream's own final answer may still come.
+const DEADLINE_SLACK_MS: u64 = 60;
+/// The largest answer that is no stream, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 6] =
+    [CONNECTION, HeaderName::from_static("keep-alive"), TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+
+/// A stream that has begun.
+pub(crate) struct Flow<W: Wire, S: Rows> {
+    pub body: Incoming,
+    pub lease: net::Lease,
+    pub seat: Seat<W, S>,
+}
+
+/// What a dispatch led to.
+pub(crate) enum First<W: Wire, S: Rows> {
+    /// A whole answer.
+    Whole(response::Parts, Bytes),
+    /// A stream, with its first events.
+    Stream(response::Parts, Box<Flow<W, S>>, Bytes),
+    /// The upstream certainly did not run the request.
+    NotRun(String),
+    /// It answered with a failure of its own.
+    Erred(response::Parts, Bytes),
+    /// It may have run the request, and no whole answer came.
+    Lost(String),
+    /// The time ran out.
+    TimedOut,
+}
+
+impl<W: Wire, S: Rows> Job<W, S> {
+    /// Dispatches the request and waits for the first answer.
+    pub(crate) async fn attempt(
+        &self,
+        chosen: &Chosen,
+        splitter: &mut Splitter,
+        after_event: Option<u64>,
+        may_move: bool,
+    ) -> First<W, S> {
+        let node = &self.node;
+        let Some(listing) = node.listings().get(&chosen.upstream).cloned() else {
+            return First::NotRun("it is not listed any more".to_owned());
+        };
+        log::info!(
+            "request: id={} event=dispatch upstream={} estimate-ms={:.0} unread={} open={} candidates={} after={:?}",
+            self.ask.id,
+            chosen.upstream,
+            chosen.cost,
+            chosen.uncached,
+            chosen.open,
+            chosen.candidates,
+            after_event,
+        );
+        let all = self.manifest.services.get(&self.service).map_or(usize::MAX, |service| service.connections);
+        let request = self.request(&chosen.upstream, after_event);
+        let seat = Seat::take(self, chosen);
+        let most = node.connections(all);
+        let sending = node.pool.send("dispatch", listing.address, most, request);
+        let began = node.now();
+        let first = self.await_first(chosen, seat, splitter, may_move, sending).await;
+        self.judge(chosen, began, &first);
+        first
+    }
+
+    async fn await_first(
+        &self,
+        chosen: &Chosen,
+        seat: Seat<W, S>,
+        splitter: &mut Splitter,
+        may_move: bool,
+        sending: impl Future<Output = Result<(http::Response<Incoming>, net::Lease), net::Failure>>,
+    ) -> First<W, S> {
+        let mut reading = pin!(async {
+            let mut seat = seat;
+            let first = self.read_first(&mut seat, splitter, sending).await;
+            (first, seat)
+        });
+        let patience = self.patience(chosen).min(self.remaining());
+        let early = exec::timeout(patience, reading.as_mut()).await;
+        let (first, seat) = match early {
+            Some(done) => done,
+            None if may_move && self.kind().is_repeatable() && !self.remaining().is_zero() => {
+                self.node.places().err(&chosen.upstream);
+                return First::Lost(format!("no answer within {} ms", patience.as_millis()));
+            }
+            None => {
+                self.node.places().overdue(&chosen.upstream, true);
+                let rest = self.remaining() + Duration::from_millis(DEADLINE_SLACK_MS);
+                let late = exec::timeout(rest, reading.as_mut()).await;
+                self.node.places().overdue(&chosen.upstream, false);
+                match late {
+                    Some(done) => done,
+                    None => return First::TimedOut,
+                }
+            }
+        };
+        match first {
+            Read::Flowing(head, body, lease, bytes) => {
+                First::Stream(head, Box::new(Flow { body, lease, seat }), bytes)
+            }
+            Read::Other(first) => first,
+        }
+    }
+
+    fn patience(&self, chosen: &Chosen) -> Duration {
+        let factor = match self.kind() {
+            Kind::Idempotent => CALL_PATIENCE,
+            Kind::ResumableStream => STREAM_PATIENCE,
+            Kind::Once | Kind::Stream => OVERDUE,
+        };
+        Duration::from_millis((self.route.target_ms as f64 * factor + chosen.cost.clamp(0.0, 1_000.0)) as u64)
+    }
+
+    async fn read_first(
+        &self,
+        seat: &mut Seat<W, S>,
+        splitter: &mut Splitter,
+        sending: impl Future<Output = Result<(http::Response<Incoming>, net::Lease), net::Failure>>,
+    ) -> Read<W, S> {
+        let (response, lease) = match sending.await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                return Read::Other(match failure.error.fault {
+                    net::Fault::Unsent => First::NotRun(failure.error.to_string()),
+                    net::Fault::Unknown => First::Lost(failure.error.to_string()),
+                });
+            }
+        };
+        let (head, body) = response.into_parts();
+        match self.node.wire.reply(&head, &self.ask.id) {
+            Reply::Stray => Read::Other(First::Lost("the answer belongs to another request".to_owned())),
+            Reply::OtherUpstream => {
+                self.finish(lease, body).await;
+                Read::Other(First::NotRun("another upstream has the address".to_owned()))
+            }
+            Reply::NotRun => {
+                self.finish(lease, body).await;
+                Read::Other(First::NotRun(format!("it refused with status {}", head.status.as_u16())))
+            }
+            Reply::Sound if self.kind().is_stream() && head.status == StatusCode::OK => {
+                self.read_events(head, body, lease, seat, splitter).await
+            }
+            Reply::Sound => Read::Other(self.read_whole(head, body, lease, seat).await),
+        }
+    }
+
+    /// Reads a short answer to its end, so that its connection can be kept.
+    async fn finish(&self, lease: net::Lease, body: Incoming) {
+        match net::collect(body, ANSWER_LIMIT).await {
+            Ok(_) => lease.keep(),
+            Err(reason) => log::debug!("request: id={} event=connection-closed reason={reason}", self.ask.id),
+        }
+    }
+
+    async fn read_whole(
+        &self,
+        mut head: response::Parts,
+        body: Incoming,
+        lease: net::Lease,
+        seat: &mut Seat<W, S>,
+    ) -> First<W, S> {
+        match net::collect(body, ANSWER_LIMIT).await {
+            Ok(bytes) => {
+                lease.keep();
+                seat.read();
+                strip(&mut head.headers);
+                match head.status.is_server_error() {
+                    true => First::Erred(head, bytes),
+                    false => First::Whole(head, bytes),
+                }
+            }
+            Err(reason) => First::Lost(format!("the answer broke off: {reason}")),
+        }
+    }
+
+    async fn read_events(
+        &self,
+        mut head: response::Parts,
+        mut body: Incoming,
+        lease: net::Lease,
+        seat: &mut Seat<W, S>,
+        splitter: &mut Splitter,
+    ) -> Read<W, S> {
+        loop {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let events = splitter.push(data);
+                    if !events.is_empty() {
+                        seat.read();
+                        strip(&mut head.headers);
+                        return Read::Flowing(head, body, lease, events);
+                    }
+                }
+                Some(Err(error)) => {
+                    return Read::Other(First::Lost(format!("the stream broke off: {error}")));
+                }
+                None => {
+                    lease.keep();
+                    strip(&mut head.headers);
+                    return Read::Other(First::Whole(head, splitter.take_rest()));
+                }
+            }
+        }
+    }
+
+    fn request(&self, upstream: &str, after_event: Option<u64>) -> Request<net::Body> {
+        let mut headers = self.node.wire.dispatch(&self.head.headers, &self.dispatch(upstream, after_event));
+        strip(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.insert(
+            HOST,
+            http::HeaderValue::from_str(&self.ask.host).unwrap_or(http::HeaderValue::from_static("")),
+        );
+        let mut request = Request::new(net::Body::from(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = origin(&self.head.uri);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Takes what a dispatch led to into the picture of its upstream.
+    fn judge(&self, chosen: &Chosen, began: u64, first: &First<W, S>) {
+        let now = self.node.now();
+        let mut places = self.node.places();
+        let ejected = match first {
+            First::Whole(..) => {
+                let pace = (!self.kind().is_stream()).then_some((now - began) as f64);
+                places.succeed(&chosen.upstream, pace);
+                false
+            }
+            First::Stream(..) => {
+                places.succeed(&chosen.upstream, None);
+                false
+            }
+            First::Erred(..) => {
+                places.err(&chosen.upstream);
+                false
+            }
+            First::NotRun(_) | First::Lost(_) | First::TimedOut => places.fail(&chosen.upstream, now),
+        };
+        drop(places);
+        if ejected {
+            log::warn!("upstream: event=ejected upstream={} request={}", chosen.upstream, self.ask.id);
+        }
+    }
+}
+
+enum Read<W: Wire, S: Rows> {
+    Flowing(response::Parts, Incoming, net::Lease, Bytes),
+    Other(First<W, S>),
+}
+
+/// The path and query, as a request to an origin server names them.
+fn origin(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned().unwrap_or(http::uri::PathAndQuery::from_static("/"));
+    Uri::from(path)
+}
+
+/// Drops the headers that concern one connection only, those that `Connection` names included.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,255 @@
+//! A request from its head to its answer: admission, dispatch, and what to do when a dispatch fails.
+
+use crate::attempt::First;
+use crate::body::Answer;
+use crate::event::Splitter;
+use crate::job::{Admitted, Job, Meter};
+use crate::manifest::Lookup;
+use crate::money::{Denied, Reservation};
+use crate::node::{Node, Phase};
+use crate::ports::{Ask, Wire};
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
+use hyper::body::{Bytes, Incoming};
+use std::sync::Arc;
+use std::time::Duration;
+use store::rows::Rows;
+
+/// The share of a request's target that it may wait for tokens: a refusal after that counts as late.
+const BUDGET_PATIENCE: f64 = 0.22;
+/// Upstreams that certainly did not run a request are passed over at most this often.
+const REFUSALS: u32 = 4;
+
+type Reply<W, S> = Response<Answer<W, S>>;
+
+/// Answers one request.
+pub(crate) async fn answer<W: Wire, S: Rows>(
+    node: Arc<Node<W, S>>,
+    request: Request<Incoming>,
+) -> Reply<W, S> {
+    let arrived = node.now();
+    let (head, body) = request.into_parts();
+    let ask = match node.wire.ask(&head) {
+        Ok(ask) => ask,
+        Err(error) => {
+            log::warn!("request: event=refused reason=malformed {error}");
+            return finish(&node, "", refuse(Refusal::Malformed));
+        }
+    };
+    let id = ask.id.clone();
+    let reply = match admit(&node, ask, head, body, arrived).await {
+        Ok((job, reservation)) => run(job, reservation).await,
+        Err(refusal) => refuse(refusal),
+    };
+    finish(&node, &id, reply)
+}
+
+fn refuse<W: Wire, S: Rows>(refusal: Refusal) -> Reply<W, S> {
+    refusal.response().map(Answer::Whole)
+}
+
+/// Names the request in an answer of the router's own, and ends the connection of a router that stops.
+fn finish<W: Wire, S: Rows>(node: &Node<W, S>, id: &str, mut reply: Reply<W, S>) -> Reply<W, S> {
+    node.wire.label(id, reply.headers_mut());
+    if node.phase() != Phase::Serving {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+type Job1<W, S> = (Arc<Job<W, S>>, Option<Reservation>);
+
+/// Decides whether a request is carried out, and at whose cost.
+async fn admit<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    ask: Ask,
+    head: http::request::Parts,
+    body: Incoming,
+    arrived: u64,
+) -> Result<Job1<W, S>, Refusal> {
+    let refused = |refusal: Refusal, detail: &str| {
+        node.metrics.requests.with_label_values(&["-", refusal.name()]).inc();
+        log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
+        refusal
+    };
+    let limit = node.manifest().map_or(0, |manifest| manifest.body_limit);
+    let body = match net::collect(body, limit.max(1)).await {
+        Ok(body) => body,
+        Err(reason) if reason.contains("limit") => return Err(refused(Refusal::TooLong, &reason)),
+        Err(reason) => return Err(refused(Refusal::BodyBroken, &reason)),
+    };
+    if node.phase() == Phase::Draining {
+        return Err(refused(Refusal::Stopping, ""));
+    }
+    // The manifest is taken once: the request runs wholly under this version.
+    let Some(manifest) = node.manifest() else {
+        return Err(refused(Refusal::NotConfigured, ""));
+    };
+    let version = format!("manifest={}", manifest.version);
+    let (route, team) = match manifest.lookup(&ask.host, head.uri.path(), ask.key.as_deref()) {
+        Lookup::Allowed(route, team) => (route, team),
+        Lookup::NoRoute => return Err(refused(Refusal::NoRoute, &version)),
+        Lookup::NoKey => return Err(refused(Refusal::NoKey, &version)),
+    };
+    let Some(service) = route.service(&ask.id).map(str::to_owned) else {
+        return Err(refused(Refusal::NoUpstream, &version));
+    };
+    node.window(&service, |window, now| window.request(now));
+    let reservation = match reserve(node, &manifest, &route, team.as_deref(), &ask).await {
+        Ok(reservation) => reservation,
+        Err(denied) => {
+            let refusal = match denied {
+                Denied::Spent => Refusal::BudgetSpent,
+                Denied::Away => Refusal::BudgetAway,
+            };
+            let team = team.as_ref().map_or("-", |team| team.name.as_str());
+            return Err(refused(refusal, &format!("team={team} {version}")));
+        }
+    };
+    let admitted = Admitted { ask, head, body, manifest, route, team, service, arrived };
+    Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
+}
+
+async fn reserve<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    manifest: &crate::manifest::Manifest,
+    route: &crate::manifest::Route,
+    team: Option<&crate::manifest::Team>,
+    ask: &Ask,
+) -> Result<Option<Reservation>, Denied> {
+    let (Some(team), Some(prompt)) = (team, &ask.prompt) else { return Ok(None) };
+    let Some(purse) = node.purse(manifest, team) else { return Ok(None) };
+    let patience = Duration::from_millis((route.target_ms as f64 * BUDGET_PATIENCE) as u64);
+    purse.reserve(prompt.input + prompt.output, patience).await.map(Some)
+}
+
+/// What to do after a dispatch.
+enum Next<W: Wire, S: Rows> {
+    /// This is the answer.
+    Reply(Reply<W, S>),
+    /// Try another upstream; if there is none, this is the answer.
+    Elsewhere(Reply<W, S>),
+}
+
+/// Dispatches a request until it has an answer.
+async fn run<W: Wire, S: Rows>(job: Arc<Job<W, S>>, reservation: Option<Reservation>) -> Reply<W, S> {
+    let mut meter = Some(Meter::new(&*job, reservation));
+    let mut last = None;
+    while let Some(chosen) = job.choose() {
+        if job.tries().sent > 0 && !job.repeat("retry") {
+            break;
+        }
+        let may_move = job.tries().ran + 1 < job.route.attempts;
+        let mut splitter = Splitter::default();
+        let first = job.attempt(&chosen, &mut splitter, None, may_move).await;
+        job.note(&chosen.upstream, &first);
+        match next(&job, first, splitter, &mut meter) {
+            Next::Reply(reply) => return reply,
+            Next::Elsewhere(reply) => last = Some(reply),
+        }
+        if job.remaining().is_zero() {
+            break;
+        }
+    }
+    match last {
+        Some(reply) => {
+            job.log_end("failed", format_args!("status={}", reply.status().as_u16()));
+            reply
+        }
+        None => {
+            job.log_end("no-upstream", "");
+            refuse(Refusal::NoUpstream)
+        }
+    }
+}
+
+fn next<W: Wire, S: Rows>(
+    job: &Arc<Job<W, S>>,
+    first: First<W, S>,
+    splitter: Splitter,
+    meter: &mut Option<Meter>,
+) -> Next<W, S> {
+    let tries = job.tries();
+    let (ran, refusals) = (tries.ran, tries.sent - tries.ran);
+    drop(tries);
+    let may_run_again = job.kind().is_repeatable() && ran < job.route.attempts;
+    match first {
+        First::Stream(head, flow, bytes) => {
+            let meter = meter.take().unwrap_or_else(|| Meter::new(&**job, None));
+            let relay = Relay::new(job.clone(), flow, splitter, bytes, meter);
+            Next::Reply(Response::from_parts(head, Answer::Relayed(Box::new(relay))))
+        }
+        First::Whole(head, bytes) => {
+            observe_first(job);
+            job.log_end("complete", format_args!("status={}", head.status.as_u16()));
+            Next::Reply(whole(head, bytes))
+        }
+        First::Erred(head, bytes) if may_run_again => Next::Elsewhere(whole(head, bytes)),
+        First::Erred(head, bytes) => {
+            job.log_end("upstream-error", format_args!("status={}", head.status.as_u16()));
+            Next::Reply(whole(head, bytes))
+        }
+        First::NotRun(_) if ran == 0 && refusals <= REFUSALS => Next::Elsewhere(refuse(Refusal::NotRun)),
+        First::NotRun(_) if may_run_again => Next::Elsewhere(refuse(Refusal::Failed)),
+        First::NotRun(reason) => {
+            let refusal = if ran == 0 { Refusal::NotRun } else { Refusal::Failed };
+            job.log_end(refusal.name(), reason);
+            Next::Reply(refuse(refusal))
+        }
+        First::Lost(_) if may_run_again => Next::Elsewhere(refuse(Refusal::Failed)),
+        First::Lost(reason) => {
+            job.log_end("failed", reason);
+            Next::Reply(refuse(Refusal::Failed))
+        }
+        First::TimedOut => {
+            job.log_end("timed-out", "");
+            Next::Reply(refuse(Refusal::TimedOut))
+        }
+    }
+}
+
+fn whole<W: Wire, S: Rows>(head: http::response::Parts, bytes: Bytes) -> Reply<W, S> {
+    Response::from_parts(head, Answer::Whole(Some(bytes)))
+}
+
+fn observe_first<W: Wire, S: Rows>(job: &Job<W, S>) {
+    let ms = job.node.now().saturating_sub(job.arrived);
+    job.node.metrics.first.with_label_values(&[&job.route.name]).observe(ms as f64 / 1_000.0);
+}
+
+impl<W: Wire, S: Rows> Job<W, S> {
+    /// Takes one repeat out of the service's window.
+    pub(crate) fn repeat(&self, reason: &str) -> bool {
+        let allowed = self.node.window(&self.service, |window, now| window.repeat(now));
+        if allowed {
+            self.node.metrics.repeats.with_label_values(&[self.service.as_str(), reason]).inc();
+        } else {
+            log::warn!("request: id={} event=repeat-denied service={}", self.ask.id, self.service);
+        }
+        allowed
+    }
+
+    /// Takes down what a dispatch led to.
+    pub(crate) fn note(&self, upstream: &str, first: &First<W, S>) {
+        let (ran, reason) = match first {
+            First::Whole(..) | First::Stream(..) => (true, None),
+            First::Erred(head, _) => (true, Some(format!("status {}", head.status.as_u16()))),
+            First::NotRun(reason) => (false, Some(reason.clone())),
+            First::Lost(reason) => (true, Some(reason.clone())),
+            First::TimedOut => (true, Some("the time is over".to_owned())),
+        };
+        let mut tries = self.tries();
+        tries.sent += 1;
+        tries.ran += u32::from(ran);
+        if let Some(reason) = reason {
+            tries.avoid.push(upstream.to_owned());
+            drop(tries);
+            log::warn!(
+                "request: id={} event=dispatch-failed upstream={upstream} may-have-run={ran} reason=\"{reason}\"",
+                self.ask.id
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,236 @@
+//! One request that was admitted, and the guards that undo what it took.
+
+use crate::manifest::{Kind, Manifest, Route, Team};
+use crate::money::Reservation;
+use crate::node::Node;
+use crate::ports::{Ask, Dispatch, Wire};
+use http::request::Parts;
+use hyper::body::Bytes;
+use route::Millis;
+use route::place::{Chosen, Need};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use store::rows::Rows;
+
+/// Ranks of routes within one rank of teams.
+const ROUTE_RANKS: u32 = 3;
+/// The least urgent rank at an upstream.
+const LAST_RANK: u32 = 9;
+
+/// An admitted request.
+pub(crate) struct Job<W: Wire, S: Rows> {
+    pub node: Arc<Node<W, S>>,
+    pub ask: Ask,
+    pub head: Parts,
+    pub body: Bytes,
+    pub manifest: Arc<Manifest>,
+    pub route: Arc<Route>,
+    pub team: Option<Arc<Team>>,
+    pub service: String,
+    /// When it came.
+    pub arrived: Millis,
+    /// When it must have its answer.
+    pub deadline: Millis,
+    pub tries: Mutex<Tries>,
+    _open: Open<W, S>,
+}
+
+/// What was tried so far.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    /// Dispatches.
+    pub sent: u32,
+    /// Dispatches that ran or may have run.
+    pub ran: u32,
+    /// Upstreams that are not tried again.
+    pub avoid: Vec<String>,
+}
+
+/// What a job is made of.
+pub(crate) struct Admitted {
+    pub ask: Ask,
+    pub head: Parts,
+    pub body: Bytes,
+    pub manifest: Arc<Manifest>,
+    pub route: Arc<Route>,
+    pub team: Option<Arc<Team>>,
+    pub service: String,
+    pub arrived: Millis,
+}
+
+impl<W: Wire, S: Rows> Job<W, S> {
+    pub(crate) fn new(node: Arc<Node<W, S>>, admitted: Admitted) -> Job<W, S> {
+        let Admitted { ask, head, body, manifest, route, team, service, arrived } = admitted;
+        let wait = ask.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        Job {
+            deadline: arrived.saturating_add(wait),
+            _open: Open::new(&node),
+            node,
+            ask,
+            head,
+            body,
+            manifest,
+            route,
+            team,
+            service,
+            arrived,
+            tries: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn tries(&self) -> MutexGuard<'_, Tries> {
+        self.tries.lock().expect("the tries' lock")
+    }
+
+    /// The time that is left.
+    pub(crate) fn remaining(&self) -> Duration {
+        Duration::from_millis(self.deadline.saturating_sub(self.node.now()))
+    }
+
+    pub(crate) fn kind(&self) -> Kind {
+        self.route.kind
+    }
+
+    /// Tokens in one event of the answer.
+    pub(crate) fn stride(&self) -> u64 {
+        self.manifest.services.get(&self.service).map_or(1, |service| service.stride)
+    }
+
+    /// Chooses an upstream that was not tried before.
+    pub(crate) fn choose(&self) -> Option<Chosen> {
+        let tries = self.tries();
+        let parts = self.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
+        let need = Need { service: &self.service, parts, avoid: &tries.avoid };
+        self.node.places().choose(&need, self.node.now())
+    }
+
+    /// What is added to the request at this moment.
+    pub(crate) fn dispatch<'a>(&'a self, upstream: &'a str, after_event: Option<u64>) -> Dispatch<'a> {
+        let team = self.team.as_deref();
+        let rank = team.map_or(0, |team| team.priority) * ROUTE_RANKS + self.route.priority;
+        Dispatch {
+            upstream,
+            remaining_ms: self.remaining().as_millis() as u64,
+            team: team.map(|team| team.name.as_str()),
+            priority: rank.min(LAST_RANK),
+            after_event,
+        }
+    }
+
+    /// Writes the request's last line.
+    pub(crate) fn log_end(&self, outcome: &str, detail: impl std::fmt::Display) {
+        let ms = self.node.now().saturating_sub(self.arrived);
+        let (sent, ran) = {
+            let tries = self.tries();
+            (tries.sent, tries.ran)
+        };
+        let team = self.team.as_ref().map_or("-", |team| team.name.as_str());
+        self.node.metrics.requests.with_label_values(&[self.route.name.as_str(), outcome]).inc();
+        self.node.metrics.whole.with_label_values(&[&self.route.name]).observe(ms as f64 / 1_000.0);
+        let level = if outcome == "complete" { log::Level::Info } else { log::Level::Warn };
+        log::log!(
+            level,
+            "request: id={} event=end outcome={outcome} route={} team={team} ms={ms} sent={sent} ran={ran} manifest={} {detail}",
+            self.ask.id,
+            self.route.name,
+            self.manifest.version,
+        );
+    }
+}
+
+/// Counts a request as open.
+struct Open<W: Wire, S: Rows>(Arc<Node<W, S>>);
+
+impl<W: Wire, S: Rows> Open<W, S> {
+    fn new(node: &Arc<Node<W, S>>) -> Open<W, S> {
+        node.open.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        Open(node.clone())
+    }
+}
+
+impl<W: Wire, S: Rows> Drop for Open<W, S> {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
+/// A request's place at an upstream, until it is dropped.
+pub(crate) struct Seat<W: Wire, S: Rows> {
+    node: Arc<Node<W, S>>,
+    pub upstream: String,
+    unread: u32,
+}
+
+impl<W: Wire, S: Rows> Seat<W, S> {
+    pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Seat<W, S> {
+        let node = job.node.clone();
+        let parts = job.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
+        node.places().begin(&chosen.upstream, parts, chosen.uncached, node.now());
+        Seat { node, upstream: chosen.upstream.clone(), unread: chosen.uncached }
+    }
+
+    /// Notes that the prompt was read: the first answer came.
+    pub(crate) fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.node.places().read(&self.upstream, unread);
+    }
+}
+
+impl<W: Wire, S: Rows> Drop for Seat<W, S> {
+    fn drop(&mut self) {
+        self.read();
+        self.node.places().end(&self.upstream);
+    }
+}
+
+/// The tokens that a stream may use, charged by what was passed on.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    reservation: Option<Reservation>,
+    request: String,
+    input: u64,
+    output: u64,
+    stride: u64,
+    events: u64,
+    started: bool,
+}
+
+impl Meter {
+    pub(crate) fn new<W: Wire, S: Rows>(job: &Job<W, S>, reservation: Option<Reservation>) -> Meter {
+        let prompt = job.ask.prompt.as_ref();
+        Meter {
+            reservation,
+            request: job.ask.id.clone(),
+            input: prompt.map_or(0, |prompt| prompt.input),
+            output: prompt.map_or(0, |prompt| prompt.output),
+            stride: job.stride(),
+            events: 0,
+            started: false,
+        }
+    }
+
+    /// Notes that an answer goes to the caller, with so many events in all.
+    pub(crate) fn pass(&mut self, events: u64) {
+        self.started = true;
+        self.events = events;
+    }
+
+    /// Tokens used so far.
+    pub(crate) fn tokens(&self) -> u64 {
+        match self.started {
+            true => self.input + self.output.min(self.events * self.stride),
+            false => 0,
+        }
+    }
+}
+
+impl Drop for Meter {
+    fn drop(&mut self) {
+        let tokens = self.tokens();
+        if let Some(reservation) = self.reservation.take()
+            && tokens > 0
+        {
+            reservation.charge(&self.request, tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,150 @@
+//! The gateway: the request path that runs on a platform which brings its own configuration, list of upstreams
+//! and store.
+//!
+//! One request goes through these modules, each of which imports only those after it: `handle` admits it and
+//! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `job` holds
+//! the request and what it took, `money` its tokens, `node` the gateway's state. `watch` and `members` follow
+//! the store. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
+
+mod attempt;
+mod body;
+mod event;
+mod handle;
+mod job;
+pub mod manifest;
+mod members;
+mod metrics;
+mod money;
+mod node;
+pub mod ports;
+mod refusal;
+mod relay;
+mod settings;
+mod watch;
+
+pub use settings::{Bounds, Listen, Settings};
+
+use crate::node::{Node, Phase};
+use crate::ports::Wire;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use net::{Body, Handle, exec};
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use store::rows::Rows;
+
+/// How long callers' connections may rest: the callers close them long before.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+/// How long a stopping gateway takes new work: the balancer asks each second and believes the second answer.
+const LEAVE: Duration = Duration::from_millis(2_600);
+/// Time kept at the end of the grace for giving tokens back.
+const SETTLE: Duration = Duration::from_millis(900);
+/// How often a stopping gateway looks whether its requests have ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time between two sweeps of unused connections and two updates of the gauges.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// A gateway that has been started.
+pub struct Running<W: Wire, S: Rows> {
+    node: Arc<Node<W, S>>,
+    callers: Handle,
+    readiness: Handle,
+}
+
+/// Starts a gateway.
+///
+/// # Errors
+/// Fails if an address can't be bound.
+pub async fn start<W: Wire, S: Rows>(settings: Settings, wire: W, rows: S) -> io::Result<Running<W, S>> {
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros() as u64);
+    let listen = settings.listen.clone();
+    let node = Arc::new(Node::new(settings, incarnation, wire, rows));
+    exec::spawn(watch::manifest(node.clone())).detach();
+    exec::spawn(watch::upstreams(node.clone())).detach();
+    exec::spawn(members::run(node.clone())).detach();
+    exec::spawn(sweep(node.clone())).detach();
+
+    let limits = net::Limits { head_time: CALLER_IDLE, ..net::Limits::default() };
+    let shared = node.clone();
+    let callers =
+        net::serve(listen.callers, limits, move |request| handle::answer(shared.clone(), request)).await?;
+    let shared = node.clone();
+    let readiness = net::serve(listen.readiness, limits, move |request: Request<Incoming>| {
+        std::future::ready(operators(&shared, &request))
+    })
+    .await?;
+    if listen.metrics != listen.readiness {
+        let shared = node.clone();
+        let metrics = net::serve(listen.metrics, limits, move |request: Request<Incoming>| {
+            std::future::ready(operators(&shared, &request))
+        });
+        if let Err(error) = metrics.await {
+            log::warn!("gateway: event=no-metrics address={} error={error}", listen.metrics);
+        }
+    }
+    log::info!(
+        "gateway: event=start holder={} data-centre={} callers={} readiness={} store={}",
+        node.holder,
+        node.settings.data_centre,
+        callers.address(),
+        readiness.address(),
+        node.settings.store
+    );
+    Ok(Running { node, callers, readiness })
+}
+
+/// Answers the balancer and whoever collects metrics.
+fn operators<W: Wire, S: Rows>(node: &Node<W, S>, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path().starts_with("/metrics") {
+        return Response::new(Body::from(node.metrics.text()));
+    }
+    let mut response = Response::new(Body::empty());
+    if !node.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+async fn sweep<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    loop {
+        exec::sleep(SWEEP).await;
+        node.pool.sweep();
+        for (team, purse) in node.purses().iter() {
+            let (available, in_use, free) = purse.figures();
+            for (state, tokens) in [("available", available), ("in-use", in_use), ("pool-free", free)] {
+                node.metrics.tokens.with_label_values(&[team.as_str(), state]).set(tokens as i64);
+            }
+        }
+        for (upstream, open) in node.places().open() {
+            node.metrics.upstream_open.with_label_values(&[upstream]).set(i64::from(open));
+        }
+    }
+}
+
+impl<W: Wire, S: Rows> Running<W, S> {
+    /// Stops without cutting off a request: not ready at once, no new work after the balancer's delay, every open
+    /// answer finished as far as the grace allows, unused tokens given back.
+    pub async fn stop(self) {
+        let node = &self.node;
+        log::info!("gateway: event=stopping open={}", node.open.load(Ordering::Relaxed));
+        let began = std::time::Instant::now();
+        node.set_phase(Phase::Leaving);
+        exec::sleep(LEAVE.min(node.settings.grace() / 2)).await;
+        node.set_phase(Phase::Draining);
+        self.callers.stop();
+        let last = node.settings.grace().saturating_sub(SETTLE);
+        while self.callers.open() > 0 && began.elapsed() < last {
+            exec::sleep(LOOK).await;
+        }
+        log::info!("gateway: event=drained open={}", node.open.load(Ordering::Relaxed));
+        let purses: Vec<_> = node.purses().values().cloned().collect();
+        let rest = node.settings.grace().saturating_sub(began.elapsed()) / 2;
+        let closing = purses.iter().map(|purse| purse.close(rest));
+        futures::future::join_all(closing).await;
+        members::leave(node).await;
+        self.readiness.stop();
+        log::info!("gateway: event=stop");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,147 @@
+//! The gateways of the fleet: each writes a heartbeat row, and reads the others'.
+//!
+//! Only shares of connections and repeats, and the moment at which a lost gateway's accounts are closed, depend
+//! on this list. None of them is part of an argument about safety.
+
+use crate::manifest::Manifest;
+use crate::money;
+use crate::node::{Node, Phase};
+use crate::ports::Wire;
+use net::exec;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use store::rows::{Change, Key, Page, Rows};
+
+/// The table of heartbeats.
+const TABLE: &str = "gateways";
+/// Time between two heartbeats, in milliseconds, in a small fleet.
+const BEAT_MS: u64 = 3_000;
+/// Heartbeats that the whole fleet writes in a second at most: a small part of what the store takes.
+const BEATS_PER_S: u64 = 50;
+/// A gateway counts as gone after so many missed heartbeats.
+const MISSED: u64 = 4;
+/// The pause before the first manifest is looked for again.
+const FIRST: Duration = Duration::from_millis(20);
+
+/// A heartbeat as it was last seen.
+struct Seen {
+    version: u64,
+    at: u64,
+}
+
+/// Writes this gateway's heartbeats and follows the others'.
+pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let mut seen: HashMap<String, Seen> = HashMap::new();
+    close_own_accounts(&node).await;
+    loop {
+        if node.phase() != Phase::Draining {
+            beat(&node).await;
+        }
+        let fleet = node.fleet_size();
+        let period = BEAT_MS.max(fleet * 1_000 / BEATS_PER_S);
+        match node.rows.list(TABLE, "").await {
+            Ok(page) => {
+                let gone = look(&node, &mut seen, &page, period * MISSED);
+                for name in gone {
+                    log::warn!("fleet: event=gateway-gone gateway={name}");
+                    close_accounts_of(&node, &name).await;
+                }
+            }
+            Err(error) => log::warn!("fleet: event=not-read {error}"),
+        }
+        exec::sleep(Duration::from_millis(period)).await;
+    }
+}
+
+/// Writes a heartbeat.
+async fn beat<W: Wire, S: Rows>(node: &Node<W, S>) {
+    let value = format!("{{\"holder\":\"{}\",\"up-ms\":{}}}", node.holder, node.now());
+    let change = Change {
+        puts: vec![(Key::new(TABLE, &node.settings.name), value.into_bytes())],
+        ..Change::default()
+    };
+    if let Err(error) = node.rows.commit(&change).await {
+        log::warn!("fleet: event=heartbeat-failed {error}");
+    }
+}
+
+/// Says good-bye, so that nobody waits for this gateway's heartbeats.
+pub(crate) async fn leave<W: Wire, S: Rows>(node: &Node<W, S>) {
+    let change = Change { drops: vec![Key::new(TABLE, &node.settings.name)], ..Change::default() };
+    if let Err(error) = node.rows.commit(&change).await {
+        log::warn!("fleet: event=good-bye-failed {error}");
+    }
+}
+
+/// Takes in the heartbeats, counts the fleet, and names those that are gone.
+fn look<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    seen: &mut HashMap<String, Seen>,
+    page: &Page,
+    gone_after: u64,
+) -> Vec<String> {
+    let now = node.now();
+    for record in &page.records {
+        let entry = seen.entry(record.name.clone()).or_insert(Seen { version: 0, at: now });
+        if record.version > entry.version {
+            *entry = Seen { version: record.version, at: now };
+        }
+    }
+    seen.retain(|name, _| page.records.iter().any(|record| record.name == *name));
+    let own = &node.settings.name;
+    let is_alive = |seen: &Seen| now.saturating_sub(seen.at) < gone_after;
+    let others = seen.iter().filter(|(name, seen)| *name != own && is_alive(seen)).count() as u64;
+    if node.fleet.swap(others + 1, Ordering::Relaxed) != others + 1 {
+        log::info!("fleet: event=size gateways={}", others + 1);
+    }
+    node.metrics.fleet.set(others as i64 + 1);
+    // One gateway looks after those that are gone: the first by name of those alive.
+    let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
+    if first != Some(own) {
+        return vec![];
+    }
+    let gone: Vec<String> = seen
+        .iter()
+        .filter(|(name, seen)| *name != own && !is_alive(seen))
+        .map(|(name, _)| name.clone())
+        .collect();
+    seen.retain(|name, _| !gone.contains(name));
+    gone
+}
+
+/// Closes what earlier lives of this VM's process left: nobody else can be using it.
+async fn close_own_accounts<W: Wire, S: Rows>(node: &Node<W, S>) {
+    let manifest = first_manifest(node).await;
+    let own = format!("{}#", node.settings.name);
+    let current = format!("{}.", node.holder);
+    close_all(node, &manifest, |holder| holder.starts_with(&own) && !holder.starts_with(&current)).await;
+}
+
+async fn close_accounts_of<W: Wire, S: Rows>(node: &Node<W, S>, name: &str) {
+    let Some(manifest) = node.manifest() else { return };
+    let prefix = format!("{name}#");
+    close_all(node, &manifest, |holder| holder.starts_with(&prefix)).await;
+    let change = Change { drops: vec![Key::new(TABLE, name)], ..Change::default() };
+    if let Err(error) = node.rows.commit(&change).await {
+        log::warn!("fleet: event=not-forgotten gateway={name} {error}");
+    }
+}
+
+async fn close_all<W: Wire, S: Rows>(node: &Node<W, S>, manifest: &Manifest, is_gone: impl Fn(&str) -> bool) {
+    for team in manifest.teams.values().filter(|team| team.reserved.is_some()) {
+        if let Err(error) = money::close_accounts(&node.rows, &team.name, &is_gone).await {
+            log::warn!("budget: event=not-closed team={} {error}", team.name);
+        }
+    }
+}
+
+async fn first_manifest<W: Wire, S: Rows>(node: &Node<W, S>) -> Arc<Manifest> {
+    loop {
+        if let Some(manifest) = node.manifest() {
+            return manifest;
+        }
+        exec::sleep(FIRST).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and latency histograms.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds: around the targets of interactive requests.
+const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 15.0];
+
+/// What a gateway counts.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the first answer, by route.
+    pub first: HistogramVec,
+    /// Time to the end of the answer, by route.
+    pub whole: HistogramVec,
+    /// Dispatches beyond the first of a request, by service and reason.
+    pub repeats: IntCounterVec,
+    /// Calls to the store, by step and outcome.
+    pub store_calls: IntCounterVec,
+    /// Time of a transaction of the store.
+    pub store_time: Histogram,
+    /// The version of the manifest in force.
+    pub manifest_version: IntGauge,
+    /// Tokens by team and state.
+    pub tokens: IntGaugeVec,
+    /// Open requests by upstream.
+    pub upstream_open: IntGaugeVec,
+    /// Upstreams listed.
+    pub upstreams: IntGauge,
+    /// Gateways in the fleet.
+    pub fleet: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let seconds = |name: &str, help: &str| HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("a valid name");
+            registry.register(Box::new(gauge.clone())).expect("the name is new");
+            gauge
+        };
+        let histograms = |name: &str, help: &str| {
+            let family = HistogramVec::new(seconds(name, help), &["route"]).expect("a valid name");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        let store_time =
+            Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
+                .expect("a valid name");
+        registry.register(Box::new(store_time.clone())).expect("the name is new");
+        Metrics {
+            requests: counters(
+                "tallypaddle_requests_total",
+                "Requests that ended, by route and outcome.",
+                &["route", "outcome"],
+            ),
+            first: histograms("tallypaddle_first_answer_seconds", "Time to the first answer, by route."),
+            whole: histograms("tallypaddle_whole_answer_seconds", "Time to the end of the answer, by route."),
+            repeats: counters(
+                "tallypaddle_repeats_total",
+                "Dispatches beyond the first of a request, by service and reason.",
+                &["service", "reason"],
+            ),
+            store_calls: counters(
+                "tallypaddle_store_calls_total",
+                "Calls to the store, by step and outcome.",
+                &["step", "outcome"],
+            ),
+            store_time,
+            manifest_version: gauge("tallypaddle_manifest_version", "Version of the manifest in force."),
+            tokens: gauges(
+                "tallypaddle_budget_tokens",
+                "Tokens by team and state: available and in use here, free in the pool.",
+                &["team", "state"],
+            ),
+            upstream_open: gauges(
+                "tallypaddle_upstream_open_requests",
+                "Requests of this gateway at an upstream.",
+                &["upstream"],
+            ),
+            upstreams: gauge("tallypaddle_upstreams", "Upstreams listed."),
+            fleet: gauge("tallypaddle_fleet_gateways", "Gateways that are thought to be alive."),
+            registry,
+        }
+    }
+
+    /// The text of all metrics.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = vec![];
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics: event=not-encoded error={error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,171 @@
+//! One gateway: what it knows, and what runs on it.
+
+use crate::manifest::{Manifest, Team};
+use crate::metrics::Metrics;
+use crate::money::Purse;
+use crate::ports::{Listing, Wire};
+use crate::settings::Settings;
+use budget::ledger::Level;
+use net::Pool;
+use route::place::Places;
+use route::{Millis, Terms, Window};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Instant;
+use store::rows::Rows;
+
+/// Connections to one upstream that are left unused, as a share: routers learn of each other late.
+const CONNECTION_MARGIN: f64 = 0.9;
+
+/// Where a gateway is in its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// It serves.
+    Serving,
+    /// It is not ready any more, but still takes work until the balancer has noticed.
+    Leaving,
+    /// It takes no new work.
+    Draining,
+}
+
+/// One gateway.
+pub(crate) struct Node<W: Wire, S: Rows> {
+    pub settings: Settings,
+    /// The VM's name with the incarnation of this process.
+    pub holder: String,
+    pub wire: W,
+    pub rows: S,
+    pub pool: Pool,
+    pub metrics: Metrics,
+    pub fleet: Arc<AtomicU64>,
+    pub open: AtomicU64,
+    started: Instant,
+    manifest: RwLock<Option<Arc<Manifest>>>,
+    places: Mutex<Places>,
+    listings: Mutex<HashMap<String, Listing>>,
+    windows: Mutex<HashMap<String, Window>>,
+    purses: Mutex<HashMap<String, Arc<Purse>>>,
+    phase: AtomicU8,
+}
+
+impl<W: Wire, S: Rows> Node<W, S> {
+    pub(crate) fn new(settings: Settings, incarnation: u64, wire: W, rows: S) -> Node<W, S> {
+        Node {
+            holder: format!("{}#{incarnation}", settings.name),
+            places: Mutex::new(Places::new(&settings.data_centre)),
+            wire,
+            rows,
+            pool: Pool::default(),
+            metrics: Metrics::new(),
+            fleet: Arc::new(AtomicU64::new(1)),
+            open: AtomicU64::new(0),
+            started: Instant::now(),
+            manifest: RwLock::default(),
+            listings: Mutex::default(),
+            windows: Mutex::default(),
+            purses: Mutex::default(),
+            phase: AtomicU8::new(Phase::Serving as u8),
+            settings,
+        }
+    }
+
+    /// Milliseconds since the process started.
+    pub(crate) fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    pub(crate) fn manifest(&self) -> Option<Arc<Manifest>> {
+        self.manifest.read().expect("the manifest's lock").clone()
+    }
+
+    /// Puts a manifest in force, unless that or a later one is: `true` if it is now.
+    pub(crate) fn put_in_force(&self, next: Manifest) -> bool {
+        let next = Arc::new(next);
+        {
+            let mut current = self.manifest.write().expect("the manifest's lock");
+            if current.as_ref().is_some_and(|current| current.version >= next.version) {
+                return false;
+            }
+            *current = Some(next.clone());
+        }
+        self.metrics.manifest_version.set(next.version as i64);
+        for (team, purse) in self.purses().iter() {
+            if let Some(tokens) = next.teams.get(team).and_then(|team| team.reserved) {
+                purse.set_level(Level { version: next.version, tokens });
+            }
+        }
+        true
+    }
+
+    pub(crate) fn places(&self) -> MutexGuard<'_, Places> {
+        self.places.lock().expect("the places' lock")
+    }
+
+    pub(crate) fn listings(&self) -> MutexGuard<'_, HashMap<String, Listing>> {
+        self.listings.lock().expect("the listings' lock")
+    }
+
+    pub(crate) fn purses(&self) -> MutexGuard<'_, HashMap<String, Arc<Purse>>> {
+        self.purses.lock().expect("the purses' lock")
+    }
+
+    /// The budget of a team, if something bounds it.
+    pub(crate) fn purse(&self, manifest: &Manifest, team: &Team) -> Option<Arc<Purse>> {
+        let level = Level { version: manifest.version, tokens: team.reserved? };
+        let mut purses = self.purses();
+        if let Some(purse) = purses.get(&team.name) {
+            return Some(purse.clone());
+        }
+        let purse = Purse::open(&self.rows, &team.name, &self.holder, level, self.fleet.clone());
+        purses.insert(team.name.clone(), purse.clone());
+        Some(purse)
+    }
+
+    /// Uses the window of repeats of a service.
+    pub(crate) fn window<T>(&self, service: &str, act: impl FnOnce(&mut Window, Millis) -> T) -> T {
+        let now = self.now();
+        let bounds = &self.settings.bounds;
+        let mut windows = self.windows.lock().expect("the windows' lock");
+        if !windows.contains_key(service) {
+            let terms = Terms {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                length: (bounds.retry_window_s * 1_000.0) as Millis,
+            };
+            windows.insert(service.to_owned(), Window::new(terms, 0));
+        }
+        let window = windows.get_mut(service).expect("the window was just added");
+        window.set_routers(self.fleet_size() as u32);
+        act(window, now)
+    }
+
+    /// How many gateways share the upstreams and budgets, this one included.
+    pub(crate) fn fleet_size(&self) -> u64 {
+        self.fleet.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Connections that this gateway may have to one upstream that takes `all`.
+    pub(crate) fn connections(&self, all: usize) -> usize {
+        let share = all as f64 * CONNECTION_MARGIN / self.fleet_size() as f64;
+        (share as usize).max(2)
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Relaxed) {
+            0 => Phase::Serving,
+            1 => Phase::Leaving,
+            _ => Phase::Draining,
+        }
+    }
+
+    pub(crate) fn set_phase(&self, phase: Phase) {
+        self.phase.store(phase as u8, Ordering::Relaxed);
+    }
+
+    /// Whether the balancer may send callers here: a manifest and upstreams are known.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.manifest().is_some() && !self.listings().is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,104 @@
+//! Answers of the router's own.
+
+use crate::body::Body;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use hyper::body::Bytes;
+
+/// Why the router answers a request itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// The request is not well-formed.
+    Malformed,
+    /// No route takes it.
+    NoRoute,
+    /// It has no known access key.
+    NoKey,
+    /// Its body is too long.
+    TooLong,
+    /// The caller broke its body off.
+    BodyBroken,
+    /// The budget can't hold it at its most.
+    BudgetSpent,
+    /// Tokens are left, but none can be had now.
+    BudgetAway,
+    /// No manifest is known yet.
+    NotConfigured,
+    /// This router is stopping.
+    Stopping,
+    /// No upstream serves it now.
+    NoUpstream,
+    /// Every upstream tried refused it or could not be reached.
+    NotRun,
+    /// Its time ran out before it was sent.
+    TooLate,
+    /// It was sent, and its time ran out.
+    TimedOut,
+    /// It was sent, and no whole answer came.
+    Failed,
+}
+
+impl Refusal {
+    /// The name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Refusal::Malformed => "malformed",
+            Refusal::NoRoute => "no-route",
+            Refusal::NoKey => "no-key",
+            Refusal::TooLong => "too-long",
+            Refusal::BodyBroken => "body-broken",
+            Refusal::BudgetSpent => "budget-spent",
+            Refusal::BudgetAway => "budget-away",
+            Refusal::NotConfigured => "not-configured",
+            Refusal::Stopping => "stopping",
+            Refusal::NoUpstream => "no-upstream",
+            Refusal::NotRun => "not-run",
+            Refusal::TooLate => "too-late",
+            Refusal::TimedOut => "timed-out",
+            Refusal::Failed => "failed",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Refusal::Malformed | Refusal::BodyBroken => StatusCode::BAD_REQUEST,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NoKey => StatusCode::UNAUTHORIZED,
+            Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Refusal::BudgetAway
+            | Refusal::NotConfigured
+            | Refusal::Stopping
+            | Refusal::NoUpstream
+            | Refusal::NotRun
+            | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Failed => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// When coming back may help, in milliseconds: the time that each cause usually lasts.
+    fn retry_ms(self) -> Option<u64> {
+        match self {
+            Refusal::BudgetAway => Some(1_000),
+            Refusal::NotConfigured => Some(500),
+            Refusal::Stopping => Some(50),
+            Refusal::NoUpstream => Some(500),
+            Refusal::NotRun | Refusal::TooLate => Some(200),
+            _ => None,
+        }
+    }
+
+    /// The answer.
+    pub(crate) fn response(self) -> Response<Body> {
+        let mut response = Response::new(Some(Bytes::from(format!("{{\"error\":\"{}\"}}", self.name()))));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(millis) = self.retry_ms() {
+            let seconds = format!("{:.3}", millis as f64 / 1_000.0);
+            headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,116 @@
+//! The gateway's settings, read from YAML and checked as a whole.
+//!
+//! ```
+//! let mistakes = gateway::Settings::read("name: vm-1\n").unwrap_err();
+//! assert!(mistakes.iter().any(|mistake| mistake.path == "store"));
+//! ```
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+use yaml::{Mistake, Reader};
+
+/// The keys of the settings.
+const KEYS: &str = "name, data-centre, listen, store, threads, bounds";
+
+/// Everything a gateway learns from its settings.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Settings {
+    /// The name of this VM, unique in the fleet.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// Worker threads.
+    pub threads: usize,
+    /// What the operators agreed with the platform.
+    pub bounds: Bounds,
+}
+
+/// Where a gateway listens.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's readiness checks.
+    pub readiness: SocketAddr,
+    /// For whoever collects metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Bounds that the whole deployment keeps.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Bounds {
+    /// Time between the request to stop and the end of the process, in seconds.
+    pub grace_s: f64,
+    /// Repeated dispatches allowed for each request.
+    pub retry_ratio: f64,
+    /// Repeated dispatches allowed beyond that, by all routers together, in one window.
+    pub retry_extra: f64,
+    /// The length of that window, in seconds.
+    pub retry_window_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { grace_s: 8.0, retry_ratio: 0.1, retry_extra: 10.0, retry_window_s: 10.0 }
+    }
+}
+
+impl Settings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// Returns every mistake with its line.
+    pub fn read(text: &str) -> Result<Settings, Vec<Mistake>> {
+        let read = yaml::read(text, |reader, mut root| {
+            let name = reader.need::<String>(&mut root, "name");
+            let data_centre = reader.need::<String>(&mut root, "data-centre");
+            let listen = reader.need::<Listen>(&mut root, "listen");
+            let store = reader.need::<SocketAddr>(&mut root, "store");
+            let threads = reader.take::<usize>(&mut root, "threads").unwrap_or(1);
+            let bounds = reader.take::<Bounds>(&mut root, "bounds").unwrap_or_default();
+            for key in root.keys().filter_map(|key| key.as_str()) {
+                reader.add(&[key], format!("unknown key; known are {KEYS}"));
+            }
+            check(reader, threads, &bounds);
+            Some(Settings {
+                name: name?,
+                data_centre: data_centre?,
+                listen: listen?,
+                store: store?,
+                threads,
+                bounds,
+            })
+        })?;
+        Ok(read.expect("what is missing was named as a mistake"))
+    }
+
+    /// The time between the request to stop and the end of the process.
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.grace_s)
+    }
+}
+
+fn check(reader: &mut Reader, threads: usize, bounds: &Bounds) {
+    if threads == 0 {
+        reader.add(&["threads"], "must be at least 1");
+    }
+    if !(0.0..=1.0).contains(&bounds.retry_ratio) {
+        reader.add(&["bounds", "retry-ratio"], "must be between 0 and 1");
+    }
+    if bounds.retry_extra < 0.0 {
+        reader.add(&["bounds", "retry-extra"], "must not be negative");
+    }
+    for (key, seconds) in [("grace-s", bounds.grace_s), ("retry-window-s", bounds.retry_window_s)] {
+        if !(seconds > 0.0 && seconds.is_finite()) {
+            reader.add(&["bounds", key], "must be above 0");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/unit/event.rs
@@ -0,0 +1,31 @@
+//! Event streams in pieces, with repeats and torn ends.
+
+use super::*;
+
+fn push(splitter: &mut Splitter, text: &'static str) -> String {
+    String::from_utf8(splitter.push(Bytes::from_static(text.as_bytes())).to_vec()).expect("text")
+}
+
+#[test]
+fn only_whole_events_come_out() {
+    let mut splitter = Splitter::default();
+    let parts = ["id: 1\ndata: a\n", "\nid: 2\nda", "ta: b\n\nid: 3\n", "data: c\n\n"];
+    let out: Vec<String> = parts.iter().map(|part| push(&mut splitter, part)).collect();
+    assert_eq!(
+        out,
+        ["", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"],
+        "each event as soon as it is whole"
+    );
+    assert_eq!((splitter.count(), splitter.last()), (3, Some(3)));
+}
+
+#[test]
+fn a_continued_stream_leaves_out_what_came_before() {
+    let mut splitter = Splitter::default();
+    push(&mut splitter, "id: 1\ndata: a\n\nid: 2\ndata: to");
+    splitter.restart();
+    let out = push(&mut splitter, "id: 1\ndata: a\n\nid: 2\ndata: torn\n\nid: 3\ndata: c\n\n");
+    assert_eq!(out, "id: 2\ndata: torn\n\nid: 3\ndata: c\n\n");
+    assert_eq!(splitter.count(), 3);
+    assert!(splitter.take_rest().is_empty());
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -5,7 +5,6 @@
 use crate::process::Process;
 use bundle::{Bundle, Secret};
 use net::Client;
-use platform::{Role, Vm};
 use roll::{Accepted, Package};
 use router::{Listen, Settings, Trust};
 use standin::{Engine, Platform, Proxy, Rule, Service};
@@ -13,6 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
+use store::{Role, Vm};
 
 /// The ports of each router, on an address of its own.
 const CALLERS: u16 = 7001;
@@ -259,8 +259,8 @@
     }
 
     /// The platform as an operator reaches it.
-    pub fn services(&self) -> platform::Http {
-        platform::Http::new(self.client.clone(), self.platform.address(), Duration::from_secs(2))
+    pub fn services(&self) -> store::Http {
+        store::Http::new(self.client.clone(), self.platform.address(), Duration::from_secs(2))
     }
 
     /// A caller of the first team at a router.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -123,7 +123,7 @@
 }
 
 /// Joins an error with its causes.
-fn describe(error: &(dyn std::error::Error + 'static)) -> String {
+pub(crate) fn describe(error: &(dyn std::error::Error + 'static)) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(inner) = cause {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,9 +9,11 @@
 mod body;
 mod client;
 pub mod exec;
+mod pool;
 mod server;
 pub mod signal;
 
 pub use body::{Body, Pipe, collect, pipe};
 pub use client::{Client, Error, Fault};
+pub use pool::{Failure, Lease, Pool};
 pub use server::{Handle, Limits, serve};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,10 +1,9 @@
 //! An HTTP/1.1 server that can stop without cutting off an answer in progress.
 
-use crate::body::Body;
 use crate::exec;
 use async_channel::{Receiver, Sender};
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
@@ -70,10 +69,12 @@
 ///
 /// # Errors
 /// Fails if the address can't be bound.
-pub async fn serve<S, F>(address: SocketAddr, limits: Limits, service: S) -> io::Result<Handle>
+pub async fn serve<S, F, B>(address: SocketAddr, limits: Limits, service: S) -> io::Result<Handle>
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = listen(address)?;
     let address = listener.local_addr()?;
@@ -93,7 +94,7 @@
     TcpListener::try_from(std::net::TcpListener::from(socket))
 }
 
-async fn accept<S, F>(
+async fn accept<S, F, B>(
     listener: TcpListener,
     limits: Limits,
     service: S,
@@ -101,7 +102,9 @@
     open: Arc<AtomicUsize>,
 ) where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     loop {
         let next = async { Some(listener.accept().await) };
@@ -133,10 +136,12 @@
     }
 }
 
-async fn converse<S, F>(stream: TcpStream, limits: Limits, service: S, stopped: Receiver<()>)
+async fn converse<S, F, B>(stream: TcpStream, limits: Limits, service: S, stopped: Receiver<()>)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
--- a/crates/net/src/signal.rs
+++ b/crates/net/src/signal.rs
@@ -19,3 +19,22 @@
         _ => Ok(()),
     }
 }
+
+/// The platform's requests to read the settings again.
+#[derive(Debug)]
+pub struct Reloads(Signals);
+
+/// Listens for SIGHUP, which would otherwise end the process.
+///
+/// # Errors
+/// Fails if the handler can't be installed.
+pub fn reloads() -> io::Result<Reloads> {
+    Ok(Reloads(Signals::new([Signal::Hup])?))
+}
+
+impl Reloads {
+    /// Waits for the next request; `false` if there can be no more.
+    pub async fn next(&mut self) -> bool {
+        self.0.next().await.is_some()
+    }
+}
--- a/crates/roll/src/accept.rs
+++ b/crates/roll/src/accept.rs
@@ -2,8 +2,8 @@
 
 use crate::{Accepted, HEAD, LOG, Package, log_key, object_key};
 use bundle::{Bundle, Change, Manifest, Signed};
-use platform::{Row, Services, Tx, Verdict};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use store::{Row, Services, Tx, Verdict};
 use uuid::Uuid;
 
 /// Attempts before a roll is given up.
@@ -33,12 +33,12 @@
     Refused(Change),
     /// The platform failed.
     #[error("{0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] store::Error),
     /// The outcome could not be learned.
     #[error(
         "whether the bundle was accepted is not known ({0}); 'bundle log' tells once the platform is back"
     )]
-    Unknown(platform::Error),
+    Unknown(store::Error),
     /// The asked sequence does not exist.
     #[error("sequence {0} was never accepted")]
     NoSequence(u64),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -19,8 +19,10 @@
 mod desk;
 mod health;
 mod line;
+pub mod place;
 mod retry;
 mod share;
+mod window;
 
 pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View, home};
 pub use desk::{Desk, Entered, Want};
@@ -28,6 +30,7 @@
 pub use line::{Admit, Line, Ticket};
 pub use retry::Budget;
 pub use share::{Owners, assign};
+pub use window::{Terms, Window};
 
 /// A time in milliseconds of a monotonic clock.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/route/src/window.rs
@@ -0,0 +1,93 @@
+//! Repeated dispatches as a bounded share of requests over a sliding window, split between routers that share
+//! no count.
+//!
+//! ```
+//! let mut window = route::Window::new(route::Terms { ratio: 0.5, extra: 4.0, length: 10_000 }, 0);
+//! window.set_routers(2);
+//! window.request(0);
+//! assert!(window.repeat(0));
+//! assert!(!window.repeat(0), "half a request's share and half of the extra, less the margin");
+//! ```
+
+use crate::Millis;
+use std::collections::VecDeque;
+
+/// The share of the allowance that is used: windows of different routers are not aligned.
+const MARGIN: f64 = 0.8;
+/// Repeats within one bucket are counted together, in milliseconds.
+const BUCKET: Millis = 100;
+
+/// What bounds repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed beyond that, by all routers together.
+    pub extra: f64,
+    /// The length of the window, in milliseconds.
+    pub length: Millis,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    at: Millis,
+    requests: u32,
+    repeats: u32,
+}
+
+/// The recent requests and repeats of one router for one service.
+#[derive(Clone, Debug)]
+pub struct Window {
+    terms: Terms,
+    routers: u32,
+    started: Millis,
+    buckets: VecDeque<Bucket>,
+}
+
+impl Window {
+    /// An empty window of a router that started at `started`.
+    pub fn new(terms: Terms, started: Millis) -> Window {
+        Window { terms, routers: 1, started, buckets: VecDeque::new() }
+    }
+
+    /// How many routers share the extra.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: Millis) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Counts a repeat, if one is allowed.
+    pub fn repeat(&mut self, now: Millis) -> bool {
+        let (requests, repeats) = self.sums(now);
+        // A router that has just started does not know what its earlier life used.
+        let known = now.saturating_sub(self.started) >= self.terms.length;
+        let extra = self.terms.extra / f64::from(self.routers) * if known { 1.0 } else { 0.5 };
+        let allowed = MARGIN * (self.terms.ratio * f64::from(requests) + extra);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.bucket(now).repeats += 1;
+        true
+    }
+
+    fn sums(&mut self, now: Millis) -> (u32, u32) {
+        let length = self.terms.length + BUCKET;
+        while self.buckets.front().is_some_and(|bucket| bucket.at + length <= now) {
+            self.buckets.pop_front();
+        }
+        let sum = |read: fn(&Bucket) -> u32| self.buckets.iter().map(read).sum();
+        (sum(|bucket| bucket.requests), sum(|bucket| bucket.repeats))
+    }
+
+    fn bucket(&mut self, now: Millis) -> &mut Bucket {
+        let at = now / BUCKET * BUCKET;
+        if self.buckets.back().is_none_or(|bucket| bucket.at != at) {
+            self.buckets.push_back(Bucket { at, ..Bucket::default() });
+        }
+        self.buckets.back_mut().expect("a bucket was just added")
+    }
+}
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -17,8 +17,8 @@
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
 use net::{Body, exec};
-use platform::{Row, Table, Tx, Verdict};
 use std::sync::Arc;
+use store::{Row, Table, Tx, Verdict};
 
 /// How long a claim is tried before the request is refused, in milliseconds.
 const CLAIM_MS: u64 = 2_000;
@@ -79,7 +79,7 @@
         .retry_after(CLAIM_MS))
 }
 
-async fn read<W: Ports>(node: &Node<W>, key: &str) -> Result<Option<Row>, platform::Error> {
+async fn read<W: Ports>(node: &Node<W>, key: &str) -> Result<Option<Row>, store::Error> {
     let rows = node.platform.read(&[key.to_owned()]).await?;
     Ok(rows.into_iter().next().flatten())
 }
--- a/crates/router/src/keep.rs
+++ b/crates/router/src/keep.rs
@@ -13,10 +13,10 @@
 use crate::sync::{account_key, pool_key};
 use budget::ledger::{Account, Pool, release};
 use peer::{LinkClient, State as Life};
-use platform::{Role, Table, Tx, Verdict, Vm};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use store::{Role, Table, Tx, Verdict, Vm};
 
 /// Keepings and promises.
 #[derive(Debug, Default)]
@@ -187,7 +187,7 @@
     let rows = node.platform.read(&keys).await.map_err(|error| error.to_string())?;
     let mut pools = BTreeMap::new();
     for (budget, row) in budgets.iter().zip(&rows) {
-        let pool = row.as_ref().map(platform::Row::decode::<Pool>).transpose();
+        let pool = row.as_ref().map(store::Row::decode::<Pool>).transpose();
         pools.insert(budget.clone(), pool.map_err(|error| error.to_string())?.unwrap_or_default());
     }
     let released = release(&mut account, &mut pools).map_err(|error| error.to_string())?;
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -11,10 +11,10 @@
 use futures::future::join_all;
 use net::exec;
 use peer::LinkClient;
-use platform::{List, Role, Vm};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use store::{List, Role, Vm};
 use upstream::Engine;
 
 /// Load reports that one router asks for in a second, however many upstreams it uses.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -54,7 +54,7 @@
 impl Ports for OnHttp {
     type Clock = Monotonic;
     type Engine = upstream::Http;
-    type Platform = platform::Http;
+    type Platform = store::Http;
 }
 
 /// Starts a router with the HTTP adapters.
@@ -64,7 +64,7 @@
 pub async fn start_with_http(settings: Settings) -> std::io::Result<Running<OnHttp>> {
     let client = net::Client::new();
     let time = Duration::from_millis(settings.platform.timeout_ms);
-    let platform = platform::Http::new(client.clone(), settings.platform.address, time);
+    let platform = store::Http::new(client.clone(), settings.platform.address, time);
     let engine = upstream::Http::new(
         client,
         settings.name.clone(),
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -9,9 +9,9 @@
 use futures::future::join_all;
 use net::exec;
 use peer::{Beat, LinkClient, Member};
-use platform::{List, Role};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use store::{List, Role};
 
 /// Routers that get heartbeats from one router, whatever the size of the fleet.
 const FANOUT: usize = 6;
@@ -98,7 +98,7 @@
 }
 
 /// Takes in the platform's list of VMs.
-pub(crate) fn list<W: Ports>(node: &Node<W>, vms: &[platform::Vm]) {
+pub(crate) fn list<W: Ports>(node: &Node<W>, vms: &[store::Vm]) {
     let routers: Vec<Member> = vms
         .iter()
         .filter(|vm| vm.role == Role::Router && vm.name != node.settings.name)
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -7,13 +7,13 @@
 //! impl router::Ports for OnHttp {
 //!     type Clock = router::Monotonic;
 //!     type Engine = upstream::Http;
-//!     type Platform = platform::Http;
+//!     type Platform = store::Http;
 //! }
 //! ```
 
 use crate::clock::Clock;
-use platform::Services;
 use std::fmt::Debug;
+use store::Services;
 use upstream::Engine;
 
 /// A choice of adapters.
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -8,11 +8,11 @@
 use bundle::{Bundle, Manifest, Signed};
 use net::exec;
 use peer::{Beat, LinkClient};
-use platform::{Store, Table};
 use roll::{Accepted, HEAD, object_key};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use store::{Store, Table};
 
 /// Reads of the head that all routers together make in a second.
 const FLEET_RATE: u64 = 400;
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -9,13 +9,13 @@
 use crate::settings::millis;
 use budget::ledger::{Account, Batch, Error as PostError, KeyRef, Pool, post};
 use net::exec;
-use platform::{Error, Fault, Row, Table, Tx, Verdict};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Error, Fault, Row, Table, Tx, Verdict};
 
 /// Settlements a second that all routers together may ask of the platform.
 const FLEET_RATE: u64 = 280;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -4,13 +4,13 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::{Bytes, Incoming};
 use net::{Body, Handle, Limits};
-use platform::{Row, Tx, Verdict, Vm};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use store::{Row, Tx, Verdict, Vm};
 
 /// The largest request body in bytes.
 const BODY_LIMIT: usize = 64 << 20;
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,12 +4,13 @@
 //! taken effect, because the platform sometimes loses the answer to a write that did.
 //!
 //! ```
-//! use platform::Tx;
+//! use store::Tx;
 //! let tx = Tx::default().absent("claim/radar/k1").put("claim/radar/k1", &"holder");
 //! assert_eq!(tx.puts[0].value, "\"holder\"");
 //! ```
 
 mod http_adapter;
+pub mod rows;
 
 pub use http_adapter::Http;
 
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -24,9 +24,9 @@
 use std::time::Duration;
 
 /// The platform that the settings name.
-fn platform(settings: &Settings) -> platform::Http {
+fn platform(settings: &Settings) -> store::Http {
     let time = Duration::from_millis(settings.platform.timeout_ms);
-    platform::Http::new(net::Client::new(), settings.platform.address, time)
+    store::Http::new(net::Client::new(), settings.platform.address, time)
 }
 
 fn read_bundle(path: &Path) -> Result<Bundle, Error> {
--- a/src/cmd/ctl/status.rs
+++ b/src/cmd/ctl/status.rs
@@ -3,10 +3,10 @@
 use super::{Error, platform};
 use crate::cmd::read_settings;
 use peer::{FleetKey, LinkClient, Peers};
-use platform::{List, Role};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
+use store::{List, Role};
 
 /// The arguments of `bundle status`.
 #[derive(Clone, Debug)]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,9 +6,11 @@
 
 mod check;
 pub mod ctl;
+mod gateway;
 mod serve;
 
 pub use check::Check;
+pub use gateway::Gateway;
 pub use serve::Serve;
 
 use router::Settings;
@@ -51,7 +53,7 @@
     Roll(#[from] roll::Error),
     /// The platform failed.
     #[error("{0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] store::Error),
 }
 
 impl Error {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The router that every entry VM runs.
 
 use std::process::ExitCode;
-use tallypaddle::cmd::{Check, Serve, finish};
+use tallypaddle::cmd::{Check, Gateway, Serve, finish};
 
 mod flags {
     //! The command line.
@@ -21,6 +21,11 @@
                 /// The settings file in YAML.
                 required settings: PathBuf
             }
+            /// Runs the gateway on the users' platform; logs go to standard output.
+            cmd gateway {
+                /// The settings file in YAML; if absent, the platform's environment variable names it.
+                optional settings: PathBuf
+            }
             /// Checks a settings file and names every mistake with its line, without starting anything.
             cmd check {
                 /// The settings file in YAML.
@@ -31,9 +36,12 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn")).init();
     let args = flags::Tallypaddle::from_env_or_exit();
+    if !matches!(args.subcommand, flags::TallypaddleCmd::Gateway(_)) {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn")).init();
+    }
     finish(match args.subcommand {
+        flags::TallypaddleCmd::Gateway(args) => Gateway { settings: args.settings }.execute(),
         flags::TallypaddleCmd::Serve(args) => Serve { settings: args.settings }.execute(),
         flags::TallypaddleCmd::Check(args) => Check { settings: args.settings }.execute(),
     })
--- a/tests/testsuite/bundles.rs
+++ b/tests/testsuite/bundles.rs
@@ -3,9 +3,9 @@
 use crate::support::{fleet, line, program, run};
 use bundle::{Bundle, Secret};
 use harness::{Ask, Fleet, Plan};
-use platform::{Services, Table, Tx};
 use roll::{Accepted, HEAD, Package, object_key};
 use std::fmt::Write;
+use store::{Services, Table, Tx};
 
 /// The bundle of a fleet with another limit, so that it differs.
 fn changed(fleet: &Fleet, queue: usize) -> Bundle {
