Note each router's use of budgets, so that a restarted VM gives back what its earlier process can't have used

Ruled out: smaller grants (they are what a cut needs); a lease (a paused holder would spend twice). Now each router notes twice a second what it used and a schedule that it keeps until the next note; the next process of the same VM knows the old one is dead and gives back all that the schedule did not allow. A pool that runs short calls idle tokens back.

--- a/crates/budget/src/demand.rs
+++ b/crates/budget/src/demand.rs
@@ -56,6 +56,11 @@
         self.consumed = 0;
     }
 
+    /// Tokens consumed in a second, on average.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// The tokens that may be used between two settlements beyond what is in use: what a lost VM strands.
     pub fn spare(&self, terms: &Terms) -> u64 {
         ((self.rate * terms.expose_s as f64) as u64).max(terms.least)
--- /dev/null
+++ b/crates/budget/src/exposure.rs
@@ -0,0 +1,44 @@
+//! What a router may use between two notes of its use, so that little is lost with it.
+//!
+//! A router notes how much it has used of a budget, and the [`Schedule`] that it keeps until its next note. A
+//! later life of the same VM knows that the earlier one is dead, and how long ago the note was made; so it can
+//! give back everything that the schedule did not allow by then, without knowing when the router died.
+//!
+//! The router measures the time from before it sent the note, and whoever reads it from a moment no later than
+//! that, so the reader never assumes less than the router was allowed.
+//!
+//! ```
+//! let schedule = budget::exposure::Schedule { used: 100, allowance: 20, quiet_ms: 1_500, per_s: 10 };
+//! assert_eq!(schedule.limit(1_000), 120);
+//! assert_eq!(schedule.limit(3_500), 140, "without new notes the limit grows, so that an outage is bridged");
+//! ```
+
+use crate::ledger::Line;
+use serde::{Deserialize, Serialize};
+
+/// How much a router may have used of a budget, by the time since its note.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Used when the note was made: charged, or reserved at the worst.
+    pub used: u64,
+    /// Allowed beyond that at once.
+    pub allowance: u64,
+    /// From then on the limit grows, in milliseconds since the note.
+    pub quiet_ms: u64,
+    /// How much it grows in a second.
+    pub per_s: u64,
+}
+
+impl Schedule {
+    /// The most that may have been used so long after the note.
+    pub fn limit(&self, elapsed_ms: u64) -> u64 {
+        let growing_ms = elapsed_ms.saturating_sub(self.quiet_ms);
+        let grown = u128::from(self.per_s) * u128::from(growing_ms) / 1_000;
+        self.used.saturating_add(self.allowance).saturating_add(u64::try_from(grown).unwrap_or(u64::MAX))
+    }
+
+    /// What a dead router may hold in use beyond what its account's line says is spent.
+    pub fn exposed(&self, line: &Line, elapsed_ms: u64) -> u64 {
+        self.limit(elapsed_ms).saturating_sub(line.spent)
+    }
+}
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -71,6 +71,12 @@
         self.reserved + self.unknown + sum(&self.charges) + self.sent
     }
 
+    /// Everything used in this account's life: spent, charged but not settled, or reserved at the worst.
+    pub fn used(&self) -> u64 {
+        let settling = self.open.as_ref().map_or(0, |entry| sum(&entry.charges));
+        self.line.spent + self.line.voided + settling + sum(&self.charges) + self.reserved + self.unknown
+    }
+
     /// Tokens that may still be used before the next settlement. Tokens taken over from peers since the last
     /// one are not in the account yet, so they need no exposure. While a batch is on its way both what it
     /// would expose and what was exposed before bound the use.
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Idle tokens stay wanted until this fraction of a level is free again.
+const WANTED_UNTIL: u64 = 16;
+
 /// One prepayment, identified so that it counts once however often it is applied (I5).
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -42,6 +45,9 @@
     /// The level that the operator sets instead of single credits, if that is how the budget is prepaid.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub level: Option<Level>,
+    /// With a level: a router needed more than was free, so the others should give back what lies idle.
+    #[serde(default)]
+    pub wanted: bool,
 }
 
 /// A prepaid total that may be raised and lowered; the latest version of the configuration decides.
@@ -150,10 +156,23 @@
 pub fn release(
     account: &mut Account,
     pools: &mut BTreeMap<String, Pool>,
+) -> Result<BTreeMap<String, u64>, Error> {
+    release_beyond(account, pools, |_, line| line.exposed)
+}
+
+/// As [`release`], for a router that is certainly dead: `exposed` says what it may have used of each budget
+/// beyond what its line shows.
+///
+/// # Errors
+/// As [`release`].
+pub fn release_beyond(
+    account: &mut Account,
+    pools: &mut BTreeMap<String, Pool>,
+    exposed: impl Fn(&str, &Line) -> u64,
 ) -> Result<BTreeMap<String, u64>, Error> {
     let mut released = BTreeMap::new();
     for (budget, line) in &mut account.lines {
-        let tokens = line.held().saturating_sub(line.exposed);
+        let tokens = line.held().saturating_sub(exposed(budget, line));
         let pool = pools.entry(budget.clone()).or_default();
         let imbalance = || Error::Imbalance(budget.clone());
         pool.outstanding = pool.outstanding.checked_sub(tokens).ok_or_else(imbalance)?;
@@ -294,6 +313,10 @@
     let grant = size(pool.free, entry.want, entry.need, fleet).min(most);
     pool.free -= grant;
     pool.outstanding += grant;
+    if let Some(level) = pool.level {
+        let is_short = pool.wanted && pool.free < level.tokens / WANTED_UNTIL;
+        pool.wanted = grant < entry.need || is_short;
+    }
     line.granted += grant;
     pool.balance().then_some(())
 }
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -29,5 +29,6 @@
 
 pub mod claim;
 pub mod demand;
+pub mod exposure;
 pub mod grant;
 pub mod ledger;
--- /dev/null
+++ b/crates/gateway/src/closing.rs
@@ -0,0 +1,96 @@
+//! Closing the accounts of routers that are gone, and giving back what they can't have used.
+
+use crate::table::{ACCOUNT, BUDGETS, POOL, decode, encode};
+use budget::ledger::{self, Account, Line, Pool};
+use std::collections::BTreeMap;
+use store::Error;
+use store::rows::{Change, Commit, Key, Record, Rows};
+
+/// Attempts at one account while other routers change the pool.
+const ATTEMPTS: u32 = 8;
+
+/// What is known of the use of an account that its line does not show.
+pub(crate) trait Exposure {
+    /// The most that the account's holder may have used beyond its line.
+    fn exposed(&self, team: &str, account: &str, line: &Line) -> u64;
+}
+
+/// The holder may live on, so all that its line allows counts as used.
+pub(crate) struct MayLive;
+
+impl Exposure for MayLive {
+    fn exposed(&self, _: &str, _: &str, line: &Line) -> u64 {
+        line.exposed
+    }
+}
+
+/// Closes the accounts of a team whose holders are gone.
+///
+/// # Errors
+/// Fails if the store does; calling it again goes on.
+pub(crate) async fn close_accounts<S: Rows>(
+    rows: &S,
+    team: &str,
+    is_gone: impl Fn(&str) -> bool,
+    exposure: &impl Exposure,
+) -> Result<(), Error> {
+    let page = rows.list(BUDGETS, team).await?;
+    for record in &page.records {
+        let Some(holder) = record.name.strip_prefix(ACCOUNT) else { continue };
+        let is_open = decode::<Account>(record).is_some_and(|account| !account.closed);
+        if is_open && is_gone(holder) {
+            close_account(rows, team, &record.name, page.records.clone(), exposure).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn close_account<S: Rows>(
+    rows: &S,
+    team: &str,
+    name: &str,
+    mut records: Vec<Record>,
+    exposure: &impl Exposure,
+) -> Result<(), Error> {
+    for _ in 0..ATTEMPTS {
+        let find = |name: &str| records.iter().find(|record| record.name == name);
+        let (Some(pool_row), Some(account_row)) = (find(POOL), find(name)) else { return Ok(()) };
+        let (Some(pool), Some(mut account)) = (decode::<Pool>(pool_row), decode::<Account>(account_row))
+        else {
+            return Ok(());
+        };
+        if account.closed {
+            return Ok(());
+        }
+        let mut pools = BTreeMap::from([(team.to_owned(), pool)]);
+        let exposed = |_: &str, line: &Line| exposure.exposed(team, name, line);
+        let released = match ledger::release_beyond(&mut account, &mut pools, exposed) {
+            Ok(released) => released.values().sum::<u64>(),
+            Err(error) => {
+                log::error!("budget: event=not-closed team={team} account={name} error=\"{error}\"");
+                return Ok(());
+            }
+        };
+        let left: u64 = account.lines.values().map(Line::held).sum();
+        let spent: u64 = account.lines.values().map(|line| line.spent).sum();
+        let pool_key = Key::new(BUDGETS, POOL);
+        let account_key = Key::new(BUDGETS, name);
+        let change = Change {
+            part: team.to_owned(),
+            checks: vec![(pool_key.clone(), pool_row.version), (account_key.clone(), account_row.version)],
+            puts: vec![(pool_key, encode(&pools[team])), (account_key, encode(&account))],
+            drops: vec![],
+        };
+        match rows.commit(&change).await? {
+            Commit::Applied(version) => {
+                log::info!(
+                    "budget: event=closed team={team} account={name} released={released} lost={left} spent={spent} version={version}"
+                );
+                return Ok(());
+            }
+            Commit::Conflict(current) => records = current,
+        }
+    }
+    log::warn!("budget: event=not-closed team={team} account={name} reason=contention");
+    Ok(())
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,9 +5,9 @@
 use crate::event::Splitter;
 use crate::job::{Admitted, Job, Meter};
 use crate::manifest::Lookup;
-use crate::money::{Denied, Reservation};
 use crate::node::{Node, Phase};
 use crate::ports::{Ask, Wire};
+use crate::purse::{Denied, Reservation};
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use http::header::{CONNECTION, HeaderValue};
@@ -22,6 +22,9 @@
 /// Upstreams that certainly did not run a request are passed over at most this often.
 const REFUSALS: u32 = 4;
 
+/// The longest body that is read before a manifest is known, in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
 type Reply<W, S> = Response<Answer<W, S>>;
 
 /// Answers one request.
@@ -74,8 +77,8 @@
         log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
         refusal
     };
-    let limit = node.manifest().map_or(0, |manifest| manifest.body_limit);
-    let body = match net::collect(body, limit.max(1)).await {
+    let limit = node.manifest().map_or(BODY_LIMIT, |manifest| manifest.body_limit);
+    let body = match net::collect(body, limit).await {
         Ok(body) => body,
         Err(reason) if reason.contains("limit") => return Err(refused(Refusal::TooLong, &reason)),
         Err(reason) => return Err(refused(Refusal::BodyBroken, &reason)),
@@ -97,12 +100,13 @@
         return Err(refused(Refusal::NoUpstream, &version));
     };
     node.window(&service, |window, now| window.request(now));
-    let reservation = match reserve(node, &manifest, &route, team.as_deref(), &ask).await {
+    let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
         Err(denied) => {
             let refusal = match denied {
                 Denied::Spent => Refusal::BudgetSpent,
                 Denied::Away => Refusal::BudgetAway,
+                Denied::Elsewhere => Refusal::BudgetElsewhere,
             };
             let team = team.as_ref().map_or("-", |team| team.name.as_str());
             return Err(refused(refusal, &format!("team={team} {version}")));
@@ -116,13 +120,15 @@
     node: &Arc<Node<W, S>>,
     manifest: &crate::manifest::Manifest,
     route: &crate::manifest::Route,
+    service: &str,
     team: Option<&crate::manifest::Team>,
     ask: &Ask,
 ) -> Result<Option<Reservation>, Denied> {
     let (Some(team), Some(prompt)) = (team, &ask.prompt) else { return Ok(None) };
     let Some(purse) = node.purse(manifest, team) else { return Ok(None) };
     let patience = Duration::from_millis((route.target_ms as f64 * BUDGET_PATIENCE) as u64);
-    purse.reserve(prompt.input + prompt.output, patience).await.map(Some)
+    let stride = manifest.services.get(service).map_or(1, |service| service.stride);
+    purse.reserve(prompt.worst(stride), patience).await.map(Some)
 }
 
 /// What to do after a dispatch.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,9 +1,9 @@
 //! One request that was admitted, and the guards that undo what it took.
 
 use crate::manifest::{Kind, Manifest, Route, Team};
-use crate::money::Reservation;
 use crate::node::Node;
 use crate::ports::{Ask, Dispatch, Wire};
+use crate::purse::Reservation;
 use http::request::Parts;
 use hyper::body::Bytes;
 use route::Millis;
@@ -202,7 +202,7 @@
             reservation,
             request: job.ask.id.clone(),
             input: prompt.map_or(0, |prompt| prompt.input),
-            output: prompt.map_or(0, |prompt| prompt.output),
+            output: prompt.map_or(0, |prompt| prompt.output_in_events(job.stride())),
             stride: job.stride(),
             events: 0,
             started: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,23 +3,27 @@
 //!
 //! One request goes through these modules, each of which imports only those after it: `handle` admits it and
 //! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `job` holds
-//! the request and what it took, `money` its tokens, `node` the gateway's state. `watch` and `members` follow
-//! the store. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
+//! the request and what it took, `purse` its tokens, `node` the gateway's state. `settle`, `notes` and `closing`
+//! keep the budgets in the store, `watch` and `members` follow it. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
 
 mod attempt;
 mod body;
+mod closing;
 mod event;
 mod handle;
 mod job;
 pub mod manifest;
 mod members;
 mod metrics;
-mod money;
 mod node;
+mod notes;
 pub mod ports;
+mod purse;
 mod refusal;
 mod relay;
 mod settings;
+mod settle;
+mod table;
 mod watch;
 
 pub use settings::{Bounds, Listen, Settings};
@@ -60,10 +64,12 @@
 pub async fn start<W: Wire, S: Rows>(settings: Settings, wire: W, rows: S) -> io::Result<Running<W, S>> {
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros() as u64);
     let listen = settings.listen.clone();
-    let node = Arc::new(Node::new(settings, incarnation, wire, rows));
+    let (note, noted) = async_channel::bounded(1);
+    let node = Arc::new(Node::new(settings, incarnation, wire, rows, note));
     exec::spawn(watch::manifest(node.clone())).detach();
     exec::spawn(watch::upstreams(node.clone())).detach();
     exec::spawn(members::run(node.clone())).detach();
+    exec::spawn(notes::run(node.clone(), noted)).detach();
     exec::spawn(sweep(node.clone())).detach();
 
     let limits = net::Limits { head_time: CALLER_IDLE, ..net::Limits::default() };
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,8 +3,7 @@
 //! Only shares of connections and repeats, and the moment at which a lost gateway's accounts are closed, depend
 //! on this list. None of them is part of an argument about safety.
 
-use crate::manifest::Manifest;
-use crate::money;
+use crate::closing::{MayLive, close_accounts};
 use crate::node::{Node, Phase};
 use crate::ports::Wire;
 use net::exec;
@@ -22,8 +21,6 @@
 const BEATS_PER_S: u64 = 50;
 /// A gateway counts as gone after so many missed heartbeats.
 const MISSED: u64 = 4;
-/// The pause before the first manifest is looked for again.
-const FIRST: Duration = Duration::from_millis(20);
 
 /// A heartbeat as it was last seen.
 struct Seen {
@@ -34,7 +31,6 @@
 /// Writes this gateway's heartbeats and follows the others'.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut seen: HashMap<String, Seen> = HashMap::new();
-    close_own_accounts(&node).await;
     loop {
         if node.phase() != Phase::Draining {
             beat(&node).await;
@@ -111,37 +107,18 @@
     gone
 }
 
-/// Closes what earlier lives of this VM's process left: nobody else can be using it.
-async fn close_own_accounts<W: Wire, S: Rows>(node: &Node<W, S>) {
-    let manifest = first_manifest(node).await;
-    let own = format!("{}#", node.settings.name);
-    let current = format!("{}.", node.holder);
-    close_all(node, &manifest, |holder| holder.starts_with(&own) && !holder.starts_with(&current)).await;
-}
-
+/// Closes the accounts of a gateway that is gone: it may live on unaware, so what it may use stays its own.
 async fn close_accounts_of<W: Wire, S: Rows>(node: &Node<W, S>, name: &str) {
     let Some(manifest) = node.manifest() else { return };
     let prefix = format!("{name}#");
-    close_all(node, &manifest, |holder| holder.starts_with(&prefix)).await;
-    let change = Change { drops: vec![Key::new(TABLE, name)], ..Change::default() };
-    if let Err(error) = node.rows.commit(&change).await {
-        log::warn!("fleet: event=not-forgotten gateway={name} {error}");
-    }
-}
-
-async fn close_all<W: Wire, S: Rows>(node: &Node<W, S>, manifest: &Manifest, is_gone: impl Fn(&str) -> bool) {
     for team in manifest.teams.values().filter(|team| team.reserved.is_some()) {
-        if let Err(error) = money::close_accounts(&node.rows, &team.name, &is_gone).await {
+        let is_gone = |holder: &str| holder.starts_with(&prefix);
+        if let Err(error) = close_accounts(&node.rows, &team.name, is_gone, &MayLive).await {
             log::warn!("budget: event=not-closed team={} {error}", team.name);
         }
     }
-}
-
-async fn first_manifest<W: Wire, S: Rows>(node: &Node<W, S>) -> Arc<Manifest> {
-    loop {
-        if let Some(manifest) = node.manifest() {
-            return manifest;
-        }
-        exec::sleep(FIRST).await;
+    let change = Change { drops: vec![Key::new(TABLE, name)], ..Change::default() };
+    if let Err(error) = node.rows.commit(&change).await {
+        log::warn!("fleet: event=not-forgotten gateway={name} {error}");
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,8 +2,8 @@
 
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
-use crate::money::Purse;
 use crate::ports::{Listing, Wire};
+use crate::purse::Purse;
 use crate::settings::Settings;
 use budget::ledger::Level;
 use net::Pool;
@@ -48,10 +48,18 @@
     windows: Mutex<HashMap<String, Window>>,
     purses: Mutex<HashMap<String, Arc<Purse>>>,
     phase: AtomicU8,
+    note: async_channel::Sender<()>,
+    store_clock: Mutex<Option<(u64, Instant)>>,
 }
 
 impl<W: Wire, S: Rows> Node<W, S> {
-    pub(crate) fn new(settings: Settings, incarnation: u64, wire: W, rows: S) -> Node<W, S> {
+    pub(crate) fn new(
+        settings: Settings,
+        incarnation: u64,
+        wire: W,
+        rows: S,
+        note: async_channel::Sender<()>,
+    ) -> Node<W, S> {
         Node {
             holder: format!("{}#{incarnation}", settings.name),
             places: Mutex::new(Places::new(&settings.data_centre)),
@@ -67,6 +75,8 @@
             windows: Mutex::default(),
             purses: Mutex::default(),
             phase: AtomicU8::new(Phase::Serving as u8),
+            note,
+            store_clock: Mutex::default(),
             settings,
         }
     }
@@ -76,6 +86,17 @@
         self.started.elapsed().as_millis() as Millis
     }
 
+    /// Takes in what the store's clock said in an answer that came just now.
+    pub(crate) fn set_store_clock(&self, now_ms: u64) {
+        *self.store_clock.lock().expect("the clock's lock") = Some((now_ms, Instant::now()));
+    }
+
+    /// A moment not after now, in milliseconds of the store's clock; 0 if it is not known yet.
+    pub(crate) fn store_now(&self) -> u64 {
+        let clock = *self.store_clock.lock().expect("the clock's lock");
+        clock.map_or(0, |(now_ms, heard)| now_ms + heard.elapsed().as_millis() as u64)
+    }
+
     pub(crate) fn manifest(&self) -> Option<Arc<Manifest>> {
         self.manifest.read().expect("the manifest's lock").clone()
     }
@@ -118,7 +139,8 @@
         if let Some(purse) = purses.get(&team.name) {
             return Some(purse.clone());
         }
-        let purse = Purse::open(&self.rows, &team.name, &self.holder, level, self.fleet.clone());
+        let purse =
+            Purse::open(&self.rows, &team.name, &self.holder, level, self.fleet.clone(), self.note.clone());
         purses.insert(team.name.clone(), purse.clone());
         Some(purse)
     }
--- /dev/null
+++ b/crates/gateway/src/notes.rs
@@ -0,0 +1,165 @@
+//! Notes of use: what this router used of each budget, and how much more it may use before the next note.
+//!
+//! A note is a row of this VM alone, written under the condition that it is as last seen. When the VM starts
+//! again, the new process reads it and gives back what the old one can't have used.
+
+use crate::closing::{Exposure, close_accounts};
+use crate::manifest::Manifest;
+use crate::node::Node;
+use crate::ports::Wire;
+use crate::purse::Purse;
+use crate::table::{NOTE, NOTES, decode, encode};
+use async_channel::Receiver;
+use budget::exposure::Schedule;
+use budget::ledger::Line;
+use net::exec;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use store::rows::{Change, Commit, Key, Rows};
+use store::{Error, Fault};
+
+/// Time between two notes in a small fleet.
+const PERIOD_MS: u64 = 500;
+/// Notes that the whole fleet writes in a second at most: a small part of what the store takes.
+const NOTES_PER_S: u64 = 80;
+/// The pause after a call failed.
+const AGAIN: Duration = Duration::from_millis(200);
+/// The pause before the first manifest is looked for again.
+const FIRST: Duration = Duration::from_millis(20);
+
+/// What a router noted.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Note {
+    /// A moment not after the note was sent, in milliseconds of the store's clock.
+    at: u64,
+    /// The schedules by team and account: a router's accounts have the same name in each team's partition.
+    budgets: BTreeMap<String, BTreeMap<String, Schedule>>,
+}
+
+/// What the earlier life of this VM's process noted, read at a moment after its death.
+struct Last {
+    note: Note,
+    now: u64,
+}
+
+impl Exposure for Last {
+    fn exposed(&self, team: &str, account: &str, line: &Line) -> u64 {
+        match self.note.budgets.get(team).and_then(|accounts| accounts.get(account)) {
+            Some(schedule) => schedule.exposed(line, self.now.saturating_sub(self.note.at)),
+            // It had not noted anything yet, so nothing bounded it.
+            None => line.exposed,
+        }
+    }
+}
+
+/// Closes what earlier lives of this VM's process left, then keeps this life's notes.
+pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>, kicked: Receiver<()>) {
+    let manifest = first_manifest(&node).await;
+    let mut version = loop {
+        match recover(&node, &manifest).await {
+            Ok(version) => break Some(version),
+            Err(error) => {
+                log::warn!("budget: event=not-recovered {error}");
+                exec::sleep(AGAIN).await;
+            }
+        }
+    };
+    loop {
+        let period = PERIOD_MS.max(node.fleet_size() * 1_000 / NOTES_PER_S);
+        let _ = exec::timeout(Duration::from_millis(period), kicked.recv()).await;
+        let purses: Vec<Arc<Purse>> = node.purses().values().cloned().collect();
+        if purses.is_empty() {
+            continue;
+        }
+        match write(&node, &purses, &mut version).await {
+            Ok(()) => {}
+            Err(error) => {
+                log::warn!("budget: event=not-noted {error}");
+                exec::sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Closes the accounts of this VM's earlier processes: they are certainly dead. Returns the note row's version.
+async fn recover<W: Wire, S: Rows>(node: &Node<W, S>, manifest: &Manifest) -> Result<u64, Error> {
+    let name = &node.settings.name;
+    let page = node.rows.list(NOTES, name).await?;
+    let row = page.records.iter().find(|record| record.name == NOTE);
+    let note = row.and_then(decode::<Note>).unwrap_or_default();
+    let last = Last { note, now: page.now_ms };
+    let own = format!("{name}#");
+    let current = format!("{}.", node.holder);
+    let is_earlier = |holder: &str| holder.starts_with(&own) && !holder.starts_with(&current);
+    for team in manifest.teams.values().filter(|team| team.reserved.is_some()) {
+        close_accounts(&node.rows, &team.name, is_earlier, &last).await?;
+    }
+    Ok(row.map_or(0, |row| row.version))
+}
+
+/// Writes a note of all budgets.
+async fn write<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    purses: &[Arc<Purse>],
+    version: &mut Option<u64>,
+) -> Result<(), Error> {
+    let known = match *version {
+        Some(version) => version,
+        None => {
+            let page = node.rows.list(NOTES, &node.settings.name).await?;
+            page.records.iter().find(|record| record.name == NOTE).map_or(0, |record| record.version)
+        }
+    };
+    *version = Some(known);
+    let at = node.store_now();
+    let begun: Vec<(&Arc<Purse>, u64, Schedule)> = purses
+        .iter()
+        .map(|purse| {
+            let (life, schedule) = purse.begin_note();
+            (purse, life, schedule)
+        })
+        .collect();
+    let account = |purse: &Purse, life, schedule| BTreeMap::from([(purse.account_name(life), schedule)]);
+    let budgets = begun
+        .iter()
+        .map(|(purse, life, schedule)| (purse.team.clone(), account(purse, *life, *schedule)))
+        .collect();
+    let key = Key::new(NOTES, NOTE);
+    let change = Change {
+        part: node.settings.name.clone(),
+        checks: vec![(key.clone(), known)],
+        puts: vec![(key, encode(&Note { at, budgets }))],
+        drops: vec![],
+    };
+    let result = node.rows.commit(&change).await;
+    let took_effect = match &result {
+        Ok(Commit::Applied(applied)) => {
+            *version = Some(*applied);
+            Some(true)
+        }
+        Ok(Commit::Conflict(records)) => {
+            *version = records.iter().find(|record| record.name == NOTE).map(|record| record.version);
+            Some(false)
+        }
+        Err(error) if error.fault == Fault::NotApplied => Some(false),
+        Err(_) => {
+            *version = None;
+            None
+        }
+    };
+    for (purse, life, _) in &begun {
+        purse.end_note(*life, took_effect);
+    }
+    result.map(|_| ())
+}
+
+async fn first_manifest<W: Wire, S: Rows>(node: &Node<W, S>) -> Arc<Manifest> {
+    loop {
+        if let Some(manifest) = node.manifest() {
+            return manifest;
+        }
+        exec::sleep(FIRST).await;
+    }
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -38,6 +38,18 @@
     pub parts: Parts,
 }
 
+impl Prompt {
+    /// The most tokens that may come out, rounded up to whole events of `stride` tokens each.
+    pub fn output_in_events(&self, stride: u64) -> u64 {
+        self.output.div_ceil(stride.max(1)) * stride.max(1)
+    }
+
+    /// What the request costs at its most.
+    pub fn worst(&self, stride: u64) -> u64 {
+        self.input + self.output_in_events(stride)
+    }
+}
+
 /// What the router adds to a request that it passes on.
 #[derive(Clone, Copy, Debug)]
 pub struct Dispatch<'a> {
--- /dev/null
+++ b/crates/gateway/src/purse.rs
@@ -0,0 +1,429 @@
+//! The budgets that this router draws on: what it holds of them, and what is reserved.
+//!
+//! Tokens are reserved within three bounds: those at hand, those that the account row exposes, and those that
+//! the router noted it may use before its next note (`notes`).
+
+use crate::settle::{self, SETTLE};
+use budget::demand::{Demand, Terms, is_off_target};
+use budget::exposure::Schedule;
+use budget::grant::{Grant, Reserve};
+use budget::ledger::{Account, Batch, Charge, Level, Pool};
+use event_listener::Event;
+use net::exec;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use store::rows::Rows;
+
+/// Charges settled in one batch.
+const CHARGES: usize = 64;
+/// Seconds of demand held, so that requests need no call to the store and outages of it are bridged.
+const COVER_S: u64 = 8;
+/// The part of what is left of a budget that the routers hold together.
+const SPREAD: f64 = 0.5;
+/// A budget counts as nearly spent when less than this part of it is left.
+const SCARCE: f64 = 0.08;
+/// How long the pool's emptiness is believed, in milliseconds: tokens come back as other routers settle.
+const EMPTY_MS: u64 = 250;
+
+/// Seconds of demand that may be used between two notes, beyond what waits for one.
+const NOTED_S: f64 = 1.0;
+/// From this age on a note's limit grows: longer than a note takes to be renewed, and than a restart takes.
+const NOTE_QUIET_MS: u64 = 1_500;
+/// Multiple of the demand by which an old note's limit grows: demand comes unevenly.
+const NOTE_GROWTH: f64 = 2.0;
+/// An old note's limit also grows by all that is at hand within so many seconds, so that large requests fit.
+const NOTE_GROWTH_S: u64 = 8;
+/// The part of a budget that other routers hold idle at most, when none of it is to be had.
+const IDLE_ELSEWHERE: f64 = 0.03;
+
+/// Why tokens can't be reserved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Denied {
+    /// The budget can't hold the request at its most.
+    Spent,
+    /// The store does not answer, and the tokens at hand are not enough.
+    Away,
+    /// Other routers hold what is left; they give it back.
+    Elsewhere,
+}
+
+/// The rows of a budget as last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rowed {
+    pub pool: Pool,
+    pub pool_version: u64,
+    pub account: Account,
+    pub account_version: u64,
+    pub known: bool,
+}
+
+/// How the latest settlement ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Latest {
+    pub began: u64,
+    pub settled: bool,
+    pub free: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    grant: Grant,
+    demand: Demand,
+    pub level: Level,
+    lowered: bool,
+    waiting: u64,
+    pub rows: Rowed,
+    batch: Option<Batch>,
+    pub latest: Latest,
+    ticked: Instant,
+    /// Counts the accounts that this process had: another router may close one.
+    pub life: u64,
+    /// The schedule of the newest note that the store acknowledged, and when it was sent.
+    noted: Option<(Instant, Schedule)>,
+    /// Those of notes sent since whose fate is not known.
+    unsure: Vec<(Instant, Schedule)>,
+}
+
+/// One team's budget as this router holds it.
+#[derive(Debug)]
+pub(crate) struct Purse {
+    pub team: String,
+    pub holder: String,
+    started: Instant,
+    state: Mutex<State>,
+    pub changed: Event,
+    kick: async_channel::Sender<()>,
+    note: async_channel::Sender<()>,
+    pub closed: AtomicBool,
+    pub fleet: Arc<AtomicU64>,
+}
+
+impl Purse {
+    /// Opens a budget without tokens and starts its settlement.
+    pub(crate) fn open<S: Rows>(
+        rows: &S,
+        team: &str,
+        holder: &str,
+        level: Level,
+        fleet: Arc<AtomicU64>,
+        note: async_channel::Sender<()>,
+    ) -> Arc<Purse> {
+        let (kick, kicked) = async_channel::bounded(1);
+        let started = Instant::now();
+        let state = State {
+            grant: Grant::default(),
+            demand: Demand::default(),
+            level,
+            lowered: false,
+            waiting: 0,
+            rows: Rowed::default(),
+            batch: None,
+            latest: Latest::default(),
+            ticked: started,
+            life: 0,
+            noted: None,
+            unsure: vec![],
+        };
+        let purse = Arc::new(Purse {
+            team: team.to_owned(),
+            holder: holder.to_owned(),
+            started,
+            state: Mutex::new(state),
+            changed: Event::new(),
+            kick,
+            note,
+            closed: AtomicBool::new(false),
+            fleet,
+        });
+        exec::spawn(settle::run(purse.clone(), rows.clone(), kicked)).detach();
+        purse
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while it holds a purse")
+    }
+
+    pub(crate) fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Takes in what a manifest says of the prepaid total.
+    pub(crate) fn set_level(&self, level: Level) {
+        let mut state = self.lock();
+        if level.version <= state.level.version {
+            return;
+        }
+        let changed = level.tokens != state.level.tokens;
+        state.lowered |= level.tokens < state.level.tokens;
+        state.level = level;
+        drop(state);
+        if changed {
+            log::info!(
+                "budget: event=level team={} tokens={} version={}",
+                self.team,
+                level.tokens,
+                level.version
+            );
+            let _ = self.kick.try_send(());
+        }
+    }
+
+    /// Reserves the worst case of a request, waiting at most `patience` for the store.
+    pub(crate) async fn reserve(
+        self: &Arc<Purse>,
+        tokens: u64,
+        patience: Duration,
+    ) -> Result<Reservation, Denied> {
+        let now = self.now();
+        {
+            let mut state = self.lock();
+            state.demand.ask(now);
+            if state.reserve(tokens) {
+                return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
+            }
+            if let Some(denied) = state.denied(tokens, now.saturating_sub(EMPTY_MS)) {
+                return Err(denied);
+            }
+        }
+        let waiter = Waiter::new(self, tokens);
+        let _ = self.kick.try_send(());
+        let _ = self.note.try_send(());
+        let held = exec::timeout(patience, self.wait(tokens, now)).await;
+        drop(waiter);
+        held.unwrap_or(Err(Denied::Away))
+    }
+
+    async fn wait(self: &Arc<Purse>, tokens: u64, since: u64) -> Result<Reservation, Denied> {
+        loop {
+            let listener = self.changed.listen();
+            {
+                let mut state = self.lock();
+                if state.reserve(tokens) {
+                    return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
+                }
+                if let Some(denied) = state.denied(tokens, since) {
+                    return Err(denied);
+                }
+                if state.latest.began >= since && !state.latest.settled {
+                    return Err(Denied::Away);
+                }
+            }
+            listener.await;
+        }
+    }
+
+    /// Tokens available here, and tokens of the pool that no router holds.
+    pub(crate) fn figures(&self) -> (u64, u64, u64) {
+        let state = self.lock();
+        (state.grant.available(), state.grant.in_use(), state.latest.free)
+    }
+
+    /// Settles everything and gives unused tokens back, within `limit`.
+    pub(crate) async fn close(&self, limit: Duration) {
+        self.closed.store(true, Ordering::Relaxed);
+        let _ = self.kick.try_send(());
+        let settled = async {
+            loop {
+                let listener = self.changed.listen();
+                {
+                    let state = self.lock();
+                    if state.batch.is_none() && !state.grant.is_dirty() && state.grant.available() == 0 {
+                        return;
+                    }
+                }
+                listener.await;
+            }
+        };
+        if exec::timeout(limit, settled).await.is_none() {
+            let (available, in_use, _) = self.figures();
+            log::warn!(
+                "budget: event=left-unsettled team={} available={available} in-use={in_use}",
+                self.team
+            );
+        }
+    }
+}
+
+impl State {
+    /// Reserves tokens, if they are at hand and within what was noted.
+    fn reserve(&mut self, tokens: u64) -> bool {
+        self.grant.used().saturating_add(tokens) <= self.limit()
+            && self.grant.reserve(tokens) == Reserve::Held
+    }
+
+    /// The most that may be used now: a note whose fate is not known binds as well as the acknowledged one.
+    fn limit(&self) -> u64 {
+        let limit =
+            |(sent, schedule): &(Instant, Schedule)| schedule.limit(sent.elapsed().as_millis() as u64);
+        self.noted.iter().chain(&self.unsure).map(limit).min().unwrap_or(u64::MAX)
+    }
+
+    /// The schedule for the next note.
+    pub(crate) fn schedule(&self) -> Schedule {
+        let rate = self.demand.rate();
+        Schedule {
+            used: self.grant.used(),
+            allowance: self.waiting + (rate * NOTED_S) as u64,
+            quiet_ms: NOTE_QUIET_MS,
+            per_s: (rate * NOTE_GROWTH) as u64 + self.grant.available() / NOTE_GROWTH_S,
+        }
+    }
+
+    /// Says that tokens can't be had, if a settlement that began after `since` showed so.
+    fn denied(&self, tokens: u64, since: u64) -> Option<Denied> {
+        let latest = &self.latest;
+        let told = latest.settled && latest.began > 0 && latest.began >= since;
+        if !told || latest.free + self.grant.available() >= tokens {
+            return None;
+        }
+        let idle = (self.level.tokens as f64 * IDLE_ELSEWHERE) as u64;
+        let pool = &self.rows.pool;
+        let left = self.level.tokens.saturating_sub(pool.spent + self.grant.in_use());
+        Some(if left < tokens + idle { Denied::Spent } else { Denied::Elsewhere })
+    }
+
+    /// Tokens that should be at hand: this router's share of what is left, so that it serves through an outage of
+    /// the store, but none of a budget that is nearly spent, where every token must be reachable from everywhere.
+    fn target(&self, now: u64, terms: &Terms, fleet: u64) -> u64 {
+        let level = self.level.tokens;
+        let left = level.saturating_sub(self.rows.pool.spent);
+        if (left as f64) < level as f64 * SCARCE || self.rows.pool.wanted {
+            return 0;
+        }
+        let share = (left as f64 * SPREAD) as u64 / fleet;
+        self.demand.target(now, terms).max(share)
+    }
+
+    /// Opens the next batch, or takes up the one that is on its way.
+    pub(crate) fn next_batch(&mut self, team: &str, now: u64, closing: bool, fleet: u64) -> Option<Batch> {
+        if let Some(batch) = &self.batch {
+            return Some(batch.clone());
+        }
+        let elapsed = self.ticked.elapsed();
+        if elapsed >= SETTLE / 2 {
+            self.demand.tick(elapsed.as_millis() as u64);
+            self.ticked = Instant::now();
+        }
+        let terms = Terms { cover_s: COVER_S, least: 0, expose_s: COVER_S };
+        let target = if closing || self.lowered { 0 } else { self.target(now, &terms, fleet) };
+        let need = self.waiting.saturating_sub(self.grant.usable());
+        let off = is_off_target(self.grant.available(), target, Some(self.latest.free));
+        let level_is_new = self.rows.pool.level.is_none_or(|known| known.version < self.level.version)
+            && self.rows.pool.level.is_none_or(|known| known.tokens != self.level.tokens);
+        if !self.grant.is_dirty() && need == 0 && !off && !level_is_new {
+            return None;
+        }
+        self.lowered = false;
+        let spare = target.max(self.grant.available());
+        let entry = self.grant.open(target, need, spare, vec![], CHARGES)?;
+        let sequence = self.rows.account.sequence + 1;
+        let batch =
+            Batch { sequence, entries: BTreeMap::from([(team.to_owned(), entry)]), ..Batch::default() };
+        self.batch = Some(batch.clone());
+        Some(batch)
+    }
+
+    /// Ends the open batch: the account's row shows it.
+    pub(crate) fn close_batch(&mut self, team: &str) {
+        self.batch = None;
+        let line = self.rows.account.lines.get(team).copied().unwrap_or_default();
+        self.grant.close(&line);
+    }
+
+    /// Starts an account anew after another router closed this one: what it exposed stays spent.
+    pub(crate) fn start_over(&mut self) {
+        self.life += 1;
+        self.noted = None;
+        self.unsure.clear();
+        self.grant = Grant::default();
+        self.batch = None;
+        self.rows.account = Account::default();
+        self.rows.account_version = 0;
+    }
+}
+
+/// Counts a request that waits for tokens.
+struct Waiter<'a> {
+    purse: &'a Purse,
+    tokens: u64,
+}
+
+impl<'a> Waiter<'a> {
+    fn new(purse: &'a Purse, tokens: u64) -> Waiter<'a> {
+        purse.lock().waiting += tokens;
+        Waiter { purse, tokens }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.purse.lock().waiting -= self.tokens;
+    }
+}
+
+/// Tokens set aside for one request, until it is charged or dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    purse: Arc<Purse>,
+    life: u64,
+    tokens: u64,
+}
+
+impl Reservation {
+    /// Charges what the request used; the rest becomes available again.
+    pub(crate) fn charge(mut self, request: &str, tokens: u64) {
+        let reserved = std::mem::take(&mut self.tokens);
+        let mut state = self.purse.lock();
+        if state.life != self.life {
+            return;
+        }
+        let charge = Charge { request: request.to_owned(), key: None, tokens };
+        state.demand.consume(tokens);
+        state.grant.charge(reserved, charge);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.tokens > 0 {
+            let mut state = self.purse.lock();
+            if state.life == self.life {
+                state.grant.release(self.tokens);
+            }
+        }
+    }
+}
+
+impl Purse {
+    /// Makes the schedule for a note that is about to be sent; it binds from now on.
+    pub(crate) fn begin_note(&self) -> (u64, Schedule) {
+        let mut state = self.lock();
+        let schedule = state.schedule();
+        state.unsure.push((Instant::now(), schedule));
+        (state.life, schedule)
+    }
+
+    /// Takes in how the newest note ended: `Some(true)` if it took effect, `Some(false)` if it certainly did not,
+    /// `None` if that is not known.
+    pub(crate) fn end_note(&self, life: u64, took_effect: Option<bool>) {
+        let mut state = self.lock();
+        if state.life != life {
+            return;
+        }
+        match took_effect {
+            Some(true) => {
+                // Earlier notes were written under a condition that does not hold any more.
+                state.noted = state.unsure.pop();
+                state.unsure.clear();
+            }
+            Some(false) => {
+                state.unsure.pop();
+            }
+            None => {}
+        }
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,6 +22,8 @@
     BudgetSpent,
     /// Tokens are left, but none can be had now.
     BudgetAway,
+    /// Other routers hold the tokens that are left.
+    BudgetElsewhere,
     /// No manifest is known yet.
     NotConfigured,
     /// This router is stopping.
@@ -30,8 +32,6 @@
     NoUpstream,
     /// Every upstream tried refused it or could not be reached.
     NotRun,
-    /// Its time ran out before it was sent.
-    TooLate,
     /// It was sent, and its time ran out.
     TimedOut,
     /// It was sent, and no whole answer came.
@@ -49,11 +49,11 @@
             Refusal::BodyBroken => "body-broken",
             Refusal::BudgetSpent => "budget-spent",
             Refusal::BudgetAway => "budget-away",
+            Refusal::BudgetElsewhere => "budget-elsewhere",
             Refusal::NotConfigured => "not-configured",
             Refusal::Stopping => "stopping",
             Refusal::NoUpstream => "no-upstream",
             Refusal::NotRun => "not-run",
-            Refusal::TooLate => "too-late",
             Refusal::TimedOut => "timed-out",
             Refusal::Failed => "failed",
         }
@@ -67,11 +67,11 @@
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Refusal::BudgetAway
+            | Refusal::BudgetElsewhere
             | Refusal::NotConfigured
             | Refusal::Stopping
             | Refusal::NoUpstream
-            | Refusal::NotRun
-            | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
         }
@@ -80,11 +80,11 @@
     /// When coming back may help, in milliseconds: the time that each cause usually lasts.
     fn retry_ms(self) -> Option<u64> {
         match self {
-            Refusal::BudgetAway => Some(1_000),
+            Refusal::BudgetAway | Refusal::BudgetElsewhere => Some(1_000),
             Refusal::NotConfigured => Some(500),
             Refusal::Stopping => Some(50),
             Refusal::NoUpstream => Some(500),
-            Refusal::NotRun | Refusal::TooLate => Some(200),
+            Refusal::NotRun => Some(200),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/gateway/src/settle.rs
@@ -0,0 +1,166 @@
+//! Settling a budget with the store.
+//!
+//! A settlement writes the pool row and this router's account row under the condition that they are as last
+//! seen, so a write whose answer was lost is recognised by the account's sequence, however late it took effect.
+
+use crate::purse::{Latest, Purse, Rowed};
+use crate::table::{ACCOUNT, BUDGETS, POOL, decode_or_absent, encode};
+use budget::ledger::{self, Batch};
+use net::exec;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use store::rows::{Change, Commit, Key, Record, Rows};
+use store::{Error, Fault};
+
+/// The pause between settlements while nothing is urgent.
+pub(crate) const SETTLE: Duration = Duration::from_millis(1_000);
+/// The pause after a settlement failed.
+const SETTLE_AGAIN: Duration = Duration::from_millis(250);
+/// Attempts at one batch before the settlement counts as failed.
+const ATTEMPTS: u32 = 6;
+
+/// Settles a budget whenever something is due.
+pub(crate) async fn run<S: Rows>(purse: Arc<Purse>, rows: S, kicked: async_channel::Receiver<()>) {
+    loop {
+        let _ = exec::timeout(SETTLE, kicked.recv()).await;
+        let ended = settle(&purse, &rows).await;
+        purse.changed.notify(usize::MAX);
+        match ended {
+            Ended::Failed => exec::sleep(SETTLE_AGAIN).await,
+            Ended::Idle if purse.closed.load(Ordering::Relaxed) => return,
+            Ended::Idle | Ended::Settled => {}
+        }
+    }
+}
+
+enum Ended {
+    Idle,
+    Settled,
+    Failed,
+}
+
+async fn settle<S: Rows>(purse: &Purse, rows: &S) -> Ended {
+    let began = purse.now().max(1);
+    let closing = purse.closed.load(Ordering::Relaxed);
+    let fleet = purse.fleet.load(Ordering::Relaxed).max(1);
+    let Some(mut batch) = purse.lock().next_batch(&purse.team, began, closing, fleet) else {
+        return Ended::Idle;
+    };
+    for _ in 0..ATTEMPTS {
+        match attempt(purse, rows, &batch).await {
+            Ok(Attempt::Done) => {
+                let mut state = purse.lock();
+                state.latest = Latest { began, settled: true, free: state.rows.pool.free };
+                return Ended::Settled;
+            }
+            Ok(Attempt::Again) => {}
+            Ok(Attempt::Closed) => {
+                log::warn!("budget: event=account-closed team={} holder={}", purse.team, purse.holder);
+                let mut state = purse.lock();
+                state.start_over();
+                match state.next_batch(&purse.team, began, closing, fleet) {
+                    Some(next) => batch = next,
+                    None => return Ended::Idle,
+                }
+            }
+            Err(error) => {
+                log::warn!(
+                    "budget: event=settle-failed team={} batch={} {error}",
+                    purse.team,
+                    batch.sequence
+                );
+                if error.fault == Fault::Unknown {
+                    purse.lock().rows.known = false;
+                }
+                break;
+            }
+        }
+    }
+    let mut state = purse.lock();
+    state.latest = Latest { began, settled: false, free: state.latest.free };
+    Ended::Failed
+}
+
+enum Attempt {
+    Done,
+    Again,
+    Closed,
+}
+
+/// Tries a batch once on the rows as last seen, and learns them anew if they changed.
+async fn attempt<S: Rows>(purse: &Purse, rows: &S, batch: &Batch) -> Result<Attempt, Error> {
+    let known = purse.lock().rows.known;
+    if !known {
+        let page = rows.list(BUDGETS, &purse.team).await?;
+        purse.learn(&page.records);
+    }
+    let (mut pool, mut account, versions, level, life) = {
+        let state = purse.lock();
+        let versions = (state.rows.pool_version, state.rows.account_version);
+        (state.rows.pool.clone(), state.rows.account.clone(), versions, state.level, state.life)
+    };
+    if account.closed {
+        return Ok(Attempt::Closed);
+    }
+    if account.sequence >= batch.sequence {
+        purse.lock().close_batch(&purse.team);
+        return Ok(Attempt::Done);
+    }
+    pool.set_level(level);
+    let fleet = purse.fleet.load(Ordering::Relaxed);
+    let mut pools = BTreeMap::from([(purse.team.clone(), pool)]);
+    if let Err(error) = ledger::post(&mut account, &mut pools, &|_| false, batch, fleet) {
+        log::error!("budget: event=not-posted team={} batch={} error={error}", purse.team, batch.sequence);
+        purse.lock().rows.known = false;
+        return Ok(Attempt::Again);
+    }
+    let pool = pools.remove(&purse.team).unwrap_or_default();
+    let pool_key = Key::new(BUDGETS, POOL);
+    let account_key = Key::new(BUDGETS, purse.account_name(life));
+    let change = Change {
+        part: purse.team.clone(),
+        checks: vec![(pool_key.clone(), versions.0), (account_key.clone(), versions.1)],
+        puts: vec![(pool_key, encode(&pool)), (account_key, encode(&account))],
+        drops: vec![],
+    };
+    match rows.commit(&change).await? {
+        Commit::Applied(version) => {
+            let mut state = purse.lock();
+            state.rows =
+                Rowed { pool, pool_version: version, account, account_version: version, known: true };
+            state.close_batch(&purse.team);
+            Ok(Attempt::Done)
+        }
+        Commit::Conflict(records) => {
+            purse.learn(&records);
+            Ok(Attempt::Again)
+        }
+    }
+}
+
+impl Purse {
+    pub(crate) fn account_name(&self, life: u64) -> String {
+        format!("{ACCOUNT}{}.{life}", self.holder)
+    }
+
+    /// Takes in rows of this budget as they were read.
+    fn learn(&self, records: &[Record]) {
+        let mut state = self.lock();
+        let account_name = self.account_name(state.life);
+        for record in records {
+            if record.name == POOL && record.version >= state.rows.pool_version {
+                // An unreadable row keeps the old version, so that it is never overwritten.
+                let Some(pool) = decode_or_absent(record) else { continue };
+                state.rows.pool = pool;
+                state.rows.pool_version = record.version;
+            } else if record.name == account_name && record.version >= state.rows.account_version {
+                let Some(account) = decode_or_absent(record) else { continue };
+                state.rows.account = account;
+                state.rows.account_version = record.version;
+            }
+        }
+        state.rows.known = true;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/table.rs
@@ -0,0 +1,40 @@
+//! The rows of budgets in the store: their places and contents.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use store::rows::Record;
+
+/// The table of pools and accounts; each team has a partition of its own.
+pub(crate) const BUDGETS: &str = "budgets";
+/// The key of the pool row.
+pub(crate) const POOL: &str = "pool";
+/// What the keys of account rows begin with.
+pub(crate) const ACCOUNT: &str = "account/";
+/// The table of notes; each VM has a partition of its own.
+pub(crate) const NOTES: &str = "notes";
+/// The key of the note row.
+pub(crate) const NOTE: &str = "note";
+
+pub(crate) fn encode(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("rows serialize to JSON")
+}
+
+/// The content of a row, or that of a row which does not exist yet; `None` if it can't be read.
+pub(crate) fn decode_or_absent<T: Default + DeserializeOwned>(record: &Record) -> Option<T> {
+    if record.value.is_none() { Some(T::default()) } else { decode(record) }
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(record: &Record) -> Option<T> {
+    let bytes = record.value.as_deref()?;
+    match serde_json::from_slice(bytes) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::error!(
+                "budget: event=unreadable row={} version={} error={error}",
+                record.name,
+                record.version
+            );
+            None
+        }
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -62,15 +62,18 @@
     Nothing,
 }
 
-async fn step<S: Rows>(rows: &S, table: &str, follower: &mut Follower, now: impl Fn() -> Millis) -> Step {
+async fn step<W: Wire, S: Rows>(node: &Node<W, S>, table: &str, follower: &mut Follower) -> Step {
     let result = match follower.after {
-        None => rows.list(table, "").await.map(Step::Whole),
-        Some(after) => rows.feed(table, after, WAIT_MS).await.map(|feed| match feed {
+        None => node.rows.list(table, "").await.map(Step::Whole),
+        Some(after) => node.rows.feed(table, after, WAIT_MS).await.map(|feed| match feed {
             Feed::Changes(page) => Step::Changes(page),
             Feed::Lost => Step::Nothing,
         }),
     };
-    follower.note(result.as_ref().err(), now());
+    follower.note(result.as_ref().err(), node.now());
+    if let Ok(Step::Whole(page) | Step::Changes(page)) = &result {
+        node.set_store_clock(page.now_ms);
+    }
     match result {
         Ok(Step::Whole(page)) => {
             follower.after = Some(page.version);
@@ -97,7 +100,7 @@
     let mut follower = Follower::new("manifest");
     loop {
         let (table, _) = node.wire.manifest_row();
-        match step(&node.rows, table, &mut follower, || node.now()).await {
+        match step(&node, table, &mut follower).await {
             Step::Whole(page) | Step::Changes(page) => {
                 page.records.iter().for_each(|record| adopt(&node, record))
             }
@@ -138,7 +141,7 @@
     let mut known = Known::default();
     loop {
         let table = node.wire.upstreams_table();
-        let found = step(&node.rows, table, &mut follower, || node.now()).await;
+        let found = step(&node, table, &mut follower).await;
         let now = node.now();
         let doubtful = follower.regained_at.map(|at| at + RELIST_MS).filter(|until| now < *until);
         match found {
