Call idle tokens back, and count settlements by number; tests of budgets, notes and the list of upstreams

Settlements are numbered now, and a settlement that falls short writes a recall row that all follow.

--- /dev/null
+++ b/crates/gateway/src/counted.rs
@@ -0,0 +1,60 @@
+//! The store with every call counted and timed.
+
+use crate::metrics::Metrics;
+use prometheus::{Histogram, IntCounterVec};
+use std::time::Instant;
+use store::rows::{Change, Commit, Feed, Page, Rows};
+use store::{Error, Fault};
+
+/// A store whose calls are counted.
+#[derive(Clone, Debug)]
+pub(crate) struct Counted<S> {
+    rows: S,
+    calls: IntCounterVec,
+    seconds: Histogram,
+}
+
+impl<S: Rows> Counted<S> {
+    pub(crate) fn new(rows: S, metrics: &Metrics) -> Counted<S> {
+        Counted { rows, calls: metrics.store_calls.clone(), seconds: metrics.store_time.clone() }
+    }
+
+    fn count<T>(&self, step: &str, result: &Result<T, Error>, outcome: fn(&T) -> &'static str) {
+        let outcome = match result {
+            Ok(value) => outcome(value),
+            Err(error) if error.fault == Fault::NotApplied => "refused",
+            Err(_) => "unknown",
+        };
+        self.calls.with_label_values(&[step, outcome]).inc();
+    }
+}
+
+impl<S: Rows> Rows for Counted<S> {
+    async fn commit(&self, change: &Change) -> Result<Commit, Error> {
+        let began = Instant::now();
+        let result = self.rows.commit(change).await;
+        self.seconds.observe(began.elapsed().as_secs_f64());
+        self.count("commit", &result, |commit| match commit {
+            Commit::Applied(_) => "applied",
+            Commit::Conflict(_) => "conflict",
+        });
+        result
+    }
+
+    async fn list(&self, table: &str, part: &str) -> Result<Page, Error> {
+        let began = Instant::now();
+        let result = self.rows.list(table, part).await;
+        self.seconds.observe(began.elapsed().as_secs_f64());
+        self.count("list", &result, |_| "read");
+        result
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed, Error> {
+        let result = self.rows.feed(table, after, wait_ms).await;
+        self.count("feed", &result, |feed| match feed {
+            Feed::Changes(_) => "read",
+            Feed::Lost => "history-lost",
+        });
+        result
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -102,14 +102,14 @@
     node.window(&service, |window, now| window.request(now));
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
-        Err(denied) => {
+        Err((denied, detail)) => {
             let refusal = match denied {
                 Denied::Spent => Refusal::BudgetSpent,
                 Denied::Away => Refusal::BudgetAway,
                 Denied::Elsewhere => Refusal::BudgetElsewhere,
             };
             let team = team.as_ref().map_or("-", |team| team.name.as_str());
-            return Err(refused(refusal, &format!("team={team} {version}")));
+            return Err(refused(refusal, &format!("team={team} route={} {version} {detail}", route.name)));
         }
     };
     let admitted = Admitted { ask, head, body, manifest, route, team, service, arrived };
@@ -123,12 +123,14 @@
     service: &str,
     team: Option<&crate::manifest::Team>,
     ask: &Ask,
-) -> Result<Option<Reservation>, Denied> {
+) -> Result<Option<Reservation>, (Denied, String)> {
     let (Some(team), Some(prompt)) = (team, &ask.prompt) else { return Ok(None) };
     let Some(purse) = node.purse(manifest, team) else { return Ok(None) };
     let patience = Duration::from_millis((route.target_ms as f64 * BUDGET_PATIENCE) as u64);
     let stride = manifest.services.get(service).map_or(1, |service| service.stride);
-    purse.reserve(prompt.worst(stride), patience).await.map(Some)
+    let worst = prompt.worst(stride);
+    let reserved = purse.reserve(worst, patience).await;
+    reserved.map(Some).map_err(|denied| (denied, purse.explain(worst)))
 }
 
 /// What to do after a dispatch.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod body;
 mod closing;
+mod counted;
 mod event;
 mod handle;
 mod job;
@@ -26,6 +27,10 @@
 mod table;
 mod watch;
 
+#[cfg(test)]
+#[path = "../tests/unit/support.rs"]
+mod support;
+
 pub use settings::{Bounds, Listen, Settings};
 
 use crate::node::{Node, Phase};
@@ -68,6 +73,7 @@
     let node = Arc::new(Node::new(settings, incarnation, wire, rows, note));
     exec::spawn(watch::manifest(node.clone())).detach();
     exec::spawn(watch::upstreams(node.clone())).detach();
+    exec::spawn(watch::recalls(node.clone())).detach();
     exec::spawn(members::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), noted)).detach();
     exec::spawn(sweep(node.clone())).detach();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! One gateway: what it knows, and what runs on it.
 
+use crate::counted::Counted;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
 use crate::ports::{Listing, Wire};
@@ -36,7 +37,7 @@
     /// The VM's name with the incarnation of this process.
     pub holder: String,
     pub wire: W,
-    pub rows: S,
+    pub rows: Counted<S>,
     pub pool: Pool,
     pub metrics: Metrics,
     pub fleet: Arc<AtomicU64>,
@@ -60,13 +61,14 @@
         rows: S,
         note: async_channel::Sender<()>,
     ) -> Node<W, S> {
+        let metrics = Metrics::new();
         Node {
             holder: format!("{}#{incarnation}", settings.name),
             places: Mutex::new(Places::new(&settings.data_centre)),
             wire,
-            rows,
+            rows: Counted::new(rows, &metrics),
             pool: Pool::default(),
-            metrics: Metrics::new(),
+            metrics,
             fleet: Arc::new(AtomicU64::new(1)),
             open: AtomicU64::new(0),
             started: Instant::now(),
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -84,7 +84,7 @@
 }
 
 /// Closes the accounts of this VM's earlier processes: they are certainly dead. Returns the note row's version.
-async fn recover<W: Wire, S: Rows>(node: &Node<W, S>, manifest: &Manifest) -> Result<u64, Error> {
+pub(crate) async fn recover<W: Wire, S: Rows>(node: &Node<W, S>, manifest: &Manifest) -> Result<u64, Error> {
     let name = &node.settings.name;
     let page = node.rows.list(NOTES, name).await?;
     let row = page.records.iter().find(|record| record.name == NOTE);
@@ -163,3 +163,7 @@
         exec::sleep(FIRST).await;
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/notes.rs"]
+mod tests;
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -38,6 +38,9 @@
 /// The part of a budget that other routers hold idle at most, when none of it is to be had.
 const IDLE_ELSEWHERE: f64 = 0.03;
 
+/// How long other routers take to give idle tokens back once they are asked.
+const RECALL: Duration = Duration::from_millis(40);
+
 /// Why tokens can't be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Denied {
@@ -62,7 +65,10 @@
 /// How the latest settlement ended.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Latest {
+    /// When it began, in the purse's milliseconds.
     pub began: u64,
+    /// Its number, from 1.
+    pub number: u64,
     pub settled: bool,
     pub free: u64,
 }
@@ -74,6 +80,10 @@
     pub level: Level,
     lowered: bool,
     waiting: u64,
+    /// How many settlements have begun.
+    pub begun: u64,
+    /// Whether another router asked for idle tokens.
+    recalled: bool,
     pub rows: Rowed,
     batch: Option<Batch>,
     pub latest: Latest,
@@ -118,6 +128,8 @@
             level,
             lowered: false,
             waiting: 0,
+            begun: 0,
+            recalled: false,
             rows: Rowed::default(),
             batch: None,
             latest: Latest::default(),
@@ -145,8 +157,9 @@
         self.state.lock().expect("no thread panics while it holds a purse")
     }
 
+    /// Milliseconds since the budget was opened, from 1: 0 means never.
     pub(crate) fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.started.elapsed().as_millis() as u64 + 1
     }
 
     /// Takes in what a manifest says of the prepaid total.
@@ -177,43 +190,80 @@
         patience: Duration,
     ) -> Result<Reservation, Denied> {
         let now = self.now();
-        {
+        let begun = {
             let mut state = self.lock();
             state.demand.ask(now);
             if state.reserve(tokens) {
                 return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
             }
-            if let Some(denied) = state.denied(tokens, now.saturating_sub(EMPTY_MS)) {
-                return Err(denied);
+            let is_fresh = now.saturating_sub(state.latest.began) < EMPTY_MS;
+            if is_fresh && state.denied(tokens) == Some(Denied::Spent) {
+                return Err(Denied::Spent);
             }
-        }
-        let waiter = Waiter::new(self, tokens);
-        let _ = self.kick.try_send(());
-        let _ = self.note.try_send(());
-        let held = exec::timeout(patience, self.wait(tokens, now)).await;
-        drop(waiter);
-        held.unwrap_or(Err(Denied::Away))
+            state.begun
+        };
+        let _waiter = Waiter::new(self, tokens);
+        let held = exec::timeout(patience, self.wait(tokens, begun)).await;
+        held.unwrap_or_else(|| Err(self.lock().denied(tokens).unwrap_or(Denied::Away)))
     }
 
-    async fn wait(self: &Arc<Purse>, tokens: u64, since: u64) -> Result<Reservation, Denied> {
+    /// Waits for a settlement with a higher number than `begun` to bring the tokens, or to show that they can't
+    /// be had.
+    async fn wait(self: &Arc<Purse>, tokens: u64, mut begun: u64) -> Result<Reservation, Denied> {
+        let _ = self.kick.try_send(());
+        let _ = self.note.try_send(());
         loop {
             let listener = self.changed.listen();
-            {
+            let denied = {
                 let mut state = self.lock();
                 if state.reserve(tokens) {
                     return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
                 }
-                if let Some(denied) = state.denied(tokens, since) {
-                    return Err(denied);
-                }
-                if state.latest.began >= since && !state.latest.settled {
+                let is_new = state.latest.number > begun;
+                if is_new && !state.latest.settled {
                     return Err(Denied::Away);
                 }
+                state.denied(tokens).filter(|_| is_new)
+            };
+            match denied {
+                Some(Denied::Elsewhere) => {
+                    // The other routers were told; what they give back is there soon.
+                    exec::sleep(RECALL).await;
+                    begun = self.lock().begun;
+                    let _ = self.kick.try_send(());
+                }
+                Some(denied) => return Err(denied),
+                None => listener.await,
             }
-            listener.await;
         }
     }
 
+    /// Gives idle tokens back: another router needs them.
+    pub(crate) fn recall(&self) {
+        self.lock().recalled = true;
+        let _ = self.kick.try_send(());
+    }
+
+    /// What decides on a reservation of so many tokens, for the log.
+    pub(crate) fn explain(&self, tokens: u64) -> String {
+        let now = self.now();
+        let state = self.lock();
+        let noted = state.limit().saturating_sub(state.grant.used());
+        let note_age = state.noted.map_or(0, |(sent, _)| sent.elapsed().as_millis() as u64);
+        let latest = &state.latest;
+        format!(
+            "tokens={tokens} available={} noted={} note-age-ms={note_age} pool-free={} pool-spent={} level={} level-version={} settled={} settle-age-ms={}",
+            state.grant.available(),
+            noted.min(state.level.tokens),
+            latest.free,
+            state.rows.pool.spent,
+            state.level.tokens,
+            state.level.version,
+            latest.settled,
+            now.saturating_sub(latest.began),
+        )
+    }
+
     /// Tokens available here, and tokens of the pool that no router holds.
     pub(crate) fn figures(&self) -> (u64, u64, u64) {
         let state = self.lock();
@@ -254,7 +304,7 @@
     }
 
     /// The most that may be used now: a note whose fate is not known binds as well as the acknowledged one.
-    fn limit(&self) -> u64 {
+    pub(crate) fn limit(&self) -> u64 {
         let limit =
             |(sent, schedule): &(Instant, Schedule)| schedule.limit(sent.elapsed().as_millis() as u64);
         self.noted.iter().chain(&self.unsure).map(limit).min().unwrap_or(u64::MAX)
@@ -271,11 +321,10 @@
         }
     }
 
-    /// Says that tokens can't be had, if a settlement that began after `since` showed so.
-    fn denied(&self, tokens: u64, since: u64) -> Option<Denied> {
+    /// Why tokens can't be had, if the latest settlement showed that.
+    fn denied(&self, tokens: u64) -> Option<Denied> {
         let latest = &self.latest;
-        let told = latest.settled && latest.began > 0 && latest.began >= since;
-        if !told || latest.free + self.grant.available() >= tokens {
+        if !latest.settled || latest.free + self.grant.available() >= tokens {
             return None;
         }
         let idle = (self.level.tokens as f64 * IDLE_ELSEWHERE) as u64;
@@ -307,7 +356,8 @@
             self.ticked = Instant::now();
         }
         let terms = Terms { cover_s: COVER_S, least: 0, expose_s: COVER_S };
-        let target = if closing || self.lowered { 0 } else { self.target(now, &terms, fleet) };
+        let target =
+            if closing || self.lowered || self.recalled { 0 } else { self.target(now, &terms, fleet) };
         let need = self.waiting.saturating_sub(self.grant.usable());
         let off = is_off_target(self.grant.available(), target, Some(self.latest.free));
         let level_is_new = self.rows.pool.level.is_none_or(|known| known.version < self.level.version)
@@ -316,6 +366,7 @@
             return None;
         }
         self.lowered = false;
+        self.recalled = false;
         let spare = target.max(self.grant.available());
         let entry = self.grant.open(target, need, spare, vec![], CHARGES)?;
         let sequence = self.rows.account.sequence + 1;
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -4,7 +4,7 @@
 //! seen, so a write whose answer was lost is recognised by the account's sequence, however late it took effect.
 
 use crate::purse::{Latest, Purse, Rowed};
-use crate::table::{ACCOUNT, BUDGETS, POOL, decode_or_absent, encode};
+use crate::table::{ACCOUNT, BUDGETS, POOL, RECALLS, decode_or_absent, encode};
 use budget::ledger::{self, Batch};
 use net::exec;
 use std::collections::BTreeMap;
@@ -42,17 +42,20 @@
 }
 
 async fn settle<S: Rows>(purse: &Purse, rows: &S) -> Ended {
-    let began = purse.now().max(1);
+    let began = purse.now();
     let closing = purse.closed.load(Ordering::Relaxed);
     let fleet = purse.fleet.load(Ordering::Relaxed).max(1);
-    let Some(mut batch) = purse.lock().next_batch(&purse.team, began, closing, fleet) else {
-        return Ended::Idle;
+    let (number, batch) = {
+        let mut state = purse.lock();
+        state.begun += 1;
+        (state.begun, state.next_batch(&purse.team, began, closing, fleet))
     };
+    let Some(mut batch) = batch else { return Ended::Idle };
     for _ in 0..ATTEMPTS {
         match attempt(purse, rows, &batch).await {
             Ok(Attempt::Done) => {
                 let mut state = purse.lock();
-                state.latest = Latest { began, settled: true, free: state.rows.pool.free };
+                state.latest = Latest { began, number, settled: true, free: state.rows.pool.free };
                 return Ended::Settled;
             }
             Ok(Attempt::Again) => {}
@@ -79,7 +82,7 @@
         }
     }
     let mut state = purse.lock();
-    state.latest = Latest { began, settled: false, free: state.latest.free };
+    state.latest = Latest { began, number, settled: false, free: state.latest.free };
     Ended::Failed
 }
 
@@ -119,12 +122,16 @@
     let pool = pools.remove(&purse.team).unwrap_or_default();
     let pool_key = Key::new(BUDGETS, POOL);
     let account_key = Key::new(BUDGETS, purse.account_name(life));
-    let change = Change {
+    let mut change = Change {
         part: purse.team.clone(),
         checks: vec![(pool_key.clone(), versions.0), (account_key.clone(), versions.1)],
         puts: vec![(pool_key, encode(&pool)), (account_key, encode(&account))],
         drops: vec![],
     };
+    let needs = batch.entries.get(&purse.team).is_some_and(|entry| entry.need > 0);
+    if needs && pool.wanted && pool.outstanding > 0 {
+        change.puts.push((Key::new(RECALLS, &purse.team), purse.holder.clone().into_bytes()));
+    }
     match rows.commit(&change).await? {
         Commit::Applied(version) => {
             let mut state = purse.lock();
@@ -164,3 +171,7 @@
         state.rows.known = true;
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/settle.rs"]
+mod tests;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -10,6 +10,8 @@
 pub(crate) const POOL: &str = "pool";
 /// What the keys of account rows begin with.
 pub(crate) const ACCOUNT: &str = "account/";
+/// The table in which routers ask the others for idle tokens; a row's key is the team, its value who asks.
+pub(crate) const RECALLS: &str = "recalls";
 /// The table of notes; each VM has a partition of its own.
 pub(crate) const NOTES: &str = "notes";
 /// The key of the note row.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,6 +5,7 @@
 
 use crate::node::Node;
 use crate::ports::{Listing, Wire};
+use crate::table::RECALLS;
 use net::exec;
 use route::Millis;
 use route::place::Site;
@@ -18,9 +19,16 @@
 const WAIT_MS: u64 = 1_000;
 /// The pause after a call failed.
 const AGAIN: Duration = Duration::from_millis(100);
-/// How long an upstream that vanished while the store was away may take to be listed again, in milliseconds:
-/// the platform's word for it is about two seconds.
-const RELIST_MS: Millis = 2_500;
+/// The time within which an upstream whose entry lapsed while the store was away is listed again, in
+/// milliseconds: the platform's word for it.
+const RELIST_MS: Millis = 2_000;
+/// How long a vanished upstream is kept to see whether most of its service vanished with it, in milliseconds.
+const GATHER_MS: Millis = 250;
+/// The wait for changes while an upstream is being kept, in milliseconds.
+const GATHER_WAIT_MS: u64 = 50;
+/// Entries lapse together when the store was away; upstreams that leave do so a few at a time. From this part of
+/// a service on, vanished upstreams are taken to have lapsed.
+const LAPSED: f64 = 0.34;
 
 /// How a table is followed.
 struct Follower {
@@ -62,10 +70,15 @@
     Nothing,
 }
 
-async fn step<W: Wire, S: Rows>(node: &Node<W, S>, table: &str, follower: &mut Follower) -> Step {
+async fn step<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    table: &str,
+    follower: &mut Follower,
+    wait_ms: u64,
+) -> Step {
     let result = match follower.after {
         None => node.rows.list(table, "").await.map(Step::Whole),
-        Some(after) => node.rows.feed(table, after, WAIT_MS).await.map(|feed| match feed {
+        Some(after) => node.rows.feed(table, after, wait_ms).await.map(|feed| match feed {
             Feed::Changes(page) => Step::Changes(page),
             Feed::Lost => Step::Nothing,
         }),
@@ -89,6 +102,8 @@
             Step::Nothing
         }
         Err(_) => {
+            // What changed meanwhile is learned at once from a whole read.
+            follower.after = None;
             exec::sleep(AGAIN).await;
             Step::Nothing
         }
@@ -100,7 +115,7 @@
     let mut follower = Follower::new("manifest");
     loop {
         let (table, _) = node.wire.manifest_row();
-        match step(&node, table, &mut follower).await {
+        match step(&node, table, &mut follower, WAIT_MS).await {
             Step::Whole(page) | Step::Changes(page) => {
                 page.records.iter().for_each(|record| adopt(&node, record))
             }
@@ -109,6 +124,22 @@
     }
 }
 
+/// Follows the other routers' calls for idle tokens.
+pub(crate) async fn recalls<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let mut follower = Follower::new("recalls");
+    loop {
+        // Calls made while this router was away are over, so a whole read only says where to go on.
+        let Step::Changes(page) = step(&node, RECALLS, &mut follower, WAIT_MS).await else { continue };
+        for record in &page.records {
+            let is_own = record.value.as_deref() == Some(node.holder.as_bytes());
+            let purse = node.purses().get(&record.name).cloned();
+            if let Some(purse) = purse.filter(|_| !is_own) {
+                purse.recall();
+            }
+        }
+    }
+}
+
 fn adopt<W: Wire, S: Rows>(node: &Node<W, S>, record: &Record) {
     let (_, name) = node.wire.manifest_row();
     let Some(bytes) = record.value.as_deref().filter(|_| record.name == name) else { return };
@@ -131,8 +162,10 @@
 struct Known {
     /// The version of each row, deleted ones included.
     versions: HashMap<String, u64>,
-    /// Upstreams that vanished around an outage of the store, and when they are given up.
+    /// Upstreams that vanished, and when that is decided.
     vanished: HashMap<String, Millis>,
+    /// When the store was reached again after it was away.
+    regained_at: Option<Millis>,
 }
 
 /// Follows the list of upstreams.
@@ -140,46 +173,44 @@
     let mut follower = Follower::new("upstreams");
     let mut known = Known::default();
     loop {
-        let table = node.wire.upstreams_table();
-        let found = step(&node, table, &mut follower).await;
-        let now = node.now();
-        let doubtful = follower.regained_at.map(|at| at + RELIST_MS).filter(|until| now < *until);
+        let wait_ms = if known.vanished.is_empty() { WAIT_MS } else { GATHER_WAIT_MS };
+        let found = step(&node, node.wire.upstreams_table(), &mut follower, wait_ms).await;
+        known.regained_at = follower.regained_at;
         match found {
-            Step::Whole(page) => {
-                // A deletion has no row here: what is missing from a list that is not stale is gone.
-                let newest = known.versions.values().max().copied().unwrap_or(0);
-                for record in &page.records {
-                    take(&node, &mut known, record, doubtful);
-                }
-                if page.version >= newest {
-                    let listed = |name: &String| page.records.iter().any(|record| record.name == *name);
-                    let missing: Vec<String> =
-                        node.listings().keys().filter(|name| !listed(name)).cloned().collect();
-                    for name in missing {
-                        vanish(&node, &mut known, &name, page.version, doubtful);
-                    }
-                }
-            }
-            Step::Changes(page) => {
-                for record in &page.records {
-                    take(&node, &mut known, record, doubtful);
-                }
-            }
+            Step::Whole(page) => take_whole(&node, &mut known, &page),
+            Step::Changes(page) => page.records.iter().for_each(|record| take(&node, &mut known, record)),
             Step::Nothing => {}
         }
-        give_up(&node, &mut known);
+        decide(&node, &mut known);
         node.metrics.upstreams.set(node.listings().len() as i64);
     }
 }
 
-fn take<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, record: &Record, doubtful: Option<Millis>) {
+/// Takes in the whole list: what is missing from one that is not stale has vanished.
+fn take_whole<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, page: &Page) {
+    let newest = known.versions.values().max().copied().unwrap_or(0);
+    for record in &page.records {
+        take(node, known, record);
+    }
+    if page.version < newest {
+        log::warn!("upstream: event=stale-list version={} known={newest}", page.version);
+        return;
+    }
+    let listed = |name: &String| page.records.iter().any(|record| record.name == *name);
+    let missing: Vec<String> = node.listings().keys().filter(|name| !listed(name)).cloned().collect();
+    for name in missing {
+        vanish(node, known, &name);
+    }
+}
+
+fn take<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, record: &Record) {
     let version = known.versions.entry(record.name.clone()).or_default();
     if record.version <= *version {
         return;
     }
     *version = record.version;
     let Some(bytes) = record.value.as_deref() else {
-        return vanish(node, known, &record.name.clone(), record.version, doubtful);
+        return vanish(node, known, &record.name);
     };
     known.vanished.remove(&record.name);
     match node.wire.listing(bytes) {
@@ -208,35 +239,56 @@
     listings.insert(name.to_owned(), listing);
 }
 
-fn vanish<W: Wire, S: Rows>(
-    node: &Node<W, S>,
-    known: &mut Known,
-    name: &str,
-    version: u64,
-    doubtful: Option<Millis>,
-) {
-    match doubtful {
-        // Its entry may only have lapsed while the store was away.
-        Some(until) => {
-            known.vanished.entry(name.to_owned()).or_insert(until);
+/// Whether entries may have lapsed only because the store was away a moment ago.
+fn relisting_until(known: &Known, now: Millis) -> Option<Millis> {
+    known.regained_at.map(|at| at + RELIST_MS).filter(|until| now < *until)
+}
+
+fn vanish<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, name: &str) {
+    let now = node.now();
+    match relisting_until(known, now) {
+        Some(_) => {
+            known.vanished.entry(name.to_owned()).or_insert(now + GATHER_MS);
         }
-        None => remove(node, name, version),
+        None => remove(node, known, name),
     }
 }
 
-fn give_up<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known) {
+/// Decides on the upstreams that vanished a moment ago.
+fn decide<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known) {
     let now = node.now();
-    let over: Vec<String> =
+    let due: Vec<String> =
         known.vanished.iter().filter(|(_, until)| **until <= now).map(|(name, _)| name.clone()).collect();
-    for name in over {
-        known.vanished.remove(&name);
-        remove(node, &name, known.versions.get(&name).copied().unwrap_or(0));
+    for name in due {
+        match relisting_until(known, now).filter(|_| has_lapsed(node, known, &name)) {
+            Some(until) => {
+                known.vanished.insert(name, until);
+            }
+            None => {
+                known.vanished.remove(&name);
+                remove(node, known, &name);
+            }
+        }
     }
 }
 
-fn remove<W: Wire, S: Rows>(node: &Node<W, S>, name: &str, version: u64) {
+/// Whether so many upstreams of its service vanished that their entries must have lapsed together.
+fn has_lapsed<W: Wire, S: Rows>(node: &Node<W, S>, known: &Known, name: &str) -> bool {
+    let listings = node.listings();
+    let Some(service) = listings.get(name).map(|listing| &listing.service) else { return false };
+    let of_service = || listings.iter().filter(|(_, listing)| listing.service == *service);
+    let vanished = of_service().filter(|(name, _)| known.vanished.contains_key(*name)).count();
+    vanished > 1 && vanished as f64 >= of_service().count() as f64 * LAPSED
+}
+
+fn remove<W: Wire, S: Rows>(node: &Node<W, S>, known: &Known, name: &str) {
     if node.listings().remove(name).is_some() {
         node.places().remove(name);
+        let version = known.versions.get(name).copied().unwrap_or(0);
         log::info!("upstream: event=gone upstream={name} row-version={version}");
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/watch.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/tests/unit/notes.rs
@@ -0,0 +1,117 @@
+//! Budgets across the death of a router: what its notes allow stays spent, the rest comes back.
+
+use super::*;
+use crate::purse::Denied;
+use crate::support::{Plain, manifest, node};
+use crate::table::{BUDGETS, POOL};
+use assert_matches::assert_matches;
+use budget::ledger::Pool;
+use standin::{RowsFault, TableRows};
+
+const PATIENCE: Duration = Duration::from_millis(2_000);
+const TEAMS: [(&str, u64); 2] = [("desk", 10_000), ("branch", 100_000)];
+
+fn purse(node: &Node<Plain, TableRows>, team: &str) -> Arc<Purse> {
+    let manifest = node.manifest().expect("a manifest is in force");
+    node.purse(&manifest, &manifest.teams[team]).expect("the team has a budget")
+}
+
+fn pool(rows: &TableRows, team: &str) -> Pool {
+    let bytes = rows.get(BUDGETS, team, POOL).expect("the pool row");
+    serde_json::from_slice(&bytes).expect("a pool")
+}
+
+fn started(name: &str, incarnation: u64, rows: &TableRows) -> Arc<Node<Plain, TableRows>> {
+    let node = node(name, incarnation, rows);
+    assert!(node.put_in_force(manifest(1, &TEAMS)));
+    node.set_store_clock(0);
+    node
+}
+
+async fn note(node: &Node<Plain, TableRows>, version: &mut Option<u64>) -> Result<(), Error> {
+    let purses: Vec<Arc<Purse>> = node.purses().values().cloned().collect();
+    write(node, &purses, version).await
+}
+
+#[test]
+fn a_restarted_router_gives_back_what_its_earlier_process_cannot_have_used() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let first = started("vm-1", 1, &rows);
+        let desk = purse(&first, "desk").reserve(1_000, PATIENCE).await.expect("desk's tokens");
+        let branch = purse(&first, "branch").reserve(20_000, PATIENCE).await.expect("branch's tokens");
+        note(&first, &mut Some(0)).await.expect("the note is written");
+        // The process dies here: nothing that it reserved is charged or given back.
+        std::mem::forget((desk, branch));
+
+        let second = started("vm-1", 2, &rows);
+        let manifest = second.manifest().expect("a manifest");
+        recover(&second, &manifest).await.expect("the accounts are closed");
+        let (desk, branch) = (pool(&rows, "desk"), pool(&rows, "branch"));
+        assert!(desk.free <= 9_000 && desk.free > 7_500, "desk has {} free", desk.free);
+        assert!(branch.free <= 80_000 && branch.free > 60_000, "branch has {} free", branch.free);
+        assert!(desk.balance() && branch.balance());
+    });
+}
+
+#[test]
+fn a_restarted_router_gives_nothing_back_if_nothing_was_noted() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let first = started("vm-1", 1, &rows);
+        let used = purse(&first, "desk").reserve(1_000, PATIENCE).await.expect("tokens");
+        std::mem::forget(used);
+        let before = pool(&rows, "desk").free;
+        let second = started("vm-1", 2, &rows);
+        recover(&second, &second.manifest().expect("a manifest")).await.expect("closed");
+        assert_eq!(pool(&rows, "desk").free, before);
+    });
+}
+
+#[test]
+fn a_note_whose_answer_was_lost_binds_as_well_as_the_one_before() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", 1, &rows);
+        let purse = purse(&router, "branch");
+        drop(purse.reserve(20_000, PATIENCE).await.expect("tokens"));
+        let mut version = Some(0);
+        note(&router, &mut version).await.expect("the note is written");
+        let noted = purse.lock().limit();
+        rows.set_fault(RowsFault::LateWrites);
+        note(&router, &mut version).await.expect_err("no answer");
+        assert_eq!(version, None, "the row's version has to be read again");
+        rows.set_fault(RowsFault::Down);
+        let limit = purse.lock().limit();
+        assert!(limit <= noted + 1_000, "an unanswered note raises nothing: {noted} to {limit}");
+        let denied = purse.reserve(limit + 1, Duration::from_millis(100)).await.err();
+        assert_matches!(denied, Some(Denied::Away));
+
+        // The next note is written under the condition that the late one has not landed.
+        rows.set_fault(RowsFault::None);
+        note(&router, &mut version).await.expect("the next note is written");
+        assert_eq!(rows.land(), 0, "the late note can't undo the newer one");
+    });
+}
+
+#[test]
+fn without_notes_the_limit_grows_so_that_an_outage_is_bridged() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", 1, &rows);
+        let purse = purse(&router, "branch");
+        drop(purse.reserve(20_000, PATIENCE).await.expect("tokens"));
+        note(&router, &mut Some(0)).await.expect("the note is written");
+        rows.set_fault(RowsFault::Down);
+        let at_once = purse.reserve(8_000, Duration::from_millis(50)).await.err();
+        assert_matches!(at_once, Some(Denied::Away));
+        let before = purse.lock().limit();
+        let mut waited = 0;
+        while purse.lock().limit() < before + 8_000 {
+            assert!(waited < 200, "the limit never grew");
+            waited += 1;
+            exec::sleep(Duration::from_millis(50)).await;
+        }
+        purse.reserve(8_000, Duration::from_millis(50)).await.expect("the limit has grown");
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/unit/settle.rs
@@ -0,0 +1,133 @@
+//! Settlements whose answers are lost, come late, or meet another router's.
+
+use crate::node::Node;
+use crate::notes::recover;
+use crate::purse::{Denied, Purse};
+use crate::support::{Plain, manifest, node};
+use crate::table::{BUDGETS, POOL};
+use assert_matches::assert_matches;
+use budget::ledger::Pool;
+use standin::{RowsFault, TableRows};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_millis(3_000);
+
+fn started(name: &str, rows: &TableRows, version: u64, tokens: u64) -> Arc<Node<Plain, TableRows>> {
+    let node = node(name, 1, rows);
+    assert!(node.put_in_force(manifest(version, &[("desk", tokens)])));
+    net::exec::spawn(crate::watch::recalls(node.clone())).detach();
+    node
+}
+
+fn purse(node: &Node<Plain, TableRows>) -> Arc<Purse> {
+    let manifest = node.manifest().expect("a manifest is in force");
+    node.purse(&manifest, &manifest.teams["desk"]).expect("the team has a budget")
+}
+
+fn pool(rows: &TableRows) -> Pool {
+    let bytes = rows.get(BUDGETS, "desk", POOL).expect("the pool row");
+    serde_json::from_slice(&bytes).expect("a pool")
+}
+
+/// Waits until the pool is as it should be.
+async fn until(rows: &TableRows, what: &str, check: impl Fn(&Pool) -> bool) {
+    for _ in 0..200 {
+        if rows.get(BUDGETS, "desk", POOL).is_some() && check(&pool(rows)) {
+            return;
+        }
+        net::exec::sleep(Duration::from_millis(25)).await;
+    }
+    panic!("{what}: {:?}", pool(rows));
+}
+
+#[test]
+fn what_was_used_is_spent_once_though_answers_are_lost() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", &rows, 1, 10_000);
+        rows.set_fault(RowsFault::LostAnswers);
+        let purse = purse(&router);
+        let first = purse.reserve(4_000, Duration::from_millis(50)).await;
+        assert_matches!(first, Err(Denied::Away));
+        rows.set_fault(RowsFault::None);
+        purse.reserve(4_000, PATIENCE).await.expect("tokens").charge("r-1", 3_000);
+        until(&rows, "the charge is settled", |pool| pool.spent == 3_000 && pool.balance()).await;
+    });
+}
+
+#[test]
+fn a_write_that_lands_late_grants_nothing_twice() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", &rows, 1, 10_000);
+        rows.set_fault(RowsFault::LateWrites);
+        let purse = purse(&router);
+        assert_matches!(purse.reserve(4_000, Duration::from_millis(50)).await, Err(Denied::Away));
+        rows.set_fault(RowsFault::None);
+        let held = purse.reserve(4_000, PATIENCE).await.expect("tokens");
+        rows.land();
+        held.charge("r-1", 4_000);
+        until(&rows, "the charge is settled", |pool| pool.spent == 4_000).await;
+        let pool = pool(&rows);
+        assert!(pool.balance() && pool.spent + pool.outstanding <= 10_000, "{pool:?}");
+    });
+}
+
+#[test]
+fn a_request_that_does_not_fit_is_refused_and_one_that_does_is_not() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", &rows, 1, 10_000);
+        let purse = purse(&router);
+        assert_matches!(purse.reserve(10_001, PATIENCE).await, Err(Denied::Spent));
+        let all = purse.reserve(10_000, PATIENCE).await.expect("the whole budget fits");
+        all.charge("r-1", 10_000);
+        assert_matches!(purse.reserve(1, PATIENCE).await, Err(Denied::Spent));
+        router.put_in_force(manifest(2, &[("desk", 12_000)]));
+        net::exec::sleep(Duration::from_millis(300)).await;
+        purse.reserve(2_000, PATIENCE).await.expect("the top-up");
+    });
+}
+
+#[test]
+fn a_router_gives_its_idle_tokens_back_when_another_needs_them() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (started("vm-1", &rows, 1, 10_000), started("vm-2", &rows, 1, 10_000));
+        drop(purse(&one).reserve(1_000, PATIENCE).await.expect("tokens"));
+        until(&rows, "the first router holds its share", |pool| pool.outstanding >= 4_000).await;
+        let held = purse(&two).reserve(9_500, PATIENCE).await;
+        assert!(held.is_ok(), "the idle tokens never came back: {held:?}");
+    });
+}
+
+#[test]
+fn a_lowered_level_takes_idle_tokens_back() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", &rows, 1, 10_000);
+        let purse = purse(&router);
+        purse.reserve(1_000, PATIENCE).await.expect("tokens").charge("r-1", 1_000);
+        until(&rows, "a share is held", |pool| pool.spent == 1_000 && pool.outstanding > 0).await;
+        router.put_in_force(manifest(2, &[("desk", 1_500)]));
+        until(&rows, "nothing beyond the level is out", |pool| pool.spent + pool.outstanding <= 1_500).await;
+        assert_matches!(purse.reserve(1_000, PATIENCE).await, Err(Denied::Spent | Denied::Elsewhere));
+    });
+}
+
+#[test]
+fn a_stopped_router_gives_everything_back() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", &rows, 1, 10_000);
+        let purse = purse(&router);
+        purse.reserve(1_000, PATIENCE).await.expect("tokens").charge("r-1", 700);
+        purse.close(PATIENCE).await;
+        let pool = pool(&rows);
+        assert_eq!((pool.spent, pool.outstanding, pool.free), (700, 0, 9_300));
+        let next = started("vm-1", &rows, 1, 10_000);
+        recover(&next, &next.manifest().expect("a manifest")).await.expect("nothing is left to close");
+        assert_eq!(self::pool(&rows).free, 9_300);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/unit/support.rs
@@ -0,0 +1,79 @@
+//! A node on rows in memory, with a language that is as plain as can be.
+
+use crate::manifest::{Manifest, Team};
+use crate::node::Node;
+use crate::ports::{Ask, Dispatch, Listing, Malformed, Reply, Wire};
+use crate::settings::{Bounds, Listen, Settings};
+use http::{HeaderMap, request, response};
+use standin::TableRows;
+use std::sync::Arc;
+
+/// A language in which an upstream's row is "service address [leaving]".
+pub(crate) struct Plain;
+
+impl Wire for Plain {
+    fn manifest_row(&self) -> (&str, &str) {
+        ("operator", "manifest")
+    }
+
+    fn upstreams_table(&self) -> &str {
+        "upstreams"
+    }
+
+    fn manifest(&self, bytes: &[u8]) -> Result<Manifest, Malformed> {
+        let text = String::from_utf8_lossy(bytes);
+        let version = text.parse().map_err(|_| Malformed { step: "manifest", reason: text.to_string() })?;
+        Ok(Manifest { version, ..Manifest::default() })
+    }
+
+    fn listing(&self, bytes: &[u8]) -> Result<Listing, Malformed> {
+        let text = String::from_utf8_lossy(bytes);
+        let words: Vec<&str> = text.split(' ').collect();
+        Ok(Listing {
+            service: words[0].to_owned(),
+            address: words[1].parse().expect("an address"),
+            data_centre: "here".to_owned(),
+            slots: 4,
+            leaving: words.len() > 2,
+        })
+    }
+
+    fn ask(&self, _: &request::Parts) -> Result<Ask, Malformed> {
+        Ok(Ask::default())
+    }
+
+    fn dispatch(&self, caller: &HeaderMap, _: &Dispatch<'_>) -> HeaderMap {
+        caller.clone()
+    }
+
+    fn reply(&self, _: &response::Parts, _: &str) -> Reply {
+        Reply::Sound
+    }
+
+    fn label(&self, _: &str, _: &mut HeaderMap) {}
+}
+
+/// A node that runs no tasks of its own.
+pub(crate) fn node(name: &str, incarnation: u64, rows: &TableRows) -> Arc<Node<Plain, TableRows>> {
+    net::exec::start(2);
+    let address = standin::loopback();
+    let settings = Settings {
+        name: name.to_owned(),
+        data_centre: "here".to_owned(),
+        listen: Listen { callers: address, readiness: address, metrics: address },
+        store: address,
+        threads: 1,
+        bounds: Bounds::default(),
+    };
+    let (note, _) = async_channel::bounded(1);
+    Arc::new(Node::new(settings, incarnation, Plain, rows.clone(), note))
+}
+
+/// A manifest with these teams and their prepaid tokens.
+pub(crate) fn manifest(version: u64, teams: &[(&str, u64)]) -> Manifest {
+    let team = |(name, tokens): &(&str, u64)| {
+        let team = Team { name: (*name).to_owned(), priority: 0, reserved: Some(*tokens) };
+        ((*name).to_owned(), Arc::new(team))
+    };
+    Manifest { version, teams: teams.iter().map(team).collect(), ..Manifest::default() }
+}
--- /dev/null
+++ b/crates/gateway/tests/unit/watch.rs
@@ -0,0 +1,108 @@
+//! The list of upstreams around outages of the store.
+
+use super::*;
+use crate::support::{Plain, node};
+use standin::{RowsFault, TableRows};
+
+const TABLE: &str = "upstreams";
+
+fn list(rows: &TableRows, count: usize) {
+    for index in 0..count {
+        rows.put(TABLE, "", &format!("engine-{index}"), format!("narrator 127.0.0.1:{}", 9_000 + index));
+    }
+}
+
+async fn until(node: &Node<Plain, TableRows>, what: &str, count: usize) -> u64 {
+    let began = node.now();
+    for _ in 0..400 {
+        if node.listings().len() == count {
+            return node.now() - began;
+        }
+        exec::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what}: {} upstreams are listed", node.listings().len());
+}
+
+fn followed(rows: &TableRows) -> Arc<Node<Plain, TableRows>> {
+    let node = node("vm-1", 1, rows);
+    exec::spawn(upstreams(node.clone())).detach();
+    node
+}
+
+async fn outage(rows: &TableRows, during: impl FnOnce()) {
+    rows.set_fault(RowsFault::Down);
+    exec::sleep(Duration::from_millis(1_300)).await;
+    during();
+    rows.set_fault(RowsFault::None);
+}
+
+#[test]
+fn an_upstream_that_vanishes_gets_nothing_more() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let node = followed(&rows);
+        until(&node, "all are listed", 6).await;
+        rows.drop_row(TABLE, "", "engine-2");
+        until(&node, "one is gone", 5).await;
+    });
+}
+
+#[test]
+fn one_that_left_while_this_router_was_cut_off_is_gone_soon_after() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let node = followed(&rows);
+        until(&node, "all are listed", 6).await;
+        outage(&rows, || rows.drop_row(TABLE, "", "engine-2")).await;
+        let ms = until(&node, "one is gone", 5).await;
+        assert!(ms < RELIST_MS, "it took {ms} ms, as long as a lapsed entry");
+    });
+}
+
+#[test]
+fn entries_that_lapsed_together_are_kept_until_they_can_be_back() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let node = followed(&rows);
+        until(&node, "all are listed", 6).await;
+        outage(&rows, || (0..6).for_each(|index| rows.drop_row(TABLE, "", &format!("engine-{index}")))).await;
+        exec::sleep(Duration::from_millis(900)).await;
+        assert_eq!(node.listings().len(), 6, "lapsed entries were dropped at once");
+        list(&rows, 5);
+        until(&node, "the one that did not come back is gone", 5).await;
+    });
+}
+
+#[test]
+fn a_forgotten_history_is_followed_by_a_whole_read() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        let node = followed(&rows);
+        until(&node, "all are listed", 3).await;
+        rows.set_fault(RowsFault::HistoryGone);
+        rows.drop_row(TABLE, "", "engine-0");
+        rows.put(TABLE, "", "engine-1", "narrator 127.0.0.1:9001 leaving");
+        until(&node, "one is gone", 2).await;
+        assert!(node.listings()["engine-1"].leaving);
+    });
+}
+
+#[test]
+fn an_older_row_never_replaces_a_newer_one() {
+    let rows = TableRows::default();
+    let node = node("vm-1", 1, &rows);
+    let mut known = Known::default();
+    let record = |version, value: &str| Record {
+        table: TABLE.to_owned(),
+        name: "engine-0".to_owned(),
+        version,
+        value: Some(value.as_bytes().to_vec()),
+    };
+    take(&node, &mut known, &record(7, "narrator 127.0.0.1:9000 leaving"));
+    take(&node, &mut known, &record(5, "narrator 127.0.0.1:9000"));
+    assert!(node.listings()["engine-0"].leaving);
+}
