--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 use hyper::body::Incoming;
 use net::{Body, Handle, exec};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -60,6 +61,8 @@
     node: Arc<Node<W, S>>,
     callers: Handle,
     readiness: Handle,
+    /// Stops once it is dropped; `None` if its address could not be bound or is that of readiness.
+    _metrics: Option<Handle>,
 }
 
 /// Starts a gateway.
@@ -87,15 +90,8 @@
         std::future::ready(operators(&shared, &request))
     })
     .await?;
-    if listen.metrics != listen.readiness {
-        let shared = node.clone();
-        let metrics = net::serve(listen.metrics, limits, move |request: Request<Incoming>| {
-            std::future::ready(operators(&shared, &request))
-        });
-        if let Err(error) = metrics.await {
-            log::warn!("gateway: event=no-metrics address={} error={error}", listen.metrics);
-        }
-    }
+    let metrics =
+        if listen.metrics == listen.readiness { None } else { metrics(&node, &listen, limits).await };
     log::info!(
         "gateway: event=start holder={} data-centre={} callers={} readiness={} store={}",
         node.holder,
@@ -104,7 +100,24 @@
         readiness.address(),
         node.settings.store
     );
-    Ok(Running { node, callers, readiness })
+    Ok(Running { node, callers, readiness, _metrics: metrics })
+}
+
+/// Serves metrics at an address of their own; a gateway without them is better than none.
+async fn metrics<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    listen: &Listen,
+    limits: net::Limits,
+) -> Option<Handle> {
+    let shared = node.clone();
+    let serve = move |request: Request<Incoming>| std::future::ready(operators(&shared, &request));
+    match net::serve(listen.metrics, limits, serve).await {
+        Ok(handle) => Some(handle),
+        Err(error) => {
+            log::warn!("gateway: event=no-metrics address={} error=\"{error}\"", listen.metrics);
+            None
+        }
+    }
 }
 
 /// Answers the balancer and whoever collects metrics.
@@ -136,6 +149,11 @@
 }
 
 impl<W: Wire, S: Rows> Running<W, S> {
+    /// The addresses bound for callers and for readiness checks.
+    pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
+        (self.callers.address(), self.readiness.address())
+    }
+
     /// Stops without cutting off a request: not ready at once, no new work after the balancer's delay, every open
     /// answer finished as far as the grace allows, unused tokens given back.
     pub async fn stop(self) {
