--- a/crates/budget/src/demand.rs
+++ b/crates/budget/src/demand.rs
@@ -36,6 +36,7 @@
     rate: f64,
     consumed: u64,
     asked: u64,
+    samples: u32,
 }
 
 impl Demand {
@@ -52,7 +53,9 @@
     /// Takes what was charged in the last `elapsed_ms` milliseconds into the average.
     pub fn tick(&mut self, elapsed_ms: u64) {
         let rate = self.consumed as f64 * 1_000.0 / elapsed_ms.max(1) as f64;
-        self.rate += SAMPLE * (rate - self.rate);
+        // The first samples count alike, so that the average is right from the start.
+        self.samples = self.samples.saturating_add(1);
+        self.rate += SAMPLE.max(1.0 / f64::from(self.samples)) * (rate - self.rate);
         self.consumed = 0;
     }
 
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -28,7 +28,9 @@
 const EMPTY_MS: u64 = 250;
 
 /// Seconds of demand that may be used between two notes, beyond what waits for one.
-const NOTED_S: f64 = 1.0;
+const NOTED_S: f64 = 0.75;
+/// The part of what is at hand that may be used between two notes at least: one large request or a few small ones.
+const NOTED_PART: u64 = 12;
 /// From this age on a note's limit grows: longer than a note takes to be renewed, and than a restart takes.
 const NOTE_QUIET_MS: u64 = 1_500;
 /// Multiple of the demand by which an old note's limit grows: demand comes unevenly.
@@ -315,7 +317,7 @@
         let rate = self.demand.rate();
         Schedule {
             used: self.grant.used(),
-            allowance: self.waiting + (rate * NOTED_S) as u64,
+            allowance: self.waiting + ((rate * NOTED_S) as u64).max(self.grant.available() / NOTED_PART),
             quiet_ms: NOTE_QUIET_MS,
             per_s: (rate * NOTE_GROWTH) as u64 + self.grant.available() / NOTE_GROWTH_S,
         }
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -172,15 +172,13 @@
             })
     }
 
-    /// The upstream of this data centre that every router here prefers for the prompt's last shared part.
+    /// The upstream that every router prefers for the prompt's last shared part: read once, it is cached there
+    /// for all. Another data centre is worth it, since a prompt is read in far more time than it is sent.
     fn home<'a>(&self, serving: &[(&'a str, &Upstream)], need: &Need<'_>) -> Option<&'a str> {
         let shared = &need.parts[..need.parts.len().saturating_sub(1)];
         let part = shared.last()?;
-        let near = |upstream: &Upstream| upstream.site.data_centre == self.data_centre;
-        let any_near = serving.iter().any(|(_, upstream)| near(upstream));
         serving
             .iter()
-            .filter(|(_, upstream)| !any_near || near(upstream))
             .max_by_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), part.id))
             .map(|(name, _)| *name)
     }
