Ask the store only for what binds: notes and settlements on their own needs, recalls once a second

A stopping router gives tokens back while its requests end: one of eight was killed with ten budgets unsettled under a slow store.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,7 +50,9 @@
 /// How long a stopping gateway takes new work: the balancer asks each second and believes the second answer.
 const LEAVE: Duration = Duration::from_millis(2_600);
 /// Time kept at the end of the grace for giving tokens back.
-const SETTLE: Duration = Duration::from_millis(900);
+const SETTLE: Duration = Duration::from_millis(700);
+/// Time kept at the very end, so that the process ends before it is killed.
+const LAST_CALLS: Duration = Duration::from_millis(150);
 /// How often a stopping gateway looks whether its requests have ended.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time between two sweeps of unused connections and two updates of the gauges.
@@ -161,6 +163,8 @@
         log::info!("gateway: event=stopping open={}", node.open.load(Ordering::Relaxed));
         let began = std::time::Instant::now();
         node.set_phase(Phase::Leaving);
+        // Tokens go back while the open requests end, so that little is left to settle afterwards.
+        node.purses().values().for_each(|purse| purse.retire());
         exec::sleep(LEAVE.min(node.settings.grace() / 2)).await;
         node.set_phase(Phase::Draining);
         self.callers.stop();
@@ -170,10 +174,13 @@
         }
         log::info!("gateway: event=drained open={}", node.open.load(Ordering::Relaxed));
         let purses: Vec<_> = node.purses().values().cloned().collect();
-        let rest = node.settings.grace().saturating_sub(began.elapsed()) / 2;
-        let closing = purses.iter().map(|purse| purse.close(rest));
+        let rest = || (node.settings.grace() - LAST_CALLS).saturating_sub(began.elapsed());
+        let limit = rest();
+        let closing = purses.iter().map(|purse| purse.close(limit));
         futures::future::join_all(closing).await;
-        members::leave(node).await;
+        if exec::timeout(rest(), members::leave(node)).await.is_none() {
+            log::warn!("fleet: event=good-bye-failed reason=\"no time was left\"");
+        }
         self.readiness.stop();
         log::info!("gateway: event=stop");
     }
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -43,6 +43,10 @@
 /// How long other routers take to give idle tokens back once they are asked.
 const RECALL: Duration = Duration::from_millis(40);
 
+/// How often a router asks the others for idle tokens of one budget at most, in milliseconds: they have none left
+/// right after they were asked.
+const RECALL_AGAIN_MS: u64 = 1_000;
+
 /// Why tokens can't be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Denied {
@@ -86,6 +90,8 @@
     pub begun: u64,
     /// Whether another router asked for idle tokens.
     recalled: bool,
+    /// When this router asked the others last, in the purse's milliseconds.
+    asked: Option<u64>,
     pub rows: Rowed,
     batch: Option<Batch>,
     pub latest: Latest,
@@ -132,6 +138,7 @@
             waiting: 0,
             begun: 0,
             recalled: false,
+            asked: None,
             rows: Rowed::default(),
             batch: None,
             latest: Latest::default(),
@@ -199,8 +206,8 @@
                 return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
             }
             let is_fresh = now.saturating_sub(state.latest.began) < EMPTY_MS;
-            if is_fresh && state.denied(tokens) == Some(Denied::Spent) {
-                return Err(Denied::Spent);
+            if let Some(denied) = state.denied(tokens).filter(|_| is_fresh) {
+                return Err(denied);
             }
             state.begun
         };
@@ -212,8 +219,7 @@
     /// Waits for a settlement with a higher number than `begun` to bring the tokens, or to show that they can't
     /// be had.
     async fn wait(self: &Arc<Purse>, tokens: u64, mut begun: u64) -> Result<Reservation, Denied> {
-        let _ = self.kick.try_send(());
-        let _ = self.note.try_send(());
+        let mut is_settlement_due = true;
         loop {
             let listener = self.changed.listen();
             let denied = {
@@ -221,6 +227,13 @@
                 if state.reserve(tokens) {
                     return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
                 }
+                // Only what binds is renewed, and only when that is new: each call to the store is paid for.
+                if state.is_noted_short(tokens) {
+                    let _ = self.note.try_send(());
+                }
+                if state.grant.usable() < tokens && std::mem::take(&mut is_settlement_due) {
+                    let _ = self.kick.try_send(());
+                }
                 let is_new = state.latest.number > begun;
                 if is_new && !state.latest.settled {
                     return Err(Denied::Away);
@@ -232,7 +245,7 @@
                     // The other routers were told; what they give back is there soon.
                     exec::sleep(RECALL).await;
                     begun = self.lock().begun;
-                    let _ = self.kick.try_send(());
+                    is_settlement_due = true;
                 }
                 Some(denied) => return Err(denied),
                 None => listener.await,
@@ -272,16 +285,20 @@
         (state.grant.available(), state.grant.in_use(), state.latest.free)
     }
 
-    /// Settles everything and gives unused tokens back, within `limit`.
-    pub(crate) async fn close(&self, limit: Duration) {
+    /// Gives idle tokens back from now on; requests may still draw what they need.
+    pub(crate) fn retire(&self) {
         self.closed.store(true, Ordering::Relaxed);
         let _ = self.kick.try_send(());
+    }
+
+    /// Settles everything and gives unused tokens back, within `limit`.
+    pub(crate) async fn close(&self, limit: Duration) {
+        self.retire();
         let settled = async {
             loop {
                 let listener = self.changed.listen();
                 {
-                    let state = self.lock();
-                    if state.batch.is_none() && !state.grant.is_dirty() && state.grant.available() == 0 {
+                    if self.lock().is_empty() {
                         return;
                     }
                 }
@@ -299,10 +316,28 @@
 }
 
 impl State {
+    /// Whether the other routers should be asked for idle tokens now.
+    pub(crate) fn may_recall(&mut self, now: u64) -> bool {
+        let may = self.asked.is_none_or(|asked| now.saturating_sub(asked) >= RECALL_AGAIN_MS);
+        if may {
+            self.asked = Some(now);
+        }
+        may
+    }
+
+    /// Whether nothing is held, in use or unsettled.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
+    }
+
     /// Reserves tokens, if they are at hand and within what was noted.
     fn reserve(&mut self, tokens: u64) -> bool {
-        self.grant.used().saturating_add(tokens) <= self.limit()
-            && self.grant.reserve(tokens) == Reserve::Held
+        !self.is_noted_short(tokens) && self.grant.reserve(tokens) == Reserve::Held
+    }
+
+    /// Whether the notes leave no room for so many tokens.
+    fn is_noted_short(&self, tokens: u64) -> bool {
+        self.grant.used().saturating_add(tokens) > self.limit()
     }
 
     /// The most that may be used now: a note whose fate is not known binds as well as the acknowledged one.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,7 @@
     look: Timer,
     heard: Millis,
     began: Millis,
+    gap: Millis,
 }
 
 enum State<W: Wire, S: Rows> {
@@ -80,6 +81,7 @@
             look: Timer::interval(LOOK),
             heard: now,
             began: now,
+            gap: 0,
         }
     }
 
@@ -120,7 +122,9 @@
         match frame {
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { return Turn::Again };
-                self.heard = self.job.node.now();
+                let now = self.job.node.now();
+                self.gap = self.gap.max(now.saturating_sub(self.heard));
+                self.heard = now;
                 let events = self.splitter.push(data);
                 self.meter.pass(self.splitter.count());
                 if events.is_empty() { Turn::Again } else { Turn::Give(events) }
@@ -209,7 +213,12 @@
 
     fn end(&self, outcome: &str, detail: &str) {
         let tokens = self.meter.tokens();
-        self.job.log_end(outcome, format_args!("events={} tokens={tokens} {detail}", self.splitter.count()));
+        let first_ms = self.began.saturating_sub(self.job.arrived);
+        let (events, gap_ms) = (self.splitter.count(), self.gap);
+        self.job.log_end(
+            outcome,
+            format_args!("first-ms={first_ms} gap-ms={gap_ms} events={events} tokens={tokens} {detail}"),
+        );
     }
 }
 
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -29,7 +29,7 @@
         purse.changed.notify(usize::MAX);
         match ended {
             Ended::Failed => exec::sleep(SETTLE_AGAIN).await,
-            Ended::Idle if purse.closed.load(Ordering::Relaxed) => return,
+            Ended::Idle if purse.closed.load(Ordering::Relaxed) && purse.lock().is_empty() => return,
             Ended::Idle | Ended::Settled => {}
         }
     }
@@ -129,7 +129,7 @@
         drops: vec![],
     };
     let needs = batch.entries.get(&purse.team).is_some_and(|entry| entry.need > 0);
-    if needs && pool.wanted && pool.outstanding > 0 {
+    if needs && pool.wanted && pool.outstanding > 0 && purse.lock().may_recall(purse.now()) {
         change.puts.push((Key::new(RECALLS, &purse.team), purse.holder.clone().into_bytes()));
     }
     match rows.commit(&change).await? {
