Tell the other gateways of long prompts

Ruled out: the engines' load reports (priced, late, and without the prompts). A datagram for each prompt of 10 k tokens or more.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -80,6 +80,7 @@
         let all = self.manifest.services.get(&self.service).map_or(usize::MAX, |service| service.connections);
         let request = self.request(&chosen.upstream, after_event);
         let seat = Seat::take(self, chosen);
+        node.hints.tell(&chosen.upstream, chosen.uncached).await;
         let most = node.connections(all);
         let sending = node.pool.send("dispatch", listing.address, most, request);
         let began = node.now();
--- /dev/null
+++ b/crates/gateway/src/hints.rs
@@ -0,0 +1,80 @@
+//! Telling the other gateways of long prompts: whoever sends a short one behind them would wait for them.
+//!
+//! A hint is a datagram. One that is lost costs a worse choice, nothing else.
+
+use crate::node::Node;
+use crate::ports::Wire;
+use serde::{Deserialize, Serialize};
+use smol::net::UdpSocket;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use store::rows::Rows;
+
+/// Prompts with at least so many tokens to read are told of: they hold an engine up for a fifth of a second.
+const LONG: u32 = 10_000;
+/// The largest datagram that is read, in bytes: a hint takes less than a hundred.
+const LARGEST: usize = 512;
+
+/// A long prompt on its way to an upstream.
+#[derive(Debug, Deserialize, Serialize)]
+struct Hint {
+    upstream: String,
+    /// Prompt tokens that it has to read.
+    unread: u32,
+}
+
+/// Where hints go.
+#[derive(Debug, Default)]
+pub(crate) struct Hints {
+    socket: Mutex<Option<Arc<UdpSocket>>>,
+    peers: Mutex<Arc<Vec<SocketAddr>>>,
+}
+
+impl Hints {
+    /// Takes in where the other gateways listen.
+    pub(crate) fn set_peers(&self, peers: Vec<SocketAddr>) {
+        *self.peers.lock().expect("the peers' lock") = Arc::new(peers);
+    }
+
+    /// Tells the others of a dispatch, if its prompt is long.
+    pub(crate) async fn tell(&self, upstream: &str, unread: u32) {
+        if unread < LONG {
+            return;
+        }
+        let Some(socket) = self.socket.lock().expect("the socket's lock").clone() else { return };
+        let peers = self.peers.lock().expect("the peers' lock").clone();
+        let hint = Hint { upstream: upstream.to_owned(), unread };
+        let bytes = serde_json::to_vec(&hint).expect("a hint serializes to JSON");
+        for peer in peers.iter() {
+            if let Err(error) = socket.send_to(&bytes, peer).await {
+                log::debug!("hints: event=not-sent peer={peer} error=\"{error}\"");
+            }
+        }
+    }
+}
+
+/// Listens for the others' hints.
+pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let address = node.settings.listen.peers;
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => Arc::new(socket),
+        Err(error) => {
+            log::error!("hints: event=not-bound address={address} error=\"{error}\"");
+            return;
+        }
+    };
+    *node.hints.socket.lock().expect("the socket's lock") = Some(socket.clone());
+    let mut buffer = [0; LARGEST];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, peer)) => match serde_json::from_slice::<Hint>(&buffer[..length]) {
+                Ok(hint) => node.places().hear(&hint.upstream, hint.unread, node.now()),
+                Err(error) => log::warn!("hints: event=unreadable peer={peer} error=\"{error}\""),
+            },
+            Err(error) => {
+                log::warn!("hints: event=not-received error=\"{error}\"");
+                net::exec::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod counted;
 mod event;
 mod handle;
+mod hints;
 mod job;
 pub mod manifest;
 mod members;
@@ -79,6 +80,7 @@
     exec::spawn(watch::manifest(node.clone())).detach();
     exec::spawn(watch::upstreams(node.clone())).detach();
     exec::spawn(watch::recalls(node.clone())).detach();
+    exec::spawn(hints::run(node.clone())).detach();
     exec::spawn(members::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), noted)).detach();
     exec::spawn(sweep(node.clone())).detach();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -6,8 +6,11 @@
 use crate::closing::{MayLive, close_accounts};
 use crate::node::{Node, Phase};
 use crate::ports::Wire;
+use crate::table::{decode, encode};
 use net::exec;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,6 +25,17 @@
 /// A gateway counts as gone after so many missed heartbeats.
 const MISSED: u64 = 4;
 
+/// A heartbeat.
+#[derive(Debug, Deserialize, Serialize)]
+struct Beat {
+    /// The VM with the incarnation of its process.
+    holder: String,
+    /// Where it listens for the other gateways' datagrams.
+    peers: SocketAddr,
+    /// How long the process has run, in milliseconds: a row that did not change would say nothing.
+    up_ms: u64,
+}
+
 /// A heartbeat as it was last seen.
 struct Seen {
     version: u64,
@@ -53,11 +67,9 @@
 
 /// Writes a heartbeat.
 async fn beat<W: Wire, S: Rows>(node: &Node<W, S>) {
-    let value = format!("{{\"holder\":\"{}\",\"up-ms\":{}}}", node.holder, node.now());
-    let change = Change {
-        puts: vec![(Key::new(TABLE, &node.settings.name), value.into_bytes())],
-        ..Change::default()
-    };
+    let beat = Beat { holder: node.holder.clone(), peers: node.settings.listen.peers, up_ms: node.now() };
+    let change =
+        Change { puts: vec![(Key::new(TABLE, &node.settings.name), encode(&beat))], ..Change::default() };
     if let Err(error) = node.rows.commit(&change).await {
         log::warn!("fleet: event=heartbeat-failed {error}");
     }
@@ -93,6 +105,9 @@
         log::info!("fleet: event=size gateways={}", others + 1);
     }
     node.metrics.fleet.set(others as i64 + 1);
+    let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
+    let beats = page.records.iter().filter(|record| alive(&record.name)).filter_map(decode::<Beat>);
+    node.hints.set_peers(beats.map(|beat| beat.peers).collect());
     // One gateway looks after those that are gone: the first by name of those alive.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
     if first != Some(own) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! One gateway: what it knows, and what runs on it.
 
 use crate::counted::Counted;
+use crate::hints::Hints;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
 use crate::ports::{Listing, Wire};
@@ -42,6 +43,7 @@
     pub metrics: Metrics,
     pub fleet: Arc<AtomicU64>,
     pub open: AtomicU64,
+    pub hints: Hints,
     started: Instant,
     manifest: RwLock<Option<Arc<Manifest>>>,
     places: Mutex<Places>,
@@ -71,6 +73,7 @@
             metrics,
             fleet: Arc::new(AtomicU64::new(1)),
             open: AtomicU64::new(0),
+            hints: Hints::default(),
             started: Instant::now(),
             manifest: RwLock::default(),
             listings: Mutex::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,6 +39,8 @@
     pub callers: SocketAddr,
     /// For the balancer's readiness checks.
     pub readiness: SocketAddr,
+    /// For the other gateways' datagrams.
+    pub peers: SocketAddr,
     /// For whoever collects metrics.
     pub metrics: SocketAddr,
 }
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -60,7 +60,7 @@
     let settings = Settings {
         name: name.to_owned(),
         data_centre: "here".to_owned(),
-        listen: Listen { callers: address, readiness: address, metrics: address },
+        listen: Listen { callers: address, readiness: address, peers: address, metrics: address },
         store: address,
         threads: 1,
         bounds: Bounds::default(),
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -78,6 +78,13 @@
     pub candidates: usize,
 }
 
+/// A long prompt that another router sent.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Millis,
+    tokens: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Upstream {
     site: Site,
@@ -85,6 +92,7 @@
     open: u32,
     overdue: u32,
     unread: u64,
+    heard: SmallVec<[Heard; 2]>,
     failures: f64,
     pace: f64,
     health: Health,
@@ -119,6 +127,7 @@
                     open: 0,
                     overdue: 0,
                     unread: 0,
+                    heard: SmallVec::new(),
                     failures: 0.0,
                     pace: 0.0,
                     health: Health::default(),
@@ -187,8 +196,8 @@
         let own = if need.parts.is_empty() {
             CALL_COST * f64::from(upstream.open)
         } else {
-            (f64::from(uncached) + upstream.unread as f64) / PREFILL_RATE
-                + RUN_COST * f64::from(upstream.open)
+            let unread = f64::from(uncached) + upstream.unread as f64 + upstream.heard_unread(now);
+            unread / PREFILL_RATE + RUN_COST * f64::from(upstream.open)
         };
         let slow = match upstream.pace / typical.max(f64::MIN_POSITIVE) {
             ratio if typical > 0.0 && ratio > SLOW => ratio,
@@ -214,6 +223,14 @@
         }
     }
 
+    /// Notes that another router sent an upstream a prompt with so many tokens to read.
+    pub fn hear(&mut self, name: &str, tokens: u32, now: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.heard.retain(|heard| heard.left(now) > 0.0);
+            upstream.heard.push(Heard { at: now, tokens });
+        }
+    }
+
     /// Notes that a dispatched prompt was read: its first answer came, or it ended before.
     pub fn read(&mut self, name: &str, unread: u32) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
@@ -278,7 +295,18 @@
     }
 }
 
+impl Heard {
+    /// Tokens that are still to be read, as far as time tells.
+    fn left(&self, now: Millis) -> f64 {
+        (f64::from(self.tokens) - now.saturating_sub(self.at) as f64 * PREFILL_RATE).max(0.0)
+    }
+}
+
 impl Upstream {
+    fn heard_unread(&self, now: Millis) -> f64 {
+        self.heard.iter().map(|heard| heard.left(now)).sum()
+    }
+
     /// Prompt tokens that are not cached here: a part counts as cached only if every part before it does.
     fn uncached(&self, parts: &[Part], is_home: bool, now: Millis) -> u32 {
         let shared = parts.len().saturating_sub(1);
--- /dev/null
+++ b/crates/route/tests/places.rs
@@ -0,0 +1,117 @@
+//! Placing requests by estimates: caches, load, failures, and what other routers tell.
+
+use route::place::{Chosen, Need, Part, Places, Site};
+use route::{Terms, Window};
+
+const PROMPT: [Part; 3] =
+    [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 5_000 }, Part { id: 3, tokens: 800 }];
+
+fn places(count: usize) -> Places {
+    let mut places = Places::new("here");
+    for index in 0..count {
+        let data_centre = if index % 2 == 0 { "here" } else { "there" };
+        let site = Site { service: "engines".into(), data_centre: data_centre.into(), slots: 8 };
+        places.set(&format!("e-{index}"), site, false);
+    }
+    places
+}
+
+fn need(parts: &[Part]) -> Need<'_> {
+    Need { service: "engines", parts, avoid: &[] }
+}
+
+fn choose(places: &Places, now: u64) -> Chosen {
+    places.choose(&need(&PROMPT), now).expect("an upstream")
+}
+
+#[test]
+fn every_router_prefers_the_same_upstream_for_a_shared_part() {
+    let (one, mut two) = (places(6), places(6));
+    let home = choose(&one, 0);
+    assert_eq!(home.uncached, 800, "its shared parts are taken to be cached at their home");
+    two.begin("e-0", &[], 0, 0);
+    assert_eq!(choose(&two, 0).upstream, home.upstream);
+}
+
+#[test]
+fn a_loaded_home_is_left_once_reading_anew_is_faster() {
+    let mut places = places(6);
+    let home = choose(&places, 0).upstream;
+    places.begin(&home, &[], 3_000, 0);
+    assert_eq!(choose(&places, 0).upstream, home, "3,000 tokens ahead are less than 5,500 to read");
+    places.begin(&home, &[], 6_000, 0);
+    let other = choose(&places, 0);
+    assert_ne!(other.upstream, home);
+    assert_eq!(other.uncached, 6_300);
+    places.read(&home, 9_000);
+    assert_eq!(choose(&places, 0).upstream, home);
+}
+
+#[test]
+fn a_long_prompt_of_another_router_is_avoided_until_it_is_read() {
+    let mut places = places(6);
+    let home = choose(&places, 0).upstream;
+    places.hear(&home, 40_000, 0);
+    assert_ne!(choose(&places, 100).upstream, home);
+    assert_eq!(choose(&places, 1_000).upstream, home, "by then it was read");
+    places.hear("unknown", 40_000, 0);
+}
+
+#[test]
+fn upstreams_that_leave_fail_or_were_tried_are_passed_over() {
+    let mut places = places(3);
+    let avoid = ["e-0".to_owned()];
+    let tried = Need { avoid: &avoid, ..need(&[]) };
+    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.upstream), Some("e-0".to_owned()));
+    assert_eq!(places.choose(&tried, 0).map(|chosen| chosen.upstream), Some("e-2".to_owned()));
+    let site = Site { service: "engines".into(), data_centre: "here".into(), slots: 8 };
+    places.set("e-0", site, true);
+    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.candidates), Some(2));
+    for _ in 0..3 {
+        places.fail("e-2", 10);
+    }
+    assert_eq!(places.choose(&need(&[]), 20).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
+    for _ in 0..3 {
+        places.fail("e-1", 10);
+    }
+    assert!(places.choose(&need(&[]), 20).is_some(), "if all fail, one is tried all the same");
+    assert_eq!(places.choose(&Need { service: "tiles", ..need(&[]) }, 0), None);
+}
+
+#[test]
+fn a_grey_upstream_gets_less() {
+    let mut places = places(4);
+    for _ in 0..10 {
+        places.err("e-0");
+    }
+    let chosen = places.choose(&need(&[]), 0).expect("an upstream");
+    assert_eq!(chosen.upstream, "e-2");
+    places.overdue("e-2", true);
+    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
+}
+
+#[test]
+fn repeats_stay_within_the_fleets_allowance_over_every_window() {
+    let terms = Terms { ratio: 0.2, extra: 52.0, length: 10_000 };
+    let routers = 6;
+    let mut windows: Vec<Window> = (0..routers).map(|_| Window::new(terms, 0)).collect();
+    let mut repeats: Vec<u64> = vec![];
+    let mut requests: Vec<u64> = vec![];
+    for now in (0..40_000).step_by(10) {
+        let window = &mut windows[(now / 10 % routers) as usize];
+        window.set_routers(routers as u32);
+        window.request(now);
+        requests.push(now);
+        // Everything is tried again as often as it may be.
+        while window.repeat(now) {
+            repeats.push(now);
+        }
+    }
+    for start in (0..30_000).step_by(100) {
+        let within =
+            |times: &[u64]| times.iter().filter(|at| (start..start + 10_000).contains(*at)).count() as f64;
+        let allowed = 0.2 * within(&requests) + 52.0;
+        assert!(within(&repeats) <= allowed, "{} repeats from {start}, {allowed} allowed", within(&repeats));
+    }
+    assert!(repeats.len() > 400, "the allowance is used");
+}
