--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -144,8 +144,9 @@
         if let Some(purse) = purses.get(&team.name) {
             return Some(purse.clone());
         }
-        let purse =
-            Purse::open(&self.rows, &team.name, &self.holder, level, self.fleet.clone(), self.note.clone());
+        let record_ms = self.settings.record_ms;
+        let (rows, fleet, note) = (&self.rows, self.fleet.clone(), self.note.clone());
+        let purse = Purse::open(rows, &team.name, &self.holder, level, fleet, note, record_ms);
         purses.insert(team.name.clone(), purse.clone());
         Some(purse)
     }
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -20,10 +20,8 @@
 const CHARGES: usize = 64;
 /// Seconds of demand held, so that requests need no call to the store and outages of it are bridged.
 const COVER_S: u64 = 8;
-/// The part of what is left of a budget that the routers hold together.
-const SPREAD: f64 = 0.5;
-/// A budget counts as nearly spent when less than this part of it is left.
-const SCARCE: f64 = 0.08;
+/// A budget counts as nearly spent when less than this part of it is free.
+const SCARCE: f64 = 0.04;
 /// How long the pool's emptiness is believed, in milliseconds: tokens come back as other routers settle.
 const EMPTY_MS: u64 = 250;
 
@@ -86,6 +84,8 @@
     pub level: Level,
     lowered: bool,
     waiting: u64,
+    /// How long charges may wait for a settlement, in milliseconds.
+    record_ms: u64,
     /// How many settlements have begun.
     pub begun: u64,
     /// Whether another router asked for idle tokens.
@@ -127,6 +127,7 @@
         level: Level,
         fleet: Arc<AtomicU64>,
         note: async_channel::Sender<()>,
+        record_ms: u64,
     ) -> Arc<Purse> {
         let (kick, kicked) = async_channel::bounded(1);
         let started = Instant::now();
@@ -136,6 +137,7 @@
             level,
             lowered: false,
             waiting: 0,
+            record_ms,
             begun: 0,
             recalled: false,
             asked: None,
@@ -373,13 +375,20 @@
     /// Tokens that should be at hand: this router's share of what is left, so that it serves through an outage of
     /// the store, but none of a budget that is nearly spent, where every token must be reachable from everywhere.
     fn target(&self, now: u64, terms: &Terms, fleet: u64) -> u64 {
-        let level = self.level.tokens;
-        let left = level.saturating_sub(self.rows.pool.spent);
-        if (left as f64) < level as f64 * SCARCE || self.rows.pool.wanted {
+        let free = self.free(fleet);
+        if (free as f64) < self.level.tokens as f64 * SCARCE || self.rows.pool.wanted {
             return 0;
         }
-        let share = (left as f64 * SPREAD) as u64 / fleet;
-        self.demand.target(now, terms).max(share)
+        self.demand.target(now, terms).max(free / fleet)
+    }
+
+    /// Tokens that no router holds, as far as this one knows: before the pool was read, what it would be if all
+    /// routers held their shares.
+    fn free(&self, fleet: u64) -> u64 {
+        match self.rows.pool.level {
+            Some(_) => self.rows.pool.free,
+            None => self.level.tokens / (2 * fleet),
+        }
     }
 
     /// Opens the next batch, or takes up the one that is on its way.
@@ -399,7 +408,9 @@
         let off = is_off_target(self.grant.available(), target, Some(self.latest.free));
         let level_is_new = self.rows.pool.level.is_none_or(|known| known.version < self.level.version)
             && self.rows.pool.level.is_none_or(|known| known.tokens != self.level.tokens);
-        if !self.grant.is_dirty() && need == 0 && !off && !level_is_new {
+        let is_overdue = closing || now.saturating_sub(self.latest.began) >= self.record_ms;
+        let is_due = need > 0 || off || level_is_new || (is_overdue && self.grant.is_dirty());
+        if !is_due {
             return None;
         }
         self.lowered = false;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,7 +11,9 @@
 use yaml::{Mistake, Reader};
 
 /// The keys of the settings.
-const KEYS: &str = "name, data-centre, listen, store, threads, bounds";
+const KEYS: &str = "name, data-centre, listen, store, threads, record-ms, bounds";
+/// How long charges may wait for a settlement: notes tell of them, so it only keeps the record.
+const RECORD_MS: u64 = 8_000;
 
 /// Everything a gateway learns from its settings.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -27,6 +29,8 @@
     pub store: SocketAddr,
     /// Worker threads.
     pub threads: usize,
+    /// How long charges may wait until they are recorded in the store, in milliseconds.
+    pub record_ms: u64,
     /// What the operators agreed with the platform.
     pub bounds: Bounds,
 }
@@ -77,6 +81,7 @@
             let listen = reader.need::<Listen>(&mut root, "listen");
             let store = reader.need::<SocketAddr>(&mut root, "store");
             let threads = reader.take::<usize>(&mut root, "threads").unwrap_or(1);
+            let record_ms = reader.take::<u64>(&mut root, "record-ms").unwrap_or(RECORD_MS);
             let bounds = reader.take::<Bounds>(&mut root, "bounds").unwrap_or_default();
             for key in root.keys().filter_map(|key| key.as_str()) {
                 reader.add(&[key], format!("unknown key; known are {KEYS}"));
@@ -88,6 +93,7 @@
                 listen: listen?,
                 store: store?,
                 threads,
+                record_ms,
                 bounds,
             })
         })?;
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -19,7 +19,11 @@
 /// The pause after a settlement failed.
 const SETTLE_AGAIN: Duration = Duration::from_millis(250);
 /// Attempts at one batch before the settlement counts as failed.
-const ATTEMPTS: u32 = 6;
+const ATTEMPTS: u32 = 8;
+/// The longest pause after the first conflict, in milliseconds: the order of a transaction. It doubles with each.
+const BACKOFF_MS: u64 = 4;
+/// The longest pause after a conflict, in milliseconds.
+const BACKOFF_MOST_MS: u64 = 60;
 
 /// Settles a budget whenever something is due.
 pub(crate) async fn run<S: Rows>(purse: Arc<Purse>, rows: S, kicked: async_channel::Receiver<()>) {
@@ -51,14 +55,14 @@
         (state.begun, state.next_batch(&purse.team, began, closing, fleet))
     };
     let Some(mut batch) = batch else { return Ended::Idle };
-    for _ in 0..ATTEMPTS {
+    for round in 0..ATTEMPTS {
         match attempt(purse, rows, &batch).await {
             Ok(Attempt::Done) => {
                 let mut state = purse.lock();
                 state.latest = Latest { began, number, settled: true, free: state.rows.pool.free };
                 return Ended::Settled;
             }
-            Ok(Attempt::Again) => {}
+            Ok(Attempt::Again) => exec::sleep(backoff(round)).await,
             Ok(Attempt::Closed) => {
                 log::warn!("budget: event=account-closed team={} holder={}", purse.team, purse.holder);
                 let mut state = purse.lock();
@@ -86,6 +90,12 @@
     Ended::Failed
 }
 
+/// The pause after a conflict: random, so that routers which met do not meet again.
+fn backoff(round: u32) -> Duration {
+    let most = (BACKOFF_MS << round).min(BACKOFF_MOST_MS);
+    Duration::from_micros(rand::Rng::gen_range(&mut rand::thread_rng(), 0..most * 1_000))
+}
+
 enum Attempt {
     Done,
     Again,
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -63,6 +63,7 @@
         listen: Listen { callers: address, readiness: address, peers: address, metrics: address },
         store: address,
         threads: 1,
+        record_ms: 200,
         bounds: Bounds::default(),
     };
     let (note, _) = async_channel::bounded(1);
