Model-check the notes of use on the gateway's own decision code

The rule which notes bind moves to budget::exposure::Notes. Every order of uses, answers, lost answers, late writes and the router's death within four uses, three notes and two seconds; forgetting an unanswered note, unconditional writes and postdated notes are caught.

--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -16,6 +16,9 @@
 use crate::ledger::Line;
 use serde::{Deserialize, Serialize};
 
+/// A time in milliseconds of a clock that neither stops nor jumps.
+pub type Millis = u64;
+
 /// How much a router may have used of a budget, by the time since its note.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Schedule {
@@ -42,3 +45,48 @@
         self.limit(elapsed_ms).saturating_sub(line.spent)
     }
 }
+
+/// The notes of one budget that bind this router: the newest that was acknowledged, and those sent since whose
+/// fate is not known.
+///
+/// Each note is written under the condition that the row is as last seen. So once one took effect, those before
+/// it either were overwritten or never will take effect.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Notes {
+    noted: Option<(Millis, Schedule)>,
+    unsure: Vec<(Millis, Schedule)>,
+}
+
+impl Notes {
+    /// Adds a note that is about to be sent; it binds from now on.
+    pub fn begin(&mut self, now: Millis, schedule: Schedule) {
+        self.unsure.push((now, schedule));
+    }
+
+    /// Takes in how the newest note ended: `Some(true)` if it took effect, `Some(false)` if it certainly did not
+    /// and never will, `None` if that is not known.
+    pub fn end(&mut self, took_effect: Option<bool>) {
+        match took_effect {
+            Some(true) => {
+                self.noted = self.unsure.pop().or(self.noted);
+                self.unsure.clear();
+            }
+            Some(false) => {
+                self.unsure.pop();
+            }
+            None => {}
+        }
+    }
+
+    /// The most that may be used now; without any note nothing bounds it, and whoever closes the account finds
+    /// none.
+    pub fn limit(&self, now: Millis) -> u64 {
+        let limit = |(sent, schedule): &(Millis, Schedule)| schedule.limit(now.saturating_sub(*sent));
+        self.noted.iter().chain(&self.unsure).map(limit).min().unwrap_or(u64::MAX)
+    }
+
+    /// How long ago the acknowledged note was sent.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.noted.map(|(sent, _)| now.saturating_sub(sent))
+    }
+}
--- a/crates/budget/tests/model/main.rs
+++ b/crates/budget/tests/model/main.rs
@@ -5,4 +5,5 @@
 
 mod claims;
 mod money;
+mod notes;
 mod search;
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -5,7 +5,7 @@
 
 use crate::settle::{self, SETTLE};
 use budget::demand::{Demand, Terms, is_off_target};
-use budget::exposure::Schedule;
+use budget::exposure::{Notes, Schedule};
 use budget::grant::{Grant, Reserve};
 use budget::ledger::{Account, Batch, Charge, Level, Pool};
 use event_listener::Event;
@@ -79,6 +79,7 @@
 
 #[derive(Debug)]
 pub(crate) struct State {
+    started: Instant,
     grant: Grant,
     demand: Demand,
     pub level: Level,
@@ -98,10 +99,8 @@
     ticked: Instant,
     /// Counts the accounts that this process had: another router may close one.
     pub life: u64,
-    /// The schedule of the newest note that the store acknowledged, and when it was sent.
-    noted: Option<(Instant, Schedule)>,
-    /// Those of notes sent since whose fate is not known.
-    unsure: Vec<(Instant, Schedule)>,
+    /// The notes that bind this life.
+    notes: Notes,
 }
 
 /// One team's budget as this router holds it.
@@ -109,7 +108,6 @@
 pub(crate) struct Purse {
     pub team: String,
     pub holder: String,
-    started: Instant,
     state: Mutex<State>,
     pub changed: Event,
     kick: async_channel::Sender<()>,
@@ -132,6 +130,7 @@
         let (kick, kicked) = async_channel::bounded(1);
         let started = Instant::now();
         let state = State {
+            started,
             grant: Grant::default(),
             demand: Demand::default(),
             level,
@@ -146,13 +145,11 @@
             latest: Latest::default(),
             ticked: started,
             life: 0,
-            noted: None,
-            unsure: vec![],
+            notes: Notes::default(),
         };
         let purse = Arc::new(Purse {
             team: team.to_owned(),
             holder: holder.to_owned(),
-            started,
             state: Mutex::new(state),
             changed: Event::new(),
             kick,
@@ -170,7 +167,7 @@
 
     /// Milliseconds since the budget was opened, from 1: 0 means never.
     pub(crate) fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
+        self.lock().now()
     }
 
     /// Takes in what a manifest says of the prepaid total.
@@ -266,7 +263,7 @@
         let now = self.now();
         let state = self.lock();
         let noted = state.limit().saturating_sub(state.grant.used());
-        let note_age = state.noted.map_or(0, |(sent, _)| sent.elapsed().as_millis() as u64);
+        let note_age = state.notes.age(now).unwrap_or(0);
         let latest = &state.latest;
         format!(
             "tokens={tokens} available={} noted={} note-age-ms={note_age} pool-free={} pool-spent={} level={} level-version={} settled={} settle-age-ms={}",
@@ -342,11 +339,14 @@
         self.grant.used().saturating_add(tokens) > self.limit()
     }
 
-    /// The most that may be used now: a note whose fate is not known binds as well as the acknowledged one.
+    /// The most that may be used now.
     pub(crate) fn limit(&self) -> u64 {
-        let limit =
-            |(sent, schedule): &(Instant, Schedule)| schedule.limit(sent.elapsed().as_millis() as u64);
-        self.noted.iter().chain(&self.unsure).map(limit).min().unwrap_or(u64::MAX)
+        self.notes.limit(self.now())
+    }
+
+    /// Milliseconds since the budget was opened, from 1: 0 means never.
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1
     }
 
     /// The schedule for the next note.
@@ -434,8 +434,7 @@
     /// Starts an account anew after another router closed this one: what it exposed stays spent.
     pub(crate) fn start_over(&mut self) {
         self.life += 1;
-        self.noted = None;
-        self.unsure.clear();
+        self.notes = Notes::default();
         self.grant = Grant::default();
         self.batch = None;
         self.rows.account = Account::default();
@@ -500,7 +499,8 @@
     pub(crate) fn begin_note(&self) -> (u64, Schedule) {
         let mut state = self.lock();
         let schedule = state.schedule();
-        state.unsure.push((Instant::now(), schedule));
+        let now = state.now();
+        state.notes.begin(now, schedule);
         (state.life, schedule)
     }
 
@@ -511,17 +511,7 @@
         if state.life != life {
             return;
         }
-        match took_effect {
-            Some(true) => {
-                // Earlier notes were written under a condition that does not hold any more.
-                state.noted = state.unsure.pop();
-                state.unsure.clear();
-            }
-            Some(false) => {
-                state.unsure.pop();
-            }
-            None => {}
-        }
+        state.notes.end(took_effect);
         drop(state);
         self.changed.notify(usize::MAX);
     }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -139,7 +139,8 @@
         drops: vec![],
     };
     let needs = batch.entries.get(&purse.team).is_some_and(|entry| entry.need > 0);
-    if needs && pool.wanted && pool.outstanding > 0 && purse.lock().may_recall(purse.now()) {
+    let now = purse.now();
+    if needs && pool.wanted && pool.outstanding > 0 && purse.lock().may_recall(now) {
         change.puts.push((Key::new(RECALLS, &purse.team), purse.holder.clone().into_bytes()));
     }
     match rows.commit(&change).await? {
