--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -8,6 +8,8 @@
 pub struct Check {
     /// The settings file.
     pub settings: PathBuf,
+    /// Whether they are a gateway's.
+    pub gateway: bool,
 }
 
 impl Check {
@@ -16,8 +18,11 @@
     /// # Errors
     /// Returns every mistake with its line and key path.
     pub fn execute(&self) -> Result<(), Error> {
-        let settings = read_settings(&self.settings)?;
-        println!("{}: the settings of {} are right", self.settings.display(), settings.name);
+        let name = match self.gateway {
+            true => super::read_gateway_settings(&self.settings)?.name,
+            false => read_settings(&self.settings)?.name,
+        };
+        println!("{}: the settings of {name} are right", self.settings.display());
         Ok(())
     }
 }
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod diff;
+mod explain;
 mod key;
 mod log;
 mod roll;
@@ -10,6 +11,7 @@
 
 pub use check::Check;
 pub use diff::Diff;
+pub use explain::Explain;
 pub use key::NewKey;
 pub use log::Log;
 pub use roll::Roll;
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,8 +1,8 @@
 //! `tallypaddle gateway`: runs the gateway on the users' platform until it is asked to stop.
 
-use super::{Error, mistakes_in, read_file};
+use super::{Error, read_gateway_settings as read};
 use gateway::Settings;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// The arguments of `gateway`.
 #[derive(Clone, Debug)]
@@ -46,10 +46,6 @@
     }
 }
 
-fn read(path: &Path) -> Result<Settings, Error> {
-    Settings::read(&read_file(path)?).map_err(|mistakes| mistakes_in(path, &mistakes))
-}
-
 /// On SIGHUP, reads the settings again and says what changed: none of them can change while the process runs.
 async fn follow_reloads(path: PathBuf, current: Settings) {
     let Ok(mut reloads) = net::signal::reloads() else {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -94,6 +94,11 @@
     Settings::read(&text).map_err(|mistakes| mistakes_in(path, &mistakes))
 }
 
+fn read_gateway_settings(path: &Path) -> Result<::gateway::Settings, Error> {
+    let text = read_file(path)?;
+    ::gateway::Settings::read(&text).map_err(|mistakes| mistakes_in(path, &mistakes))
+}
+
 fn mistakes_in(path: &Path, mistakes: &[bundle::Mistake]) -> Error {
     let lines = mistakes.iter().map(|mistake| format!("{}: {mistake}", path.display()));
     Error::Mistakes(lines.collect::<Vec<_>>().join("\n"))
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,7 +1,7 @@
 //! The operators' tool.
 
 use std::process::ExitCode;
-use tallypaddle::cmd::ctl::{Check, Diff, Log, NewKey, Roll, Rollback, Sign, Status};
+use tallypaddle::cmd::ctl::{Check, Diff, Explain, Log, NewKey, Roll, Rollback, Sign, Status};
 use tallypaddle::cmd::finish;
 
 mod flags {
@@ -24,6 +24,13 @@
                     required out: PathBuf
                 }
             }
+            /// Tells a request's story from gateways' logs: its lines, and what its gateways believed then.
+            cmd explain {
+                /// The request's identifier.
+                required id: String
+                /// Log files; standard input if there are none.
+                repeated logs: PathBuf
+            }
             /// Bundles.
             cmd bundle {
                 /// Names every mistake in a bundle with its line and key path.
@@ -100,6 +107,7 @@
         flags::TallypaddlectlCmd::Key(key) => match key.subcommand {
             flags::KeyCmd::New(args) => NewKey { out: args.out }.execute(),
         },
+        flags::TallypaddlectlCmd::Explain(args) => Explain { id: args.id, logs: args.logs }.execute(),
         flags::TallypaddlectlCmd::Bundle(bundle) => match bundle.subcommand {
             flags::BundleCmd::Check(args) => Check { file: args.file }.execute(),
             flags::BundleCmd::Diff(args) => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,6 +30,8 @@
             cmd check {
                 /// The settings file in YAML.
                 required settings: PathBuf
+                /// They are a gateway's settings.
+                optional --gateway
             }
         }
     }
@@ -43,6 +45,8 @@
     finish(match args.subcommand {
         flags::TallypaddleCmd::Gateway(args) => Gateway { settings: args.settings }.execute(),
         flags::TallypaddleCmd::Serve(args) => Serve { settings: args.settings }.execute(),
-        flags::TallypaddleCmd::Check(args) => Check { settings: args.settings }.execute(),
+        flags::TallypaddleCmd::Check(args) => {
+            Check { settings: args.settings, gateway: args.gateway }.execute()
+        }
     })
 }
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -209,3 +209,59 @@
     let second = ctl().args(["key", "new"]).arg(&path).output().expect("it runs");
     assert_eq!(second.status.code(), Some(2), "an existing key is never overwritten");
 }
+
+const GATEWAY_LOG: &str = "\
+t=10.000 level=info manifest: event=in-force version=4 row-version=9 hosts=1 teams=2
+t=11.000 level=info upstream: event=listed upstream=i-1 service=tiles address=10.0.0.1:80 leaving=false row-version=11
+t=12.000 level=info upstream: event=listed upstream=i-2 service=tiles address=10.0.0.2:80 leaving=false row-version=12
+t=19.500 level=warn store: event=lost watch=manifest list at platform 10.2.0.1:80: no answer within 700 ms
+t=20.000 level=info request: id=a-1 event=dispatch upstream=i-1 estimate-ms=0 unread=0 open=1 candidates=2 after=None
+t=20.100 level=info request: id=a-2 event=dispatch upstream=i-2 estimate-ms=0 unread=0 open=1 candidates=2 after=None
+t=20.300 level=warn request: id=a-1 event=dispatch-failed upstream=i-1 may-have-run=true reason=\"no answer\"
+t=20.301 level=warn request: id=a-1 event=end outcome=failed route=r team=desk ms=301 sent=1 ran=1 manifest=4 no answer
+t=20.302 level=warn upstream: event=ejected upstream=i-1 request=a-1
+t=21.000 level=info gateway: event=stopping open=0
+";
+
+#[test]
+fn a_request_is_explained_from_logs_alone() {
+    let folder = Folder::new();
+    let log = folder.write("vm-1.log", GATEWAY_LOG);
+    let other = folder.write("vm-2.log", &GATEWAY_LOG.replace("a-1", "b-1"));
+    let output = ctl().args(["explain", "a-1"]).arg(&log).arg(&other).output().expect("it runs");
+    let unknown = ctl().args(["explain", "nobody"]).arg(&log).output().expect("it runs");
+    insta::assert_snapshot!(format!("{}{}", told(&output, &folder.0), told(&unknown, &folder.0)));
+}
+
+#[test]
+fn a_gateways_settings_are_checked_and_every_mistake_is_named() {
+    let folder = Folder::new();
+    let template = include_str!("../../deploy/gateway.yaml");
+    let filled = [
+        ("{{node_name}}", "vm-1"),
+        ("{{zone}}", "here"),
+        ("{{listen_addresses.frontend}}", "127.0.0.1:1"),
+        ("{{listen_addresses.readiness}}", "127.0.0.1:2"),
+        ("{{ip_address}}", "127.0.0.1"),
+        ("{{internal_port_range.0}}", "7340"),
+        ("{{platform.address}}", "127.0.0.1:3"),
+        ("{{limits.cpu_cores}}", "1"),
+        ("{{bounds.grace_period_s}}", "8"),
+        ("{{bounds.retry_budget_ratio}}", "0.2"),
+        ("{{bounds.retry_budget_extra}}", "52"),
+        ("{{bounds.budget_window_s}}", "10"),
+    ]
+    .iter()
+    .fold(template.to_owned(), |text, (gap, value)| text.replace(gap, value));
+    let right = folder.write("right.yaml", &filled);
+    let wrong = filled.replace("threads: 1", "threads: 0").replace("retry-ratio: 0.2", "retry-ratio: 2");
+    let wrong = folder.write("wrong.yaml", &wrong.replace("store:", "shop:"));
+    let check = |file: &Path| {
+        Command::new(program()).args(["check", "--gateway"]).arg(file).output().expect("it runs")
+    };
+    insta::assert_snapshot!(format!(
+        "{}{}",
+        told(&check(&right), &folder.0),
+        told(&check(&wrong), &folder.0)
+    ));
+}
