--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -102,11 +102,11 @@
     node.window(&service, |window, now| window.request(now));
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
-        Err((denied, detail)) => {
+        Err((denied, ready_ms, detail)) => {
             let refusal = match denied {
                 Denied::Spent => Refusal::BudgetSpent,
-                Denied::Away => Refusal::BudgetAway,
-                Denied::Elsewhere => Refusal::BudgetElsewhere,
+                Denied::Away => Refusal::BudgetAway(ready_ms),
+                Denied::Elsewhere => Refusal::BudgetElsewhere(ready_ms),
             };
             let team = team.as_ref().map_or("-", |team| team.name.as_str());
             return Err(refused(refusal, &format!("team={team} route={} {version} {detail}", route.name)));
@@ -123,14 +123,14 @@
     service: &str,
     team: Option<&crate::manifest::Team>,
     ask: &Ask,
-) -> Result<Option<Reservation>, (Denied, String)> {
+) -> Result<Option<Reservation>, (Denied, u64, String)> {
     let (Some(team), Some(prompt)) = (team, &ask.prompt) else { return Ok(None) };
     let Some(purse) = node.purse(manifest, team) else { return Ok(None) };
     let patience = Duration::from_millis((route.target_ms as f64 * BUDGET_PATIENCE) as u64);
     let stride = manifest.services.get(service).map_or(1, |service| service.stride);
     let worst = prompt.worst(stride);
     let reserved = purse.reserve(worst, patience).await;
-    reserved.map(Some).map_err(|denied| (denied, purse.explain(worst)))
+    reserved.map(Some).map_err(|denied| (denied, purse.ready_in(worst), purse.explain(worst)))
 }
 
 /// What to do after a dispatch.
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -45,6 +45,14 @@
 /// right after they were asked.
 const RECALL_AGAIN_MS: u64 = 1_000;
 
+/// When a refused request should come back while the store is away: outages last for some seconds.
+const READY_AWAY_MS: u64 = 3_000;
+/// When it should come back if other routers hold the tokens: they give them back within a settlement or two, or the
+/// operator tops the budget up.
+const READY_ELSEWHERE_MS: u64 = 4_000;
+/// The resolution with which the growth of a note's limit is told, in milliseconds.
+const READY_STEP_MS: u64 = 200;
+
 /// Why tokens can't be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Denied {
@@ -258,6 +266,18 @@
         let _ = self.kick.try_send(());
     }
 
+    /// When so many tokens may be had, in milliseconds from now.
+    pub(crate) fn ready_in(&self, tokens: u64) -> u64 {
+        let state = self.lock();
+        if state.grant.available() < tokens {
+            return if state.latest.settled { READY_ELSEWHERE_MS } else { READY_AWAY_MS };
+        }
+        let wanted = state.grant.used().saturating_add(tokens);
+        let ready = (READY_STEP_MS..READY_AWAY_MS).step_by(READY_STEP_MS as usize);
+        let now = state.now();
+        ready.into_iter().find(|ms| state.notes.limit(now + ms) >= wanted).unwrap_or(READY_AWAY_MS)
+    }
+
     /// What decides on a reservation of so many tokens, for the log.
     pub(crate) fn explain(&self, tokens: u64) -> String {
         let now = self.now();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -20,10 +20,10 @@
     BodyBroken,
     /// The budget can't hold it at its most.
     BudgetSpent,
-    /// Tokens are left, but none can be had now.
-    BudgetAway,
-    /// Other routers hold the tokens that are left.
-    BudgetElsewhere,
+    /// Tokens are left, but none can be had now; when that may change, in milliseconds.
+    BudgetAway(u64),
+    /// Other routers hold the tokens that are left; when that may change, in milliseconds.
+    BudgetElsewhere(u64),
     /// No manifest is known yet.
     NotConfigured,
     /// This router is stopping.
@@ -48,8 +48,8 @@
             Refusal::TooLong => "too-long",
             Refusal::BodyBroken => "body-broken",
             Refusal::BudgetSpent => "budget-spent",
-            Refusal::BudgetAway => "budget-away",
-            Refusal::BudgetElsewhere => "budget-elsewhere",
+            Refusal::BudgetAway(_) => "budget-away",
+            Refusal::BudgetElsewhere(_) => "budget-elsewhere",
             Refusal::NotConfigured => "not-configured",
             Refusal::Stopping => "stopping",
             Refusal::NoUpstream => "no-upstream",
@@ -66,8 +66,8 @@
             Refusal::NoKey => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
-            Refusal::BudgetAway
-            | Refusal::BudgetElsewhere
+            Refusal::BudgetAway(_)
+            | Refusal::BudgetElsewhere(_)
             | Refusal::NotConfigured
             | Refusal::Stopping
             | Refusal::NoUpstream
@@ -80,7 +80,7 @@
     /// When coming back may help, in milliseconds: the time that each cause usually lasts.
     fn retry_ms(self) -> Option<u64> {
         match self {
-            Refusal::BudgetAway | Refusal::BudgetElsewhere => Some(1_000),
+            Refusal::BudgetAway(millis) | Refusal::BudgetElsewhere(millis) => Some(millis),
             Refusal::NotConfigured => Some(500),
             Refusal::Stopping => Some(50),
             Refusal::NoUpstream => Some(500),
