Grant an equal share of a level, or some requests' worth, at once

Cause: a draw gave half of what a router aimed at, so each router drew on each team's pool every second; at 87 routers a share was less than a request, so each request wrote the pool's row.

--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -7,6 +7,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Requests' worth of tokens that a waiting request brings along, where a router's share is less.
+const SEVERAL: u64 = 4;
+/// The part of what is free that such a grant takes at most.
+const SEVERAL_PART: u64 = 64;
 /// Idle tokens stay wanted until this fraction of a level is free again.
 const WANTED_UNTIL: u64 = 16;
 
@@ -310,7 +314,11 @@
     if most > 0 {
         line.exposed = entry.exposed;
     }
-    let grant = size(pool.free, entry.want, entry.need, fleet).min(most);
+    let grant = match pool.level {
+        Some(_) => size_of_level(pool.free, entry.want, entry.need, fleet),
+        None => size(pool.free, entry.want, entry.need, fleet),
+    }
+    .min(most);
     pool.free -= grant;
     pool.outstanding += grant;
     if let Some(level) = pool.level {
@@ -321,6 +329,14 @@
     pool.balance().then_some(())
 }
 
+/// Sizes a grant from a level: the need, and beyond it this router's equal share of what is free. Where the share is
+/// less than a request, some more requests' worth, so that not each of them writes the pool's row.
+fn size_of_level(free: u64, want: u64, need: u64, fleet: u64) -> u64 {
+    let several = need.saturating_mul(SEVERAL).min(free / SEVERAL_PART);
+    let share = (free / fleet.max(1)).max(several);
+    want.min(share).max(several).max(need).min(free)
+}
+
 /// Sizes a grant: the need if the pool has it, and beyond it at most half of this router's equal share.
 fn size(free: u64, want: u64, need: u64, fleet: u64) -> u64 {
     let share = free / (2 * fleet.max(1));
