--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -69,7 +69,7 @@
         };
         log::info!(
             "request: id={} event=dispatch upstream={} estimate-ms={:.0} unread={} open={} candidates={} after={:?}",
-            self.ask.id,
+            self.request.ask.id,
             chosen.upstream,
             chosen.cost,
             chosen.uncached,
@@ -77,7 +77,12 @@
             chosen.candidates,
             after_event,
         );
-        let all = self.manifest.services.get(&self.service).map_or(usize::MAX, |service| service.connections);
+        let all = self
+            .request
+            .manifest
+            .services
+            .get(&self.request.service)
+            .map_or(usize::MAX, |service| service.connections);
         let request = self.request(&chosen.upstream, after_event);
         let seat = Seat::take(self, chosen);
         node.hints.tell(&chosen.upstream, chosen.uncached).await;
@@ -135,7 +140,9 @@
             Kind::ResumableStream => STREAM_PATIENCE,
             Kind::Once | Kind::Stream => OVERDUE,
         };
-        Duration::from_millis((self.route.target_ms as f64 * factor + chosen.cost.clamp(0.0, 1_000.0)) as u64)
+        Duration::from_millis(
+            (self.request.route.target_ms as f64 * factor + chosen.cost.clamp(0.0, 1_000.0)) as u64,
+        )
     }
 
     async fn read_first(
@@ -154,7 +161,7 @@
             }
         };
         let (head, body) = response.into_parts();
-        match self.node.wire.reply(&head, &self.ask.id) {
+        match self.node.wire.reply(&head, &self.request.ask.id) {
             Reply::Stray => Read::Other(First::Lost("the answer belongs to another request".to_owned())),
             Reply::OtherUpstream => {
                 self.finish(lease, body).await;
@@ -175,7 +182,9 @@
     async fn finish(&self, lease: net::Lease, body: Incoming) {
         match net::collect(body, ANSWER_LIMIT).await {
             Ok(_) => lease.keep(),
-            Err(reason) => log::debug!("request: id={} event=connection-closed reason={reason}", self.ask.id),
+            Err(reason) => {
+                log::debug!("request: id={} event=connection-closed reason={reason}", self.request.ask.id)
+            }
         }
     }
 
@@ -232,16 +241,17 @@
     }
 
     fn request(&self, upstream: &str, after_event: Option<u64>) -> Request<net::Body> {
-        let mut headers = self.node.wire.dispatch(&self.head.headers, &self.dispatch(upstream, after_event));
+        let mut headers =
+            self.node.wire.dispatch(&self.request.head.headers, &self.dispatch(upstream, after_event));
         strip(&mut headers);
         headers.remove(CONTENT_LENGTH);
         headers.insert(
             HOST,
-            http::HeaderValue::from_str(&self.ask.host).unwrap_or(http::HeaderValue::from_static("")),
+            http::HeaderValue::from_str(&self.request.ask.host).unwrap_or(http::HeaderValue::from_static("")),
         );
-        let mut request = Request::new(net::Body::from(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = origin(&self.head.uri);
+        let mut request = Request::new(net::Body::from(self.request.body.clone()));
+        *request.method_mut() = self.request.head.method.clone();
+        *request.uri_mut() = origin(&self.request.head.uri);
         *request.headers_mut() = headers;
         request
     }
@@ -268,7 +278,11 @@
         };
         drop(places);
         if ejected {
-            log::warn!("upstream: event=ejected upstream={} request={}", chosen.upstream, self.ask.id);
+            log::warn!(
+                "upstream: event=ejected upstream={} request={}",
+                chosen.upstream,
+                self.request.ask.id
+            );
         }
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -3,11 +3,12 @@
 use crate::attempt::First;
 use crate::body::Answer;
 use crate::event::Splitter;
+use crate::holding::Denied;
 use crate::job::{Admitted, Job, Meter};
 use crate::manifest::Lookup;
 use crate::node::{Node, Phase};
 use crate::ports::{Ask, Wire};
-use crate::purse::{Denied, Reservation};
+use crate::purse::Reservation;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use http::header::{CONNECTION, HeaderValue};
@@ -62,7 +63,8 @@
     reply
 }
 
-type Job1<W, S> = (Arc<Job<W, S>>, Option<Reservation>);
+/// An admitted request with the tokens that are reserved for it.
+type Admission<W, S> = (Arc<Job<W, S>>, Option<Reservation>);
 
 /// Decides whether a request is carried out, and at whose cost.
 async fn admit<W: Wire, S: Rows>(
@@ -71,7 +73,7 @@
     head: http::request::Parts,
     body: Incoming,
     arrived: u64,
-) -> Result<Job1<W, S>, Refusal> {
+) -> Result<Admission<W, S>, Refusal> {
     let refused = |refusal: Refusal, detail: &str| {
         node.metrics.requests.with_label_values(&["-", refusal.name()]).inc();
         log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
@@ -149,7 +151,7 @@
         if job.tries().sent > 0 && !job.repeat("retry") {
             break;
         }
-        let may_move = job.tries().ran + 1 < job.route.attempts;
+        let may_move = job.tries().ran + 1 < job.request.route.attempts;
         let mut splitter = Splitter::default();
         let first = job.attempt(&chosen, &mut splitter, None, may_move).await;
         job.note(&chosen.upstream, &first);
@@ -182,7 +184,7 @@
     let tries = job.tries();
     let (ran, refusals) = (tries.ran, tries.sent - tries.ran);
     drop(tries);
-    let may_run_again = job.kind().is_repeatable() && ran < job.route.attempts;
+    let may_run_again = job.kind().is_repeatable() && ran < job.request.route.attempts;
     match first {
         First::Stream(head, flow, bytes) => {
             let meter = meter.take().unwrap_or_else(|| Meter::new(&**job, None));
@@ -223,18 +225,22 @@
 }
 
 fn observe_first<W: Wire, S: Rows>(job: &Job<W, S>) {
-    let ms = job.node.now().saturating_sub(job.arrived);
-    job.node.metrics.first.with_label_values(&[&job.route.name]).observe(ms as f64 / 1_000.0);
+    let ms = job.node.now().saturating_sub(job.request.arrived);
+    job.node.metrics.first.with_label_values(&[&job.request.route.name]).observe(ms as f64 / 1_000.0);
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
     /// Takes one repeat out of the service's window.
     pub(crate) fn repeat(&self, reason: &str) -> bool {
-        let allowed = self.node.window(&self.service, |window, now| window.repeat(now));
+        let allowed = self.node.window(&self.request.service, |window, now| window.repeat(now));
         if allowed {
-            self.node.metrics.repeats.with_label_values(&[self.service.as_str(), reason]).inc();
+            self.node.metrics.repeats.with_label_values(&[self.request.service.as_str(), reason]).inc();
         } else {
-            log::warn!("request: id={} event=repeat-denied service={}", self.ask.id, self.service);
+            log::warn!(
+                "request: id={} event=repeat-denied service={}",
+                self.request.ask.id,
+                self.request.service
+            );
         }
         allowed
     }
@@ -256,7 +262,7 @@
             drop(tries);
             log::warn!(
                 "request: id={} event=dispatch-failed upstream={upstream} may-have-run={ran} reason=\"{reason}\"",
-                self.ask.id
+                self.request.ask.id
             );
         }
     }
--- /dev/null
+++ b/crates/gateway/src/holding.rs
@@ -0,0 +1,242 @@
+//! What this router holds of one budget, and the decisions on it: what may be reserved, what the next settlement
+//! asks for, what the next note allows.
+
+use crate::settle::SETTLE;
+use budget::demand::{Demand, Terms, is_off_target};
+use budget::exposure::{Notes, Schedule};
+use budget::grant::{Grant, Reserve};
+use budget::ledger::{Account, Batch, Level, Pool};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// Charges settled in one batch.
+const CHARGES: usize = 64;
+/// Seconds of demand held, so that requests need no call to the store and outages of it are bridged.
+const COVER_S: u64 = 8;
+/// A budget counts as nearly spent when less than this part of it is free.
+const SCARCE: f64 = 0.04;
+/// Seconds of demand that may be used between two notes, beyond what waits for one.
+const NOTED_S: f64 = 0.75;
+/// The part of what is at hand that may be used between two notes at least: one large request or a few small ones.
+const NOTED_PART: u64 = 12;
+/// From this age on a note's limit grows: longer than a note takes to be renewed, and than a restart takes.
+const NOTE_QUIET_MS: u64 = 1_500;
+/// Multiple of the demand by which an old note's limit grows: demand comes unevenly.
+const NOTE_GROWTH: f64 = 2.0;
+/// An old note's limit also grows by all that is at hand within so many seconds, so that large requests fit.
+const NOTE_GROWTH_S: u64 = 8;
+/// The part of a budget that other routers hold idle at most, when none of it is to be had.
+const IDLE_ELSEWHERE: f64 = 0.03;
+/// How often a router asks the others for idle tokens of one budget at most, in milliseconds: they have none left
+/// right after they were asked.
+const RECALL_AGAIN_MS: u64 = 1_000;
+
+/// Why tokens can't be reserved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Denied {
+    /// The budget can't hold the request at its most.
+    Spent,
+    /// The store does not answer, and the tokens at hand are not enough.
+    Away,
+    /// Other routers hold what is left; they give it back.
+    Elsewhere,
+}
+
+/// The rows of a budget as last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rowed {
+    pub pool: Pool,
+    pub pool_version: u64,
+    pub account: Account,
+    pub account_version: u64,
+    pub known: bool,
+}
+
+/// How the latest settlement ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Latest {
+    /// When it began, in the purse's milliseconds.
+    pub began: u64,
+    /// Its number, from 1.
+    pub number: u64,
+    pub settled: bool,
+    pub free: u64,
+}
+
+/// One budget as this router holds it.
+#[derive(Debug)]
+pub(crate) struct Holding {
+    started: Instant,
+    pub grant: Grant,
+    pub demand: Demand,
+    pub level: Level,
+    pub lowered: bool,
+    pub waiting: u64,
+    /// How long charges may wait for a settlement, in milliseconds.
+    record_ms: u64,
+    /// How many settlements have begun.
+    pub begun: u64,
+    /// Whether another router asked for idle tokens.
+    pub recalled: bool,
+    /// When this router asked the others last, in the purse's milliseconds.
+    asked: Option<u64>,
+    pub rows: Rowed,
+    pub batch: Option<Batch>,
+    pub latest: Latest,
+    ticked: Instant,
+    /// Counts the accounts that this process had: another router may close one.
+    pub life: u64,
+    /// The notes that bind this life.
+    pub notes: Notes,
+}
+
+impl Holding {
+    /// A budget without tokens.
+    pub(crate) fn new(level: Level, record_ms: u64) -> Holding {
+        let started = Instant::now();
+        Holding {
+            started,
+            grant: Grant::default(),
+            demand: Demand::default(),
+            level,
+            lowered: false,
+            waiting: 0,
+            record_ms,
+            begun: 0,
+            recalled: false,
+            asked: None,
+            rows: Rowed::default(),
+            batch: None,
+            latest: Latest::default(),
+            ticked: started,
+            life: 0,
+            notes: Notes::default(),
+        }
+    }
+
+    /// Whether the other routers should be asked for idle tokens now.
+    pub(crate) fn may_recall(&mut self, now: u64) -> bool {
+        let may = self.asked.is_none_or(|asked| now.saturating_sub(asked) >= RECALL_AGAIN_MS);
+        if may {
+            self.asked = Some(now);
+        }
+        may
+    }
+
+    /// Whether nothing is held, in use or unsettled.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
+    }
+
+    /// Reserves tokens, if they are at hand and within what was noted.
+    pub(crate) fn reserve(&mut self, tokens: u64) -> bool {
+        !self.is_noted_short(tokens) && self.grant.reserve(tokens) == Reserve::Held
+    }
+
+    /// Whether the notes leave no room for so many tokens.
+    pub(crate) fn is_noted_short(&self, tokens: u64) -> bool {
+        self.grant.used().saturating_add(tokens) > self.limit()
+    }
+
+    /// The most that may be used now.
+    pub(crate) fn limit(&self) -> u64 {
+        self.notes.limit(self.now())
+    }
+
+    /// Milliseconds since the budget was opened, from 1: 0 means never.
+    pub(crate) fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1
+    }
+
+    /// The schedule for the next note.
+    pub(crate) fn schedule(&self) -> Schedule {
+        let rate = self.demand.rate();
+        Schedule {
+            used: self.grant.used(),
+            allowance: self.waiting + ((rate * NOTED_S) as u64).max(self.grant.available() / NOTED_PART),
+            quiet_ms: NOTE_QUIET_MS,
+            per_s: (rate * NOTE_GROWTH) as u64 + self.grant.available() / NOTE_GROWTH_S,
+        }
+    }
+
+    /// Why tokens can't be had, if the latest settlement showed that.
+    pub(crate) fn denied(&self, tokens: u64) -> Option<Denied> {
+        let latest = &self.latest;
+        if !latest.settled || latest.free + self.grant.available() >= tokens {
+            return None;
+        }
+        let idle = (self.level.tokens as f64 * IDLE_ELSEWHERE) as u64;
+        let pool = &self.rows.pool;
+        let left = self.level.tokens.saturating_sub(pool.spent + self.grant.in_use());
+        Some(if left < tokens + idle { Denied::Spent } else { Denied::Elsewhere })
+    }
+
+    /// Tokens that should be at hand: this router's share of what is left, so that it serves through an outage of
+    /// the store, but none of a budget that is nearly spent, where every token must be reachable from everywhere.
+    fn target(&self, now: u64, terms: &Terms, fleet: u64) -> u64 {
+        let free = self.free(fleet);
+        if (free as f64) < self.level.tokens as f64 * SCARCE || self.rows.pool.wanted {
+            return 0;
+        }
+        self.demand.target(now, terms).max(free / fleet)
+    }
+
+    /// Tokens that no router holds, as far as this one knows: before the pool was read, what it would be if all
+    /// routers held their shares.
+    fn free(&self, fleet: u64) -> u64 {
+        match self.rows.pool.level {
+            Some(_) => self.rows.pool.free,
+            None => self.level.tokens / (2 * fleet),
+        }
+    }
+
+    /// Opens the next batch, or takes up the one that is on its way.
+    pub(crate) fn next_batch(&mut self, team: &str, now: u64, closing: bool, fleet: u64) -> Option<Batch> {
+        if let Some(batch) = &self.batch {
+            return Some(batch.clone());
+        }
+        let elapsed = self.ticked.elapsed();
+        if elapsed >= SETTLE / 2 {
+            self.demand.tick(elapsed.as_millis() as u64);
+            self.ticked = Instant::now();
+        }
+        let terms = Terms { cover_s: COVER_S, least: 0, expose_s: COVER_S };
+        let target =
+            if closing || self.lowered || self.recalled { 0 } else { self.target(now, &terms, fleet) };
+        let need = self.waiting.saturating_sub(self.grant.usable());
+        let off = is_off_target(self.grant.available(), target, Some(self.latest.free));
+        let level_is_new = self.rows.pool.level.is_none_or(|known| known.version < self.level.version)
+            && self.rows.pool.level.is_none_or(|known| known.tokens != self.level.tokens);
+        let is_overdue = closing || now.saturating_sub(self.latest.began) >= self.record_ms;
+        let is_due = need > 0 || off || level_is_new || (is_overdue && self.grant.is_dirty());
+        if !is_due {
+            return None;
+        }
+        self.lowered = false;
+        self.recalled = false;
+        let spare = target.max(self.grant.available());
+        let entry = self.grant.open(target, need, spare, vec![], CHARGES)?;
+        let sequence = self.rows.account.sequence + 1;
+        let batch =
+            Batch { sequence, entries: BTreeMap::from([(team.to_owned(), entry)]), ..Batch::default() };
+        self.batch = Some(batch.clone());
+        Some(batch)
+    }
+
+    /// Ends the open batch: the account's row shows it.
+    pub(crate) fn close_batch(&mut self, team: &str) {
+        self.batch = None;
+        let line = self.rows.account.lines.get(team).copied().unwrap_or_default();
+        self.grant.close(&line);
+    }
+
+    /// Starts an account anew after another router closed this one: what it exposed stays spent.
+    pub(crate) fn start_over(&mut self) {
+        self.life += 1;
+        self.notes = Notes::default();
+        self.grant = Grant::default();
+        self.batch = None;
+        self.rows.account = Account::default();
+        self.rows.account_version = 0;
+    }
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -17,18 +17,10 @@
 /// The least urgent rank at an upstream.
 const LAST_RANK: u32 = 9;
 
-/// An admitted request.
+/// A request that is being carried out.
 pub(crate) struct Job<W: Wire, S: Rows> {
     pub node: Arc<Node<W, S>>,
-    pub ask: Ask,
-    pub head: Parts,
-    pub body: Bytes,
-    pub manifest: Arc<Manifest>,
-    pub route: Arc<Route>,
-    pub team: Option<Arc<Team>>,
-    pub service: String,
-    /// When it came.
-    pub arrived: Millis,
+    pub request: Admitted,
     /// When it must have its answer.
     pub deadline: Millis,
     pub tries: Mutex<Tries>,
@@ -46,7 +38,7 @@
     pub avoid: Vec<String>,
 }
 
-/// What a job is made of.
+/// A request that was admitted.
 pub(crate) struct Admitted {
     pub ask: Ask,
     pub head: Parts,
@@ -55,27 +47,15 @@
     pub route: Arc<Route>,
     pub team: Option<Arc<Team>>,
     pub service: String,
+    /// When it came.
     pub arrived: Millis,
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
-    pub(crate) fn new(node: Arc<Node<W, S>>, admitted: Admitted) -> Job<W, S> {
-        let Admitted { ask, head, body, manifest, route, team, service, arrived } = admitted;
-        let wait = ask.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        Job {
-            deadline: arrived.saturating_add(wait),
-            _open: Open::new(&node),
-            node,
-            ask,
-            head,
-            body,
-            manifest,
-            route,
-            team,
-            service,
-            arrived,
-            tries: Mutex::default(),
-        }
+    pub(crate) fn new(node: Arc<Node<W, S>>, request: Admitted) -> Job<W, S> {
+        let wait = request.ask.wait_ms.unwrap_or(u64::MAX).min(request.route.timeout_ms);
+        let deadline = request.arrived.saturating_add(wait);
+        Job { deadline, _open: Open::new(&node), node, request, tries: Mutex::default() }
     }
 
     pub(crate) fn tries(&self) -> MutexGuard<'_, Tries> {
@@ -88,26 +68,27 @@
     }
 
     pub(crate) fn kind(&self) -> Kind {
-        self.route.kind
+        self.request.route.kind
     }
 
     /// Tokens in one event of the answer.
     pub(crate) fn stride(&self) -> u64 {
-        self.manifest.services.get(&self.service).map_or(1, |service| service.stride)
+        self.request.manifest.services.get(&self.request.service).map_or(1, |service| service.stride)
     }
 
     /// Chooses an upstream that was not tried before.
     pub(crate) fn choose(&self) -> Option<Chosen> {
         let tries = self.tries();
-        let parts = self.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
-        let need = Need { service: &self.service, parts, avoid: &tries.avoid };
+        let parts =
+            self.request.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
+        let need = Need { service: &self.request.service, parts, avoid: &tries.avoid };
         self.node.places().choose(&need, self.node.now())
     }
 
     /// What is added to the request at this moment.
     pub(crate) fn dispatch<'a>(&'a self, upstream: &'a str, after_event: Option<u64>) -> Dispatch<'a> {
-        let team = self.team.as_deref();
-        let rank = team.map_or(0, |team| team.priority) * ROUTE_RANKS + self.route.priority;
+        let team = self.request.team.as_deref();
+        let rank = team.map_or(0, |team| team.priority) * ROUTE_RANKS + self.request.route.priority;
         Dispatch {
             upstream,
             remaining_ms: self.remaining().as_millis() as u64,
@@ -119,21 +100,21 @@
 
     /// Writes the request's last line.
     pub(crate) fn log_end(&self, outcome: &str, detail: impl std::fmt::Display) {
-        let ms = self.node.now().saturating_sub(self.arrived);
+        let ms = self.node.now().saturating_sub(self.request.arrived);
         let (sent, ran) = {
             let tries = self.tries();
             (tries.sent, tries.ran)
         };
-        let team = self.team.as_ref().map_or("-", |team| team.name.as_str());
-        self.node.metrics.requests.with_label_values(&[self.route.name.as_str(), outcome]).inc();
-        self.node.metrics.whole.with_label_values(&[&self.route.name]).observe(ms as f64 / 1_000.0);
+        let team = self.request.team.as_ref().map_or("-", |team| team.name.as_str());
+        self.node.metrics.requests.with_label_values(&[self.request.route.name.as_str(), outcome]).inc();
+        self.node.metrics.whole.with_label_values(&[&self.request.route.name]).observe(ms as f64 / 1_000.0);
         let level = if outcome == "complete" { log::Level::Info } else { log::Level::Warn };
         log::log!(
             level,
             "request: id={} event=end outcome={outcome} route={} team={team} ms={ms} sent={sent} ran={ran} manifest={} {detail}",
-            self.ask.id,
-            self.route.name,
-            self.manifest.version,
+            self.request.ask.id,
+            self.request.route.name,
+            self.request.manifest.version,
         );
     }
 }
@@ -164,7 +145,7 @@
 impl<W: Wire, S: Rows> Seat<W, S> {
     pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Seat<W, S> {
         let node = job.node.clone();
-        let parts = job.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
+        let parts = job.request.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
         node.places().begin(&chosen.upstream, parts, chosen.uncached, node.now());
         Seat { node, upstream: chosen.upstream.clone(), unread: chosen.uncached }
     }
@@ -197,10 +178,10 @@
 
 impl Meter {
     pub(crate) fn new<W: Wire, S: Rows>(job: &Job<W, S>, reservation: Option<Reservation>) -> Meter {
-        let prompt = job.ask.prompt.as_ref();
+        let prompt = job.request.ask.prompt.as_ref();
         Meter {
             reservation,
-            request: job.ask.id.clone(),
+            request: job.request.ask.id.clone(),
             input: prompt.map_or(0, |prompt| prompt.input),
             output: prompt.map_or(0, |prompt| prompt.output_in_events(job.stride())),
             stride: job.stride(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod handle;
 mod hints;
+mod holding;
 mod job;
 pub mod manifest;
 mod members;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,8 +69,8 @@
         mut meter: Meter,
     ) -> Relay<W, S> {
         let now = job.node.now();
-        let ms = now.saturating_sub(job.arrived);
-        job.node.metrics.first.with_label_values(&[&job.route.name]).observe(ms as f64 / 1_000.0);
+        let ms = now.saturating_sub(job.request.arrived);
+        job.node.metrics.first.with_label_values(&[&job.request.route.name]).observe(ms as f64 / 1_000.0);
         meter.pass(splitter.count());
         Relay {
             job,
@@ -154,7 +154,7 @@
         if now >= self.job.deadline {
             return Poll::Ready(Turn::Fail("the time is over".to_owned()));
         }
-        let stalled = now.saturating_sub(self.heard) > STALL * self.job.route.gap_ms;
+        let stalled = now.saturating_sub(self.heard) > STALL * self.job.request.route.gap_ms;
         if stalled && matches!(self.state, State::Flowing(_)) && self.job.kind() == Kind::ResumableStream {
             return Poll::Ready(self.switch("the upstream fell silent"));
         }
@@ -176,7 +176,7 @@
         }
         log::warn!(
             "request: id={} event=stream-broken upstream={upstream} last-event={:?} reason=\"{reason}\"",
-            self.job.ask.id,
+            self.job.request.ask.id,
             self.splitter.last(),
         );
         self.job.tries().avoid.push(upstream);
@@ -213,7 +213,7 @@
 
     fn end(&self, outcome: &str, detail: &str) {
         let tokens = self.meter.tokens();
-        let first_ms = self.began.saturating_sub(self.job.arrived);
+        let first_ms = self.began.saturating_sub(self.job.request.arrived);
         let (events, gap_ms) = (self.splitter.count(), self.gap);
         self.job.log_end(
             outcome,
@@ -234,7 +234,7 @@
     /// Continues a broken stream at another upstream.
     async fn resume(&self, mut splitter: Splitter) -> Option<Resumed<W, S>> {
         loop {
-            if self.remaining().is_zero() || self.tries().ran >= self.route.attempts + EXTRA_RUNS {
+            if self.remaining().is_zero() || self.tries().ran >= self.request.route.attempts + EXTRA_RUNS {
                 return None;
             }
             let chosen = self.choose()?;
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -3,7 +3,8 @@
 //! A settlement writes the pool row and this router's account row under the condition that they are as last
 //! seen, so a write whose answer was lost is recognised by the account's sequence, however late it took effect.
 
-use crate::purse::{Latest, Purse, Rowed};
+use crate::holding::{Latest, Rowed};
+use crate::purse::Purse;
 use crate::table::{ACCOUNT, BUDGETS, POOL, RECALLS, decode_or_absent, encode};
 use budget::ledger::{self, Batch};
 use net::exec;
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -1,7 +1,7 @@
 //! Budgets across the death of a router: what its notes allow stays spent, the rest comes back.
 
 use super::*;
-use crate::purse::Denied;
+use crate::holding::Denied;
 use crate::support::{Plain, manifest, node};
 use crate::table::{BUDGETS, POOL};
 use assert_matches::assert_matches;
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -1,8 +1,9 @@
 //! Settlements whose answers are lost, come late, or meet another router's.
 
+use crate::holding::Denied;
 use crate::node::Node;
 use crate::notes::recover;
-use crate::purse::{Denied, Purse};
+use crate::purse::Purse;
 use crate::support::{Plain, manifest, node};
 use crate::table::{BUDGETS, POOL};
 use assert_matches::assert_matches;
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -4,7 +4,7 @@
 //! left out is counted, and the count is logged.
 //!
 //! ```
-//! logs::start(Box::new(std::io::sink()), log::LevelFilter::Info);
+//! logs::start(std::io::sink(), log::LevelFilter::Info);
 //! log::info!("gateway: event=start");
 //! ```
 
@@ -37,7 +37,7 @@
 static OMITTED: AtomicU64 = AtomicU64::new(0);
 
 /// Starts logging to `output`; a later call does nothing.
-pub fn start(output: Box<dyn Write + Send>, level: LevelFilter) {
+pub fn start(output: impl Write + Send + 'static, level: LevelFilter) {
     let (lines, queue) = sync_channel(QUEUE);
     let logger = Logger {
         lines,
@@ -106,7 +106,7 @@
     }
 }
 
-fn write(mut output: Box<dyn Write + Send>, queue: &Receiver<String>) {
+fn write(mut output: impl Write, queue: &Receiver<String>) {
     loop {
         let mut batch = match queue.recv_timeout(LOOK) {
             Ok(line) => line,
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -19,7 +19,7 @@
     pub fn execute(&self) -> Result<(), Error> {
         let path = self.path()?;
         let settings = read(&path)?;
-        logs::start(Box::new(std::io::stdout()), log::LevelFilter::Info);
+        logs::start(std::io::stdout(), log::LevelFilter::Info);
         net::exec::start(settings.threads);
         net::exec::block_on(async {
             let rows = platform::Http::new(settings.store);
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -233,27 +233,26 @@
     insta::assert_snapshot!(format!("{}{}", told(&output, &folder.0), told(&unknown, &folder.0)));
 }
 
+const GATEWAY_SETTINGS: &str = "\
+name: vm-1
+data-centre: here
+listen:
+  callers: 127.0.0.1:1
+  readiness: 127.0.0.1:2
+  peers: 127.0.0.1:4
+  metrics: 127.0.0.1:5
+store: 127.0.0.1:3
+threads: 1
+bounds:
+  grace-s: 8
+  retry-ratio: 0.2
+";
+
 #[test]
 fn a_gateways_settings_are_checked_and_every_mistake_is_named() {
     let folder = Folder::new();
-    let template = include_str!("../../deploy/gateway.yaml");
-    let filled = [
-        ("{{node_name}}", "vm-1"),
-        ("{{zone}}", "here"),
-        ("{{listen_addresses.frontend}}", "127.0.0.1:1"),
-        ("{{listen_addresses.readiness}}", "127.0.0.1:2"),
-        ("{{ip_address}}", "127.0.0.1"),
-        ("{{internal_port_range.0}}", "7340"),
-        ("{{platform.address}}", "127.0.0.1:3"),
-        ("{{limits.cpu_cores}}", "1"),
-        ("{{bounds.grace_period_s}}", "8"),
-        ("{{bounds.retry_budget_ratio}}", "0.2"),
-        ("{{bounds.retry_budget_extra}}", "52"),
-        ("{{bounds.budget_window_s}}", "10"),
-    ]
-    .iter()
-    .fold(template.to_owned(), |text, (gap, value)| text.replace(gap, value));
-    let right = folder.write("right.yaml", &filled);
+    let filled = GATEWAY_SETTINGS;
+    let right = folder.write("right.yaml", filled);
     let wrong = filled.replace("threads: 1", "threads: 0").replace("retry-ratio: 0.2", "retry-ratio: 2");
     let wrong = folder.write("wrong.yaml", &wrong.replace("store:", "shop:"));
     let check = |file: &Path| {
