Don't take gateways for gone that could not beat while all were cut off

Staleness counts only while this gateway itself reads the list, and an unread list means eight gateways.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -42,9 +42,17 @@
     at: u64,
 }
 
+/// The heartbeats as this gateway saw them.
+#[derive(Default)]
+struct Members {
+    seen: HashMap<String, Seen>,
+    /// When they were read last.
+    read: Option<u64>,
+}
+
 /// Writes this gateway's heartbeats and follows the others'.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
-    let mut seen: HashMap<String, Seen> = HashMap::new();
+    let mut seen = Members::default();
     loop {
         if node.phase() != Phase::Draining {
             beat(&node).await;
@@ -86,11 +94,16 @@
 /// Takes in the heartbeats, counts the fleet, and names those that are gone.
 fn look<W: Wire, S: Rows>(
     node: &Node<W, S>,
-    seen: &mut HashMap<String, Seen>,
+    members: &mut Members,
     page: &Page,
     gone_after: u64,
 ) -> Vec<String> {
     let now = node.now();
+    let seen = &mut members.seen;
+    if members.read.replace(now).is_some_and(|read| now.saturating_sub(read) > gone_after / 2) {
+        // This gateway was cut off or stood still: what it missed then says nothing of the others.
+        seen.values_mut().for_each(|seen| seen.at = now);
+    }
     for record in &page.records {
         let entry = seen.entry(record.name.clone()).or_insert(Seen { version: 0, at: now });
         if record.version > entry.version {
@@ -137,3 +150,7 @@
         log::warn!("fleet: event=not-forgotten gateway={name} {error}");
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/members.rs"]
+mod tests;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,9 @@
 /// Connections to one upstream that are left unused, as a share: routers learn of each other late.
 const CONNECTION_MARGIN: f64 = 0.9;
 
+/// How many gateways there are thought to be until the list was read: too few would let one take all there is.
+const ASSUMED_FLEET: u64 = 8;
+
 /// Where a gateway is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -71,7 +74,7 @@
             rows: Counted::new(rows, &metrics),
             pool: Pool::default(),
             metrics,
-            fleet: Arc::new(AtomicU64::new(1)),
+            fleet: Arc::new(AtomicU64::new(ASSUMED_FLEET)),
             open: AtomicU64::new(0),
             hints: Hints::default(),
             started: Instant::now(),
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -17,6 +17,7 @@
 fn started(name: &str, rows: &TableRows, version: u64, tokens: u64) -> Arc<Node<Plain, TableRows>> {
     let node = node(name, 1, rows);
     assert!(node.put_in_force(manifest(version, &[("desk", tokens)])));
+    node.fleet.store(2, std::sync::atomic::Ordering::Relaxed);
     net::exec::spawn(crate::watch::recalls(node.clone())).detach();
     node
 }
