Forget that a request was overdue when its caller leaves

Cause: an upstream counted a request as overdue until its answer or timeout; a caller that left dropped the wait between the two, so the upstream cost 400 ms more for ever.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One dispatch of a request to an upstream, up to its first answer.
 
 use crate::event::Splitter;
-use crate::job::{Job, Seat};
+use crate::job::{Job, Overdue, Seat};
 use crate::manifest::Kind;
 use crate::ports::{Reply, Wire};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -116,11 +116,9 @@
                 return First::Lost(format!("no answer within {} ms", patience.as_millis()));
             }
             None => {
-                self.node.places().overdue(&chosen.upstream, true);
+                let _overdue = Overdue::new(&self.node, &chosen.upstream);
                 let rest = self.remaining() + Duration::from_millis(DEADLINE_SLACK_MS);
-                let late = exec::timeout(rest, reading.as_mut()).await;
-                self.node.places().overdue(&chosen.upstream, false);
-                match late {
+                match exec::timeout(rest, reading.as_mut()).await {
                     Some(done) => done,
                     None => return First::TimedOut,
                 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -164,6 +164,25 @@
     }
 }
 
+/// Counts a request as overdue at its upstream until it is dropped: with an answer, or because the caller left.
+pub(crate) struct Overdue<'a, W: Wire, S: Rows> {
+    node: &'a Node<W, S>,
+    upstream: &'a str,
+}
+
+impl<'a, W: Wire, S: Rows> Overdue<'a, W, S> {
+    pub(crate) fn new(node: &'a Node<W, S>, upstream: &'a str) -> Overdue<'a, W, S> {
+        node.places().overdue(upstream, true);
+        Overdue { node, upstream }
+    }
+}
+
+impl<W: Wire, S: Rows> Drop for Overdue<'_, W, S> {
+    fn drop(&mut self) {
+        self.node.places().overdue(self.upstream, false);
+    }
+}
+
 /// The tokens that a stream may use, charged by what was passed on.
 #[derive(Debug)]
 pub(crate) struct Meter {
