--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,7 @@
 //! One module for each subcommand; each has its arguments as a struct with an `execute`.
 //!
 //! ```no_run
-//! tallypaddle::cmd::Check { settings: "router.yaml".into() }.execute().unwrap();
+//! tallypaddle::cmd::Check { settings: "router.yaml".into(), gateway: false }.execute().unwrap();
 //! ```
 
 mod check;
