--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,16 @@
+//! Engines, callers and routers in virtual time, so that the decisions of [`route`] can be played on a load.
+//!
+//! The engine model follows what the users' pages say of their engines; nothing of it is known to the routers, which
+//! run the same code as in the programs.
+
+mod engine;
+mod load;
+mod outcome;
+mod scenes;
+mod world;
+
+pub use engine::{Counts, Engine, Happened, Job, Part, Spec};
+pub use load::{Kind, Request, Shared, Size};
+pub use outcome::{Outcome, Share};
+pub use scenes::{reports, storms};
+pub use world::{Fault, Scene, play};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -68,11 +68,14 @@
             return First::NotRun("it is not listed any more".to_owned());
         };
         log::info!(
-            "request: id={} event=dispatch upstream={} estimate-ms={:.0} unread={} open={} candidates={} after={:?}",
+            "request: id={} event=dispatch upstream={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?}",
             self.request.ask.id,
             chosen.upstream,
             chosen.cost,
+            chosen.first_ms,
             chosen.uncached,
+            chosen.is_long,
+            chosen.is_kept,
             chosen.open,
             chosen.candidates,
             after_event,
@@ -85,7 +88,9 @@
             .map_or(usize::MAX, |service| service.connections);
         let request = self.request(&chosen.upstream, after_event);
         let seat = Seat::take(self, chosen);
-        node.hints.tell(&chosen.upstream, chosen.uncached).await;
+        if self.request.ask.prompt.is_some() {
+            node.hints.tell(chosen).await;
+        }
         let most = node.connections(all);
         let sending = node.pool.send("dispatch", listing.address, most, request);
         let began = node.now();
@@ -139,7 +144,7 @@
             Kind::Once | Kind::Stream => OVERDUE,
         };
         Duration::from_millis(
-            (self.request.route.target_ms as f64 * factor + chosen.cost.clamp(0.0, 1_000.0)) as u64,
+            (self.request.route.target_ms as f64 * factor + chosen.first_ms.clamp(0.0, 1_000.0)) as u64,
         )
     }
 
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -1,26 +1,24 @@
-//! Telling the other gateways of long prompts: whoever sends a short one behind them would wait for them.
+//! Telling the other gateways of dispatches: whoever sends a prompt behind others' would wait for them.
 //!
 //! A hint is a datagram. One that is lost costs a worse choice, nothing else.
 
 use crate::node::Node;
 use crate::ports::Wire;
+use route::place::{Chosen, Told};
 use serde::{Deserialize, Serialize};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use store::rows::Rows;
 
-/// Prompts with at least so many tokens to read are told of: they hold an engine up for a fifth of a second.
-const LONG: u32 = 10_000;
 /// The largest datagram that is read, in bytes: a hint takes less than a hundred.
 const LARGEST: usize = 512;
 
-/// A long prompt on its way to an upstream.
+/// A dispatch.
 #[derive(Debug, Deserialize, Serialize)]
 struct Hint {
     upstream: String,
-    /// Prompt tokens that it has to read.
-    unread: u32,
+    told: Told,
 }
 
 /// Where hints go.
@@ -36,14 +34,11 @@
         *self.peers.lock().expect("the peers' lock") = Arc::new(peers);
     }
 
-    /// Tells the others of a dispatch, if its prompt is long.
-    pub(crate) async fn tell(&self, upstream: &str, unread: u32) {
-        if unread < LONG {
-            return;
-        }
+    /// Tells the others of the dispatch of a prompt.
+    pub(crate) async fn tell(&self, chosen: &Chosen) {
         let Some(socket) = self.socket.lock().expect("the socket's lock").clone() else { return };
         let peers = self.peers.lock().expect("the peers' lock").clone();
-        let hint = Hint { upstream: upstream.to_owned(), unread };
+        let hint = Hint { upstream: chosen.upstream.clone(), told: chosen.told() };
         let bytes = serde_json::to_vec(&hint).expect("a hint serializes to JSON");
         for peer in peers.iter() {
             if let Err(error) = socket.send_to(&bytes, peer).await {
@@ -68,7 +63,7 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, peer)) => match serde_json::from_slice::<Hint>(&buffer[..length]) {
-                Ok(hint) => node.places().hear(&hint.upstream, hint.unread, node.now()),
+                Ok(hint) => node.places().hear(&hint.upstream, &hint.told, node.now()),
                 Err(error) => log::warn!("hints: event=unreadable peer={peer} error=\"{error}\""),
             },
             Err(error) => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use hyper::body::Bytes;
 use route::Millis;
-use route::place::{Chosen, Need};
+use route::place::{self, Chosen, Need, Ticket};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
@@ -79,12 +79,22 @@
     /// Chooses an upstream that was not tried before.
     pub(crate) fn choose(&self) -> Option<Chosen> {
         let tries = self.tries();
-        let parts =
-            self.request.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
-        let need = Need { service: &self.request.service, parts, avoid: &tries.avoid };
+        let need = Need { service: &self.request.service, prompt: self.prompt(), avoid: &tries.avoid };
         self.node.places().choose(&need, self.node.now())
     }
 
+    /// The prompt as the choice of an upstream sees it.
+    fn prompt(&self) -> Option<place::Prompt<'_>> {
+        let route = &self.request.route;
+        self.request.ask.prompt.as_ref().map(|prompt| place::Prompt {
+            parts: &prompt.parts,
+            input: prompt.input,
+            events: prompt.expected_output().div_ceil(self.stride().max(1)),
+            target_ms: route.target_ms,
+            gap_ms: route.gap_ms,
+        })
+    }
+
     /// What is added to the request at this moment.
     pub(crate) fn dispatch<'a>(&'a self, upstream: &'a str, after_event: Option<u64>) -> Dispatch<'a> {
         let team = self.request.team.as_deref();
@@ -139,28 +149,28 @@
 pub(crate) struct Seat<W: Wire, S: Rows> {
     node: Arc<Node<W, S>>,
     pub upstream: String,
-    unread: u32,
+    ticket: Ticket,
+    is_read: bool,
 }
 
 impl<W: Wire, S: Rows> Seat<W, S> {
     pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Seat<W, S> {
         let node = job.node.clone();
-        let parts = job.request.ask.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
-        node.places().begin(&chosen.upstream, parts, chosen.uncached, node.now());
-        Seat { node, upstream: chosen.upstream.clone(), unread: chosen.uncached }
+        let ticket = node.places().begin(chosen, job.prompt().as_ref(), node.now());
+        Seat { node, upstream: chosen.upstream.clone(), ticket, is_read: false }
     }
 
     /// Notes that the prompt was read: the first answer came.
     pub(crate) fn read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        self.node.places().read(&self.upstream, unread);
+        if !std::mem::replace(&mut self.is_read, true) {
+            self.node.places().read(&self.upstream, self.ticket, self.node.now());
+        }
     }
 }
 
 impl<W: Wire, S: Rows> Drop for Seat<W, S> {
     fn drop(&mut self) {
-        self.read();
-        self.node.places().end(&self.upstream);
+        self.node.places().end(&self.upstream, self.ticket, self.node.now());
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -145,6 +145,7 @@
         node.pool.sweep();
         if round.is_multiple_of(CALLS_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
+            log_models(&node);
         }
         for (team, purse) in node.purses().iter() {
             let (available, in_use, free) = purse.figures();
@@ -158,6 +159,19 @@
     }
 }
 
+/// Tells what was learned of the engines.
+fn log_models<W: Wire, S: Rows>(node: &Node<W, S>) {
+    let places = node.places();
+    for (service, model, usual) in places.models() {
+        let slowness: Vec<String> =
+            places.slowness(service).iter().map(|(name, slowness)| format!("{name}:{slowness:.2}")).collect();
+        log::info!(
+            "upstream: event=model service={service} {model} event-ms={usual:.1} slowness={}",
+            slowness.join(",")
+        );
+    }
+}
+
 impl<W: Wire, S: Rows> Running<W, S> {
     /// The addresses bound for callers and for readiness checks.
     pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,14 +1,14 @@
 //! The gateways of the fleet: each writes a heartbeat row, and reads the others'.
 //!
-//! Only shares of connections, repeats and budgets depend on this list. None of them is part of an argument about
-//! safety.
+//! Only shares of connections, repeats and budgets depend on this list, and which engines are kept for short work. None
+//! of them is part of an argument about safety.
 
 use crate::node::{Node, Phase};
 use crate::ports::Wire;
 use crate::table::{decode, encode};
 use net::exec;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,12 +17,13 @@
 
 /// The table of heartbeats.
 const TABLE: &str = "gateways";
-/// Time between two heartbeats, in milliseconds, in a small fleet.
-const BEAT_MS: u64 = 3_000;
+/// Time between two heartbeats, in milliseconds, in a small fleet: how long the gateways take to agree on which engines
+/// are kept for short work.
+const BEAT_MS: u64 = 1_500;
 /// Heartbeats that the whole fleet writes in a second at most: a small part of what the store takes.
 const BEATS_PER_S: u64 = 50;
 /// A gateway counts as gone after so many missed heartbeats.
-const MISSED: u64 = 4;
+const MISSED: u64 = 8;
 
 /// A heartbeat.
 #[derive(Debug, Deserialize, Serialize)]
@@ -33,6 +34,9 @@
     peers: SocketAddr,
     /// How long the process has run, in milliseconds: a row that did not change would say nothing.
     up_ms: u64,
+    /// The engines of each service that are kept for short work: the first gateway decides, and the others follow.
+    #[serde(default)]
+    kept_for_short: BTreeMap<String, Vec<String>>,
 }
 
 /// A heartbeat as it was last seen.
@@ -47,15 +51,14 @@
     seen: HashMap<String, Seen>,
     /// When they were read last.
     read: Option<u64>,
+    /// Whether this gateway is the first by name of those alive.
+    is_first: bool,
 }
 
 /// Writes this gateway's heartbeats and follows the others'.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut seen = Members::default();
     loop {
-        if node.phase() != Phase::Draining {
-            beat(&node).await;
-        }
         let fleet = node.fleet_size();
         let period = BEAT_MS.max(fleet * 1_000 / BEATS_PER_S);
         match node.rows.list(TABLE, "").await {
@@ -68,13 +71,18 @@
             }
             Err(error) => log::warn!("fleet: event=not-read {error}"),
         }
+        if node.phase() != Phase::Draining {
+            beat(&node, seen.is_first).await;
+        }
         exec::sleep(Duration::from_millis(period)).await;
     }
 }
 
 /// Writes a heartbeat.
-async fn beat<W: Wire, S: Rows>(node: &Node<W, S>) {
-    let beat = Beat { holder: node.holder.clone(), peers: node.settings.listen.peers, up_ms: node.now() };
+async fn beat<W: Wire, S: Rows>(node: &Node<W, S>, is_first: bool) {
+    let kept_for_short = if is_first { divide(node) } else { BTreeMap::new() };
+    let (holder, peers) = (node.holder.clone(), node.settings.listen.peers);
+    let beat = Beat { holder, peers, up_ms: node.now(), kept_for_short };
     let change =
         Change { puts: vec![(Key::new(TABLE, &node.settings.name), encode(&beat))], ..Change::default() };
     if let Err(error) = node.rows.commit(&change).await {
@@ -82,6 +90,22 @@
     }
 }
 
+/// Divides the engines anew between long and short work.
+fn divide<W: Wire, S: Rows>(node: &Node<W, S>) -> BTreeMap<String, Vec<String>> {
+    let mut places = node.places();
+    let divisions = places.divide().filter(|(_, short)| !short.is_empty());
+    divisions.map(|(service, short)| (service.to_owned(), short.to_vec())).collect()
+}
+
+/// Follows the division of the first gateway.
+fn follow<W: Wire, S: Rows>(node: &Node<W, S>, first: &Beat) {
+    for (service, short) in &first.kept_for_short {
+        if node.places().follow(service, short) {
+            log::info!("upstream: event=divided service={service} kept-for-short={}", short.join(","));
+        }
+    }
+}
+
 /// Says good-bye, so that nobody waits for this gateway's heartbeats.
 pub(crate) async fn leave<W: Wire, S: Rows>(node: &Node<W, S>) {
     let change = Change { drops: vec![Key::new(TABLE, &node.settings.name)], ..Change::default() };
@@ -122,7 +146,13 @@
     node.hints.set_peers(beats.map(|beat| beat.peers).collect());
     // One gateway looks after those that are gone: the first by name of those alive.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
-    if first != Some(own) {
+    let was_first = std::mem::replace(&mut members.is_first, first == Some(own));
+    let beat = first.and_then(|first| page.records.iter().find(|record| record.name == *first));
+    // One that becomes the first goes on from what the one before decided, be it its own earlier process.
+    if let Some(beat) = beat.filter(|_| !(was_first && members.is_first)).and_then(decode::<Beat>) {
+        follow(node, &beat);
+    }
+    if !members.is_first {
         return vec![];
     }
     let gone: Vec<String> = seen
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -94,6 +94,11 @@
         self.started.elapsed().as_millis() as Millis
     }
 
+    /// The same with the parts of a millisecond.
+    pub(crate) fn now_exact(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1_000.0
+    }
+
     /// Takes in what the store's clock said in an answer that came just now.
     pub(crate) fn set_store_clock(&self, now_ms: u64) {
         *self.store_clock.lock().expect("the clock's lock") = Some((now_ms, Instant::now()));
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -34,6 +34,8 @@
     pub input: u64,
     /// The most tokens that may come out.
     pub output: u64,
+    /// The caller's guess of how many come out.
+    pub guess: Option<u64>,
     /// The parts of the prompt, in order.
     pub parts: Parts,
 }
@@ -44,6 +46,11 @@
         self.output.div_ceil(stride.max(1)) * stride.max(1)
     }
 
+    /// The tokens that should come out: the caller's guess, or else half of the most.
+    pub fn expected_output(&self) -> u64 {
+        self.guess.unwrap_or(self.output / 2).min(self.output)
+    }
+
     /// What the request costs at its most.
     pub fn worst(&self, stride: u64) -> u64 {
         self.input + self.output_in_events(stride)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use http_body::Body as _;
 use hyper::body::Bytes;
 use net::exec;
-use route::Millis;
+use route::{Millis, Pause, Pauses};
 use smol::Timer;
 use std::io;
 use std::pin::Pin;
@@ -37,6 +37,7 @@
     heard: Millis,
     began: Millis,
     gap: Millis,
+    pauses: Pauses,
 }
 
 enum State<W: Wire, S: Rows> {
@@ -72,6 +73,7 @@
         let ms = now.saturating_sub(job.request.arrived);
         job.node.metrics.first.with_label_values(&[&job.request.route.name]).observe(ms as f64 / 1_000.0);
         meter.pass(splitter.count());
+        let pauses = Pauses::new(job.node.now_exact());
         Relay {
             job,
             state: State::Flowing(flow),
@@ -82,6 +84,7 @@
             heard: now,
             began: now,
             gap: 0,
+            pauses,
         }
     }
 
@@ -126,21 +129,33 @@
                 self.gap = self.gap.max(now.saturating_sub(self.heard));
                 self.heard = now;
                 let events = self.splitter.push(data);
+                if events.is_empty() {
+                    return Turn::Again;
+                }
+                self.observe();
                 self.meter.pass(self.splitter.count());
-                if events.is_empty() { Turn::Again } else { Turn::Give(events) }
+                Turn::Give(events)
             }
             Some(Err(error)) => self.switch(&format!("the stream broke off: {error}")),
             None => self.complete(),
         }
     }
 
+    /// Tells the picture of the upstream how fast the events come.
+    fn observe(&mut self) {
+        let State::Flowing(flow) = &self.state else { return };
+        let upstream = &flow.seat.upstream;
+        match self.pauses.next(self.job.node.now_exact()) {
+            Pause::Quiet(ms) => self.job.node.places().quiet(upstream, ms),
+            Pause::Long(ms) => self.job.node.places().pause(upstream, ms, self.job.node.now()),
+            Pause::Usual => {}
+        }
+    }
+
     fn complete(&mut self) -> Turn {
         let rest = self.splitter.take_rest();
         if let State::Flowing(flow) = std::mem::replace(&mut self.state, State::Ended) {
-            let events = self.splitter.count();
-            let pace = (self.job.node.now() - self.began) as f64 / (events.max(2) - 1) as f64;
-            // A few events say little about the pace.
-            self.job.node.places().succeed(&flow.seat.upstream, (events >= 8).then_some(pace));
+            self.job.node.places().succeed(&flow.seat.upstream, None);
             flow.lease.keep();
         }
         self.end("complete", "");
@@ -205,6 +220,7 @@
             return Turn::Fail("no upstream could continue the stream".to_owned());
         };
         self.heard = self.job.node.now();
+        self.pauses = Pauses::new(self.job.node.now_exact());
         self.splitter = resumed.splitter;
         self.meter.pass(self.splitter.count());
         self.state = State::Flowing(resumed.flow);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,17 +17,23 @@
 
 mod board;
 mod desk;
+mod division;
+mod engine;
 mod health;
 mod line;
+mod pause;
 pub mod place;
+mod reads;
 mod retry;
 mod share;
 mod window;
 
 pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View, home};
 pub use desk::{Desk, Entered, Want};
+pub use engine::Model;
 pub use health::Standing;
 pub use line::{Admit, Line, Ticket};
+pub use pause::{Pause, Pauses};
 pub use retry::Budget;
 pub use share::{Owners, assign};
 pub use window::{Terms, Window};
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -1,22 +1,30 @@
 //! Placing requests on the upstreams of many services, by an estimate of the time to the first answer.
 //!
-//! Routers share no counts: each estimates an upstream's load from its own dispatches. Requests with a common
-//! prompt part prefer the same upstream at every router, so its cache and the others' load stay predictable.
+//! Routers share no counts: each estimates an upstream's load from its own dispatches and from those that others
+//! tell it of. Requests with a common prompt part prefer the same upstream at every router, so its cache and the
+//! others' load stay predictable. Long prompts and short ones go to different engines where there are both.
 
 use crate::Millis;
+use crate::division::{Division, Load, Member, is_long};
+use crate::engine::{self, Model, Pace};
 use crate::health::{Health, Standing};
+use crate::reads::Reads;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Prompt tokens that an engine reads in a millisecond, until it was measured: the order of today's engines.
-const PREFILL_RATE: f64 = 50.0;
 /// Cost of each prompt token that has to be read again beside the time it takes, in milliseconds: other prompts wait for
-/// it, and it pushes parts out of the cache that are then read again themselves. Twice the time it takes; no other value was
-/// measured.
-const REREAD_COST: f64 = 0.04;
-/// Cost of each run that an engine already has, in milliseconds: how much later its batch takes a new one.
-const RUN_COST: f64 = 4.0;
+/// it, and it pushes parts out of the cache that are then read again themselves. In the emulator 0.04 to 0.15 differ by
+/// less than 0.01 of the worth.
+const REREAD_COST: f64 = 0.08;
+/// Cost of short work at an engine that reads long prompts, as a share of the target: a stream there is late for its
+/// pauses about one time in ten.
+const AMONG_LONG: f64 = 0.125;
+/// Cost of long work at an engine that is kept for short work, as a share of the target: it makes a dozen streams late.
+const AMONG_SHORT: f64 = 1.0;
+/// Cost of each run that an engine already has, in milliseconds: it decides where nothing else does.
+const RUN_COST: f64 = 1.0;
 /// Cost of each call that a plain service already has, in milliseconds: the order of one call's work.
 const CALL_COST: f64 = 60.0;
 /// Cost of an upstream in another data centre, in milliseconds of estimated time: traffic between them is paid for.
@@ -27,14 +35,16 @@
 const OVERDUE_COST: f64 = 400.0;
 /// Weight of a new outcome in the share of failures.
 const FAILURE_SAMPLE: f64 = 0.2;
-/// Weight of a new sample in the average pace.
+/// Weight of a new sample in the average pace of a plain service.
 const PACE_SAMPLE: f64 = 0.1;
-/// An upstream counts as slow from this multiple of the typical pace on: less is the load's doing.
+/// A plain service counts as slow from this multiple of the typical pace on: less is the load's doing.
 const SLOW: f64 = 1.6;
 /// Prompt parts remembered for each engine.
 const PARTS: usize = 2_048;
 /// How long a part is thought to stay cached without use, in milliseconds.
 const PART_AGE: Millis = 60_000;
+/// Others' runs remembered for each engine.
+const HEARD_RUNS: usize = 512;
 
 /// A part of a prompt, in the order in which the prompt holds them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,13 +66,28 @@
     pub slots: u32,
 }
 
+/// A prompt, and what its stream is meant to keep to.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompt<'a> {
+    /// Its parts, in order.
+    pub parts: &'a [Part],
+    /// All of its tokens.
+    pub input: u64,
+    /// Events that are expected to come out.
+    pub events: u64,
+    /// The time to a first answer that the operator aims at, in milliseconds.
+    pub target_ms: u64,
+    /// The longest pause between events that the operator aims at, in milliseconds.
+    pub gap_ms: u64,
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
     /// The service.
     pub service: &'a str,
-    /// The parts of its prompt; none for a plain service.
-    pub parts: &'a [Part],
+    /// The prompt, if it is for an engine.
+    pub prompt: Option<Prompt<'a>>,
     /// Upstreams that must not be chosen again.
     pub avoid: &'a [String],
 }
@@ -76,45 +101,115 @@
     pub cost: f64,
     /// Prompt tokens that it has to read.
     pub uncached: u32,
-    /// Requests of this router that it has.
+    /// The time to the first answer, as estimated, in milliseconds.
+    pub first_ms: f64,
+    /// Whether the prompt is long for the streams beside it.
+    pub is_long: bool,
+    /// Whether the upstream is kept for short work.
+    pub is_kept: bool,
+    /// The time between two events while nothing is read there, in milliseconds, if it is known.
+    pub event_ms: Option<f64>,
+    /// How long the run should last, in milliseconds.
+    pub lasts_ms: f64,
+    /// Requests that it has, as far as this router knows.
     pub open: u32,
     /// How many could be chosen.
     pub candidates: usize,
 }
 
-/// A long prompt that another router sent.
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    at: Millis,
-    tokens: u32,
+/// A dispatch, as its router tells the others of it.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Told {
+    /// Prompt tokens that have to be read.
+    pub unread: u32,
+    /// Whether the prompt is long for the streams beside it.
+    pub is_long: bool,
+    /// How long the run should last, in milliseconds.
+    pub lasts_ms: f64,
+    /// What its router takes the time between two events of this engine to be while nothing is read, in milliseconds, if
+    /// it knows.
+    pub event_ms: Option<f64>,
 }
 
+/// The number of one of this router's dispatches.
+pub type Ticket = u64;
+
 #[derive(Clone, Debug)]
 struct Upstream {
     site: Site,
     leaving: bool,
     open: u32,
     overdue: u32,
-    unread: u64,
-    heard: SmallVec<[Heard; 2]>,
+    reads: Reads,
+    /// When others' runs should end, in milliseconds.
+    heard: VecDeque<f64>,
+    pace: Pace,
     failures: f64,
-    pace: f64,
+    call_ms: f64,
     health: Health,
     parts: HashMap<u64, Millis>,
     order: VecDeque<u64>,
 }
 
+/// A dispatch whose first answer is awaited.
+#[derive(Clone, Copy, Debug)]
+struct Awaited {
+    sent: Millis,
+    unread: u32,
+    /// Whether nothing else was known to be read before it.
+    is_alone: bool,
+}
+
+/// What is known of the engines of one service together.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    model: Model,
+    load: Load,
+    division: Division,
+}
+
 /// The upstreams as one router sees them.
 #[derive(Clone, Debug)]
 pub struct Places {
     data_centre: String,
     upstreams: BTreeMap<String, Upstream>,
+    services: HashMap<String, Service>,
+    awaited: HashMap<Ticket, Awaited>,
+    tickets: Ticket,
+}
+
+/// What decides between the engines of one service for one prompt.
+struct Scene<'a> {
+    prompt: &'a Prompt<'a>,
+    model: &'a Model,
+    division: &'a Division,
+    /// The usual pace of the service's engines.
+    usual: f64,
+    is_long: bool,
+    home: Option<&'a str>,
+    now: Millis,
+}
+
+/// What is expected of one upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Estimate {
+    cost: f64,
+    uncached: u32,
+    first_ms: f64,
+    lasts_ms: f64,
+    is_kept: bool,
 }
 
 impl Places {
     /// No upstreams, seen from `data_centre`.
     pub fn new(data_centre: &str) -> Places {
-        Places { data_centre: data_centre.to_owned(), upstreams: BTreeMap::new() }
+        Places {
+            data_centre: data_centre.to_owned(),
+            upstreams: BTreeMap::new(),
+            services: HashMap::new(),
+            awaited: HashMap::new(),
+            tickets: 0,
+        }
     }
 
     /// Adds or changes an upstream.
@@ -130,10 +225,11 @@
                     leaving,
                     open: 0,
                     overdue: 0,
-                    unread: 0,
-                    heard: SmallVec::new(),
+                    reads: Reads::default(),
+                    heard: VecDeque::new(),
+                    pace: Pace::default(),
                     failures: 0.0,
-                    pace: 0.0,
+                    call_ms: 0.0,
                     health: Health::default(),
                     parts: HashMap::new(),
                     order: VecDeque::new(),
@@ -150,121 +246,188 @@
 
     /// Chooses the upstream with the least estimated time to a first answer; `None` if nothing serves the need.
     pub fn choose(&self, need: &Need<'_>, now: Millis) -> Option<Chosen> {
-        let serving: SmallVec<[(&str, &Upstream); 32]> = self
-            .upstreams
-            .iter()
-            .filter(|(name, upstream)| {
+        let serving = || {
+            self.upstreams.iter().filter(|(name, upstream)| {
                 upstream.site.service == need.service
                     && !upstream.leaving
                     && !need.avoid.iter().any(|avoid| avoid == *name)
             })
+        };
+        let any_fit = serving().any(|(_, upstream)| upstream.is_fit(now));
+        let candidates: SmallVec<[(&str, &Upstream); 32]> = serving()
+            .filter(|(_, upstream)| !any_fit || upstream.is_fit(now))
             .map(|(name, upstream)| (name.as_str(), upstream))
             .collect();
-        let fit = |upstream: &Upstream| match upstream.health.standing(now) {
-            Standing::Ejected => false,
-            Standing::Probation(most) => upstream.open < most,
-            Standing::Fit => true,
+        let unknown = Service::default();
+        let service = self.services.get(need.service).unwrap_or(&unknown);
+        let scene = need.prompt.as_ref().map(|prompt| Scene::new(prompt, &candidates, service, now));
+        let typical = typical_call(&candidates);
+        let estimate = |name: &str, upstream: &Upstream| {
+            let mut estimate = match &scene {
+                Some(scene) => scene.estimate(name, upstream),
+                None => plain(upstream, typical),
+            };
+            estimate.cost += upstream.penalty(&self.data_centre, now);
+            estimate
         };
-        let any_fit = serving.iter().any(|(_, upstream)| fit(upstream));
-        let home = self.home(&serving, need);
-        let typical = typical_pace(&serving);
-        let candidates = serving.iter().filter(|(_, upstream)| !any_fit || fit(upstream));
-        let count = candidates.clone().count();
-        candidates
-            .map(|(name, upstream)| {
-                let uncached = upstream.uncached(need.parts, home == Some(*name), now);
-                (self.cost(upstream, need, uncached, typical, now), *name, uncached, upstream.open)
-            })
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(cost, name, uncached, open)| Chosen {
-                upstream: name.to_owned(),
-                cost,
-                uncached,
-                open,
-                candidates: count,
-            })
+        let (name, upstream, estimate) = candidates
+            .iter()
+            .map(|(name, upstream)| (*name, *upstream, estimate(name, upstream)))
+            .min_by(|left, right| left.2.cost.total_cmp(&right.2.cost))?;
+        Some(Chosen {
+            upstream: name.to_owned(),
+            cost: estimate.cost,
+            uncached: estimate.uncached,
+            first_ms: estimate.first_ms,
+            lasts_ms: estimate.lasts_ms,
+            is_long: scene.is_some_and(|scene| scene.is_long),
+            is_kept: estimate.is_kept,
+            event_ms: upstream.pace.quiet(),
+            open: upstream.runs(now),
+            candidates: candidates.len(),
+        })
     }
 
-    /// The upstream that every router prefers for the prompt's last shared part: read once, it is cached there
-    /// for all. Another data centre is worth it, since a prompt is read in far more time than it is sent.
-    fn home<'a>(&self, serving: &[(&'a str, &Upstream)], need: &Need<'_>) -> Option<&'a str> {
-        let shared = &need.parts[..need.parts.len().saturating_sub(1)];
-        let part = shared.last()?;
-        serving
-            .iter()
-            .max_by_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), part.id))
-            .map(|(name, _)| *name)
+    /// Notes a dispatch as it was chosen.
+    pub fn begin(&mut self, chosen: &Chosen, prompt: Option<&Prompt<'_>>, now: Millis) -> Ticket {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        if let Some(upstream) = self.upstreams.get_mut(&chosen.upstream) {
+            upstream.open += 1;
+            let parts = prompt.map(|prompt| prompt.parts).unwrap_or_default();
+            parts.iter().for_each(|part| upstream.remember(part.id, now));
+        }
+        if let Some(prompt) = prompt {
+            if !chosen.is_long
+                && let Some(service) = self.service_of(&chosen.upstream)
+            {
+                service.load.gap_ms = prompt.gap_ms as f64;
+            }
+            let is_alone = self.push(&chosen.upstream, Some(ticket), chosen.uncached, chosen.is_long, now);
+            self.awaited.insert(ticket, Awaited { sent: now, unread: chosen.uncached, is_alone });
+        }
+        ticket
     }
 
-    fn cost(&self, upstream: &Upstream, need: &Need<'_>, uncached: u32, typical: f64, now: Millis) -> f64 {
-        let own = if need.parts.is_empty() {
-            CALL_COST * f64::from(upstream.open)
-        } else {
-            let unread = f64::from(uncached) + upstream.unread as f64 + upstream.heard_unread(now);
-            unread / PREFILL_RATE + RUN_COST * f64::from(upstream.open)
-        };
-        let slow = match upstream.pace / typical.max(f64::MIN_POSITIVE) {
-            ratio if typical > 0.0 && ratio > SLOW => ratio,
-            _ => 1.0,
-        };
-        let base = if need.parts.is_empty() { CALL_COST } else { 20.0 * RUN_COST };
-        let mut cost = (base + own) * slow - base;
-        if upstream.site.data_centre != self.data_centre {
-            cost += DISTANCE_COST;
+    /// Notes another router's dispatch.
+    pub fn hear(&mut self, name: &str, told: &Told, now: Millis) {
+        self.push(name, None, told.unread, told.is_long, now);
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        if let Some(ms) = told.event_ms {
+            upstream.pace.hear(ms);
+        }
+        upstream.heard.retain(|until| *until > now as f64);
+        if upstream.heard.len() < HEARD_RUNS {
+            upstream.heard.push_back(now as f64 + told.lasts_ms);
         }
-        cost += REREAD_COST * f64::from(uncached);
-        cost += FAILURE_COST * upstream.failures + OVERDUE_COST * f64::from(upstream.overdue);
-        cost + FAILURE_COST * f64::from(upstream.health.recent_failures(now))
     }
 
-    /// Notes a dispatch of `unread` prompt tokens.
-    pub fn begin(&mut self, name: &str, parts: &[Part], unread: u32, now: Millis) {
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.open += 1;
-            upstream.unread += u64::from(unread);
-            for part in parts {
-                upstream.remember(part.id, now);
-            }
+    /// Adds a prompt to what an engine has to read; `true` if that was nothing.
+    fn push(&mut self, name: &str, own: Option<Ticket>, unread: u32, is_long: bool, now: Millis) -> bool {
+        let usual = self.usual_beside(name);
+        let Some(upstream) = self.upstreams.get_mut(name) else { return false };
+        let service = self.services.entry(upstream.site.service.clone()).or_default();
+        let takes = service.model.read_ms(f64::from(unread));
+        service.load.add(is_long, unread, now);
+        let is_alone = upstream.reads.is_idle(now);
+        upstream.reads.push(own, takes * upstream.pace.slowness(usual), now);
+        is_alone
+    }
+
+    /// Notes the first answer of a dispatch: its prompt was read.
+    pub fn read(&mut self, name: &str, ticket: Ticket, now: Millis) {
+        let usual = self.usual_beside(name);
+        let awaited = self.awaited.remove(&ticket);
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        upstream.reads.remove(ticket, true, now);
+        let Some(awaited) = awaited.filter(|awaited| awaited.is_alone) else { return };
+        let ms = now.saturating_sub(awaited.sent) as f64 / upstream.pace.slowness(usual);
+        if let Some(service) = self.services.get_mut(&upstream.site.service) {
+            service.model.learn_first(ms, f64::from(awaited.unread));
         }
     }
 
-    /// Notes that another router sent an upstream a prompt with so many tokens to read.
-    pub fn hear(&mut self, name: &str, tokens: u32, now: Millis) {
+    /// Notes the end of a dispatch.
+    pub fn end(&mut self, name: &str, ticket: Ticket, now: Millis) {
+        self.awaited.remove(&ticket);
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.heard.retain(|heard| heard.left(now) > 0.0);
-            upstream.heard.push(Heard { at: now, tokens });
+            upstream.open = upstream.open.saturating_sub(1);
+            upstream.reads.remove(ticket, false, now);
         }
     }
 
-    /// Notes that a dispatched prompt was read: its first answer came, or it ended before.
-    pub fn read(&mut self, name: &str, unread: u32) {
+    /// Notes the shortest of a few times between two events of a stream.
+    pub fn quiet(&mut self, name: &str, ms: f64) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.unread = upstream.unread.saturating_sub(u64::from(unread));
+            upstream.pace.learn(ms);
         }
     }
 
-    /// Notes that a request is waiting unusually long for its first answer, or that it waits no more.
-    pub fn overdue(&mut self, name: &str, waits: bool) {
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.overdue = if waits { upstream.overdue + 1 } else { upstream.overdue.saturating_sub(1) };
+    /// Notes a long time between two events of a stream, the second of which came just now.
+    pub fn pause(&mut self, name: &str, ms: f64, now: Millis) {
+        let usual = self.usual_beside(name);
+        let Some(upstream) = self.upstreams.get(name) else { return };
+        // A read that began or ended within the pause says less than all that there is.
+        if !upstream.reads.is_reading_since(now.saturating_sub(ms as Millis), now) {
+            return;
+        }
+        let ms = ms / upstream.pace.slowness(usual);
+        if let Some(service) = self.services.get_mut(&upstream.site.service) {
+            service.model.learn_pause(ms);
+        }
+    }
+
+    /// Adapts the division of each service's engines between long and short work, and names those that are kept for
+    /// short work. One router does so, and the others [`follow`](Places::follow) it.
+    pub fn divide(&mut self) -> impl Iterator<Item = (&str, &[String])> {
+        for (service, known) in &mut self.services {
+            let like = || self.upstreams.iter().filter(|(_, upstream)| upstream.site.service == *service);
+            let usual = engine::usual(like().map(|(_, upstream)| upstream.pace));
+            let serving = like().filter(|(_, upstream)| !upstream.leaving);
+            let members = serving.map(|(name, upstream)| Member {
+                name,
+                slowness: upstream.pace.quiet().map(|_| upstream.pace.slowness(usual)),
+            });
+            known.division.adapt(members, &known.load, known.model.pause_ms());
         }
+        self.services.iter().map(|(name, service)| (name.as_str(), service.division.short()))
+    }
+
+    /// Follows another router's division of a service's engines; `true` if that is new.
+    pub fn follow(&mut self, service: &str, short: &[String]) -> bool {
+        let division = &mut self.services.entry(service.to_owned()).or_default().division;
+        let is_new = division.short() != short;
+        *division = Division::follow(short.to_vec());
+        is_new
+    }
+
+    fn service_of(&mut self, name: &str) -> Option<&mut Service> {
+        let upstream = self.upstreams.get(name)?;
+        Some(self.services.entry(upstream.site.service.clone()).or_default())
     }
 
-    /// Notes that a request ended.
-    pub fn end(&mut self, name: &str) {
+    /// The usual pace of the engines of an upstream's service.
+    fn usual_beside(&self, name: &str) -> f64 {
+        let service = self.upstreams.get(name).map(|upstream| &upstream.site.service);
+        let like = self.upstreams.values().filter(|other| Some(&other.site.service) == service);
+        engine::usual(like.map(|upstream| upstream.pace))
+    }
+
+    /// Notes that a request is waiting unusually long for its first answer, or that it waits no more.
+    pub fn overdue(&mut self, name: &str, waits: bool) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.open = upstream.open.saturating_sub(1);
+            upstream.overdue = if waits { upstream.overdue + 1 } else { upstream.overdue.saturating_sub(1) };
         }
     }
 
-    /// Notes an answer, with its pace in milliseconds: of one call, or of one token.
-    pub fn succeed(&mut self, name: &str, pace: Option<f64>) {
+    /// Notes an answer, with the time that it took if it was a plain service's, in milliseconds.
+    pub fn succeed(&mut self, name: &str, call_ms: Option<f64>) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
             upstream.health.succeed();
             upstream.failures -= FAILURE_SAMPLE * upstream.failures;
-            if let Some(pace) = pace {
-                let sample = if upstream.pace == 0.0 { 1.0 } else { PACE_SAMPLE };
-                upstream.pace += sample * (pace - upstream.pace);
+            if let Some(ms) = call_ms {
+                let sample = if upstream.call_ms == 0.0 { 1.0 } else { PACE_SAMPLE };
+                upstream.call_ms += sample * (ms - upstream.call_ms);
             }
         }
     }
@@ -289,6 +452,21 @@
         true
     }
 
+    /// What was learned of each service's engines, with their usual pace in milliseconds.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &Model, f64)> {
+        self.services.iter().filter(|(_, service)| service.load.is_known()).map(|(name, service)| {
+            let like = self.upstreams.values().filter(|upstream| upstream.site.service == *name);
+            (name.as_str(), &service.model, engine::usual(like.map(|upstream| upstream.pace)))
+        })
+    }
+
+    /// How many times slower than usual each engine is.
+    pub fn slowness(&self, service: &str) -> Vec<(&str, f64)> {
+        let like = || self.upstreams.iter().filter(|(_, upstream)| upstream.site.service == service);
+        let usual = engine::usual(like().map(|(_, upstream)| upstream.pace));
+        like().map(|(name, upstream)| (name.as_str(), upstream.pace.slowness(usual))).collect()
+    }
+
     /// The service of an upstream.
     pub fn service(&self, name: &str) -> Option<&str> {
         self.upstreams.get(name).map(|upstream| upstream.site.service.as_str())
@@ -300,16 +478,90 @@
     }
 }
 
-impl Heard {
-    /// Tokens that are still to be read, as far as time tells.
-    fn left(&self, now: Millis) -> f64 {
-        (f64::from(self.tokens) - now.saturating_sub(self.at) as f64 * PREFILL_RATE).max(0.0)
+impl<'a> Scene<'a> {
+    fn new(
+        prompt: &'a Prompt<'a>,
+        engines: &[(&'a str, &'a Upstream)],
+        service: &'a Service,
+        now: Millis,
+    ) -> Scene<'a> {
+        let Service { model, division, .. } = service;
+        let usual = engine::usual(engines.iter().map(|(_, engine)| engine.pace));
+        let is_long = is_long(model.read_ms(prompt.input as f64), prompt.gap_ms as f64);
+        let mut scene = Scene { prompt, model, division, usual, is_long, home: None, now };
+        scene.home = scene.home(engines);
+        scene
+    }
+
+    /// The upstream that every router prefers for the prompt's last shared part: read once, it is cached there
+    /// for all. Another data centre is worth it, since a prompt is read in far more time than it is sent.
+    fn home(&self, engines: &[(&'a str, &Upstream)]) -> Option<&'a str> {
+        let shared = &self.prompt.parts[..self.prompt.parts.len().saturating_sub(1)];
+        let part = shared.last()?;
+        engines
+            .iter()
+            .filter(|(name, _)| !self.division.is_divided() || self.division.is_short(name) != self.is_long)
+            .max_by_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), part.id))
+            .map(|(name, _)| *name)
+    }
+
+    fn estimate(&self, name: &str, engine: &Upstream) -> Estimate {
+        let uncached = engine.uncached(self.prompt.parts, self.home == Some(name), self.now);
+        let slowness = engine.pace.slowness(self.usual);
+        let ahead_ms = engine.reads.left_ms(self.now);
+        let first_ms = ahead_ms + self.model.first_ms(f64::from(uncached)) * slowness;
+        let is_kept = self.division.is_short(name);
+        let mixed = match (self.division.is_divided(), self.is_long, is_kept) {
+            (true, true, true) => AMONG_SHORT * self.prompt.target_ms as f64,
+            (true, false, false) => AMONG_LONG * self.prompt.target_ms as f64,
+            _ => 0.0,
+        };
+        let runs = f64::from(engine.runs(self.now));
+        let cost = first_ms + mixed + RUN_COST * runs + REREAD_COST * f64::from(uncached);
+        let pace = engine.pace.quiet().unwrap_or(self.usual);
+        let lasts_ms = first_ms + self.prompt.events as f64 * pace;
+        Estimate { cost, uncached, first_ms, lasts_ms, is_kept }
+    }
+}
+
+/// What is expected of an upstream of a plain service.
+fn plain(upstream: &Upstream, typical: f64) -> Estimate {
+    let slow = match upstream.call_ms / typical.max(f64::MIN_POSITIVE) {
+        ratio if typical > 0.0 && ratio > SLOW => ratio,
+        _ => 1.0,
+    };
+    let cost = CALL_COST * ((1.0 + f64::from(upstream.open)) * slow - 1.0);
+    Estimate { cost, first_ms: cost, ..Estimate::default() }
+}
+
+impl Chosen {
+    /// What the other routers should know of the dispatch.
+    pub fn told(&self) -> Told {
+        let Chosen { is_long, lasts_ms, event_ms, .. } = *self;
+        Told { unread: self.uncached, is_long, lasts_ms, event_ms }
     }
 }
 
 impl Upstream {
-    fn heard_unread(&self, now: Millis) -> f64 {
-        self.heard.iter().map(|heard| heard.left(now)).sum()
+    fn is_fit(&self, now: Millis) -> bool {
+        match self.health.standing(now) {
+            Standing::Ejected => false,
+            Standing::Probation(most) => self.open < most,
+            Standing::Fit => true,
+        }
+    }
+
+    /// What speaks against it whatever the request is, in milliseconds, for a router in `data_centre`.
+    fn penalty(&self, data_centre: &str, now: Millis) -> f64 {
+        let distance = if self.site.data_centre == data_centre { 0.0 } else { DISTANCE_COST };
+        let failures = self.failures + f64::from(self.health.recent_failures(now));
+        distance + FAILURE_COST * failures + OVERDUE_COST * f64::from(self.overdue)
+    }
+
+    /// Runs that it has, this router's and others'.
+    fn runs(&self, now: Millis) -> u32 {
+        let heard = self.heard.iter().filter(|until| **until > now as f64).count();
+        self.open + u32::try_from(heard).unwrap_or(u32::MAX)
     }
 
     /// Prompt tokens that are not cached here: a part counts as cached only if every part before it does.
@@ -335,13 +587,13 @@
     }
 }
 
-/// The middle of the known paces; 0 if fewer than two are known.
-fn typical_pace(serving: &[(&str, &Upstream)]) -> f64 {
-    let known = serving.iter().map(|(_, upstream)| upstream.pace).filter(|pace| *pace > 0.0);
-    let mut paces: SmallVec<[f64; 32]> = known.collect();
-    if paces.len() < 2 {
+/// The middle of the known times of calls; 0 if fewer than two are known.
+fn typical_call(serving: &[(&str, &Upstream)]) -> f64 {
+    let known = serving.iter().map(|(_, upstream)| upstream.call_ms).filter(|ms| *ms > 0.0);
+    let mut times: SmallVec<[f64; 32]> = known.collect();
+    if times.len() < 2 {
         return 0.0;
     }
-    paces.sort_by(f64::total_cmp);
-    paces[(paces.len() - 1) / 2]
+    times.sort_by(f64::total_cmp);
+    times[(times.len() - 1) / 2]
 }
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -1,10 +1,12 @@
 //! Placing requests by estimates: caches, load, failures, and what other routers tell.
 
-use route::place::{Chosen, Need, Part, Places, Site};
+use route::place::{Chosen, Need, Part, Places, Prompt, Site, Ticket, Told};
 use route::{Terms, Window};
 
-const PROMPT: [Part; 3] =
+const PARTS: [Part; 3] =
     [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 5_000 }, Part { id: 3, tokens: 800 }];
+const PROMPT: Prompt<'static> =
+    Prompt { parts: &PARTS, input: 6_300, events: 50, target_ms: 1_000, gap_ms: 400 };
 
 fn places(count: usize) -> Places {
     let mut places = Places::new("here");
@@ -16,12 +18,17 @@
     places
 }
 
-fn need(parts: &[Part]) -> Need<'_> {
-    Need { service: "engines", parts, avoid: &[] }
-}
+/// A call of a plain service.
+const CALL: Need<'static> = Need { service: "engines", prompt: None, avoid: &[] };
 
 fn choose(places: &Places, now: u64) -> Chosen {
-    places.choose(&need(&PROMPT), now).expect("an upstream")
+    places.choose(&Need { prompt: Some(PROMPT), ..CALL }, now).expect("an upstream")
+}
+
+/// Sends an upstream a prompt with so many tokens to read.
+fn send(places: &mut Places, upstream: &str, tokens: u32, now: u64) -> Ticket {
+    let chosen = Chosen { upstream: upstream.to_owned(), uncached: tokens, ..choose(places, now) };
+    places.begin(&chosen, Some(&Prompt { parts: &[], ..PROMPT }), now)
 }
 
 #[test]
@@ -29,7 +36,7 @@
     let (one, mut two) = (places(6), places(6));
     let home = choose(&one, 0);
     assert_eq!(home.uncached, 800, "its shared parts are taken to be cached at their home");
-    two.begin("e-0", &[], 0, 0);
+    send(&mut two, "e-0", 0, 0);
     assert_eq!(choose(&two, 0).upstream, home.upstream);
 }
 
@@ -37,45 +44,46 @@
 fn a_loaded_home_is_left_once_reading_anew_costs_less() {
     let mut places = places(6);
     let home = choose(&places, 0).upstream;
-    places.begin(&home, &[], 3_000, 0);
+    send(&mut places, &home, 3_000, 0);
     assert_eq!(choose(&places, 0).upstream, home, "3,000 tokens ahead are less than 5,500 to read");
-    places.begin(&home, &[], 16_000, 0);
+    let last = send(&mut places, &home, 30_000, 0);
     let other = choose(&places, 0);
     assert_ne!(other.upstream, home);
     assert_eq!(other.uncached, 6_300);
-    places.read(&home, 19_000);
-    assert_eq!(choose(&places, 0).upstream, home);
+    places.read(&home, last, 900);
+    assert_eq!(choose(&places, 900).upstream, home, "all before it was read too");
 }
 
 #[test]
 fn a_long_prompt_of_another_router_is_avoided_until_it_is_read() {
     let mut places = places(6);
     let home = choose(&places, 0).upstream;
-    places.hear(&home, 40_000, 0);
+    let told = Told { unread: 40_000, is_long: true, lasts_ms: 2_000.0, event_ms: None };
+    places.hear(&home, &told, 0);
     assert_ne!(choose(&places, 100).upstream, home);
     assert_eq!(choose(&places, 1_000).upstream, home, "by then it was read");
-    places.hear("unknown", 40_000, 0);
+    places.hear("unknown", &told, 0);
 }
 
 #[test]
 fn upstreams_that_leave_fail_or_were_tried_are_passed_over() {
     let mut places = places(3);
     let avoid = ["e-0".to_owned()];
-    let tried = Need { avoid: &avoid, ..need(&[]) };
-    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.upstream), Some("e-0".to_owned()));
+    let tried = Need { avoid: &avoid, ..CALL };
+    assert_eq!(places.choose(&CALL, 0).map(|chosen| chosen.upstream), Some("e-0".to_owned()));
     assert_eq!(places.choose(&tried, 0).map(|chosen| chosen.upstream), Some("e-2".to_owned()));
     let site = Site { service: "engines".into(), data_centre: "here".into(), slots: 8 };
     places.set("e-0", site, true);
-    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.candidates), Some(2));
+    assert_eq!(places.choose(&CALL, 0).map(|chosen| chosen.candidates), Some(2));
     for _ in 0..3 {
         places.fail("e-2", 10);
     }
-    assert_eq!(places.choose(&need(&[]), 20).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
+    assert_eq!(places.choose(&CALL, 20).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
     for _ in 0..3 {
         places.fail("e-1", 10);
     }
-    assert!(places.choose(&need(&[]), 20).is_some(), "if all fail, one is tried all the same");
-    assert_eq!(places.choose(&Need { service: "tiles", ..need(&[]) }, 0), None);
+    assert!(places.choose(&CALL, 20).is_some(), "if all fail, one is tried all the same");
+    assert_eq!(places.choose(&Need { service: "tiles", ..CALL }, 0), None);
 }
 
 #[test]
@@ -84,10 +92,10 @@
     for _ in 0..10 {
         places.err("e-0");
     }
-    let chosen = places.choose(&need(&[]), 0).expect("an upstream");
+    let chosen = places.choose(&CALL, 0).expect("an upstream");
     assert_eq!(chosen.upstream, "e-2");
     places.overdue("e-2", true);
-    assert_eq!(places.choose(&need(&[]), 0).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
+    assert_eq!(places.choose(&CALL, 0).map(|chosen| chosen.upstream), Some("e-1".to_owned()));
 }
 
 #[test]
@@ -121,6 +129,47 @@
     let mut places = places(6);
     let home = choose(&places, 0).upstream;
     // A prompt of 7,000 tokens is ahead; elsewhere the 5,500 shared tokens would have to be read again.
-    places.begin(&home, &[], 7_000, 0);
+    send(&mut places, &home, 7_000, 0);
     assert_eq!(choose(&places, 0).upstream, home);
 }
+
+#[test]
+fn an_engine_that_does_not_answer_is_left_although_its_prompts_should_be_read() {
+    let mut places = places(6);
+    let home = choose(&places, 0).upstream;
+    send(&mut places, &home, 1_000, 0);
+    assert_eq!(choose(&places, 100).upstream, home);
+    assert_ne!(choose(&places, 1_500).upstream, home, "it should have answered long ago");
+}
+
+#[test]
+fn times_to_a_first_answer_are_learned() {
+    let mut model = route::Model::default();
+    for round in 0..400 {
+        for tokens in [200.0, 900.0, 3_000.0, 9_000.0] {
+            // One in five waits behind work that this router does not know of.
+            let unknown = if round % 5 == 0 { 400.0 } else { 0.0 };
+            model.learn_first(80.0 + tokens / 30.0 + unknown, tokens);
+        }
+    }
+    for tokens in [200.0, 900.0, 3_000.0, 9_000.0] {
+        let (known, learned) = (80.0 + tokens / 30.0, model.first_ms(tokens));
+        assert!((learned / known - 1.0).abs() < 0.15, "{tokens} tokens: {learned} ms of {known}");
+    }
+    assert!((model.read_ms(6_000.0) - 200.0).abs() < 60.0, "{}", model.read_ms(6_000.0));
+}
+
+#[test]
+fn a_slower_engine_is_told_by_the_pace_of_its_streams() {
+    let mut places = places(4);
+    for round in 0..200 {
+        for (upstream, ms) in [("e-0", 20.0), ("e-1", 20.0), ("e-2", 20.0), ("e-3", 26.0)] {
+            // Prompts that were read beside a stream make every third time longer.
+            places.quiet(upstream, if round % 3 == 0 { 3.0 * ms } else { ms });
+        }
+    }
+    let slowness = places.slowness("engines");
+    let of = |name: &str| slowness.iter().find(|(other, _)| *other == name).expect("known").1;
+    assert!((of("e-1") - 1.0).abs() < 0.1, "{slowness:?}");
+    assert!((of("e-3") - 1.3).abs() < 0.1, "{slowness:?}");
+}
