--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -8,10 +8,17 @@
 //! that, so the reader never assumes less than the router was allowed.
 //!
 //! ```
-//! let schedule =
-//!     budget::exposure::Schedule { used: 100, allowance: 20, per_s: 10, late_ms: 1_500, late_per_s: 50 };
-//! assert_eq!(schedule.limit(1_000), 130, "without new notes the limit grows, so that an outage is bridged");
-//! assert_eq!(schedule.limit(3_500), 255, "and faster once it has lasted");
+//! let schedule = budget::exposure::Schedule {
+//!     used: 100,
+//!     allowance: 20,
+//!     early_ms: 500,
+//!     per_s: 10,
+//!     late_ms: 1_500,
+//!     late_per_s: 50,
+//! };
+//! assert_eq!(schedule.limit(500), 120, "notes are written more often than that");
+//! assert_eq!(schedule.limit(1_500), 130, "without new ones the limit grows, so that an outage is bridged");
+//! assert_eq!(schedule.limit(3_500), 250, "and faster once it has lasted");
 //! ```
 
 use crate::ledger::Line;
@@ -27,7 +34,10 @@
     pub used: u64,
     /// Allowed beyond that at once.
     pub allowance: u64,
-    /// How much the limit grows in a second.
+    /// From then on the limit grows, in milliseconds since the note.
+    #[serde(default)]
+    pub early_ms: u64,
+    /// How much it grows in a second.
     pub per_s: u64,
     /// From then on it grows faster, in milliseconds since the note.
     pub late_ms: u64,
@@ -38,7 +48,7 @@
 impl Schedule {
     /// The most that may have been used so long after the note.
     pub fn limit(&self, elapsed_ms: u64) -> u64 {
-        let early = growth(self.per_s, elapsed_ms);
+        let early = growth(self.per_s, elapsed_ms.saturating_sub(self.early_ms));
         let late = growth(self.late_per_s, elapsed_ms.saturating_sub(self.late_ms));
         [self.allowance, early, late].into_iter().fold(self.used, u64::saturating_add)
     }
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -32,6 +32,9 @@
 const NOTED_S: f64 = 0.25;
 /// The part of what is at hand that may be used at once after a note.
 const NOTED_PART: u64 = 64;
+/// From this age on a note's limit grows, in milliseconds: notes are written twice a second, and a request may wait a
+/// little for the next one.
+const NOTE_EARLY_MS: u64 = 1_000;
 /// Multiple of the demand by which a note's limit grows with its age, so that a cut is bridged. The death of the process
 /// costs what the limit grew by until its next start.
 const NOTE_GROWTH: f64 = 0.9;
@@ -179,6 +182,7 @@
         Schedule {
             used: self.grant.used(),
             allowance: self.waiting + ((rate * NOTED_S) as u64) + self.grant.available() / NOTED_PART,
+            early_ms: NOTE_EARLY_MS,
             per_s: (rate * (NOTE_GROWTH + plenty * NOTE_GROWTH_PLENTY)) as u64,
             late_ms: NOTE_LATE_MS,
             late_per_s: (plenty * (rate + (self.grant.available() / NOTE_LATE_S) as f64)) as u64,
