--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod closing;
 mod counted;
 mod event;
+mod failover;
 mod handle;
 mod hints;
 mod holding;
@@ -67,6 +68,8 @@
     node: Arc<Node<W, S>>,
     callers: Handle,
     readiness: Handle,
+    /// Where other gateways have calls to the store made; `None` if its address could not be bound.
+    _peers: Option<Handle>,
     /// Stops once it is dropped; `None` if its address could not be bound or is that of readiness.
     _metrics: Option<Handle>,
 }
@@ -97,6 +100,14 @@
         std::future::ready(operators(&shared, &request))
     })
     .await?;
+    let shared = node.clone();
+    let for_others = net::serve(listen.peers, limits, move |request| shared.failover.clone().answer(request));
+    let peers = for_others
+        .await
+        .inspect_err(|error| {
+            log::error!("store: event=no-calls-for-others address={} error=\"{error}\"", listen.peers)
+        })
+        .ok();
     let metrics =
         if listen.metrics == listen.readiness { None } else { metrics(&node, &listen, limits).await };
     log::info!(
@@ -107,7 +118,7 @@
         readiness.address(),
         node.settings.store
     );
-    Ok(Running { node, callers, readiness, _metrics: metrics })
+    Ok(Running { node, callers, readiness, _peers: peers, _metrics: metrics })
 }
 
 /// Serves metrics at an address of their own; a gateway without them is better than none.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -137,7 +137,9 @@
     node.metrics.fleet.set(others as i64 + 1);
     let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
     let beats = page.records.iter().filter(|record| alive(&record.name)).filter_map(decode::<Beat>);
-    node.hints.set_peers(beats.map(|beat| beat.peers).collect());
+    let peers: Vec<SocketAddr> = beats.map(|beat| beat.peers).collect();
+    node.failover.set_peers(&peers);
+    node.hints.set_peers(peers);
     // One gateway looks after those that are gone: the first by name of those alive.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
     let was_first = std::mem::replace(&mut members.is_first, first == Some(own));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! One gateway: what it knows, and what runs on it.
 
 use crate::counted::Counted;
+use crate::failover::Failover;
 use crate::hints::Hints;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
@@ -41,7 +42,9 @@
     /// The VM's name with the incarnation of this process.
     pub holder: String,
     pub wire: W,
-    pub rows: Counted<S>,
+    pub rows: Counted<Failover<S>>,
+    /// The same without the counts.
+    pub failover: Failover<S>,
     pub pool: Pool,
     pub metrics: Metrics,
     pub fleet: Arc<AtomicU64>,
@@ -67,11 +70,13 @@
         note: async_channel::Sender<()>,
     ) -> Node<W, S> {
         let metrics = Metrics::new();
+        let failover = Failover::new(rows);
         Node {
             holder: format!("{}#{incarnation}", settings.name),
             places: Mutex::new(Places::new(&settings.data_centre)),
             wire,
-            rows: Counted::new(rows, &metrics),
+            rows: Counted::new(failover.clone(), &metrics),
+            failover,
             pool: Pool::default(),
             metrics,
             fleet: Arc::new(AtomicU64::new(ASSUMED_FLEET)),
--- /dev/null
+++ b/crates/gateway/tests/unit/failover.rs
@@ -0,0 +1,162 @@
+//! Calls to the store by way of another gateway.
+
+use super::*;
+use net::{Handle, Limits};
+use standin::TableRows;
+use store::rows::Key;
+
+/// What lies between a gateway and the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    Open,
+    /// Nothing is answered.
+    Silent,
+    /// Everything is refused.
+    Busy,
+}
+
+/// The store as one gateway reaches it.
+#[derive(Clone)]
+struct Path {
+    rows: TableRows,
+    way: Arc<Mutex<Way>>,
+}
+
+impl Path {
+    fn new(rows: &TableRows) -> Path {
+        Path { rows: rows.clone(), way: Arc::new(Mutex::new(Way::Open)) }
+    }
+
+    fn set(&self, way: Way) {
+        *self.way.lock().expect("the way") = way;
+    }
+
+    async fn pass(&self) -> Result<(), Error> {
+        let way = *self.way.lock().expect("the way");
+        match way {
+            Way::Open => Ok(()),
+            Way::Silent => std::future::pending().await,
+            Way::Busy => Err(Error {
+                step: "call",
+                peer: "test".to_owned(),
+                fault: Fault::NotApplied,
+                reason: "busy".to_owned(),
+            }),
+        }
+    }
+}
+
+impl Rows for Path {
+    async fn commit(&self, change: &Change) -> Result<Commit, Error> {
+        self.pass().await?;
+        self.rows.commit(change).await
+    }
+
+    async fn list(&self, table: &str, part: &str) -> Result<Page, Error> {
+        self.pass().await?;
+        self.rows.list(table, part).await
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed, Error> {
+        self.pass().await?;
+        self.rows.feed(table, after, wait_ms).await
+    }
+}
+
+/// A gateway that reaches the store, and makes calls for others.
+async fn helper(path: &Path) -> (Failover<Path>, Handle) {
+    let failover = Failover::new(path.clone());
+    let serving = failover.clone();
+    let handle =
+        net::serve(standin::loopback(), Limits::default(), move |request| serving.clone().answer(request))
+            .await
+            .expect("a listener");
+    (failover, handle)
+}
+
+fn put(name: &str) -> Change {
+    Change { puts: vec![(Key::new("things", name), b"here".to_vec())], ..Change::default() }
+}
+
+#[test]
+fn calls_go_by_another_gateway_while_the_store_is_silent() {
+    net::exec::start(2);
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let (open, cut) = (Path::new(&rows), Path::new(&rows));
+        let (_other, handle) = helper(&open).await;
+        let failover = Failover::new(cut.clone());
+        failover.set_peers(&[handle.address()]);
+        assert!(failover.list("things", "").await.is_ok());
+
+        cut.set(Way::Silent);
+        let began = Instant::now();
+        assert!(failover.list("things", "").await.is_ok(), "a read is made again by way of the other");
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+        let began = Instant::now();
+        assert!(matches!(failover.commit(&put("one")).await, Ok(Commit::Applied(_))));
+        assert!(began.elapsed() < Duration::from_millis(200), "known to be away: {:?}", began.elapsed());
+        assert!(rows.get("things", "", "one").is_some());
+        assert!(matches!(failover.feed("things", 0, 10).await, Ok(Feed::Changes(_))));
+
+        cut.set(Way::Open);
+        exec::sleep(3 * PROBE).await;
+        assert!(!failover.lock().is_away(), "the direct way is taken again");
+    });
+}
+
+#[test]
+fn a_write_whose_fate_is_not_known_is_not_made_again() {
+    net::exec::start(2);
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let (open, cut) = (Path::new(&rows), Path::new(&rows));
+        let (_other, handle) = helper(&open).await;
+        let failover = Failover::new(cut.clone());
+        failover.set_peers(&[handle.address()]);
+        cut.set(Way::Silent);
+        let error = failover.commit(&put("one")).await.expect_err("no answer came");
+        assert_eq!(error.fault, Fault::Unknown);
+        assert!(rows.get("things", "", "one").is_none(), "it may still be on its way to the store");
+    });
+}
+
+#[test]
+fn refusals_in_a_row_lead_to_another_gateway_and_one_does_not() {
+    net::exec::start(2);
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let (open, cut) = (Path::new(&rows), Path::new(&rows));
+        let (_other, handle) = helper(&open).await;
+        let failover = Failover::new(cut.clone());
+        failover.set_peers(&[handle.address()]);
+        cut.set(Way::Busy);
+        for _ in 1..REFUSALS {
+            let error = failover.commit(&put("one")).await.expect_err("it is refused");
+            assert_eq!(error.fault, Fault::NotApplied);
+        }
+        assert!(matches!(failover.commit(&put("one")).await, Ok(Commit::Applied(_))));
+    });
+}
+
+#[test]
+fn a_gateway_that_is_cut_off_too_is_no_help_and_harms_nothing() {
+    net::exec::start(2);
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let (first, second) = (Path::new(&rows), Path::new(&rows));
+        let (other, handle) = helper(&first).await;
+        let failover = Failover::new(second.clone());
+        failover.set_peers(&[handle.address()]);
+        first.set(Way::Silent);
+        second.set(Way::Silent);
+        assert!(other.list("things", "").await.is_err());
+        let began = Instant::now();
+        assert!(failover.list("things", "").await.is_err());
+        assert!(failover.list("things", "").await.is_err());
+        assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+        first.set(Way::Open);
+        exec::sleep(3 * PROBE + REST).await;
+        assert!(failover.list("things", "").await.is_ok(), "the other helps once it can");
+    });
+}
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -4,10 +4,11 @@
 //! transaction, so of two versions of a row the higher is always the later.
 
 use crate::Error;
+use serde::{Deserialize, Serialize};
 use std::future::Future;
 
 /// Where a row stands.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key {
     /// The table.
     pub table: String,
@@ -23,7 +24,7 @@
 }
 
 /// One row as it was read.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
     /// Its table; empty where the answer does not repeat it.
     pub table: String,
@@ -36,7 +37,7 @@
 }
 
 /// A conditional change of one partition: all of it or nothing.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Change {
     /// The partition.
     pub part: String,
@@ -49,7 +50,7 @@
 }
 
 /// The outcome of a change.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Commit {
     /// It took effect; the rows written have this version.
     Applied(u64),
@@ -58,7 +59,7 @@
 }
 
 /// Rows as of one moment.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
     /// The rows, in the order of their keys or of their changes.
     pub records: Vec<Record>,
@@ -69,7 +70,7 @@
 }
 
 /// What a watch of a table returned.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Feed {
     /// The rows that changed since, in order; none if the wait ended first.
     Changes(Page),
