--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::First;
 use crate::body::Answer;
+use crate::delegate::{self, Denial};
 use crate::event::Splitter;
 use crate::holding::Denied;
 use crate::job::{Admitted, Job, Meter};
@@ -11,6 +12,7 @@
 use crate::purse::Reservation;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use budget::ledger::Level;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use hyper::body::{Bytes, Incoming};
@@ -125,14 +127,15 @@
     service: &str,
     team: Option<&crate::manifest::Team>,
     ask: &Ask,
-) -> Result<Option<Reservation>, (Denied, u64, String)> {
+) -> Result<Option<Reservation>, Denial> {
     let (Some(team), Some(prompt)) = (team, &ask.prompt) else { return Ok(None) };
-    let Some(purse) = node.purse(manifest, team) else { return Ok(None) };
+    let Some(tokens) = team.reserved else { return Ok(None) };
+    let level = Level { version: manifest.version, tokens };
     let patience = Duration::from_millis((route.target_ms as f64 * BUDGET_PATIENCE) as u64);
+    let lasts = Duration::from_millis(ask.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms));
     let stride = manifest.services.get(service).map_or(1, |service| service.stride);
-    let worst = prompt.worst(stride);
-    let reserved = purse.reserve(worst, patience).await;
-    reserved.map(Some).map_err(|denied| (denied, purse.ready_in(worst), purse.explain(worst)))
+    let purse = || node.purse(manifest, team);
+    delegate::reserve(node, purse, &team.name, level, prompt.worst(stride), patience, lasts).await
 }
 
 /// What to do after a dispatch.
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -6,6 +6,7 @@
 use budget::exposure::{Notes, Schedule};
 use budget::grant::{Grant, Reserve};
 use budget::ledger::{Account, Batch, Level, Pool};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -56,7 +57,7 @@
 const RECALL_SHARE_MS: u64 = 25;
 
 /// Why tokens can't be reserved.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) enum Denied {
     /// The budget can't hold the request at its most.
     Spent,
@@ -203,15 +204,16 @@
 
     /// Tokens that should be at hand: this router's share of what is left, so that it serves through a cut or an
     /// outage of the store, but none of a budget that is nearly spent, where every token must be reachable from
-    /// everywhere.
-    fn target(&self, now: u64, team: &str, terms: &Terms, fleet: u64) -> u64 {
+    /// everywhere. One that does not own the budget holds only what its own requests used lately: it drew while the
+    /// owner did not answer.
+    fn target(&self, now: u64, team: &str, terms: &Terms, owners: u64) -> u64 {
         let left = self.left() as f64;
         if left < self.level.tokens as f64 * SCARCE {
             return 0;
         }
         let spread = left * SPREAD;
-        let target =
-            self.demand.target(now, terms).min(spread as u64).max((spread * self.share(team, fleet)) as u64);
+        let share = if owners == 0 { 0.0 } else { self.share(team, owners) };
+        let target = self.demand.target(now, terms).min(spread as u64).max((spread * share) as u64);
         match self.rows.pool.wanted {
             // What is free is for those that wait.
             true => self.kept(target).min(self.grant.available()),
@@ -240,16 +242,16 @@
         (self.left() as f64 / (self.level.tokens as f64 * PLENTY).max(1.0)).min(1.0)
     }
 
-    /// This router's share of the fleet's use so far: requests of a team keep coming to the same routers.
-    fn share(&self, team: &str, fleet: u64) -> f64 {
+    /// This router's share of the owners' use so far: requests of a team keep coming to the same routers.
+    fn share(&self, team: &str, owners: u64) -> f64 {
         let own = self.rows.account.lines.get(team).map_or(0, |line| line.spent) + self.earlier_use;
         let prior = (self.level.tokens as f64 * PRIOR_USE).max(1.0);
-        let all = (self.rows.pool.spent.max(own)) as f64 + prior * fleet as f64;
+        let all = (self.rows.pool.spent.max(own)) as f64 + prior * owners as f64;
         (own as f64 + prior) / all
     }
 
     /// Opens the next batch, or takes up the one that is on its way.
-    pub(crate) fn next_batch(&mut self, team: &str, now: u64, closing: bool, fleet: u64) -> Option<Batch> {
+    pub(crate) fn next_batch(&mut self, team: &str, now: u64, closing: bool, owners: u64) -> Option<Batch> {
         if let Some(batch) = &self.batch {
             return Some(batch.clone());
         }
@@ -259,7 +261,7 @@
             self.ticked = Instant::now();
         }
         let terms = Terms { cover_s: COVER_S, least: 0, expose_s: COVER_S };
-        let target = match self.target(now, team, &terms, fleet) {
+        let target = match self.target(now, team, &terms, owners) {
             _ if closing || self.lowered => 0,
             target => match self.recalled {
                 Some(missing) => target.min(self.kept_of_idle(missing)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod closing;
 mod counted;
+mod delegate;
 mod event;
 mod failover;
 mod handle;
@@ -21,6 +22,7 @@
 mod metrics;
 mod node;
 mod notes;
+mod owners;
 pub mod ports;
 mod purse;
 mod refusal;
@@ -68,7 +70,7 @@
     node: Arc<Node<W, S>>,
     callers: Handle,
     readiness: Handle,
-    /// Where other gateways have calls to the store made; `None` if its address could not be bound.
+    /// Where other gateways reserve tokens and have calls to the store made; `None` if its address could not be bound.
     _peers: Option<Handle>,
     /// Stops once it is dropped; `None` if its address could not be bound or is that of readiness.
     _metrics: Option<Handle>,
@@ -101,11 +103,11 @@
     })
     .await?;
     let shared = node.clone();
-    let for_others = net::serve(listen.peers, limits, move |request| shared.failover.clone().answer(request));
+    let for_others = net::serve(listen.peers, limits, move |request| for_peer(shared.clone(), request));
     let peers = for_others
         .await
         .inspect_err(|error| {
-            log::error!("store: event=no-calls-for-others address={} error=\"{error}\"", listen.peers)
+            log::error!("gateway: event=not-bound-for-peers address={} error=\"{error}\"", listen.peers)
         })
         .ok();
     let metrics =
@@ -121,6 +123,14 @@
     Ok(Running { node, callers, readiness, _peers: peers, _metrics: metrics })
 }
 
+/// Answers another gateway.
+async fn for_peer<W: Wire, S: Rows>(node: Arc<Node<W, S>>, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        delegate::RESERVE | delegate::REPORT => delegate::answer(node, request).await,
+        _ => node.failover.clone().answer(request).await,
+    }
+}
+
 /// Serves metrics at an address of their own; a gateway without them is better than none.
 async fn metrics<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
@@ -154,6 +164,7 @@
     for round in 1u64.. {
         exec::sleep(SWEEP).await;
         node.pool.sweep();
+        node.delegate.expire();
         if round.is_multiple_of(CALLS_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
             log_models(&node);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -136,10 +136,10 @@
     }
     node.metrics.fleet.set(others as i64 + 1);
     let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
-    let beats = page.records.iter().filter(|record| alive(&record.name)).filter_map(decode::<Beat>);
-    let peers: Vec<SocketAddr> = beats.map(|beat| beat.peers).collect();
-    node.failover.set_peers(&peers);
-    node.hints.set_peers(peers);
+    let beats = page.records.iter().filter(|record| alive(&record.name));
+    let peers: Vec<(String, SocketAddr)> =
+        beats.filter_map(|record| Some((record.name.clone(), decode::<Beat>(record)?.peers))).collect();
+    node.set_peers(&peers);
     // One gateway looks after those that are gone: the first by name of those alive.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
     let was_first = std::mem::replace(&mut members.is_first, first == Some(own));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,10 +1,12 @@
 //! One gateway: what it knows, and what runs on it.
 
 use crate::counted::Counted;
+use crate::delegate::Delegate;
 use crate::failover::Failover;
 use crate::hints::Hints;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
+use crate::owners::Owners;
 use crate::ports::{Listing, Wire};
 use crate::purse::Purse;
 use crate::settings::Settings;
@@ -13,6 +15,7 @@
 use route::place::Places;
 use route::{Millis, Terms, Window};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Instant;
@@ -50,6 +53,8 @@
     pub fleet: Arc<AtomicU64>,
     pub open: AtomicU64,
     pub hints: Hints,
+    pub owners: Owners,
+    pub delegate: Arc<Delegate>,
     started: Instant,
     manifest: RwLock<Option<Arc<Manifest>>>,
     places: Mutex<Places>,
@@ -71,8 +76,11 @@
     ) -> Node<W, S> {
         let metrics = Metrics::new();
         let failover = Failover::new(rows);
+        let holder = format!("{}#{incarnation}", settings.name);
         Node {
-            holder: format!("{}#{incarnation}", settings.name),
+            owners: Owners::new(&settings.name),
+            delegate: Arc::new(Delegate::new(&holder)),
+            holder,
             places: Mutex::new(Places::new(&settings.data_centre)),
             wire,
             rows: Counted::new(failover.clone(), &metrics),
@@ -166,11 +174,24 @@
         }
         let record_ms = self.settings.record_ms;
         let (rows, fleet, note) = (&self.rows, self.fleet.clone(), self.note.clone());
-        let purse = Purse::open(rows, &team.name, &self.holder, level, fleet, note, record_ms);
+        let owners = self.owners.share(&team.name).unwrap_or(self.fleet_size());
+        let purse = Purse::open(rows, &team.name, &self.holder, level, fleet, owners, note, record_ms);
         purses.insert(team.name.clone(), purse.clone());
         Some(purse)
     }
 
+    /// Takes in the other gateways that are alive, with where they listen for this one.
+    pub(crate) fn set_peers(&self, peers: &[(String, SocketAddr)]) {
+        let addresses: Vec<SocketAddr> = peers.iter().map(|(_, address)| *address).collect();
+        self.failover.set_peers(&addresses);
+        self.hints.set_peers(addresses);
+        self.owners.set_peers(peers);
+        for (team, purse) in self.purses().iter() {
+            let owners = self.owners.share(team).unwrap_or(self.fleet_size());
+            purse.owners.store(owners, Ordering::Relaxed);
+        }
+    }
+
     /// Uses the window of repeats of a service.
     pub(crate) fn window<T>(&self, service: &str, act: impl FnOnce(&mut Window, Millis) -> T) -> T {
         let now = self.now();
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -3,6 +3,7 @@
 //! Tokens are reserved within three bounds: those at hand, those that the account row exposes, and those that
 //! the router noted it may use before its next note (`notes`).
 
+use crate::delegate::Pledge;
 use crate::holding::{Denied, Holding};
 use crate::settle;
 use budget::exposure::Schedule;
@@ -47,6 +48,8 @@
     note: async_channel::Sender<()>,
     pub closed: AtomicBool,
     pub fleet: Arc<AtomicU64>,
+    /// How many gateways own this budget, this one among them; 0 if others own it.
+    pub owners: AtomicU64,
 }
 
 impl Purse {
@@ -58,6 +61,7 @@
         holder: &str,
         level: Level,
         fleet: Arc<AtomicU64>,
+        owners: u64,
         note: async_channel::Sender<()>,
         record_ms: u64,
     ) -> Arc<Purse> {
@@ -71,6 +75,7 @@
             note,
             closed: AtomicBool::new(false),
             fleet,
+            owners: AtomicU64::new(owners),
         });
         let _ = purse.kick.try_send(());
         let _ = purse.note.try_send(());
@@ -119,7 +124,7 @@
             let mut state = self.lock();
             state.demand.ask(now);
             if state.reserve(tokens) {
-                return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
+                return Ok(Reservation::here(self, state.life, tokens));
             }
             let is_fresh = now.saturating_sub(state.latest.began) < EMPTY_MS;
             if let Some(denied) = state.denied(tokens).filter(|_| is_fresh) {
@@ -132,7 +137,7 @@
         held.unwrap_or_else(|| {
             let mut state = self.lock();
             match state.reserve(tokens) {
-                true => Ok(Reservation { purse: self.clone(), life: state.life, tokens }),
+                true => Ok(Reservation::here(self, state.life, tokens)),
                 false => Err(state.denied(tokens).unwrap_or(Denied::Away)),
             }
         })
@@ -147,7 +152,7 @@
             let denied = {
                 let mut state = self.lock();
                 if state.reserve(tokens) {
-                    return Ok(Reservation { purse: self.clone(), life: state.life, tokens });
+                    return Ok(Reservation::here(self, state.life, tokens));
                 }
                 // Only what binds is renewed, and only when that is new: each call to the store is paid for.
                 if state.is_noted_short(tokens) {
@@ -300,15 +305,48 @@
 
 /// Tokens set aside for one request, until it is charged or dropped.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub(crate) enum Reservation {
+    /// At this gateway.
+    Here(Reserved),
+    /// At the gateway that owns the team's budget.
+    Elsewhere(Pledge),
+}
+
+/// Tokens of this gateway that are set aside.
+#[derive(Debug)]
+pub(crate) struct Reserved {
     purse: Arc<Purse>,
     life: u64,
     tokens: u64,
 }
 
 impl Reservation {
+    fn here(purse: &Arc<Purse>, life: u64, tokens: u64) -> Reservation {
+        Reservation::Here(Reserved { purse: purse.clone(), life, tokens })
+    }
+
     /// Charges what the request used; the rest becomes available again.
-    pub(crate) fn charge(mut self, request: &str, tokens: u64) {
+    pub(crate) fn charge(self, request: &str, tokens: u64) {
+        match self {
+            Reservation::Here(reserved) => reserved.charge(request, tokens),
+            Reservation::Elsewhere(pledge) => pledge.charge(request, tokens),
+        }
+    }
+
+    /// Charges all that was reserved: nobody knows what was used.
+    pub(crate) fn charge_all(self, request: &str) {
+        match self {
+            Reservation::Here(reserved) => {
+                let tokens = reserved.tokens;
+                reserved.charge(request, tokens);
+            }
+            Reservation::Elsewhere(pledge) => drop(pledge),
+        }
+    }
+}
+
+impl Reserved {
+    fn charge(mut self, request: &str, tokens: u64) {
         let reserved = std::mem::take(&mut self.tokens);
         let mut state = self.purse.lock();
         if state.life != self.life {
@@ -320,7 +358,7 @@
     }
 }
 
-impl Drop for Reservation {
+impl Drop for Reserved {
     fn drop(&mut self) {
         if self.tokens > 0 {
             let mut state = self.purse.lock();
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -62,10 +62,11 @@
     let began = purse.now();
     let closing = purse.closed.load(Ordering::Relaxed);
     let fleet = purse.fleet.load(Ordering::Relaxed).max(1);
+    let owners = purse.owners.load(Ordering::Relaxed);
     let (number, batch) = {
         let mut state = purse.lock();
         state.begun += 1;
-        (state.begun, state.next_batch(&purse.team, began, closing, fleet))
+        (state.begun, state.next_batch(&purse.team, began, closing, owners))
     };
     let Some(mut batch) = batch else { return Ended::Idle };
     for round in 0..ATTEMPTS {
@@ -80,7 +81,7 @@
                 log::warn!("budget: event=account-closed team={} holder={}", purse.team, purse.holder);
                 let mut state = purse.lock();
                 state.start_over();
-                match state.next_batch(&purse.team, began, closing, fleet) {
+                match state.next_batch(&purse.team, began, closing, owners) {
                     Some(next) => batch = next,
                     None => return Ended::Idle,
                 }
--- /dev/null
+++ b/crates/gateway/tests/unit/delegate.rs
@@ -0,0 +1,158 @@
+//! Requests of one gateway whose tokens are reserved at another.
+
+use super::*;
+use crate::support::{Plain, manifest, node};
+use crate::table::{BUDGETS, POOL};
+use assert_matches::assert_matches;
+use budget::ledger::Pool;
+use net::Handle;
+use standin::{RowsFault, TableRows};
+
+const TEAM: &str = "desk";
+const TOTAL: u64 = 100_000;
+const LASTS: Duration = Duration::from_secs(5);
+
+/// Two gateways: the one that owns the team's budget, with its listener, and the other.
+struct Pair {
+    rows: TableRows,
+    owner: Arc<Node<Plain, TableRows>>,
+    handle: Option<Handle>,
+    other: Arc<Node<Plain, TableRows>>,
+}
+
+impl Pair {
+    async fn start() -> Pair {
+        net::exec::start(2);
+        let rows = TableRows::default();
+        let nodes = ["vm-1", "vm-2"].map(|name| node(name, 1, &rows));
+        nodes.iter().for_each(|node| assert!(node.put_in_force(manifest(1, &[(TEAM, TOTAL)]))));
+        let [one, two] = nodes;
+        let anywhere = "127.0.0.1:1".parse().expect("an address");
+        one.set_peers(&[("vm-2".to_owned(), anywhere)]);
+        let (owner, other) = if one.owners.of(TEAM) == Owner::Own { (one, two) } else { (two, one) };
+        let shared = owner.clone();
+        let handle = net::serve(standin::loopback(), net::Limits::default(), move |request| {
+            answer(shared.clone(), request)
+        });
+        let handle = handle.await.expect("a listener");
+        owner.set_peers(&[(other.settings.name.clone(), anywhere)]);
+        other.set_peers(&[(owner.settings.name.clone(), handle.address())]);
+        Pair { rows, owner, handle: Some(handle), other }
+    }
+
+    async fn reserve(&self, tokens: u64) -> Result<Option<Reservation>, Denial> {
+        let manifest = self.other.manifest().expect("a manifest");
+        let purse = || self.other.purse(&manifest, &manifest.teams[TEAM]);
+        let level = Level { version: manifest.version, tokens: TOTAL };
+        reserve(&self.other, purse, TEAM, level, tokens, Duration::from_millis(500), LASTS).await
+    }
+
+    /// Tokens that the owner has in use.
+    fn in_use(&self) -> u64 {
+        let purse = self.owner.purses().get(TEAM).cloned();
+        purse.map_or(0, |purse| purse.lock().grant.reserved())
+    }
+
+    /// What the store has as spent, once it is `tokens`.
+    async fn spent(&self, tokens: u64) -> u64 {
+        let mut spent = 0;
+        for _ in 0..200 {
+            let row = self.rows.get(BUDGETS, TEAM, POOL);
+            let pool: Option<Pool> = row.map(|bytes| serde_json::from_slice(&bytes).expect("a pool"));
+            spent = pool.map_or(0, |pool| pool.spent);
+            if spent == tokens {
+                break;
+            }
+            exec::sleep(Duration::from_millis(20)).await;
+        }
+        spent
+    }
+}
+
+#[test]
+fn the_owner_reserves_and_charges_for_the_other() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let reservation = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reservation, Reservation::Elsewhere(_));
+        assert_eq!(pair.in_use(), 10_000);
+        reservation.charge("r-1", 4_000);
+        assert_eq!(pair.spent(4_000).await, 4_000);
+        assert_eq!(pair.in_use(), 0);
+        assert!(pair.other.purses().is_empty(), "the other holds nothing");
+    });
+}
+
+#[test]
+fn a_request_that_did_not_run_gives_its_tokens_back() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        drop(pair.reserve(TOTAL).await.expect("tokens"));
+        for _ in 0..100 {
+            if pair.in_use() == 0 {
+                break;
+            }
+            exec::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(pair.reserve(TOTAL).await.is_ok());
+    });
+}
+
+#[test]
+fn the_owners_refusal_is_the_answer() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let held = pair.reserve(TOTAL).await.expect("tokens");
+        assert_matches!(pair.reserve(1).await, Err((Denied::Spent, _, _)));
+        drop(held);
+    });
+}
+
+#[test]
+fn a_request_that_nobody_reports_counts_at_its_most() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let reservation = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        // The other gateway dies.
+        let Reservation::Elsewhere(pledge) = reservation else { panic!("it is reserved at the owner") };
+        pledge.forget();
+        for (_, until) in pair.owner.delegate.pledges.lock().expect("the pledges").values_mut() {
+            *until = Instant::now();
+        }
+        pair.owner.delegate.expire();
+        assert_eq!(pair.spent(10_000).await, 10_000);
+    });
+}
+
+#[test]
+fn without_the_owner_tokens_are_drawn_here() {
+    exec::block_on(async {
+        let mut pair = Pair::start().await;
+        drop(pair.handle.take());
+        let reservation = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reservation, Reservation::Here(_));
+        assert_eq!(pair.other.owners.of(TEAM), Owner::Own, "the owner is passed over for a while");
+    });
+}
+
+#[test]
+fn requests_are_paid_through_the_owner_while_the_store_is_down() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.reserve(10_000).await.expect("tokens").expect("a budget").charge("r-1", 10_000);
+        assert_eq!(pair.spent(10_000).await, 10_000);
+        pair.rows.set_fault(RowsFault::Down);
+        let reservation = pair.reserve(2_000).await.expect("the owner has tokens at hand");
+        assert_matches!(reservation, Some(Reservation::Elsewhere(_)));
+    });
+}
+
+#[test]
+fn a_stopping_owner_takes_no_more() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.owner.set_phase(Phase::Leaving);
+        let reservation = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reservation, Reservation::Here(_));
+    });
+}
