--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -28,22 +28,25 @@
 /// The part of a budget that each router is taken to have used before it was seen to: so that the first uses do not
 /// decide how all of it is shared.
 const PRIOR_USE: f64 = 0.005;
-/// Seconds of demand that may be used at once after a note, beyond what waits for one. Little: while the store answers,
-/// a request that needs more has a new note written first.
-const NOTED_S: f64 = 0.25;
+/// The time whose demand may be used at once after a note, beyond what waits for one, in milliseconds. Little: while the
+/// store answers, a request that needs more has a new note written first, and a death costs it.
+const NOTED_MS: u64 = 100;
+/// Where notes take longer: this multiple of the time that they take, one that is on its way and the next, and that time
+/// at the most. It is what the store takes when it is slow or loses answers, and a cut shows as such a time too.
+const NOTED_TIMES: u64 = 2;
+const NOTED_MOST_MS: u64 = 1_500;
 /// The part of what is at hand that may be used at once after a note.
-const NOTED_PART: u64 = 64;
-/// From this age on a note's limit grows, in milliseconds: notes are written twice a second, and a request may wait a
-/// little for the next one.
-const NOTE_EARLY_MS: u64 = 1_000;
-/// Multiple of the demand by which a note's limit grows with its age, so that a cut is bridged. The death of the process
-/// costs what the limit grew by until its next start.
-const NOTE_GROWTH: f64 = 0.9;
+const NOTED_PART: u64 = 256;
+/// From this age on a note's limit grows, in milliseconds: longer than most restarts take, since a death costs what the limit
+/// grew by until the next start, and a cut that is shorter refuses little.
+const NOTE_EARLY_MS: u64 = 1_800;
+/// Multiple of the demand by which a note's limit grows from then on, so that a cut is bridged.
+const NOTE_GROWTH: f64 = 1.5;
 /// What comes to that multiple where the budget is plentiful.
-const NOTE_GROWTH_PLENTY: f64 = 0.6;
-/// From this age on the limit grows faster, in milliseconds: longer than a restart takes.
+const NOTE_GROWTH_PLENTY: f64 = 1.0;
+/// From this age on it also grows by the demand once more, in milliseconds.
 const NOTE_LATE_MS: u64 = 2_000;
-/// From that age on it also grows by all that is at hand within so many seconds, so that large requests fit.
+/// And by all that is at hand within so many seconds, so that large requests fit.
 const NOTE_LATE_S: u64 = 8;
 /// The part of its idle tokens that a router keeps at most when others need some: below one half, so that it does give
 /// some back, and not none, since in a large fleet what all give back is far more than one needs.
@@ -177,12 +180,14 @@
         self.started.elapsed().as_millis() as u64 + 1
     }
 
-    /// The schedule for the next note.
-    pub(crate) fn schedule(&self) -> Schedule {
+    /// The schedule for the next note, which takes about `note_ms` to be acknowledged.
+    pub(crate) fn schedule(&self, note_ms: u64) -> Schedule {
         let (rate, plenty) = (self.demand.rate(), self.plenty());
+        let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
+        let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
         Schedule {
             used: self.grant.used(),
-            allowance: self.waiting + ((rate * NOTED_S) as u64) + self.grant.available() / NOTED_PART,
+            allowance: self.waiting + noted + self.grant.available() / NOTED_PART,
             early_ms: NOTE_EARLY_MS,
             per_s: (rate * (NOTE_GROWTH + plenty * NOTE_GROWTH_PLENTY)) as u64,
             late_ms: NOTE_LATE_MS,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::owners::Owners;
 use crate::ports::{Listing, Wire};
-use crate::purse::Purse;
+use crate::purse::{self, Purse};
 use crate::settings::Settings;
 use budget::ledger::Level;
 use net::Pool;
@@ -172,10 +172,14 @@
         if let Some(purse) = purses.get(&team.name) {
             return Some(purse.clone());
         }
-        let record_ms = self.settings.record_ms;
-        let (rows, fleet, note) = (&self.rows, self.fleet.clone(), self.note.clone());
-        let owners = self.owners.share(&team.name).unwrap_or(self.fleet_size());
-        let purse = Purse::open(rows, &team.name, &self.holder, level, fleet, owners, note, record_ms);
+        let terms = purse::Terms {
+            holder: self.holder.clone(),
+            fleet: self.fleet.clone(),
+            owners: self.owners.share(&team.name).unwrap_or(self.fleet_size()),
+            note: self.note.clone(),
+            record_ms: self.settings.record_ms,
+        };
+        let purse = Purse::open(&self.rows, &team.name, level, terms);
         purses.insert(team.name.clone(), purse.clone());
         Some(purse)
     }
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -22,12 +22,14 @@
 use store::rows::{Change, Commit, Key, Rows};
 use store::{Error, Fault};
 
-/// Time between two notes in a small fleet.
-const PERIOD_MS: u64 = 500;
+/// Time between two notes in a small fleet: what is used meanwhile is lost with the process, and a note is one small write.
+const PERIOD_MS: u64 = 200;
 /// Notes that the whole fleet writes in a second at most: a small part of what the store takes.
 const NOTES_PER_S: u64 = 80;
 /// The pause after a call failed.
 const AGAIN: Duration = Duration::from_millis(200);
+/// The weight of a shorter time in the time that a note takes; a longer one counts at once.
+const SHORTER: f64 = 0.3;
 /// The pause before the first manifest is looked for again.
 const FIRST: Duration = Duration::from_millis(20);
 
@@ -72,6 +74,7 @@
             }
         }
     };
+    let mut takes = Takes::default();
     loop {
         let period = PERIOD_MS.max(node.fleet_size() * 1_000 / NOTES_PER_S);
         let _ = exec::timeout(Duration::from_millis(period), kicked.recv()).await;
@@ -79,7 +82,7 @@
         if purses.is_empty() {
             continue;
         }
-        match write(&node, &purses, &mut version).await {
+        match write(&node, &purses, &mut version, &mut takes).await {
             Ok(()) => {}
             Err(error) => {
                 log::warn!("budget: event=not-noted {error}");
@@ -152,6 +155,7 @@
     node: &Node<W, S>,
     purses: &[Arc<Purse>],
     version: &mut Option<u64>,
+    takes: &mut Takes,
 ) -> Result<(), Error> {
     let known = match *version {
         Some(version) => version,
@@ -162,10 +166,11 @@
     };
     *version = Some(known);
     let at = node.store_now();
+    let began = node.now_exact();
     let begun: Vec<(&Arc<Purse>, u64, Schedule)> = purses
         .iter()
         .map(|purse| {
-            let (life, schedule) = purse.begin_note();
+            let (life, schedule) = purse.begin_note(takes.ms as u64);
             (purse, life, schedule)
         })
         .collect();
@@ -182,6 +187,7 @@
         drops: vec![],
     };
     let result = node.rows.commit(&change).await;
+    takes.learn(node.now_exact() - began);
     let took_effect = match &result {
         Ok(Commit::Applied(applied)) => {
             *version = Some(*applied);
@@ -203,6 +209,18 @@
     result.map(|_| ())
 }
 
+/// How long a note takes to be acknowledged, or to fail, in milliseconds.
+#[derive(Debug, Default)]
+struct Takes {
+    ms: f64,
+}
+
+impl Takes {
+    fn learn(&mut self, ms: f64) {
+        self.ms = if ms > self.ms { ms } else { self.ms + SHORTER * (ms - self.ms) };
+    }
+}
+
 async fn first_manifest<W: Wire, S: Rows>(node: &Node<W, S>) -> Arc<Manifest> {
     loop {
         if let Some(manifest) = node.manifest() {
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -52,30 +52,35 @@
     pub owners: AtomicU64,
 }
 
+/// What a budget is opened with.
+pub(crate) struct Terms {
+    /// The VM with the incarnation of this process.
+    pub holder: String,
+    /// How many gateways the fleet has.
+    pub fleet: Arc<AtomicU64>,
+    /// How many of them own the budget, this one among them.
+    pub owners: u64,
+    /// Where a new note is asked for.
+    pub note: async_channel::Sender<()>,
+    /// How long charges may wait for a settlement, in milliseconds.
+    pub record_ms: u64,
+}
+
 impl Purse {
     /// Opens a budget without tokens, starts its settlement, and has it noted: without a note, the death of this
     /// process would cost all that it drew.
-    pub(crate) fn open<S: Rows>(
-        rows: &S,
-        team: &str,
-        holder: &str,
-        level: Level,
-        fleet: Arc<AtomicU64>,
-        owners: u64,
-        note: async_channel::Sender<()>,
-        record_ms: u64,
-    ) -> Arc<Purse> {
+    pub(crate) fn open<S: Rows>(rows: &S, team: &str, level: Level, terms: Terms) -> Arc<Purse> {
         let (kick, kicked) = async_channel::bounded(1);
         let purse = Arc::new(Purse {
             team: team.to_owned(),
-            holder: holder.to_owned(),
-            holding: Mutex::new(Holding::new(level, record_ms)),
+            holder: terms.holder,
+            holding: Mutex::new(Holding::new(level, terms.record_ms)),
             changed: Event::new(),
             kick,
-            note,
+            note: terms.note,
             closed: AtomicBool::new(false),
-            fleet,
-            owners: AtomicU64::new(owners),
+            fleet: terms.fleet,
+            owners: AtomicU64::new(terms.owners),
         });
         let _ = purse.kick.try_send(());
         let _ = purse.note.try_send(());
@@ -371,9 +376,11 @@
 
 impl Purse {
     /// Makes the schedule for a note that is about to be sent; it binds from now on.
-    pub(crate) fn begin_note(&self) -> (u64, Schedule) {
+    ///
+    /// `note_ms` is how long a note takes to be acknowledged.
+    pub(crate) fn begin_note(&self, note_ms: u64) -> (u64, Schedule) {
         let mut state = self.lock();
-        let schedule = state.schedule();
+        let schedule = state.schedule(note_ms);
         let now = state.now();
         state.notes.begin(now, schedule);
         (state.life, schedule)
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -43,7 +43,7 @@
 
 async fn note(node: &Node<Plain, TableRows>, version: &mut Option<u64>) -> Result<(), Error> {
     let purses: Vec<Arc<Purse>> = node.purses().values().cloned().collect();
-    write(node, &purses, version).await
+    write(node, &purses, version, &mut Takes::default()).await
 }
 
 #[test]
