--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -46,6 +46,11 @@
 const PART_AGE: Millis = 60_000;
 /// Others' runs remembered for each engine.
 const HEARD_RUNS: usize = 512;
+/// The weight of a new sample in the average time that a run takes.
+const RUN_SAMPLE: f64 = 0.05;
+/// How many times longer than its events alone a run is taken to last at least and at most: one that was broken off says
+/// less.
+const STRETCH: (f64, f64) = (1.0, 4.0);
 /// Pauses below this part of the intended longest one are not counted: they are too long at no engine that gets work.
 const SHORT_PAUSE: f64 = 0.5;
 /// Pauses told with one dispatch at most: a datagram holds them.
@@ -116,6 +121,8 @@
     pub event_ms: Option<f64>,
     /// How long the run should last, in milliseconds.
     pub lasts_ms: f64,
+    /// How long its events would take while nothing is read, in milliseconds.
+    pub events_ms: f64,
     /// Requests that it has, as far as this router knows.
     pub open: u32,
     /// How many could be chosen.
@@ -165,10 +172,19 @@
 struct Awaited {
     sent: Millis,
     unread: u32,
+    events_ms: f64,
     /// Whether nothing else was known to be read before it.
     is_alone: bool,
 }
 
+/// A dispatch whose first answer came.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Millis,
+    /// How long its events would take while nothing is read, in milliseconds.
+    events_ms: f64,
+}
+
 /// What is known of the engines of one service together.
 #[derive(Clone, Debug, Default)]
 struct Service {
@@ -176,6 +192,10 @@
     load: Load,
     harm: Harm,
     division: Division,
+    /// How long runs take from the first answer on, on average, in milliseconds; 0 until one ended.
+    run_ms: f64,
+    /// How many times longer that is than their events would take while nothing is read; 0 until one ended.
+    stretch: f64,
     /// Long pauses that the other routers were not told of.
     untold: SmallVec<[u16; 4]>,
 }
@@ -187,6 +207,7 @@
     upstreams: BTreeMap<String, Upstream>,
     services: HashMap<String, Service>,
     awaited: HashMap<Ticket, Awaited>,
+    running: HashMap<Ticket, Running>,
     tickets: Ticket,
 }
 
@@ -199,6 +220,8 @@
     usual: f64,
     is_long: bool,
     home: Option<&'a str>,
+    run_ms: f64,
+    stretch: f64,
     now: Millis,
 }
 
@@ -209,6 +232,7 @@
     uncached: u32,
     first_ms: f64,
     lasts_ms: f64,
+    events_ms: f64,
     is_kept: bool,
 }
 
@@ -220,6 +244,7 @@
             upstreams: BTreeMap::new(),
             services: HashMap::new(),
             awaited: HashMap::new(),
+            running: HashMap::new(),
             tickets: 0,
         }
     }
@@ -292,6 +317,7 @@
             uncached: estimate.uncached,
             first_ms: estimate.first_ms,
             lasts_ms: estimate.lasts_ms,
+            events_ms: estimate.events_ms,
             is_long: scene.is_some_and(|scene| scene.is_long),
             is_kept: estimate.is_kept,
             event_ms: upstream.pace.quiet(),
@@ -317,7 +343,10 @@
                 service.begin_short(&chosen.upstream, now);
             }
             let is_alone = self.push(&chosen.upstream, Some(ticket), chosen.uncached, chosen.is_long, now);
-            self.awaited.insert(ticket, Awaited { sent: now, unread: chosen.uncached, is_alone });
+            self.awaited.insert(
+                ticket,
+                Awaited { sent: now, unread: chosen.uncached, events_ms: chosen.events_ms, is_alone },
+            );
         }
         ticket
     }
@@ -358,6 +387,9 @@
     pub fn read(&mut self, name: &str, ticket: Ticket, now: Millis) {
         let usual = self.usual_beside(name);
         let awaited = self.awaited.remove(&ticket);
+        if let Some(Awaited { events_ms, .. }) = awaited {
+            self.running.insert(ticket, Running { since: now, events_ms });
+        }
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
         upstream.reads.remove(ticket, true, now);
         let Some(awaited) = awaited.filter(|awaited| awaited.is_alone) else { return };
@@ -370,6 +402,11 @@
     /// Notes the end of a dispatch.
     pub fn end(&mut self, name: &str, ticket: Ticket, now: Millis) {
         self.awaited.remove(&ticket);
+        if let Some(running) = self.running.remove(&ticket)
+            && let Some(service) = self.service_of(name)
+        {
+            service.end_run(running, now);
+        }
         if let Some(upstream) = self.upstreams.get_mut(name) {
             upstream.open = upstream.open.saturating_sub(1);
             upstream.reads.remove(ticket, false, now);
@@ -523,10 +560,11 @@
         service: &'a Service,
         now: Millis,
     ) -> Scene<'a> {
-        let Service { model, division, .. } = service;
+        let Service { model, division, run_ms, stretch, .. } = service;
         let usual = engine::usual(engines.iter().map(|(_, engine)| engine.pace));
         let is_long = is_long(model.read_ms(prompt.input as f64), prompt.gap_ms as f64);
-        let mut scene = Scene { prompt, model, division, usual, is_long, home: None, now };
+        let (run_ms, stretch) = (*run_ms, stretch.max(STRETCH.0));
+        let mut scene = Scene { prompt, model, division, usual, is_long, home: None, run_ms, stretch, now };
         scene.home = scene.home(engines);
         scene
     }
@@ -547,21 +585,29 @@
         let uncached = engine.uncached(self.prompt.parts, self.home == Some(name), self.now);
         let slowness = engine.pace.slowness(self.usual);
         let ahead_ms = engine.reads.left_ms(self.now);
-        let first_ms = ahead_ms + self.model.first_ms(f64::from(uncached)) * slowness;
+        let runs = engine.runs(self.now);
+        let slot_ms = self.run_ms * slowness * runs_to_end(runs, engine.site.slots);
+        let first_ms = slot_ms + ahead_ms + self.model.first_ms(f64::from(uncached)) * slowness;
         let is_kept = self.division.is_short(name);
         let mixed = match (self.division.is_divided(), self.is_long, is_kept) {
             (true, true, true) => AMONG_SHORT * self.prompt.target_ms as f64,
             (true, false, false) => AMONG_LONG * self.prompt.target_ms as f64,
             _ => 0.0,
         };
-        let runs = f64::from(engine.runs(self.now));
-        let cost = first_ms + mixed + RUN_COST * runs + REREAD_COST * f64::from(uncached);
+        let cost = first_ms + mixed + RUN_COST * f64::from(runs) + REREAD_COST * f64::from(uncached);
         let pace = engine.pace.quiet().unwrap_or(self.usual);
-        let lasts_ms = first_ms + self.prompt.events as f64 * pace;
-        Estimate { cost, uncached, first_ms, lasts_ms, is_kept }
+        let events_ms = self.prompt.events as f64 * pace;
+        let lasts_ms = first_ms + events_ms * self.stretch;
+        Estimate { cost, uncached, first_ms, lasts_ms, events_ms, is_kept }
     }
 }
 
+/// The part of an average run that passes until an engine with so many runs has a slot for one more: its runs end one
+/// after the other.
+fn runs_to_end(runs: u32, slots: u32) -> f64 {
+    f64::from((runs + 1).saturating_sub(slots)) / f64::from(slots.max(1))
+}
+
 /// What is expected of an upstream of a plain service.
 fn plain(upstream: &Upstream, typical: f64) -> Estimate {
     let slow = match upstream.call_ms / typical.max(f64::MIN_POSITIVE) {
@@ -579,6 +625,16 @@
             self.harm.begin(now);
         }
     }
+
+    /// Takes in how long a run took from its first answer on.
+    fn end_run(&mut self, running: Running, now: Millis) {
+        let ms = now.saturating_sub(running.since) as f64;
+        let sample = if self.run_ms == 0.0 { 1.0 } else { RUN_SAMPLE };
+        self.run_ms += sample * (ms - self.run_ms);
+        if running.events_ms > 0.0 {
+            self.stretch += sample * ((ms / running.events_ms).clamp(STRETCH.0, STRETCH.1) - self.stretch);
+        }
+    }
 }
 
 impl Upstream {
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -56,3 +56,33 @@
     // While engines that were kept left the division under load: 0.91.
     assert!(in_time(&outcomes, "caption") > 0.95, "{outcomes:?}");
 }
+
+/// The load of reports on engines that run few requests at once.
+fn few_slots(seed: u64) -> Scene {
+    let mut scene = Scene { load: 0.45, length_ms: 40_000.0, ..emulator::reports(seed) };
+    scene.engine.slots = 12;
+    scene.engine.queue = 36;
+    scene
+}
+
+#[test]
+fn requests_go_where_slots_are_free() {
+    let outcomes = outcomes(few_slots);
+    // Without a look at the slots, captions wait behind others' runs: 0.79. With others' runs taken to last as long as
+    // their events alone: 0.95.
+    assert!(in_time(&outcomes, "caption") > 0.97, "{outcomes:?}");
+    assert!(in_time(&outcomes, "report") > 0.93, "{outcomes:?}");
+}
+
+#[test]
+fn work_that_is_kept_apart_overflows_to_free_slots() {
+    let outcomes = outcomes(|seed| Scene {
+        load: 3.0,
+        slow: [1.0, 1.0, 1.3].repeat(30),
+        routers: 60,
+        length_ms: 25_000.0,
+        ..few_slots(seed)
+    });
+    // The engines kept for short work have slots for half of it. Without a look at the slots: 0.29.
+    assert!(in_time(&outcomes, "caption") > 0.9, "{outcomes:?}");
+}
