Sight: closed accounts tell the note that decided, refusals and metrics what is outstanding, repeats what bounded them

No log line told hypothesis 1 (a note's limit had grown to all at hand) from 2 and 3: a closed account said what was lost, not how old the note was nor what it allowed. A repeat that was allowed left no line, so hypotheses 4 and 5 (too much is allowed to new processes, or the extra is shared by too few) could not be seen at all.

Tests of gateway and route pass; no logic is changed.

--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -16,6 +16,20 @@
 pub(crate) trait Exposure {
     /// The most that the account's holder may have used beyond its line.
     fn exposed(&self, team: &str, account: &str, line: &Line) -> u64;
+
+    /// How old the note was that says so, and the limit that it set by then; `None` without a note.
+    fn noted(&self, team: &str, account: &str) -> Option<Noted>;
+}
+
+/// What the last note of a dead gateway said, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Noted {
+    /// Its age at the death, in milliseconds.
+    pub age_ms: u64,
+    /// Tokens used when it was made.
+    pub used: u64,
+    /// Tokens that may have been used by the death.
+    pub limit: u64,
 }
 
 /// Closes the accounts of a team whose holders are gone; returns the tokens that they are known to have spent, `None`
@@ -84,8 +98,11 @@
         };
         match rows.commit(&change).await? {
             Commit::Applied(version) => {
+                let noted = exposure.noted(team, name).map_or("noted=none".to_owned(), |noted| {
+                    format!("note-age-ms={} noted={} limit={}", noted.age_ms, noted.used, noted.limit)
+                });
                 log::info!(
-                    "budget: event=closed team={team} account={name} released={released} lost={left} spent={spent} version={version}"
+                    "budget: event=closed team={team} account={name} released={released} lost={left} spent={spent} {noted} version={version}"
                 );
                 return Ok(());
             }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -235,17 +235,25 @@
 impl<W: Wire, S: Rows> Job<W, S> {
     /// Takes one repeat out of the service's window.
     pub(crate) fn repeat(&self, reason: &str) -> bool {
-        let allowed = self.node.window(&self.request.service, |window, now| window.repeat(now));
-        if allowed {
-            self.node.metrics.repeats.with_label_values(&[self.request.service.as_str(), reason]).inc();
-        } else {
-            log::warn!(
-                "request: id={} event=repeat-denied service={}",
-                self.request.ask.id,
-                self.request.service
-            );
+        let service = &self.request.service;
+        let (is_allowed, count) =
+            self.node.window(service, |window, now| (window.repeat(now), window.count(now)));
+        let event = match is_allowed {
+            true => "repeat",
+            false => "repeat-denied",
+        };
+        log::warn!(
+            "request: id={} event={event} reason={reason} service={service} repeats={} requests={} allowed={:.1} gateways={}",
+            self.request.ask.id,
+            count.repeats,
+            count.requests,
+            count.allowed,
+            self.node.fleet_size(),
+        );
+        if is_allowed {
+            self.node.metrics.repeats.with_label_values(&[service.as_str(), reason]).inc();
         }
-        allowed
+        is_allowed
     }
 
     /// Takes down what a dispatch led to.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -170,8 +170,16 @@
             log_models(&node);
         }
         for (team, purse) in node.purses().iter() {
-            let (available, in_use, free) = purse.figures();
-            for (state, tokens) in [("available", available), ("in-use", in_use), ("pool-free", free)] {
+            let figures = purse.figures();
+            let states = [
+                ("available", figures.available),
+                ("in-use", figures.in_use),
+                ("pool-free", figures.free),
+                ("pool-outstanding", figures.outstanding),
+                ("pool-spent", figures.spent),
+                ("level", figures.level),
+            ];
+            for (state, tokens) in states {
                 node.metrics.tokens.with_label_values(&[team.as_str(), state]).set(tokens as i64);
             }
         }
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -3,7 +3,7 @@
 //! A note is a row of this VM alone, written under the condition that it is as last seen. When the VM starts
 //! again, the new process reads it and gives back what the old one can't have used.
 
-use crate::closing::{Exposure, close_accounts};
+use crate::closing::{Exposure, Noted, close_accounts};
 use crate::manifest::{Manifest, Team};
 use crate::node::Node;
 use crate::ports::Wire;
@@ -49,14 +49,30 @@
     dead_at: u64,
 }
 
+impl Last {
+    fn age_ms(&self) -> u64 {
+        self.dead_at.saturating_sub(self.note.at)
+    }
+
+    fn schedule(&self, team: &str, account: &str) -> Option<&Schedule> {
+        self.note.budgets.get(team)?.get(account)
+    }
+}
+
 impl Exposure for Last {
     fn exposed(&self, team: &str, account: &str, line: &Line) -> u64 {
-        match self.note.budgets.get(team).and_then(|accounts| accounts.get(account)) {
-            Some(schedule) => schedule.exposed(line, self.dead_at.saturating_sub(self.note.at)),
+        match self.schedule(team, account) {
+            Some(schedule) => schedule.exposed(line, self.age_ms()),
             // It had not noted anything yet, so nothing bounded it.
             None => line.exposed,
         }
     }
+
+    fn noted(&self, team: &str, account: &str) -> Option<Noted> {
+        let schedule = self.schedule(team, account)?;
+        let age_ms = self.age_ms();
+        Some(Noted { age_ms, used: schedule.used, limit: schedule.limit(age_ms) })
+    }
 }
 
 /// Closes what earlier lives of this VM's process left, then keeps this life's notes.
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -52,6 +52,23 @@
     pub owners: AtomicU64,
 }
 
+/// Where the tokens of a budget are, as one gateway knows it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Figures {
+    /// Held here, and not reserved.
+    pub available: u64,
+    /// Reserved here.
+    pub in_use: u64,
+    /// Of the pool, in no gateway's hands.
+    pub free: u64,
+    /// Of the pool, held by all gateways, or written off with dead ones.
+    pub outstanding: u64,
+    /// Charged, by all gateways.
+    pub spent: u64,
+    /// Prepaid.
+    pub level: u64,
+}
+
 /// What a budget is opened with.
 pub(crate) struct Terms {
     /// The VM with the incarnation of this process.
@@ -241,10 +258,11 @@
         let note_age = state.notes.age(now).unwrap_or(0);
         let latest = &state.latest;
         format!(
-            "tokens={tokens} available={} noted={} note-age-ms={note_age} pool-free={} pool-spent={} level={} level-version={} settled={} settle-age-ms={}",
+            "tokens={tokens} available={} noted={} note-age-ms={note_age} pool-free={} pool-outstanding={} pool-spent={} level={} level-version={} settled={} settle-age-ms={}",
             state.grant.available(),
             noted.min(state.level.tokens),
             latest.free,
+            state.rows.pool.outstanding,
             state.rows.pool.spent,
             state.level.tokens,
             state.level.version,
@@ -253,10 +271,17 @@
         )
     }
 
-    /// Tokens available here, and tokens of the pool that no router holds.
-    pub(crate) fn figures(&self) -> (u64, u64, u64) {
+    /// What is known of the budget's tokens.
+    pub(crate) fn figures(&self) -> Figures {
         let state = self.lock();
-        (state.grant.available(), state.grant.in_use(), state.latest.free)
+        Figures {
+            available: state.grant.available(),
+            in_use: state.grant.in_use(),
+            free: state.latest.free,
+            outstanding: state.rows.pool.outstanding,
+            spent: state.rows.pool.spent,
+            level: state.level.tokens,
+        }
     }
 
     /// Gives idle tokens back from now on; requests may still draw what they need.
@@ -280,7 +305,7 @@
             }
         };
         if exec::timeout(limit, settled).await.is_none() {
-            let (available, in_use, _) = self.figures();
+            let Figures { available, in_use, .. } = self.figures();
             log::warn!(
                 "budget: event=left-unsettled team={} available={available} in-use={in_use}",
                 self.team
--- a/crates/gateway/tests/unit/members.rs
+++ b/crates/gateway/tests/unit/members.rs
@@ -70,7 +70,7 @@
         let teams = cut_off.manifest().expect("a manifest");
         let purse = cut_off.purse(&teams, &teams.teams["desk"]).expect("a budget");
         purse.reserve(10_000, Duration::from_secs(2)).await.expect("tokens").charge("r-1", 10_000);
-        let held = purse.figures().0;
+        let held = purse.figures().available;
         assert!(held > 10_000, "{held} tokens are at hand");
 
         forget(&other, "vm-1").await;
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -140,7 +140,7 @@
         first.fleet.store(1, std::sync::atomic::Ordering::Relaxed);
         std::mem::forget(purse(&first, "branch").reserve(1_000, PATIENCE).await.expect("tokens"));
         exec::sleep(Duration::from_millis(200)).await;
-        assert!(purse(&first, "branch").figures().0 > 40_000, "it holds much of the budget");
+        assert!(purse(&first, "branch").figures().available > 40_000, "it holds much of the budget");
         note(&first, &mut Some(0)).await.expect("the note is written");
         let second = started("vm-1", 2, &rows);
         // The store answers the new process late: by this time the limit of the note has grown by thousands.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -37,7 +37,7 @@
 pub use pause::{Pause, Pauses};
 pub use retry::Budget;
 pub use share::{Owners, assign};
-pub use window::{Terms, Window};
+pub use window::{Count, Terms, Window};
 
 /// A time in milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -28,6 +28,17 @@
     pub length: Millis,
 }
 
+/// The sums of one router's window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Count {
+    /// Requests that came.
+    pub requests: u32,
+    /// Repeats among the dispatches.
+    pub repeats: u32,
+    /// The most repeats, this router's share of the extra included.
+    pub allowed: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     at: Millis,
@@ -62,11 +73,7 @@
 
     /// Counts a repeat, if one is allowed.
     pub fn repeat(&mut self, now: Millis) -> bool {
-        let (requests, repeats) = self.sums(now);
-        // A router that has just started does not know what its earlier life used.
-        let known = now.saturating_sub(self.started) >= self.terms.length;
-        let extra = self.terms.extra / f64::from(self.routers) * if known { 1.0 } else { 0.5 };
-        let allowed = MARGIN * (self.terms.ratio * f64::from(requests) + extra);
+        let Count { repeats, allowed, .. } = self.count(now);
         if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
@@ -74,6 +81,16 @@
         true
     }
 
+    /// What this router counted, and what it may repeat by that.
+    pub fn count(&mut self, now: Millis) -> Count {
+        let (requests, repeats) = self.sums(now);
+        // A router that has just started does not know what its earlier life used.
+        let known = now.saturating_sub(self.started) >= self.terms.length;
+        let extra = self.terms.extra / f64::from(self.routers) * if known { 1.0 } else { 0.5 };
+        let allowed = MARGIN * (self.terms.ratio * f64::from(requests) + extra);
+        Count { requests, repeats, allowed }
+    }
+
     fn sums(&mut self, now: Millis) -> (u32, u32) {
         let length = self.terms.length + BUCKET;
         while self.buckets.front().is_some_and(|bucket| bucket.at + length <= now) {
