--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -24,6 +24,30 @@
 use crate::ledger::Line;
 use serde::{Deserialize, Serialize};
 
+// The shares and times below were chosen together on the standard days of two deployments, few of them one by one: see
+// the table in docs/design/platform.md.
+
+/// The time whose demand may be used at once after a note, beyond what waits for one, in milliseconds. Little: while the
+/// store answers, a request that needs more has a new note written first, and a death costs it.
+const NOTED_MS: u64 = 100;
+/// Where notes take longer: this multiple of the time that they take, one that is on its way and the next, and that time
+/// at the most. It is what the store takes when it is slow or loses answers, and a cut shows as such a time too.
+const NOTED_TIMES: u64 = 2;
+const NOTED_MOST_MS: u64 = 1_500;
+/// The part of what is at hand that may be used at once after a note.
+const NOTED_PART: u64 = 256;
+/// From this age on a note's limit grows, in milliseconds: longer than most restarts take, since a death costs what the limit
+/// grew by until the next start, and a cut that is shorter refuses little.
+const EARLY_MS: u64 = 1_800;
+/// Multiple of the demand by which a note's limit grows from then on, so that a cut is bridged.
+const GROWTH: f64 = 1.5;
+/// What comes to that multiple where the budget is plentiful.
+const GROWTH_PLENTY: f64 = 1.0;
+/// From this age on it also grows by the demand once more, in milliseconds.
+const LATE_MS: u64 = 2_000;
+/// And by all that is at hand within so many seconds, so that large requests fit.
+const LATE_S: u64 = 8;
+
 /// A time in milliseconds of a clock that neither stops nor jumps.
 pub type Millis = u64;
 
@@ -45,7 +69,40 @@
     pub late_per_s: u64,
 }
 
+/// What a schedule is made from.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Tokens used so far: charged, or reserved at the worst.
+    pub used: u64,
+    /// Tokens that requests wait for.
+    pub waiting: u64,
+    /// Tokens at hand.
+    pub available: u64,
+    /// Tokens consumed in a second, on average.
+    pub rate: f64,
+    /// How plentiful the budget is, from 0 to 1: what a death costs is missed where little is left, and what a cut refuses
+    /// there can still be spent after it.
+    pub plenty: f64,
+    /// How long a note takes to be acknowledged, in milliseconds.
+    pub note_ms: u64,
+}
+
 impl Schedule {
+    /// The schedule of a note that is about to be written.
+    pub fn plan(outlook: &Outlook) -> Schedule {
+        let Outlook { used, waiting, available, rate, plenty, note_ms } = *outlook;
+        let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
+        let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
+        Schedule {
+            used,
+            allowance: waiting + noted + available / NOTED_PART,
+            early_ms: EARLY_MS,
+            per_s: (rate * (GROWTH + plenty * GROWTH_PLENTY)) as u64,
+            late_ms: LATE_MS,
+            late_per_s: (plenty * (rate + (available / LATE_S) as f64)) as u64,
+        }
+    }
+
     /// The most that may have been used so long after the note.
     pub fn limit(&self, elapsed_ms: u64) -> u64 {
         let early = growth(self.per_s, elapsed_ms.saturating_sub(self.early_ms));
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -3,14 +3,14 @@
 
 use crate::settle::SETTLE;
 use budget::demand::{Demand, Terms, is_off_target};
-use budget::exposure::{Notes, Schedule};
+use budget::exposure::{Notes, Outlook, Schedule};
 use budget::grant::{Grant, Reserve};
 use budget::ledger::{Account, Batch, Level, Pool};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-// The shares, multiples and times of budgets and notes below were chosen together on the standard days of two deployments,
+// The shares, multiples and times below were chosen together on the standard days of two deployments,
 // few of them one by one: see the table in docs/design/platform.md.
 
 /// Charges settled in one batch.
@@ -28,26 +28,6 @@
 /// The part of a budget that each router is taken to have used before it was seen to: so that the first uses do not
 /// decide how all of it is shared.
 const PRIOR_USE: f64 = 0.005;
-/// The time whose demand may be used at once after a note, beyond what waits for one, in milliseconds. Little: while the
-/// store answers, a request that needs more has a new note written first, and a death costs it.
-const NOTED_MS: u64 = 100;
-/// Where notes take longer: this multiple of the time that they take, one that is on its way and the next, and that time
-/// at the most. It is what the store takes when it is slow or loses answers, and a cut shows as such a time too.
-const NOTED_TIMES: u64 = 2;
-const NOTED_MOST_MS: u64 = 1_500;
-/// The part of what is at hand that may be used at once after a note.
-const NOTED_PART: u64 = 256;
-/// From this age on a note's limit grows, in milliseconds: longer than most restarts take, since a death costs what the limit
-/// grew by until the next start, and a cut that is shorter refuses little.
-const NOTE_EARLY_MS: u64 = 1_800;
-/// Multiple of the demand by which a note's limit grows from then on, so that a cut is bridged.
-const NOTE_GROWTH: f64 = 1.5;
-/// What comes to that multiple where the budget is plentiful.
-const NOTE_GROWTH_PLENTY: f64 = 1.0;
-/// From this age on it also grows by the demand once more, in milliseconds.
-const NOTE_LATE_MS: u64 = 2_000;
-/// And by all that is at hand within so many seconds, so that large requests fit.
-const NOTE_LATE_S: u64 = 8;
 /// The part of its idle tokens that a router keeps at most when others need some: below one half, so that it does give
 /// some back, and not none, since in a large fleet what all give back is far more than one needs.
 const KEPT: f64 = 0.45;
@@ -182,17 +162,14 @@
 
     /// The schedule for the next note, which takes about `note_ms` to be acknowledged.
     pub(crate) fn schedule(&self, note_ms: u64) -> Schedule {
-        let (rate, plenty) = (self.demand.rate(), self.plenty());
-        let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
-        let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
-        Schedule {
+        Schedule::plan(&Outlook {
             used: self.grant.used(),
-            allowance: self.waiting + noted + self.grant.available() / NOTED_PART,
-            early_ms: NOTE_EARLY_MS,
-            per_s: (rate * (NOTE_GROWTH + plenty * NOTE_GROWTH_PLENTY)) as u64,
-            late_ms: NOTE_LATE_MS,
-            late_per_s: (plenty * (rate + (self.grant.available() / NOTE_LATE_S) as f64)) as u64,
-        }
+            waiting: self.waiting,
+            available: self.grant.available(),
+            rate: self.demand.rate(),
+            plenty: self.plenty(),
+            note_ms,
+        })
     }
 
     /// Why tokens can't be had, if the latest settlement showed that.
