Mend: a gateway has no part in the extra repeats in its first window, nor while it does not know the fleet

Cause: each gateway divides the extra among the gateways that it knows. Eight that start together know only themselves until the second heartbeat, and took half of the whole extra each: 2.45 times what is allowed, played in route/tests/windows.rs. One behind a cut of more than 12 s keeps its eighth while the others divide the whole again: 1.06 times in the same play. Class: a share of something common, taken by a process that does not know who else takes. Ruled out by the same plays: kills in series with a known fleet. No record of the users' report came, so whether this is its cause is only suspected.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -59,8 +59,7 @@
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut seen = Members::default();
     loop {
-        let fleet = node.fleet_size();
-        let period = BEAT_MS.max(fleet * 1_000 / BEATS_PER_S);
+        let period = period(&node);
         match node.rows.list(TABLE, "").await {
             Ok(page) => {
                 let gone = look(&node, &mut seen, &page, period * MISSED);
@@ -78,6 +77,19 @@
     }
 }
 
+/// Time between two heartbeats in a fleet of this size, in milliseconds.
+fn period<W: Wire, S: Rows>(node: &Node<W, S>) -> u64 {
+    BEAT_MS.max(node.fleet_size() * 1_000 / BEATS_PER_S)
+}
+
+/// How many gateways there are; `None` if the list was not read for so long that the others may have forgotten this one
+/// and share among themselves what it takes for its own part.
+pub(crate) fn known<W: Wire, S: Rows>(node: &Node<W, S>) -> Option<u32> {
+    let read = node.fleet_read.load(Ordering::Relaxed);
+    let is_known = read > 0 && node.now().saturating_sub(read) < period(node) * MISSED;
+    is_known.then_some(node.fleet_size() as u32)
+}
+
 /// Writes a heartbeat.
 async fn beat<W: Wire, S: Rows>(node: &Node<W, S>, is_first: bool) {
     let kept_for_short = if is_first { divide(node) } else { BTreeMap::new() };
@@ -116,6 +128,7 @@
     gone_after: u64,
 ) -> Vec<String> {
     let now = node.now();
+    node.fleet_read.store(now.max(1), Ordering::Relaxed);
     let seen = &mut members.seen;
     if members.read.replace(now).is_some_and(|read| now.saturating_sub(read) > gone_after / 2) {
         // This gateway was cut off or stood still: what it missed then says nothing of the others.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -51,6 +51,8 @@
     pub pool: Pool,
     pub metrics: Metrics,
     pub fleet: Arc<AtomicU64>,
+    /// When the list of gateways was read last, in milliseconds since the process started; 0 if it was not yet.
+    pub fleet_read: AtomicU64,
     pub open: AtomicU64,
     pub hints: Hints,
     pub owners: Owners,
@@ -88,6 +90,7 @@
             pool: Pool::default(),
             metrics,
             fleet: Arc::new(AtomicU64::new(ASSUMED_FLEET)),
+            fleet_read: AtomicU64::new(0),
             open: AtomicU64::new(0),
             hints: Hints::default(),
             started: Instant::now(),
@@ -210,7 +213,7 @@
             windows.insert(service.to_owned(), Window::new(terms, 0));
         }
         let window = windows.get_mut(service).expect("the window was just added");
-        window.set_routers(self.fleet_size() as u32);
+        window.set_routers(crate::members::known(self));
         act(window, now)
     }
 
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -3,10 +3,11 @@
 //!
 //! ```
 //! let mut window = route::Window::new(route::Terms { ratio: 0.5, extra: 4.0, length: 10_000 }, 0);
-//! window.set_routers(2);
-//! window.request(0);
-//! assert!(window.repeat(0));
-//! assert!(!window.repeat(0), "half a request's share and half of the extra, less the margin");
+//! window.set_routers(Some(2));
+//! (0..4).for_each(|_| window.request(9_000));
+//! assert!(window.repeat(9_000), "half of its requests, less the margin");
+//! assert!(!window.repeat(9_000), "a router that has just started has no part in the extra");
+//! assert!(window.repeat(10_000), "later it has its share of the extra");
 //! ```
 
 use crate::Millis;
@@ -50,7 +51,7 @@
 #[derive(Clone, Debug)]
 pub struct Window {
     terms: Terms,
-    routers: u32,
+    routers: Option<u32>,
     started: Millis,
     buckets: VecDeque<Bucket>,
 }
@@ -58,12 +59,13 @@
 impl Window {
     /// An empty window of a router that started at `started`.
     pub fn new(terms: Terms, started: Millis) -> Window {
-        Window { terms, routers: 1, started, buckets: VecDeque::new() }
+        Window { terms, routers: None, started, buckets: VecDeque::new() }
     }
 
-    /// How many routers share the extra.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.routers = routers.max(1);
+    /// How many routers share the extra; `None` if that is not known: those that it does not know of divide the extra
+    /// among themselves.
+    pub fn set_routers(&mut self, routers: Option<u32>) {
+        self.routers = routers.map(|routers| routers.max(1));
     }
 
     /// Counts a request.
@@ -84,13 +86,22 @@
     /// What this router counted, and what it may repeat by that.
     pub fn count(&mut self, now: Millis) -> Count {
         let (requests, repeats) = self.sums(now);
-        // A router that has just started does not know what its earlier life used.
-        let known = now.saturating_sub(self.started) >= self.terms.length;
-        let extra = self.terms.extra / f64::from(self.routers) * if known { 1.0 } else { 0.5 };
-        let allowed = MARGIN * (self.terms.ratio * f64::from(requests) + extra);
+        let allowed = MARGIN * (self.terms.ratio * f64::from(requests) + self.extra(now));
         Count { requests, repeats, allowed }
     }
 
+    /// This router's share of the extra. None in the first window of its life: it does not know what its earlier life used, nor
+    /// yet how many routers there are. With half of it at once, eight routers that start together and know only themselves for
+    /// 1.5 s reach 2.45 times what is allowed (`tests/windows.rs`).
+    fn extra(&self, now: Millis) -> f64 {
+        match self.routers {
+            Some(routers) if now.saturating_sub(self.started) >= self.terms.length => {
+                self.terms.extra / f64::from(routers)
+            }
+            _ => 0.0,
+        }
+    }
+
     fn sums(&mut self, now: Millis) -> (u32, u32) {
         let length = self.terms.length + BUCKET;
         while self.buckets.front().is_some_and(|bucket| bucket.at + length <= now) {
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -113,7 +113,7 @@
     let mut requests: Vec<u64> = vec![];
     for now in (0..40_000).step_by(10) {
         let window = &mut windows[(now / 10 % routers) as usize];
-        window.set_routers(routers as u32);
+        window.set_routers(Some(routers as u32));
         window.request(now);
         requests.push(now);
         // Everything is tried again as often as it may be.
--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -21,8 +21,8 @@
 }
 
 /// Plays gateways that repeat whenever they may. All are killed at each of `kills`; what each knows of the size of the fleet is
-/// `known` by its age.
-fn play(per_s: u32, kills: &[Millis], known: impl Fn(Millis) -> Option<u32>) -> Seen {
+/// `known` by its index and its age.
+fn play(per_s: u32, kills: &[Millis], known: impl Fn(usize, Millis) -> Option<u32>) -> Seen {
     let end = 40 * SECOND;
     let mut seen = Seen { requests: vec![0; end], repeats: vec![0; end] };
     let mut windows: Vec<Window> = (0..FLEET).map(|_| Window::new(TERMS, 0)).collect();
@@ -43,8 +43,8 @@
             }
         }
         if at >= started && now.is_multiple_of(10) {
-            for window in &mut windows {
-                window.set_routers(known(at - started).unwrap_or(FLEET as u32));
+            for (index, window) in windows.iter_mut().enumerate() {
+                window.set_routers(known(index, at - started));
                 seen.repeats[now] += u32::from(window.repeat(at));
             }
         }
@@ -68,21 +68,34 @@
 
 #[test]
 fn kills_in_series_do_not_add_up() {
-    let seen = play(27, &[20_000, 22_500, 25_000, 27_500], |_| Some(FLEET as u32));
+    let seen = play(27, &[20_000, 22_500, 25_000, 27_500], |_, _| Some(FLEET as u32));
     let worst = worst(&seen);
     assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
 }
 
 #[test]
 fn a_fleet_that_starts_together_shares_the_extra_before_its_members_know_each_other() {
-    let seen = play(27, &[25_000], |age| Some(if age < 1_500 { 1 } else { FLEET as u32 }));
+    let seen = play(27, &[25_000], |_, age| Some(if age < 1_500 { 1 } else { FLEET as u32 }));
     let worst = worst(&seen);
     assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
 }
 
+#[test]
+fn those_behind_a_cut_leave_the_extra_to_the_others() {
+    // From 12 s on the others have forgotten half of the fleet, which can't read the list meanwhile.
+    let half = FLEET / 2;
+    let known = |index: usize, age: Millis| match age {
+        0..12_000 => Some(FLEET as u32),
+        _ if index < half => Some(half as u32),
+        _ => None,
+    };
+    let worst = worst(&play(8, &[], known));
+    assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
+}
+
 #[test]
 fn a_calm_fleet_uses_most_of_what_is_allowed() {
-    let seen = play(78, &[], |_| Some(FLEET as u32));
+    let seen = play(78, &[], |_, _| Some(FLEET as u32));
     let worst = worst(&seen);
     assert!((0.7..=1.0).contains(&worst), "repeats reach {worst:.2} of what is allowed");
 }
