--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -1,9 +1,11 @@
 //! Repeats of a whole fleet, whose gateways share no count and start anew at any moment.
 //!
 //! What users saw: repeats at the model service passed a fifth of its requests and the fixed extra, on days on which gateways
-//! were restarted and killed in series. No record of such a day came. What reading showed: each new life of a gateway was
-//! granted half of its share of the extra at once, though its earlier life had used the whole, and a gateway that knew of
-//! few others divided the extra by those.
+//! were restarted and killed. No record of such a day came; one of our own shows it (`deploy/days/start-together.toml`, 307
+//! repeats in ten seconds where 269 are allowed): upstreams refuse most requests, all gateways use their windows up
+//! within a second, are stopped, and start again with empty windows. Their `repeat` lines prove the cause: 149 repeats in the
+//! second before the stop, 180 in the nine seconds after it. Besides, a gateway that knew of few others divided the
+//! extra by those.
 
 use route::{Millis, Terms, Window};
 
@@ -20,9 +22,9 @@
     repeats: Vec<u32>,
 }
 
-/// Plays gateways that repeat whenever they may. All are killed at each of `kills`; what each knows of the size of the fleet is
+/// Plays gateways that repeat whenever they may, from `failing` on. All are killed at each of `kills`; what each knows of the size of the fleet is
 /// `known` by its index and its age.
-fn play(per_s: u32, kills: &[Millis], known: impl Fn(usize, Millis) -> Option<u32>) -> Seen {
+fn play(per_s: u32, failing: Millis, kills: &[Millis], known: impl Fn(usize, Millis) -> Option<u32>) -> Seen {
     let end = 40 * SECOND;
     let mut seen = Seen { requests: vec![0; end], repeats: vec![0; end] };
     let mut windows: Vec<Window> = (0..FLEET).map(|_| Window::new(TERMS, 0)).collect();
@@ -42,7 +44,7 @@
                 windows[now % FLEET].request(at);
             }
         }
-        if at >= started && now.is_multiple_of(10) {
+        if at >= started.max(failing) && now.is_multiple_of(10) {
             for (index, window) in windows.iter_mut().enumerate() {
                 window.set_routers(known(index, at - started));
                 seen.repeats[now] += u32::from(window.repeat(at));
@@ -68,14 +70,23 @@
 
 #[test]
 fn kills_in_series_do_not_add_up() {
-    let seen = play(27, &[20_000, 22_500, 25_000, 27_500], |_, _| Some(FLEET as u32));
+    let seen = play(27, 0, &[20_000, 22_500, 25_000, 27_500], |_, _| Some(FLEET as u32));
     let worst = worst(&seen);
     assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
 }
 
+#[test]
+fn a_restart_of_all_does_not_forget_what_was_repeated() {
+    for kills in [vec![25_000], vec![21_000, 23_000, 25_000, 27_000]] {
+        let seen = play(100, 20_000, &kills, |_, _| Some(FLEET as u32));
+        let worst = worst(&seen);
+        assert!(worst <= 1.0, "with kills at {kills:?} repeats reach {worst:.2} of what is allowed");
+    }
+}
+
 #[test]
 fn a_fleet_that_starts_together_shares_the_extra_before_its_members_know_each_other() {
-    let seen = play(27, &[25_000], |_, age| Some(if age < 1_500 { 1 } else { FLEET as u32 }));
+    let seen = play(27, 0, &[25_000], |_, age| Some(if age < 1_500 { 1 } else { FLEET as u32 }));
     let worst = worst(&seen);
     assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
 }
@@ -89,13 +100,13 @@
         _ if index < half => Some(half as u32),
         _ => None,
     };
-    let worst = worst(&play(8, &[], known));
+    let worst = worst(&play(8, 0, &[], known));
     assert!(worst <= 1.0, "repeats reach {worst:.2} of what is allowed");
 }
 
 #[test]
 fn a_calm_fleet_uses_most_of_what_is_allowed() {
-    let seen = play(78, &[], |_, _| Some(FLEET as u32));
+    let seen = play(78, 0, &[], |_, _| Some(FLEET as u32));
     let worst = worst(&seen);
     assert!((0.7..=1.0).contains(&worst), "repeats reach {worst:.2} of what is allowed");
 }
