Mend: repeats come out of a token bucket that starts empty, so that lives of a gateway together keep the bound

Cause: a sliding window's count lived in the process. A new life repeated as if nothing had been repeated before, so a restart of all gateways just after a burst of failures doubled what was allowed. Class: a bound in time whose state dies with the process.

Now what a gateway repeats comes in with its requests and, from its second window on, with the time, six tenths of what is allowed; up to 0.35 of it may have gathered before. Each life starts with nothing.

Tried between, not kept: requests that wait for an old note's limit take their turn, so that small ones do not pass large ones.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -243,11 +243,11 @@
             false => "repeat-denied",
         };
         log::warn!(
-            "request: id={} event={event} reason={reason} service={service} repeats={} requests={} allowed={:.1} gateways={}",
+            "request: id={} event={event} reason={reason} service={service} left={:.1} of={:.1} requests={} gateways={}",
             self.request.ask.id,
-            count.repeats,
+            count.left,
+            count.most,
             count.requests,
-            count.allowed,
             self.node.fleet_size(),
         );
         if is_allowed {
