Several owners of a budget allow no more without the store than one does

Cause: the parts of a note's schedule that follow what is left of a budget were taken by each of its owners. Fleets of more than 20 gateways have several a team: five allowed 590,005 tokens of 800,000 after 12 s where one allows 138,876. Each takes its part now.

Test first run on the code before, where it failed with those figures.

--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -45,15 +45,15 @@
 /// what the limit passes the use by: less than 10 in 100 of the prepaid total after 12 s without notes, and 37 after 6 s where
 /// the limit grew to all that was at hand (`tests/outages.rs`, mean of 200 deaths for each size of team).
 const GROWTH: f64 = 1.1;
-/// The least growth, as a part of what is left of the budget in a second: a team that has asked for little so far is served
-/// through an outage too, and what a death costs then lasts it for more than a minute.
-const LEAST_GROWTH: f64 = 1.0 / 80.0;
+/// It grows at least by an owner's part of what is left within so many seconds: a team that has asked for little so far is
+/// served through an outage too, and what a death costs then lasts it for about that time.
+const LEAST_S: u64 = 80;
 /// From this age on it also grows by the demand once more, in milliseconds.
 const LATE_MS: u64 = 2_000;
 /// And by all that is at hand within so many seconds, so that large requests fit soon.
 const LATE_S: u64 = 8;
 /// The most by which it grows late: the demand of so many seconds, for what was refused before, and one part in so many of
-/// what is left, for requests that are larger than most. Of a small team's requests, two a second, fewer than 5 in 100 are
+/// an owner's part of what is left, for requests that are larger than most. Of a small team's requests, two a second, fewer than 5 in 100 are
 /// refused from 3 s on.
 const LATE_DEMAND_S: f64 = 1.0;
 const LATE_PART: u64 = 60;
@@ -98,6 +98,8 @@
     pub available: u64,
     /// Tokens of the budget that nobody has spent.
     pub left: u64,
+    /// Gateways that own the budget: each takes its part of what is left.
+    pub owners: u64,
     /// Tokens consumed in a second, on average.
     pub rate: f64,
     /// How long a note takes to be acknowledged, in milliseconds.
@@ -107,14 +109,15 @@
 impl Schedule {
     /// The schedule of a note that is about to be written.
     pub fn plan(outlook: &Outlook) -> Schedule {
-        let Outlook { used, waiting, available, left, rate, note_ms } = *outlook;
+        let Outlook { used, waiting, available, left, owners, rate, note_ms } = *outlook;
+        let left = left / owners.max(1);
         let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
         let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
         Schedule {
             used,
             allowance: waiting + noted + available / NOTED_PART,
             early_ms: EARLY_MS,
-            per_s: (rate * GROWTH).max(left as f64 * LEAST_GROWTH) as u64,
+            per_s: ((rate * GROWTH) as u64).max(left / LEAST_S),
             late_ms: LATE_MS,
             late_per_s: rate as u64 + available / LATE_S,
             late_most: (rate * LATE_DEMAND_S) as u64 + left / LATE_PART,
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -55,8 +55,15 @@
     let rate = traffic.per_s * traffic.mean;
     let level = rate * PREPAID_S;
     let held = (level * LEFT * AT_HAND) as u64;
-    let outlook =
-        Outlook { used: 0, waiting: 0, available: held, left: (level * LEFT) as u64, rate, note_ms: 5 };
+    let outlook = Outlook {
+        used: 0,
+        waiting: 0,
+        available: held,
+        left: (level * LEFT) as u64,
+        owners: 1,
+        rate,
+        note_ms: 5,
+    };
     let schedule = Schedule::plan(&outlook);
     let (mut used, mut outcome) = (0, Outcome::default());
     for now in 0..outage_ms {
@@ -88,6 +95,20 @@
     }
 }
 
+#[test]
+fn several_owners_of_a_budget_allow_no_more_than_one() {
+    let outlook = |owners: u64| Outlook {
+        available: 600_000 / owners,
+        left: 800_000,
+        owners,
+        rate: 10_000.0 / owners as f64,
+        note_ms: 5,
+        ..Outlook::default()
+    };
+    let limit = |owners: u64| owners * Schedule::plan(&outlook(owners)).limit(12_000);
+    assert!(limit(5) <= limit(1), "five owners allow {} tokens, one {}", limit(5), limit(1));
+}
+
 const TEAMS: [(&str, Traffic); 3] = [
     ("large", Traffic { per_s: 30.0, mean: 6_000.0 }),
     ("middle", Traffic { per_s: 8.0, mean: 6_000.0 }),
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -160,13 +160,14 @@
         self.started.elapsed().as_millis() as u64 + 1
     }
 
-    /// The schedule for the next note, which takes about `note_ms` to be acknowledged.
-    pub(crate) fn schedule(&self, note_ms: u64) -> Schedule {
+    /// The schedule for the next note, which takes about `note_ms` to be acknowledged, where so many gateways own the budget.
+    pub(crate) fn schedule(&self, note_ms: u64, owners: u64) -> Schedule {
         Schedule::plan(&Outlook {
             used: self.grant.used(),
             waiting: self.waiting,
             available: self.grant.available(),
             left: self.left(),
+            owners,
             rate: self.demand.rate(),
             note_ms,
         })
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -186,7 +186,7 @@
     let begun: Vec<(&Arc<Purse>, u64, Schedule)> = purses
         .iter()
         .map(|purse| {
-            let (life, schedule) = purse.begin_note(takes.ms as u64);
+            let (life, schedule) = purse.begin_note(takes.ms as u64, owners(node, &purse.team));
             (purse, life, schedule)
         })
         .collect();
@@ -225,6 +225,16 @@
     result.map(|_| ())
 }
 
+/// How many gateways own a budget, as its notes here take it: one that knows no other is alone, and those that draw without
+/// owning it share it with all.
+fn owners<W: Wire, S: Rows>(node: &Node<W, S>, team: &str) -> u64 {
+    match node.owners.share(team) {
+        None => 1,
+        Some(0) => node.fleet_size(),
+        Some(owners) => owners,
+    }
+}
+
 /// How long a note takes to be acknowledged, or to fail, in milliseconds.
 #[derive(Debug, Default)]
 struct Takes {
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -402,10 +402,10 @@
 impl Purse {
     /// Makes the schedule for a note that is about to be sent; it binds from now on.
     ///
-    /// `note_ms` is how long a note takes to be acknowledged.
-    pub(crate) fn begin_note(&self, note_ms: u64) -> (u64, Schedule) {
+    /// `note_ms` is how long a note takes to be acknowledged, `owners` how many gateways own the budget.
+    pub(crate) fn begin_note(&self, note_ms: u64, owners: u64) -> (u64, Schedule) {
         let mut state = self.lock();
-        let schedule = state.schedule(note_ms);
+        let schedule = state.schedule(note_ms, owners);
         let now = state.now();
         state.notes.begin(now, schedule);
         (state.life, schedule)
