--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -1,9 +1,9 @@
 //! Repeats of a whole fleet, whose gateways share no count and start anew at any moment.
 //!
 //! What users saw: repeats at the model service passed a fifth of its requests and the fixed extra, on days on which gateways
-//! were restarted and killed. No record of such a day came; one of our own shows it (`deploy/days/start-together.toml`, 307
-//! repeats in ten seconds where 269 are allowed): upstreams refuse most requests, all gateways use their windows up
-//! within a second, are stopped, and start again with empty windows. Their `repeat` lines prove the cause: 149 repeats in the
+//! were restarted and killed. No record of such a day came; one of our own shows it (307 repeats in ten seconds where 269 are
+//! allowed): upstreams refuse most requests, all gateways use their windows up within a second, are stopped, and start
+//! again with empty windows. Their `repeat` lines prove the cause: 149 repeats in the
 //! second before the stop, 180 in the nine seconds after it. Besides, a gateway that knew of few others divided the
 //! extra by those.
 
