--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -52,9 +52,9 @@
 const LATE_MS: u64 = 2_000;
 /// And by all that is at hand within so many seconds, so that large requests fit soon.
 const LATE_S: u64 = 8;
-/// The most by which it grows late: the demand of so many seconds, for what was refused before, and one part in so many of
-/// an owner's part of what is left, for requests that are larger than most. Of a small team's requests, two a second, fewer than 5 in 100 are
-/// refused from 3 s on.
+/// The most by which it grows late: the demand of so many seconds, for what was refused before, and one part in so many of an
+/// owner's part of what is left, for requests that are larger than most. Of a small team's requests, two a second, fewer
+/// than 5 in 100 are refused from 3 s on.
 const LATE_DEMAND_S: f64 = 1.0;
 const LATE_PART: u64 = 60;
 
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -3,7 +3,7 @@
 //! What users saw: the store was away for twelve seconds, which was bridged; then all VMs lost power. All were back within two
 //! seconds, and so was the store, but from ten seconds on hardly any generation was served, for any team, until the day's end.
 //! `closed` lines proved the cause: each team's owner had noted its use 13.7 s before its next life began, and by then its
-//! schedule allowed five to seven times of what had been used (`noted=2237721 limit=14187378`), so all that it held
+//! schedule allowed two to six times of what had been used (`noted=2237721 limit=14187378`), so all that it held
 //! counted as used (`released=0 lost=5977905 spent=1761825`). Nobody knows more of a dead process than its last note; so
 //! what a note allows without the store must stay near what callers can really use.
 
@@ -21,8 +21,8 @@
 const RESTART_MS: u64 = 1_200;
 /// The spread of the sizes of requests: the natural logarithm's standard deviation.
 const SPREAD: f64 = 1.0;
-/// What comes earlier than that in an outage is not counted as bridged or refused, in milliseconds: a note's limit grows from
-/// about two seconds on, so that restarts cost little.
+/// Requests that come earlier in an outage are not counted, in milliseconds: a note's limit grows from about two seconds on,
+/// so that restarts cost little.
 const EARLY_MS: u64 = 3_000;
 /// Outages of each length that are played.
 const PLAYS: u64 = 200;
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -10,8 +10,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-// The shares, multiples and times below were chosen together on the standard days of two deployments,
-// few of them one by one: see the table in docs/design/platform.md.
+// The shares, multiples and times below were chosen together on the standard days of two deployments, few of them one by
+// one: see the table in docs/design/platform.md.
 
 /// Charges settled in one batch.
 const CHARGES: usize = 64;
