A note follows how fast reservations grow, not only what was charged

Cause: the limit of a note bounds what is reserved or charged, and its growth without the store followed the average of charges alone, which come as requests end. Now it follows the larger of both averages.

Test first run on the code before, where it failed (1,250 a second planned for 3,000).

--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -77,6 +77,10 @@
     started: Instant,
     pub grant: Grant,
     pub demand: Demand,
+    /// How fast the use grows that notes bound, reservations included: it leads what is charged by as long as requests last.
+    growth: Demand,
+    /// The most that was in use or charged when the growth was last measured.
+    grown: u64,
     pub level: Level,
     pub lowered: bool,
     pub waiting: u64,
@@ -108,6 +112,8 @@
             started,
             grant: Grant::default(),
             demand: Demand::default(),
+            growth: Demand::default(),
+            grown: 0,
             level,
             lowered: false,
             waiting: 0,
@@ -168,11 +174,21 @@
             available: self.grant.available(),
             left: self.left(),
             owners,
-            rate: self.demand.rate(),
+            rate: self.demand.rate().max(self.growth.rate()),
             note_ms,
         })
     }
 
+    /// Takes what was used in the last `elapsed_ms` milliseconds into the averages.
+    fn tick(&mut self, elapsed_ms: u64) {
+        let used = self.grant.used();
+        self.growth.consume(used.saturating_sub(self.grown));
+        self.grown = self.grown.max(used);
+        self.growth.tick(elapsed_ms);
+        self.demand.tick(elapsed_ms);
+        self.ticked = Instant::now();
+    }
+
     /// Why tokens can't be had, if the latest settlement showed that.
     pub(crate) fn denied(&self, tokens: u64) -> Option<Denied> {
         let latest = &self.latest;
@@ -240,8 +256,7 @@
         }
         let elapsed = self.ticked.elapsed();
         if elapsed >= SETTLE / 2 {
-            self.demand.tick(elapsed.as_millis() as u64);
-            self.ticked = Instant::now();
+            self.tick(elapsed.as_millis() as u64);
         }
         let terms = Terms { cover_s: COVER_S, least: 0, expose_s: COVER_S };
         let target = match self.target(now, team, &terms, owners) {
@@ -285,6 +300,7 @@
         self.life += 1;
         self.notes = Notes::default();
         self.grant = Grant::default();
+        self.grown = 0;
         self.batch = None;
         self.rows.account = Account::default();
         self.rows.account_version = 0;
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -151,6 +151,23 @@
     });
 }
 
+#[test]
+fn what_requests_reserve_counts_before_any_of_them_ends() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let router = started("vm-1", 1, &rows);
+        router.fleet.store(1, std::sync::atomic::Ordering::Relaxed);
+        let branch = purse(&router, "branch");
+        let mut open = vec![];
+        for _ in 0..80 {
+            open.push(branch.reserve(150, PATIENCE).await.expect("tokens"));
+            exec::sleep(Duration::from_millis(50)).await;
+        }
+        let (_, schedule) = branch.begin_note(5, 1);
+        assert!(schedule.per_s > 1_800, "{schedule:?} of 3,000 tokens a second");
+    });
+}
+
 /// Uses 500 tokens every 50 ms until the end of `lasts`, as requests do that end at once; returns what was used.
 async fn use_steadily(purse: &Arc<Purse>, lasts: Duration) -> u64 {
     let began = std::time::Instant::now();
