A gateway that has just started may repeat once

Cause: with the bucket empty at the start, the first requests that fail at a fresh gateway were not tried again.

--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -4,10 +4,10 @@
 //! ```
 //! let mut window = route::Window::new(route::Terms { ratio: 0.5, extra: 4.0, length: 10_000 }, 0);
 //! window.set_routers(Some(2));
-//! assert!(!window.repeat(0), "a router that has just started has nothing to repeat with");
-//! (0..4).for_each(|_| window.request(0));
-//! assert!(window.repeat(0), "requests bring some");
+//! assert!(window.repeat(0), "a router that has just started may repeat once");
 //! assert!(!window.repeat(0));
+//! (0..4).for_each(|_| window.request(0));
+//! assert!(window.repeat(0), "requests bring more");
 //! ```
 
 use crate::Millis;
@@ -18,7 +18,10 @@
 /// The part of what is allowed that comes in as requests come and time passes.
 const FLOW: f64 = 0.6;
 /// The part of what is allowed that may have gathered before: repeats come in bursts, as upstreams fail.
-const GATHERED: f64 = 0.35;
+const GATHERED: f64 = 0.3;
+/// What a life of a router starts with: so that the first request that fails is tried again. For eight routers that start together,
+/// 4 in 100 of what is allowed at 78 requests a second.
+const START: f64 = 1.0;
 /// Requests within one bucket are counted together, in milliseconds.
 const BUCKET: Millis = 100;
 
@@ -50,11 +53,11 @@
     requests: u32,
 }
 
-/// What one router may repeat for one service: a token bucket that starts empty.
+/// What one router may repeat for one service: a token bucket that starts almost empty.
 ///
 /// Whatever a router repeats in a window came in within it, but for what had gathered before. Lives of a router that follow
-/// each other share the time and the requests, and each starts with nothing; so all of them together stay within the bound,
-/// however often they are killed. Counts of a window that each life starts anew reach 307 repeats in 10 s where 269 are
+/// each other share the time and the requests, and each starts with next to nothing; so all of them together stay within the
+/// bound, also if they are killed in series. Counts of a window that each life starts anew reach 307 repeats in 10 s where 269 are
 /// allowed, when a fleet of eight is restarted at once while upstreams refuse (`tests/windows.rs` plays it: 1.05).
 #[derive(Clone, Debug)]
 pub struct Window {
@@ -67,9 +70,9 @@
 }
 
 impl Window {
-    /// An empty window of a router that started at `started`.
+    /// The window of a router that started at `started`.
     pub fn new(terms: Terms, started: Millis) -> Window {
-        Window { terms, routers: None, started, buckets: VecDeque::new(), left: 0.0, filled: started }
+        Window { terms, routers: None, started, buckets: VecDeque::new(), left: START, filled: started }
     }
 
     /// How many routers share the extra; `None` if that is not known: those that it does not know of divide the extra
