--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -10,6 +10,7 @@
 //! ```
 //! let schedule = budget::exposure::Schedule {
 //!     used: 100,
+//!     charged: 60,
 //!     allowance: 20,
 //!     early_ms: 500,
 //!     per_s: 10,
@@ -66,6 +67,9 @@
 pub struct Schedule {
     /// Used when the note was made: charged, or reserved at the worst.
     pub used: u64,
+    /// The part of it that requests which ended were charged: what a death costs beyond this was reserved, or allowed.
+    #[serde(default)]
+    pub charged: u64,
     /// Allowed beyond that at once.
     pub allowance: u64,
     /// From then on the limit grows, in milliseconds since the note.
@@ -92,6 +96,8 @@
 pub struct Outlook {
     /// Tokens used so far: charged, or reserved at the worst.
     pub used: u64,
+    /// Tokens charged so far.
+    pub charged: u64,
     /// Tokens that requests wait for.
     pub waiting: u64,
     /// Tokens at hand.
@@ -109,12 +115,13 @@
 impl Schedule {
     /// The schedule of a note that is about to be written.
     pub fn plan(outlook: &Outlook) -> Schedule {
-        let Outlook { used, waiting, available, left, owners, rate, note_ms } = *outlook;
+        let Outlook { used, charged, waiting, available, left, owners, rate, note_ms } = *outlook;
         let left = left / owners.max(1);
         let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
         let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
         Schedule {
             used,
+            charged,
             allowance: waiting + noted + available / NOTED_PART,
             early_ms: EARLY_MS,
             per_s: ((rate * GROWTH) as u64).max(left / LEAST_S),
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -77,6 +77,11 @@
         self.line.spent + self.line.voided + settling + sum(&self.charges) + self.reserved + self.unknown
     }
 
+    /// The part of [`used`](Grant::used) that requests which ended were charged.
+    pub fn charged(&self) -> u64 {
+        self.used() - self.reserved - self.unknown
+    }
+
     /// Tokens that may still be used before the next settlement. Tokens taken over from peers since the last
     /// one are not in the account yet, so they need no exposure. While a batch is on its way both what it
     /// would expose and what was exposed before bound the use.
--- a/crates/budget/tests/model/notes.rs
+++ b/crates/budget/tests/model/notes.rs
@@ -93,6 +93,7 @@
     fn send(&self, state: &State, known: u64) -> State {
         let schedule = Schedule {
             used: state.used,
+            charged: 0,
             allowance: 1,
             early_ms: 0,
             per_s: 1,
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -57,6 +57,7 @@
     let held = (level * LEFT * AT_HAND) as u64;
     let outlook = Outlook {
         used: 0,
+        charged: 0,
         waiting: 0,
         available: held,
         left: (level * LEFT) as u64,
--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -28,6 +28,8 @@
     pub age_ms: u64,
     /// Tokens used when it was made.
     pub used: u64,
+    /// Tokens of these that requests which had ended were charged.
+    pub charged: u64,
     /// Tokens that may have been used by the death.
     pub limit: u64,
 }
@@ -99,7 +101,8 @@
         match rows.commit(&change).await? {
             Commit::Applied(version) => {
                 let noted = exposure.noted(team, name).map_or("noted=none".to_owned(), |noted| {
-                    format!("note-age-ms={} noted={} limit={}", noted.age_ms, noted.used, noted.limit)
+                    let Noted { age_ms, used, charged, limit } = noted;
+                    format!("note-age-ms={age_ms} noted={used} charged={charged} limit={limit}")
                 });
                 log::info!(
                     "budget: event=closed team={team} account={name} released={released} lost={left} spent={spent} {noted} version={version}"
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -170,6 +170,7 @@
     pub(crate) fn schedule(&self, note_ms: u64, owners: u64) -> Schedule {
         Schedule::plan(&Outlook {
             used: self.grant.used(),
+            charged: self.grant.charged(),
             waiting: self.waiting,
             available: self.grant.available(),
             left: self.left(),
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -75,7 +75,8 @@
     fn noted(&self, team: &str, account: &str) -> Option<Noted> {
         let schedule = self.schedule(team, account)?;
         let age_ms = self.age_ms();
-        Some(Noted { age_ms, used: schedule.used, limit: schedule.limit(age_ms) })
+        let Schedule { used, charged, .. } = *schedule;
+        Some(Noted { age_ms, used, charged, limit: schedule.limit(age_ms) })
     }
 }
 
