--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms, in seconds: around the targets of interactive requests.
@@ -35,6 +35,8 @@
     pub upstreams: IntGauge,
     /// Gateways in the fleet.
     pub fleet: IntGauge,
+    /// Entries in the list of upstreams that name none.
+    pub entries_unfit: IntCounter,
     /// Datagrams of other gateways that changed nothing, by reason.
     pub hints_dropped: IntCounterVec,
 }
@@ -63,6 +65,12 @@
             registry.register(Box::new(family.clone())).expect("the name is new");
             family
         };
+        let entries_unfit = IntCounter::new(
+            "tallypaddle_entries_unfit_total",
+            "Entries in the list of upstreams that name none.",
+        )
+        .expect("a valid name");
+        registry.register(Box::new(entries_unfit.clone())).expect("the name is new");
         let store_time =
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("a valid name");
@@ -80,6 +88,7 @@
                 "Dispatches beyond the first of a request, by service and reason.",
                 &["service", "reason"],
             ),
+            entries_unfit,
             hints_dropped: counters(
                 "tallypaddle_hints_dropped_total",
                 "Datagrams between gateways that changed nothing.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -98,6 +98,9 @@
     pub slots: u32,
     /// Whether it takes no new work because it is about to leave.
     pub leaving: bool,
+    /// When it started, in milliseconds of its own clock, if it says so: one that starts again under its name knows nothing
+    /// of before.
+    pub started: Option<u64>,
 }
 
 /// A message that could not be decoded.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -186,6 +186,10 @@
     vanished: HashMap<String, Millis>,
     /// When the store was reached again after it was away.
     regained_at: Option<Millis>,
+    /// When the newest life of each upstream started, in milliseconds of its own clock.
+    started: HashMap<String, u64>,
+    /// Entries that name no upstream since they were last logged, and the first of them.
+    unfit: Option<(u64, String)>,
 }
 
 /// Follows the list of upstreams.
@@ -202,6 +206,9 @@
             Step::Nothing => {}
         }
         decide(&node, &mut known);
+        if let Some((count, first)) = known.unfit.take() {
+            log::warn!("upstream: event=unfit entries={count} {first}");
+        }
         node.metrics.upstreams.set(node.listings().len() as i64);
     }
 }
@@ -232,13 +239,40 @@
     let Some(bytes) = record.value.as_deref() else {
         return vanish(node, known, &record.name);
     };
-    known.vanished.remove(&record.name);
     match node.wire.listing(bytes) {
-        Ok(listing) => set(node, &record.name, record.version, listing),
-        Err(error) => log::error!("upstream: event=unreadable upstream={} {error}", record.name),
+        Ok(listing) => begin(node, known, record, listing),
+        Err(error) => {
+            // Another writer's entry names no upstream, also in the place of one that did.
+            node.metrics.entries_unfit.inc();
+            let first = || (0, format!("upstream={} {error}", record.name));
+            known.unfit.get_or_insert_with(first).0 += 1;
+            known.vanished.remove(&record.name);
+            remove(node, known, &record.name);
+        }
     }
 }
 
+/// Takes in an upstream's entry, unless an earlier life of it wrote it late.
+fn begin<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, record: &Record, listing: Listing) {
+    if let Some(started) = listing.started {
+        let newest = known.started.entry(record.name.clone()).or_insert(started);
+        if started < *newest {
+            log::warn!(
+                "upstream: event=late-entry upstream={} started={started} newest={newest}",
+                record.name
+            );
+            return;
+        }
+        if started > std::mem::replace(newest, started) && node.listings().remove(&record.name).is_some() {
+            // What was learned of its earlier life is not true of this one.
+            node.places().remove(&record.name);
+            log::info!("upstream: event=started-again upstream={} started={started}", record.name);
+        }
+    }
+    known.vanished.remove(&record.name);
+    set(node, &record.name, record.version, listing);
+}
+
 fn set<W: Wire, S: Rows>(node: &Node<W, S>, name: &str, version: u64, listing: Listing) {
     let mut listings = node.listings();
     if listings.get(name) == Some(&listing) {
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -9,7 +9,7 @@
 use standin::TableRows;
 use std::sync::Arc;
 
-/// A language in which an upstream's row is "service address [leaving]".
+/// A language in which an upstream's row is "service address [leaving] [started=N]", or else unfit.
 pub(crate) struct Plain;
 
 impl Wire for Plain {
@@ -32,10 +32,14 @@
         let words: Vec<&str> = text.split(' ').collect();
         Ok(Listing {
             service: words[0].to_owned(),
-            address: words[1].parse().expect("an address"),
+            address: words
+                .get(1)
+                .and_then(|word| word.parse().ok())
+                .ok_or(Malformed { step: "listing", reason: text.to_string() })?,
             data_centre: "here".to_owned(),
             slots: 4,
-            leaving: words.len() > 2,
+            leaving: words.contains(&"leaving"),
+            started: words.iter().find_map(|word| word.strip_prefix("started=")?.parse().ok()),
         })
     }
 
--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -106,3 +106,59 @@
     take(&node, &mut known, &record(5, "narrator 127.0.0.1:9000"));
     assert!(node.listings()["engine-0"].leaving);
 }
+
+fn put(rows: &TableRows, value: &str) {
+    rows.put(TABLE, "", "engine-1", value);
+}
+
+#[test]
+fn an_entry_of_another_writer_takes_its_upstream_out_until_a_fit_one_is_back() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        let node = followed(&rows);
+        until(&node, "all are listed", 3).await;
+        let address = node.listings()["engine-1"].address;
+        put(&rows, "\u{1}\u{2}");
+        until(&node, "it names no upstream", 2).await;
+        assert!(node.metrics.entries_unfit.get() > 0);
+        put(&rows, &format!("engines {address}"));
+        until(&node, "it is back", 3).await;
+    });
+}
+
+#[test]
+fn a_later_start_under_the_same_name_forgets_what_was_learned_and_an_earlier_one_changes_nothing() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        let node = followed(&rows);
+        until(&node, "all are listed", 3).await;
+        let address = node.listings()["engine-1"].address;
+        put(&rows, &format!("engines {address} leaving started=100"));
+        let state = async |what: &str, started: u64, leaving: bool| {
+            for _ in 0..200 {
+                let listing = node.listings().get("engine-1").cloned();
+                if listing.is_some_and(|known| known.started == Some(started) && known.leaving == leaving) {
+                    return;
+                }
+                exec::sleep(Duration::from_millis(10)).await;
+            }
+            panic!("{what}: {:?}", node.listings().get("engine-1"));
+        };
+        state("it leaves", 100, true).await;
+        for _ in 0..3 {
+            node.places().fail("engine-1", node.now());
+        }
+        let standing = || node.places().standing("engine-1", node.now());
+        assert_eq!(standing(), Some(route::Standing::Ejected));
+
+        put(&rows, &format!("engines {address} started=200"));
+        state("it started again", 200, false).await;
+        assert_eq!(standing(), Some(route::Standing::Fit), "its failures were those of an earlier life");
+
+        put(&rows, &format!("engines {address} leaving started=100"));
+        exec::sleep(Duration::from_millis(300)).await;
+        state("an earlier life's entry came late", 200, false).await;
+    });
+}
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -182,6 +182,8 @@
 #[derive(Clone, Debug)]
 struct Upstream {
     site: Site,
+    /// The first dispatch since it is known: those before went to an earlier one of its name.
+    first: Ticket,
     leaving: bool,
     open: u32,
     overdue: u32,
@@ -292,6 +294,7 @@
             None => {
                 let upstream = Upstream {
                     site,
+                    first: self.tickets + 1,
                     leaving,
                     open: 0,
                     overdue: 0,
@@ -425,7 +428,9 @@
         if let Some(Awaited { events_ms, .. }) = awaited {
             self.running.insert(ticket, Running { since: now, events_ms });
         }
-        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        let Some(upstream) = self.upstreams.get_mut(name).filter(|upstream| ticket >= upstream.first) else {
+            return;
+        };
         upstream.reads.remove(ticket, true, now);
         let Some(awaited) = awaited.filter(|awaited| awaited.is_alone) else { return };
         let ms = now.saturating_sub(awaited.sent) as f64 / upstream.pace.slowness(usual);
@@ -442,7 +447,7 @@
         {
             service.end_run(running, now);
         }
-        if let Some(upstream) = self.upstreams.get_mut(name) {
+        if let Some(upstream) = self.upstreams.get_mut(name).filter(|upstream| ticket >= upstream.first) {
             upstream.open = upstream.open.saturating_sub(1);
             upstream.reads.remove(ticket, false, now);
         }
@@ -588,6 +593,11 @@
         like().map(|(name, upstream)| (name.as_str(), upstream.pace.slowness(usual))).collect()
     }
 
+    /// Whether an upstream gets work.
+    pub fn standing(&self, name: &str, now: Millis) -> Option<Standing> {
+        self.upstreams.get(name).map(|upstream| upstream.health.standing(now))
+    }
+
     /// The service of an upstream.
     pub fn service(&self, name: &str) -> Option<&str> {
         self.upstreams.get(name).map(|upstream| upstream.site.service.as_str())
