A gateway follows calls for tokens from its first budget on

Cause: a gateway without budgets looked only once a second whether it has one, so that a call for its idle tokens right after its first reservation was not heard. a_router_gives_its_idle_tokens_back_when_another_needs_them failed once in a run of all tests beside load and not in 12 runs alone: the second call came just within its patience. The new test, with less patience, failed in three of three runs before and in none of six after.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::purse::{self, Purse};
 use crate::settings::Settings;
 use budget::ledger::Level;
+use event_listener::Event;
 use net::Pool;
 use route::place::Places;
 use route::{Millis, Terms, Window};
@@ -57,6 +58,8 @@
     pub hints: Hints,
     pub owners: Owners,
     pub delegate: Arc<Delegate>,
+    /// Notified when a budget is opened.
+    pub opened: Event,
     started: Instant,
     manifest: RwLock<Option<Arc<Manifest>>>,
     places: Mutex<Places>,
@@ -93,6 +96,7 @@
             fleet_read: AtomicU64::new(0),
             open: AtomicU64::new(0),
             hints: Hints::default(),
+            opened: Event::new(),
             started: Instant::now(),
             manifest: RwLock::default(),
             listings: Mutex::default(),
@@ -186,6 +190,7 @@
         };
         let purse = Purse::open(&self.rows, &team.name, level, terms);
         purses.insert(team.name.clone(), purse.clone());
+        self.opened.notify(usize::MAX);
         Some(purse)
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -141,11 +141,11 @@
 pub(crate) async fn recalls<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut follower = Follower::new("recalls");
     loop {
+        let opened = node.opened.listen();
         if node.purses().is_empty() {
             // Who holds nothing has nothing to give back: in a large fleet that is nearly every gateway.
             follower.after = None;
-            exec::sleep(Duration::from_millis(WAIT_MS)).await;
-            continue;
+            opened.await;
         }
         // Calls made while this router was away are over, so a whole read only says where to go on.
         let Step::Changes(page) = step(&node, RECALLS, &mut follower, WAIT_MS).await else { continue };
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -190,3 +190,17 @@
         assert_matches!(state.reserve(10_000), true);
     });
 }
+
+/// A gateway that holds no budget does not watch calls for tokens; from its first budget on it has to.
+#[test]
+fn a_router_hears_a_call_for_tokens_right_after_its_first_budget_was_opened() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (started("vm-1", &rows, 1, 10_000), started("vm-2", &rows, 1, 10_000));
+        net::exec::sleep(Duration::from_millis(100)).await;
+        drop(purse(&one).reserve(1_000, PATIENCE).await.expect("tokens"));
+        until(&rows, "the first router holds its share", |pool| pool.outstanding >= 3_000).await;
+        let held = purse(&two).reserve(9_500, Duration::from_millis(600)).await;
+        assert!(held.is_ok(), "the call was not heard: {held:?}");
+    });
+}
