What a note holds back at first is part of its allowance, so that an earlier version never assumes less

A process of the version before that reads this one's note (a rollback after a death) would not know the first growth, and would give back tokens that may have been used. The test holds an earlier reading of each schedule against the new one.

--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -77,12 +77,13 @@
     /// The part of it that requests which ended were charged: what a death costs beyond this was reserved, or allowed.
     #[serde(default)]
     pub charged: u64,
-    /// Allowed beyond that at once.
+    /// Allowed beyond that by `early_ms`. A process of an earlier version, which may read this one's note, takes it to be
+    /// allowed at once, and so never assumes less than was.
     pub allowance: u64,
     /// From then on the limit grows a little, in milliseconds since the note.
     #[serde(default)]
     pub first_ms: u64,
-    /// How much it grows in a second at first.
+    /// How much of the allowance is added in a second from then on; before, all of that is held back.
     #[serde(default)]
     pub first_per_s: u64,
     /// From then on it grows in place of that so that an outage is bridged, in milliseconds since the note.
@@ -132,12 +133,13 @@
         let left = left / owners.max(1);
         let noted_ms = (NOTED_TIMES * note_ms).clamp(NOTED_MS, NOTED_MOST_MS);
         let noted = (rate * noted_ms as f64 / 1_000.0) as u64;
+        let first_per_s = (rate * FIRST_GROWTH) as u64;
         Schedule {
             used,
             charged,
-            allowance: waiting + noted + available / NOTED_PART,
+            allowance: waiting + noted + available / NOTED_PART + growth(first_per_s, EARLY_MS - FIRST_MS),
             first_ms: FIRST_MS,
-            first_per_s: (rate * FIRST_GROWTH) as u64,
+            first_per_s,
             early_ms: EARLY_MS,
             per_s: ((rate * GROWTH) as u64).max(left / LEAST_S),
             late_ms: LATE_MS,
@@ -148,10 +150,12 @@
 
     /// The most that may have been used so long after the note.
     pub fn limit(&self, elapsed_ms: u64) -> u64 {
-        let first = growth(self.first_per_s, elapsed_ms.min(self.early_ms).saturating_sub(self.first_ms));
+        let held_back = growth(self.first_per_s, self.early_ms.saturating_sub(elapsed_ms.max(self.first_ms)));
         let early = growth(self.per_s, elapsed_ms.saturating_sub(self.early_ms));
         let late = growth(self.late_per_s, elapsed_ms.saturating_sub(self.late_ms)).min(self.late_most);
-        [self.allowance, first, early, late].into_iter().fold(self.used, u64::saturating_add)
+        [self.allowance.saturating_sub(held_back), early, late]
+            .into_iter()
+            .fold(self.used, u64::saturating_add)
     }
 
     /// What a dead router may hold in use beyond what its account's line says is spent.
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -144,3 +144,29 @@
         }
     }
 }
+
+/// The code before knows a note's allowance, but not that a part of it is held back at first.
+#[test]
+fn an_earlier_version_never_assumes_less_than_a_note_allows() {
+    for rate in [0.0, 700.0, 12_000.0, 180_000.0] {
+        let outlook = Outlook {
+            used: 5_000,
+            available: 600_000,
+            left: 800_000,
+            rate,
+            note_ms: 5,
+            ..Outlook::default()
+        };
+        let schedule = Schedule::plan(&outlook);
+        let as_before = Schedule { first_ms: 0, first_per_s: 0, ..schedule };
+        for elapsed_ms in (0..6_000).step_by(50) {
+            assert!(
+                as_before.limit(elapsed_ms) >= schedule.limit(elapsed_ms),
+                "{elapsed_ms} ms: {schedule:?}"
+            );
+        }
+        assert!(
+            schedule.limit(1_000) <= schedule.limit(1_799) && schedule.limit(1_799) <= schedule.limit(1_800)
+        );
+    }
+}
