--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -48,8 +48,8 @@
 /// What is read for that: a partition that holds nothing.
 const PROBE_TABLE: &str = "gateways";
 const PROBE_PART: &str = "probe";
-/// Calls of other gateways that one gateway makes at the same time at most: each takes a descriptor and some 40 KB here,
-/// and a store that answers takes a few milliseconds for each.
+/// Calls of other gateways that one gateway makes at the same time at most: each takes a descriptor and its buffers here, and
+/// a store that answers takes a few milliseconds for each.
 const HELPED: usize = 64;
 /// The largest answer of another gateway, in bytes: a page of the store and its frame.
 const ANSWER_LIMIT: usize = 4 << 20;
