--- a/crates/route/src/teller.rs
+++ b/crates/route/src/teller.rs
@@ -7,8 +7,9 @@
 
 use crate::Millis;
 
-/// Up to so many dispatches of the whole fleet in a second, each router hears of all of them. It takes all of them to know how many slots are free: of 217 a second on 90 engines with 12 slots, hearing
-/// of half left 55 in 100 short streams in time, where hearing of all left 90.
+/// Up to so many dispatches of the whole fleet in a second, each router hears of all of them. It takes all to know how many
+/// slots are free: of 217 a second on 90 engines with 12 slots, hearing of half left 55 in 100 short streams in time, where
+/// hearing of all left 90.
 const ALL_PER_S: f64 = 400.0;
 /// In a larger fleet each router hears of so many: the longest, with the sums of all others, which the load and the
 /// division of engines need. Of 845 prompts a second on 160 engines through 22 routers, with 10 a second they are worth
