--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -86,8 +86,7 @@
     if let Some(pause) = follower.pause.take() {
         exec::sleep(pause).await;
     }
-    // What changed while the store was away is asked for at once. The whole is not read again: after a cut of 295 gateways
-    // that was 30 MB and more, and a configuration of 1,600 routes kept the smallest VMs busy for a second.
+    // What changed while the store was away is asked for at once. The whole is not read again by all gateways together.
     let wait_ms = if follower.lost_at.is_some() { 0 } else { wait_ms };
     let result = match follower.after {
         None => node.rows.list(table, "").await.map(Step::Whole),
