--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -48,7 +48,9 @@
     NotRun(String),
     /// It answered with a failure of its own.
     Erred(response::Parts, Bytes),
-    /// It may have run the request, and no whole answer came.
+    /// It may have run the request, and its connection broke before a whole answer came.
+    Broken(String),
+    /// It may have run the request, and no answer that counts came.
     Lost(String),
     /// The time ran out.
     TimedOut,
@@ -161,7 +163,7 @@
             Err(failure) => {
                 return Read::Other(match failure.error.fault {
                     net::Fault::Unsent => First::NotRun(failure.error.to_string()),
-                    net::Fault::Unknown => First::Lost(failure.error.to_string()),
+                    net::Fault::Unknown => First::Broken(failure.error.to_string()),
                 });
             }
         };
@@ -210,7 +212,7 @@
                     false => First::Whole(head, bytes),
                 }
             }
-            Err(reason) => First::Lost(format!("the answer broke off: {reason}")),
+            Err(reason) => First::Broken(format!("the answer broke off: {reason}")),
         }
     }
 
@@ -234,7 +236,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    return Read::Other(First::Lost(format!("the stream broke off: {error}")));
+                    return Read::Other(First::Broken(format!("the stream broke off: {error}")));
                 }
                 None => {
                     lease.keep();
@@ -279,9 +281,14 @@
                 places.err(&chosen.upstream);
                 false
             }
-            First::NotRun(_) | First::Lost(_) | First::TimedOut => places.fail(&chosen.upstream, now),
+            First::NotRun(_) | First::Broken(_) | First::Lost(_) | First::TimedOut => {
+                places.fail(&chosen.upstream, now)
+            }
         };
         drop(places);
+        if let First::Broken(_) = first {
+            self.inspect(&chosen.upstream, None);
+        }
         if ejected {
             log::warn!(
                 "upstream: event=ejected upstream={} request={}",
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -216,8 +216,8 @@
             job.log_end(refusal.name(), reason);
             Next::Reply(refuse(refusal))
         }
-        First::Lost(_) if may_run_again => Next::Elsewhere(refuse(Refusal::Failed)),
-        First::Lost(reason) => {
+        First::Broken(_) | First::Lost(_) if may_run_again => Next::Elsewhere(refuse(Refusal::Failed)),
+        First::Broken(reason) | First::Lost(reason) => {
             job.log_end("failed", reason);
             Next::Reply(refuse(Refusal::Failed))
         }
@@ -267,7 +267,7 @@
             First::Whole(..) | First::Stream(..) => (true, None),
             First::Erred(head, _) => (true, Some(format!("status {}", head.status.as_u16()))),
             First::NotRun(reason) => (false, Some(reason.clone())),
-            First::Lost(reason) => (true, Some(reason.clone())),
+            First::Broken(reason) | First::Lost(reason) => (true, Some(reason.clone())),
             First::TimedOut => (true, Some("the time is over".to_owned())),
         };
         let mut tries = self.tries();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! and store.
 //!
 //! One request goes through these modules, each of which imports only those after it: `handle` admits it and
-//! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `job` holds
+//! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `inspect` looks into one that broke off, `job` holds
 //! the request and what it took, `purse` its tokens, `node` the gateway's state. `settle`, `notes` and `closing`
 //! keep the budgets in the store, `watch` and `members` follow it. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
 
@@ -17,6 +17,7 @@
 mod handle;
 mod hints;
 mod holding;
+mod inspect;
 mod job;
 pub mod manifest;
 mod members;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub fleet: IntGauge,
     /// Entries in the list of upstreams that name none.
     pub entries_unfit: IntCounter,
+    /// Runs that broke off because their upstream ended.
+    pub runs_lost: IntCounter,
     /// Datagrams of other gateways that changed nothing, by reason.
     pub hints_dropped: IntCounterVec,
 }
@@ -65,12 +67,11 @@
             registry.register(Box::new(family.clone())).expect("the name is new");
             family
         };
-        let entries_unfit = IntCounter::new(
-            "tallypaddle_entries_unfit_total",
-            "Entries in the list of upstreams that name none.",
-        )
-        .expect("a valid name");
-        registry.register(Box::new(entries_unfit.clone())).expect("the name is new");
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("a valid name");
+            registry.register(Box::new(counter.clone())).expect("the name is new");
+            counter
+        };
         let store_time =
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("a valid name");
@@ -88,7 +89,14 @@
                 "Dispatches beyond the first of a request, by service and reason.",
                 &["service", "reason"],
             ),
-            entries_unfit,
+            entries_unfit: counter(
+                "tallypaddle_entries_unfit_total",
+                "Entries in the list of upstreams that name none.",
+            ),
+            runs_lost: counter(
+                "tallypaddle_runs_lost_total",
+                "Runs that broke off because their upstream ended.",
+            ),
             hints_dropped: counters(
                 "tallypaddle_hints_dropped_total",
                 "Datagrams between gateways that changed nothing.",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,8 @@
     look: Timer,
     heard: Millis,
     began: Millis,
+    /// When the run that it comes from now gave its first answer.
+    run_began: Millis,
     gap: Millis,
     pauses: Pauses,
 }
@@ -83,6 +85,7 @@
             look: Timer::interval(LOOK),
             heard: now,
             began: now,
+            run_began: now,
             gap: 0,
             pauses,
         }
@@ -137,7 +140,10 @@
                 self.meter.pass(self.splitter.count());
                 Turn::Give(events)
             }
-            Some(Err(error)) => self.switch(&format!("the stream broke off: {error}")),
+            Some(Err(error)) => {
+                self.inspect();
+                self.switch(&format!("the stream broke off: {error}"))
+            }
             None => self.complete(),
         }
     }
@@ -177,6 +183,14 @@
         Poll::Ready(Turn::Again)
     }
 
+    /// Looks whether the upstream ended under the stream.
+    fn inspect(&self) {
+        if let State::Flowing(flow) = &self.state {
+            let begun_ms = self.job.node.now().saturating_sub(self.run_began);
+            self.job.inspect(&flow.seat.upstream, Some(begun_ms));
+        }
+    }
+
     /// Takes the stream up elsewhere, if the route allows it.
     fn switch(&mut self, reason: &str) -> Turn {
         let State::Flowing(flow) = std::mem::replace(&mut self.state, State::Ended) else {
@@ -221,6 +235,7 @@
             return Turn::Fail("no upstream could continue the stream".to_owned());
         };
         self.heard = self.job.node.now();
+        self.run_began = self.heard;
         self.pauses = Pauses::new(self.job.node.now_exact());
         self.splitter = resumed.splitter;
         self.meter.pass(self.splitter.count());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,10 +10,12 @@
 mod client;
 pub mod exec;
 mod pool;
+mod probe;
 mod server;
 pub mod signal;
 
 pub use body::{Body, Pipe, collect, pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use pool::{Failure, Lease, Pool};
+pub use probe::{Reach, probe};
 pub use server::{Handle, Limits, serve};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -24,6 +24,7 @@
 mod line;
 mod pause;
 pub mod place;
+pub mod quarantine;
 mod reads;
 mod retry;
 mod share;
