--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Connections that wait to be accepted.
@@ -46,6 +46,7 @@
     address: SocketAddr,
     open: Arc<AtomicUsize>,
     stop: Sender<()>,
+    is_aborted: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -63,6 +64,26 @@
     pub fn stop(&self) {
         self.stop.close();
     }
+
+    /// Closes the listener and all connections at once, as the end of the process would, unless it was stopped before.
+    pub fn abort(&self) {
+        self.is_aborted.store(true, Ordering::Relaxed);
+        self.stop.close();
+    }
+}
+
+/// What tells the tasks of a server that it stops.
+#[derive(Clone, Debug)]
+struct Stopped {
+    stopped: Receiver<()>,
+    is_aborted: Arc<AtomicBool>,
+}
+
+impl Stopped {
+    /// Waits until it does.
+    async fn wait(&self) {
+        let _ = self.stopped.recv().await;
+    }
 }
 
 /// Listens on `address` and answers each request with `service`.
@@ -79,8 +100,10 @@
     let listener = listen(address)?;
     let address = listener.local_addr()?;
     let (stop, stopped) = async_channel::bounded::<()>(1);
+    let is_aborted = Arc::new(AtomicBool::new(false));
     let open = Arc::new(AtomicUsize::new(0));
-    let handle = Handle { address, open: open.clone(), stop };
+    let handle = Handle { address, open: open.clone(), stop, is_aborted: is_aborted.clone() };
+    let stopped = Stopped { stopped, is_aborted };
     exec::spawn(accept(listener, limits, service, stopped, open)).detach();
     Ok(handle)
 }
@@ -98,7 +121,7 @@
     listener: TcpListener,
     limits: Limits,
     service: S,
-    stopped: Receiver<()>,
+    stopped: Stopped,
     open: Arc<AtomicUsize>,
 ) where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -109,7 +132,7 @@
     loop {
         let next = async { Some(listener.accept().await) };
         let ended = async {
-            let _ = stopped.recv().await;
+            stopped.wait().await;
             None
         };
         match smol::future::or(next, ended).await {
@@ -136,7 +159,7 @@
     }
 }
 
-async fn converse<S, F, B>(stream: TcpStream, limits: Limits, service: S, stopped: Receiver<()>)
+async fn converse<S, F, B>(stream: TcpStream, limits: Limits, service: S, stopped: Stopped)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -156,7 +179,7 @@
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = async {
-        let _ = stopped.recv().await;
+        stopped.wait().await;
         false
     };
     let complete = smol::future::or(
@@ -167,7 +190,7 @@
         ended,
     )
     .await;
-    if !complete {
+    if !complete && !stopped.is_aborted.load(Ordering::Relaxed) {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
