A request under which three upstreams ended is denied by all gateways

Cause: a run that broke off spoke against its upstream only. No gateway knew the request when it came again, and none told another one.

Mend: route::quarantine takes down under which requests upstreams ended. A refused connection proves an end; the blame for it is shared by all that had not answered yet there, by the square of their ends, and one with three ends and most of the blame is denied. Denials are kept in the store for those that start.

Why it holds: what is there at each end is not there by chance; what was beside it has less than half of the blame, and an upstream that outlives a run of it clears it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -100,6 +100,9 @@
         let began = node.now();
         let first = self.await_first(chosen, seat, splitter, may_move, sending).await;
         self.judge(chosen, began, &first);
+        if let First::Broken(_) = first {
+            self.inspect(&chosen.upstream, None).done().await;
+        }
         first
     }
 
@@ -286,8 +289,8 @@
             }
         };
         drop(places);
-        if let First::Broken(_) = first {
-            self.inspect(&chosen.upstream, None);
+        if let First::Whole(..) | First::Erred(..) = first {
+            self.outlived();
         }
         if ejected {
             log::warn!(
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,6 +10,7 @@
 use crate::node::{Node, Phase};
 use crate::ports::{Ask, Wire};
 use crate::purse::Reservation;
+use crate::quarantine::{self, Check};
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use budget::ledger::Level;
@@ -108,6 +109,18 @@
     let Some(service) = route.service(&ask.id).map(str::to_owned) else {
         return Err(refused(Refusal::NoUpstream, &version));
     };
+    let caller = team.as_ref().map(|team| team.name.as_str());
+    let fingerprint = || quarantine::fingerprint(&ask.host, &head.uri, caller, &body);
+    let stopped = match quarantine::check(node, fingerprint) {
+        Check::Passed => None,
+        Check::Undecided(fingerprint) => Some((Refusal::Undecided, fingerprint)),
+        Check::Denied(fingerprint) => Some((Refusal::Quarantined, fingerprint)),
+    };
+    if let Some((refusal, fingerprint)) = stopped {
+        let team = caller.unwrap_or("-");
+        let detail = format!("team={team} route={} {version} fingerprint={fingerprint}", route.name);
+        return Err(refused(refusal, &detail));
+    }
     node.window(&service, |window, now| window.request(now));
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
@@ -156,7 +169,7 @@
     let mut meter = Some(Meter::new(&*job, reservation));
     let mut last = None;
     while let Some(chosen) = job.choose() {
-        if job.tries().sent > 0 && !job.repeat("retry") {
+        if job.tries().sent > 0 && (!job.may_repeat() || !job.repeat("retry")) {
             break;
         }
         let may_move = job.tries().ran + 1 < job.request.route.attempts;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! and store.
 //!
 //! One request goes through these modules, each of which imports only those after it: `handle` admits it and
-//! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `inspect` looks into one that broke off, `job` holds
+//! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `quarantine` looks into one that broke off, `job` holds
 //! the request and what it took, `purse` its tokens, `node` the gateway's state. `settle`, `notes` and `closing`
 //! keep the budgets in the store, `watch` and `members` follow it. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
 
@@ -17,7 +17,6 @@
 mod handle;
 mod hints;
 mod holding;
-mod inspect;
 mod job;
 pub mod manifest;
 mod members;
@@ -27,6 +26,7 @@
 mod owners;
 pub mod ports;
 mod purse;
+mod quarantine;
 mod refusal;
 mod relay;
 mod settings;
@@ -93,6 +93,7 @@
     exec::spawn(watch::recalls(node.clone())).detach();
     exec::spawn(hints::run(node.clone())).detach();
     exec::spawn(members::run(node.clone())).detach();
+    exec::spawn(quarantine::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), noted)).detach();
     exec::spawn(strain::run(node.clone())).detach();
     exec::spawn(sweep(node.clone())).detach();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -47,6 +47,9 @@
     /// The engines of each service that are kept for short work: the first gateway decides, and the others follow.
     #[serde(default)]
     kept_for_short: BTreeMap<String, Vec<String>>,
+    /// The newest version of the table of denied requests that it has read.
+    #[serde(default)]
+    quarantine: u64,
 }
 
 /// Gateways of an earlier version did not say what they have.
@@ -121,8 +124,9 @@
     for (service, short) in &kept_for_short {
         node.hints.divide(service, short);
     }
+    let quarantine = node.quarantine_version.load(Ordering::Relaxed);
     let (holder, peers, cores) = (node.holder.clone(), node.settings.listen.peers, node.settings.cores());
-    let beat = Beat { holder, peers, cores, up_ms: node.now(), kept_for_short };
+    let beat = Beat { holder, peers, cores, up_ms: node.now(), kept_for_short, quarantine };
     let change =
         Change { puts: vec![(Key::new(TABLE, &node.settings.name), encode(&beat))], ..Change::default() };
     if let Err(error) = node.rows.commit(&change).await {
@@ -177,7 +181,8 @@
     let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
     let beats = page.records.iter().filter(|record| alive(&record.name));
     let peer = |record: &Record| {
-        let Beat { peers: address, cores, .. } = decode(record)?;
+        let Beat { peers: address, cores, quarantine, .. } = decode(record)?;
+        crate::quarantine::compare(node, quarantine);
         Some(Peer { name: record.name.clone(), address, cores })
     };
     let peers: Vec<Peer> = beats.filter_map(peer).collect();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub entries_unfit: IntCounter,
     /// Runs that broke off because their upstream ended.
     pub runs_lost: IntCounter,
+    /// Requests that are denied since they end upstreams.
+    pub quarantined: IntGauge,
     /// Datagrams of other gateways that changed nothing, by reason.
     pub hints_dropped: IntCounterVec,
 }
@@ -120,6 +122,10 @@
                 &["upstream"],
             ),
             upstreams: gauge("tallypaddle_upstreams", "Upstreams listed."),
+            quarantined: gauge(
+                "tallypaddle_quarantined",
+                "Requests that are denied since they end upstreams.",
+            ),
             fleet: gauge("tallypaddle_fleet_gateways", "Gateways that are thought to be alive."),
             registry,
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -15,6 +15,7 @@
 use event_listener::Event;
 use net::Pool;
 use route::place::Places;
+use route::quarantine::Quarantine;
 use route::{Millis, Terms, Window};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -57,16 +58,21 @@
     pub fleet_read: AtomicU64,
     pub open: AtomicU64,
     pub load: Load,
-    pub hints: Hints,
+    pub hints: Arc<Hints>,
     pub owners: Owners,
     pub delegate: Arc<Delegate>,
     /// Notified when a budget is opened.
     pub opened: Event,
+    /// The newest version of the table of denied requests that was read; 0 if none is there.
+    pub quarantine_version: AtomicU64,
+    /// Notified when another gateway has read a newer one.
+    pub quarantine_grew: Event,
     started: Instant,
     manifest: RwLock<Option<Arc<Manifest>>>,
     /// How far the read of the next manifest has come.
     manifest_read: Mutex<Progress>,
     places: Mutex<Places>,
+    quarantine: Mutex<Quarantine>,
     listings: Mutex<HashMap<String, Listing>>,
     windows: Mutex<HashMap<String, Window>>,
     purses: Mutex<HashMap<String, Arc<Purse>>>,
@@ -100,8 +106,11 @@
             fleet_read: AtomicU64::new(0),
             open: AtomicU64::new(0),
             load: Load::new(settings.link_mbps),
-            hints: Hints::default(),
+            hints: Arc::default(),
             opened: Event::new(),
+            quarantine_version: AtomicU64::new(0),
+            quarantine_grew: Event::new(),
+            quarantine: Mutex::default(),
             started: Instant::now(),
             manifest: RwLock::default(),
             manifest_read: Mutex::default(),
@@ -175,6 +184,10 @@
         self.places.lock().expect("the places' lock")
     }
 
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().expect("the quarantine's lock")
+    }
+
     /// Follows the gateway that decides which engines of a service are kept for short work.
     pub(crate) fn follow_division(&self, service: &str, short: &[String]) {
         if self.places().follow(service, short) {
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,369 @@
+//! Requests that end their upstreams: found by runs that broke off, told to the other gateways, and kept in the store.
+//!
+//! All are told of an end under a request as long as the fleet bears it, so that each knows what else ran there; beyond that a few
+//! gateways are, which its fingerprint chooses, so that what a gateway hears of ends does not grow with the fleet. What is denied is told to all, and written to a table that each
+//! gateway reads when it starts, and when another one's heartbeat says that it knows more.
+
+use crate::hints::Audience;
+use crate::job::{Admitted, Job};
+use crate::node::Node;
+use crate::ports::Wire;
+use crate::table::{decode, encode};
+use net::{Reach, exec};
+use route::Millis;
+use route::quarantine::{
+    DENIED_MS, End, Ends, Fingerprint, GATHER_MS, MOST_ENDED, Stage, Upstreams, Verdict,
+};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use store::rows::{Change, Key, Page, Rows};
+
+/// How long the address of an upstream is asked for a connection: some round trips within a region.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// The table of denied requests: a row's key is the fingerprint, its value an [`Entry`].
+const TABLE: &str = "quarantine";
+/// The pause after a call to the store failed.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Names of upstreams in one message at most, and the longest, in bytes.
+const MOST_NAMES: usize = 8;
+const LONGEST_NAME: usize = 120;
+
+/// What gateways tell each other of requests that end upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Word {
+    /// These ended under it.
+    Suspect { fingerprint: Fingerprint, ends: Ends },
+    /// It is denied for so many milliseconds.
+    Denied { fingerprint: Fingerprint, upstreams: Upstreams, lasts_ms: Millis },
+    /// An upstream outlived it.
+    Cleared { fingerprint: Fingerprint },
+}
+
+impl Word {
+    /// Whether it can be what a gateway says: an altered message may hold anything.
+    pub(crate) fn is_sound(&self) -> bool {
+        let is_name = |name: &str| name.len() <= LONGEST_NAME;
+        match self {
+            Word::Suspect { ends, .. } => {
+                ends.len() <= MOST_NAMES && ends.iter().all(|end| is_name(&end.upstream))
+            }
+            Word::Denied { upstreams, .. } => {
+                (MOST_ENDED..=MOST_NAMES).contains(&upstreams.len())
+                    && upstreams.iter().all(|name| is_name(name))
+            }
+            Word::Cleared { .. } => true,
+        }
+    }
+}
+
+/// A denied request, as the store keeps it.
+#[derive(Debug, Deserialize, Serialize)]
+struct Entry {
+    /// Upstreams that ended under it.
+    upstreams: Upstreams,
+    /// When it was denied or came again, in milliseconds of the store's clock.
+    since_ms: u64,
+}
+
+/// A run that broke off.
+#[derive(Clone, Debug)]
+struct LostRun {
+    upstream: String,
+    request: String,
+    fingerprint: Fingerprint,
+    /// The time since its first answer, in milliseconds; `None` if there was none.
+    begun_ms: Option<Millis>,
+}
+
+/// The fingerprint of a request. A digest that is hard to invert, so that nobody can craft a request that looks like another caller's.
+pub(crate) fn fingerprint(host: &str, uri: &http::Uri, team: Option<&str>, body: &[u8]) -> Fingerprint {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut digest = Sha256::new();
+    for part in [host.as_bytes(), path.as_bytes(), team.unwrap_or_default().as_bytes(), body] {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
+    let mut first = [0; 16];
+    first.copy_from_slice(&digest.finalize()[..16]);
+    Fingerprint::new(first)
+}
+
+impl Admitted {
+    fn fingerprint(&self) -> Fingerprint {
+        let team = self.team.as_ref().map(|team| team.name.as_str());
+        fingerprint(&self.ask.host, &self.head.uri, team, &self.body)
+    }
+}
+
+impl<W: Wire, S: Rows> Job<W, S> {
+    /// Looks whether a run of this request broke off because its upstream ended: beside other work, which a request that may end the
+    /// next one too has to wait for.
+    pub(crate) fn inspect(&self, upstream: &str, begun_ms: Option<Millis>) -> Inspection {
+        let fingerprint = self.request.fingerprint();
+        let is_suspect = self.node.quarantine().verdict(fingerprint, self.node.now()) != Verdict::Clear;
+        let (upstream, request) = (upstream.to_owned(), self.request.ask.id.clone());
+        let lost = LostRun { upstream, request, fingerprint, begun_ms };
+        let inspecting = exec::spawn(inspect(self.node.clone(), lost));
+        if is_suspect {
+            return Inspection::Wait(inspecting);
+        }
+        inspecting.detach();
+        Inspection::Beside
+    }
+
+    /// Takes in that an upstream outlived a run of this request.
+    pub(crate) fn outlived(&self) {
+        if self.node.quarantine().is_empty() {
+            return;
+        }
+        let fingerprint = self.request.fingerprint();
+        if self.node.quarantine().clear(fingerprint) {
+            log::info!("quarantine: event=cleared fingerprint={fingerprint} request={}", self.request.ask.id);
+            self.node.hints.warn(&Word::Cleared { fingerprint }, Audience::All);
+        }
+    }
+
+    /// Whether this request may run again: runs of it, or of other attempts, may have ended one upstream too many.
+    pub(crate) fn may_repeat(&self) -> bool {
+        matches!(check(&self.node, || self.request.fingerprint()), Check::Passed)
+    }
+}
+
+/// Whether more may be dispatched before a run that broke off was looked into.
+pub(crate) enum Inspection {
+    /// It may.
+    Beside,
+    /// Only after this.
+    Wait(smol::Task<()>),
+}
+
+impl Inspection {
+    /// Waits until more may be dispatched.
+    pub(crate) async fn done(self) {
+        if let Inspection::Wait(inspecting) = self {
+            inspecting.await;
+        }
+    }
+}
+
+/// What the quarantine says of a request.
+pub(crate) enum Check {
+    /// It may run.
+    Passed,
+    /// It may not run before it is decided on.
+    Undecided(Fingerprint),
+    /// It may not run.
+    Denied(Fingerprint),
+}
+
+/// Checks a request. Nothing is computed as long as no upstream ended under any.
+pub(crate) fn check<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    fingerprint: impl FnOnce() -> Fingerprint,
+) -> Check {
+    if node.quarantine().is_empty() {
+        return Check::Passed;
+    }
+    let (fingerprint, now) = (fingerprint(), node.now());
+    let verdict = node.quarantine().verdict(fingerprint, now);
+    match verdict {
+        Verdict::Clear | Verdict::Suspect(_) => return Check::Passed,
+        Verdict::Undecided => return Check::Undecided(fingerprint),
+        Verdict::Denied => {}
+    }
+    let renewed = node.quarantine().renew(fingerprint, now);
+    if let Some(upstreams) = renewed {
+        exec::spawn(announce(node.clone(), fingerprint, upstreams)).detach();
+    }
+    Check::Denied(fingerprint)
+}
+
+/// Asks the upstream's address for a connection: a process that has ended refuses, a broken connection alone says nothing.
+async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, lost: LostRun) {
+    let Some(listing) = node.listings().get(&lost.upstream).cloned() else { return };
+    let reach = net::probe(listing.address, PROBE_LIMIT).await;
+    let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
+    log::warn!(
+        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={}",
+        reach.name(),
+        listing.leaving
+    );
+    if reach != Reach::Refuses {
+        return;
+    }
+    node.metrics.runs_lost.inc();
+    // One that leaves ends of its own accord.
+    let Some(stage) = Stage::of(*begun_ms).filter(|_| !listing.leaving) else { return };
+    let is_new = node.quarantine().end(*fingerprint, upstream, stage, node.now());
+    if is_new {
+        tell_suspect(&node, *fingerprint);
+    }
+}
+
+/// Tells who should know of a suspect, and decides on it in time.
+fn tell_suspect<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, fingerprint: Fingerprint) {
+    let ends = node.quarantine().ends(fingerprint);
+    let names: Vec<&str> = ends.iter().map(|end| end.upstream.as_str()).collect();
+    log::warn!(
+        "quarantine: event=suspect fingerprint={fingerprint} ended={} upstreams={}",
+        ends.len(),
+        names.join(",")
+    );
+    // What was silent there has a part of the blame that all have to know of, as far as the fleet bears it.
+    let is_blamed = ends.len() > 1 || ends.iter().any(|end| end.stage == Stage::Silent);
+    let audience = match is_blamed && node.hints.may_tell_all(node.now()) {
+        true => Audience::All,
+        false => Audience::Deciders(fingerprint),
+    };
+    node.hints.warn(&Word::Suspect { fingerprint, ends }, audience);
+    decide_in_time(node, fingerprint);
+}
+
+/// Sees to it that a suspect is decided on when it is due.
+fn decide_in_time<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, fingerprint: Fingerprint) {
+    if node.quarantine().verdict(fingerprint, node.now()) == Verdict::Undecided {
+        exec::spawn(decide(node.clone())).detach();
+    }
+}
+
+/// Decides once word of the last end has come from all.
+async fn decide<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    exec::sleep(Duration::from_millis(GATHER_MS)).await;
+    let denied: Vec<(Fingerprint, Upstreams)> = {
+        let (mut quarantine, now) = (node.quarantine(), node.now());
+        let requests = quarantine.decide(now);
+        let with_upstreams = |request| (request, quarantine.denial(request).unwrap_or_default());
+        requests.into_iter().map(with_upstreams).collect()
+    };
+    let announced = denied.into_iter().map(|(fingerprint, upstreams)| {
+        let names = upstreams.join(",");
+        log::warn!("quarantine: event=denied fingerprint={fingerprint} upstreams={names} told-by=self");
+        announce(node.clone(), fingerprint, upstreams)
+    });
+    futures::future::join_all(announced).await;
+}
+
+/// Tells all gateways that a request is denied, and keeps it in the store.
+async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
+    count(&node);
+    let word = Word::Denied { fingerprint, upstreams: upstreams.clone(), lasts_ms: DENIED_MS };
+    node.hints.warn(&word, Audience::All);
+    while node.quarantine().denial(fingerprint).is_some() {
+        match keep(&node, fingerprint, &upstreams).await {
+            Ok(()) => return,
+            Err(error) => log::warn!("quarantine: event=not-kept fingerprint={fingerprint} {error}"),
+        }
+        exec::sleep(AGAIN).await;
+    }
+}
+
+/// Writes a denied request's row, and takes away those whose time is over.
+async fn keep<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    fingerprint: Fingerprint,
+    upstreams: &Upstreams,
+) -> Result<(), store::Error> {
+    let page = node.rows.list(TABLE, "").await?;
+    let is_over = |entry: &Entry| page.now_ms.saturating_sub(entry.since_ms) >= DENIED_MS;
+    let over = page.records.iter().filter(|record| decode(record).is_some_and(|entry| is_over(&entry)));
+    let entry = Entry { upstreams: upstreams.clone(), since_ms: page.now_ms };
+    let change = Change {
+        puts: vec![(Key::new(TABLE, fingerprint.to_string()), encode(&entry))],
+        drops: over.map(|record| Key::new(TABLE, &record.name)).collect(),
+        ..Change::default()
+    };
+    node.rows.commit(&change).await?;
+    read(node).await
+}
+
+/// Takes in what another gateway says.
+pub(crate) fn hear<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, word: Word) {
+    let now = node.now();
+    match word {
+        Word::Suspect { fingerprint, ends } => {
+            let known = node.quarantine().ends(fingerprint).len();
+            for End { upstream, stage } in &ends {
+                node.quarantine().end(fingerprint, upstream, *stage, now);
+            }
+            let all = node.quarantine().ends(fingerprint).len();
+            if all == known {
+                return;
+            }
+            // Who can add to what was said tells all; otherwise all have heard it.
+            match all > ends.len() {
+                true => tell_suspect(node, fingerprint),
+                false => decide_in_time(node, fingerprint),
+            }
+        }
+        Word::Denied { fingerprint, upstreams, lasts_ms } => {
+            deny(node, fingerprint, &upstreams, lasts_ms, "gateway");
+        }
+        Word::Cleared { fingerprint } => {
+            node.quarantine().clear(fingerprint);
+        }
+    }
+}
+
+fn deny<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    fingerprint: Fingerprint,
+    upstreams: &Upstreams,
+    lasts_ms: Millis,
+    told_by: &str,
+) {
+    if node.quarantine().deny(fingerprint, upstreams, lasts_ms, node.now()) {
+        let names = upstreams.join(",");
+        log::warn!("quarantine: event=denied fingerprint={fingerprint} upstreams={names} told-by={told_by}");
+    }
+    count(node);
+}
+
+fn count<W: Wire, S: Rows>(node: &Node<W, S>) {
+    node.metrics.quarantined.set(node.quarantine().denied() as i64);
+}
+
+/// Reads the denied requests when the gateway starts, and whenever another one knows more.
+pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    loop {
+        let more = node.quarantine_grew.listen();
+        match read(&node).await {
+            Ok(()) => more.await,
+            Err(error) => {
+                log::warn!("quarantine: event=not-read {error}");
+                exec::sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+async fn read<W: Wire, S: Rows>(node: &Node<W, S>) -> Result<(), store::Error> {
+    let page = node.rows.list(TABLE, "").await?;
+    take_in(node, &page);
+    Ok(())
+}
+
+fn take_in<W: Wire, S: Rows>(node: &Node<W, S>, page: &Page) {
+    for record in &page.records {
+        let Ok(fingerprint) = record.name.parse::<Fingerprint>() else {
+            log::error!("quarantine: event=unreadable row={} version={}", record.name, record.version);
+            continue;
+        };
+        let Some(Entry { upstreams, since_ms }) = decode(record) else { continue };
+        let left_ms = DENIED_MS.saturating_sub(page.now_ms.saturating_sub(since_ms));
+        if left_ms > 0 {
+            deny(node, fingerprint, &upstreams, left_ms, "store");
+        }
+    }
+    let newest = page.records.iter().map(|record| record.version).max().unwrap_or(0);
+    node.quarantine_version.fetch_max(newest, Ordering::Relaxed);
+}
+
+/// Takes in which version of the table another gateway has read.
+pub(crate) fn compare<W: Wire, S: Rows>(node: &Node<W, S>, version: u64) {
+    if version > node.quarantine_version.load(Ordering::Relaxed) {
+        node.quarantine_grew.notify(usize::MAX);
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -4,6 +4,7 @@
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
+use route::quarantine::GATHER_MS;
 
 /// Why the router answers a request itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +19,10 @@
     TooLong,
     /// The caller broke its body off.
     BodyBroken,
+    /// Whether it ends upstreams is being decided on.
+    Undecided,
+    /// Upstreams ended while they ran it, so it is not run again.
+    Quarantined,
     /// The budget can't hold it at its most.
     BudgetSpent,
     /// Tokens are left, but none can be had now; when that may change, in milliseconds.
@@ -49,6 +54,8 @@
             Refusal::NoKey => "no-key",
             Refusal::TooLong => "too-long",
             Refusal::BodyBroken => "body-broken",
+            Refusal::Undecided => "undecided",
+            Refusal::Quarantined => "quarantined",
             Refusal::BudgetSpent => "budget-spent",
             Refusal::BudgetAway(_) => "budget-away",
             Refusal::BudgetElsewhere(_) => "budget-elsewhere",
@@ -64,13 +71,15 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Refusal::Malformed | Refusal::BodyBroken => StatusCode::BAD_REQUEST,
+            // A caller that sends the same again gets the same answer: no status says that it may try later.
+            Refusal::Malformed | Refusal::BodyBroken | Refusal::Quarantined => StatusCode::BAD_REQUEST,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoKey => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Refusal::BudgetAway(_)
             | Refusal::BudgetElsewhere(_)
+            | Refusal::Undecided
             | Refusal::NotConfigured
             | Refusal::Changing
             | Refusal::Stopping
@@ -85,6 +94,7 @@
     fn retry_ms(self) -> Option<u64> {
         match self {
             Refusal::BudgetAway(millis) | Refusal::BudgetElsewhere(millis) => Some(millis),
+            Refusal::Undecided => Some(2 * GATHER_MS),
             Refusal::NotConfigured => Some(500),
             Refusal::Changing => Some(500),
             Refusal::Stopping => Some(50),
@@ -94,9 +104,23 @@
         }
     }
 
+    /// What the caller should know beside the name.
+    fn detail(self) -> Option<&'static str> {
+        match self {
+            Refusal::Quarantined => {
+                Some("upstreams ended while they ran this request; it was not run, and will not be run again")
+            }
+            _ => None,
+        }
+    }
+
     /// The answer.
     pub(crate) fn response(self) -> Response<Body> {
-        let mut response = Response::new(Some(Bytes::from(format!("{{\"error\":\"{}\"}}", self.name()))));
+        let mut body = serde_json::json!({"error": self.name()});
+        if let Some(detail) = self.detail() {
+            body["detail"] = detail.into();
+        }
+        let mut response = Response::new(Some(Bytes::from(body.to_string())));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,10 +140,7 @@
                 self.meter.pass(self.splitter.count());
                 Turn::Give(events)
             }
-            Some(Err(error)) => {
-                self.inspect();
-                self.switch(&format!("the stream broke off: {error}"))
-            }
+            Some(Err(error)) => self.switch(&format!("the stream broke off: {error}")),
             None => self.complete(),
         }
     }
@@ -163,6 +160,7 @@
         let rest = self.splitter.take_rest();
         if let State::Flowing(flow) = std::mem::replace(&mut self.state, State::Ended) {
             self.job.node.places().succeed(&flow.seat.upstream, None);
+            self.job.outlived();
             flow.lease.keep();
         }
         self.end("complete", "");
@@ -183,20 +181,14 @@
         Poll::Ready(Turn::Again)
     }
 
-    /// Looks whether the upstream ended under the stream.
-    fn inspect(&self) {
-        if let State::Flowing(flow) = &self.state {
-            let begun_ms = self.job.node.now().saturating_sub(self.run_began);
-            self.job.inspect(&flow.seat.upstream, Some(begun_ms));
-        }
-    }
-
     /// Takes the stream up elsewhere, if the route allows it.
     fn switch(&mut self, reason: &str) -> Turn {
         let State::Flowing(flow) = std::mem::replace(&mut self.state, State::Ended) else {
             return Turn::Fail(reason.to_owned());
         };
         let upstream = flow.seat.upstream.clone();
+        let inspection =
+            self.job.inspect(&upstream, Some(self.job.node.now().saturating_sub(self.run_began)));
         // The run there must have ended before another one begins.
         drop(flow);
         let now = self.job.node.now();
@@ -216,7 +208,10 @@
         splitter.restart();
         exec::spawn(async move {
             let closed = sender.clone();
-            let resuming = async { job.resume(splitter).await };
+            let resuming = async {
+                inspection.done().await;
+                job.resume(splitter).await
+            };
             let gone = async {
                 closed.closed().await;
                 None
@@ -270,7 +265,7 @@
                 return None;
             }
             let chosen = self.choose()?;
-            if !self.repeat("resume") {
+            if !self.may_repeat() || !self.repeat("resume") {
                 return None;
             }
             let after = splitter.last();
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -1,9 +1,328 @@
-//! Requests that take their upstreams down, told from those that only ran beside them.
+//! Requests that end the upstreams which run them, told from those that only ran beside them.
+//!
+//! The load that this answers: a caller sends such a request again and again, to any router, and each upstream that begins to run it ends
+//! with all that it runs. One end proves nothing: everything that ran there is suspect, and an upstream may end for reasons of
+//! its own. What is there each time is not there by chance. So each router takes down under which requests upstreams ended, the
+//! routers tell each other, and a request under which [`MOST_ENDED`] ended is denied if most of the blame for them is its own: the blame
+//! for an end is shared by all that had not answered yet there, the more on one the more ends it has seen.
+//!
+//! ```
+//! use route::quarantine::{Fingerprint, Quarantine, Stage, Verdict};
+//!
+//! let (request, beside) = (Fingerprint::new([1; 16]), Fingerprint::new([2; 16]));
+//! let mut quarantine = Quarantine::default();
+//! quarantine.end(beside, "engine-1", Stage::Silent, 0);
+//! for upstream in ["engine-1", "engine-2", "engine-3"] {
+//!     quarantine.end(request, upstream, Stage::Silent, 0);
+//! }
+//! assert_eq!(quarantine.decide(route::quarantine::GATHER_MS), [request]);
+//! assert_eq!(quarantine.verdict(request, 200), Verdict::Denied);
+//! assert_eq!(quarantine.verdict(beside, 200), Verdict::Clear);
+//! ```
 
+use crate::Millis;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
 
+/// Upstreams that end under a request before it is denied. Two may end by chance under one that is tried again where many end; a third
+/// needs the request to be there each time.
+pub const MOST_ENDED: usize = 3;
+/// How long a router waits for word of what else ran at the last upstream, in milliseconds: several times a datagram's way.
+pub const GATHER_MS: Millis = 100;
+/// Upstreams from which on a request is denied though others were there too, or though it had answered each time.
+const CERTAIN: usize = 5;
+/// The part of the blame for its ends from which on a request is denied. What was beside the cause has less than half of it.
+const MOST_BLAME: f64 = 0.5;
+/// A run that broke off later than this after its first answer, in milliseconds, doesn't speak against its request: one that
+/// ends its upstream does so as it begins to run, and most of what is beside it runs for seconds.
+const YOUNG_MS: Millis = 1_000;
+/// How long an end is held against a request, in milliseconds: some times what a patient caller waits between two tries.
+const EVIDENCE_MS: Millis = 300_000;
+/// How long a request stays denied after it last came, in milliseconds. Then it may end three more upstreams.
+pub const DENIED_MS: Millis = 600_000;
+/// Suspects that are remembered: those whose last upstream ended the longest ago give way.
+const SUSPECTS: usize = 4_096;
+/// Denied requests that are remembered.
+const DENIALS: usize = 1_024;
+/// Upstreams remembered for each request.
+const UPSTREAMS: usize = 8;
+
+/// How a run stood when its upstream ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Stage {
+    /// It had answered a moment ago: that is what most of those do that are there by chance.
+    Begun,
+    /// It had not answered yet.
+    Silent,
+}
+
+impl Stage {
+    /// The stage of a run by the time since its first answer, in milliseconds; `None` if it had run for so long that the end does not
+    /// speak against its request.
+    pub fn of(begun_ms: Option<Millis>) -> Option<Stage> {
+        match begun_ms {
+            None => Some(Stage::Silent),
+            Some(ms) => (ms <= YOUNG_MS).then_some(Stage::Begun),
+        }
+    }
+}
+
+/// The end of an upstream under a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct End {
+    /// The upstream.
+    pub upstream: String,
+    /// How the run stood.
+    pub stage: Stage,
+}
+
+/// Ends under one request.
+pub type Ends = SmallVec<[End; 4]>;
+
+/// Names of upstreams that ended.
+pub type Upstreams = SmallVec<[String; 4]>;
+
+/// What is known of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// So many upstreams ended under it.
+    Suspect(usize),
+    /// It is decided on within [`GATHER_MS`], and should not run until then.
+    Undecided,
+    /// It must not run again.
+    Denied,
+}
+
+/// A request under which upstreams ended.
+#[derive(Clone, Debug)]
+struct Suspect {
+    ends: Ends,
+    last: Millis,
+    /// When it is decided on.
+    due: Option<Millis>,
+}
+
+/// A request that is denied.
+#[derive(Clone, Debug)]
+struct Denial {
+    upstreams: Upstreams,
+    until: Millis,
+}
+
+/// What one router knows of requests that end upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<Fingerprint, Suspect>,
+    denials: HashMap<Fingerprint, Denial>,
+}
+
+impl Quarantine {
+    /// Whether it knows of any request: as long as it doesn't, none has to be looked up.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty() && self.denials.is_empty()
+    }
+
+    /// How many requests are denied.
+    pub fn denied(&self) -> usize {
+        self.denials.len()
+    }
+
+    /// Takes in that an upstream ended under a request; `true` if that is new and not explained by a denied request that ran there too.
+    pub fn end(&mut self, request: Fingerprint, upstream: &str, stage: Stage, now: Millis) -> bool {
+        self.forget(now);
+        if let Some(denial) = self.denials.get_mut(&request) {
+            add(&mut denial.upstreams, upstream);
+            self.explain(&[upstream]);
+            return false;
+        }
+        if self.denials.values().any(|denial| denial.holds(upstream)) {
+            return false;
+        }
+        if self.suspects.len() >= SUSPECTS && !self.suspects.contains_key(&request) {
+            self.forget_oldest();
+        }
+        let new = || Suspect { ends: Ends::new(), last: now, due: None };
+        let suspect = self.suspects.entry(request).or_insert_with(new);
+        if suspect.ends.len() >= UPSTREAMS || suspect.stage(upstream).is_some() {
+            return false;
+        }
+        suspect.ends.push(End { upstream: upstream.to_owned(), stage });
+        suspect.last = now;
+        if suspect.is_ripe() {
+            suspect.due.get_or_insert(now + GATHER_MS);
+        }
+        true
+    }
+
+    /// The ends under a suspect.
+    pub fn ends(&self, request: Fingerprint) -> Ends {
+        self.suspects.get(&request).map(|suspect| suspect.ends.clone()).unwrap_or_default()
+    }
+
+    /// The upstreams that ended under a denied request; `None` if it isn't denied.
+    pub fn denial(&self, request: Fingerprint) -> Option<Upstreams> {
+        self.denials.get(&request).map(|denial| denial.upstreams.clone())
+    }
+
+    /// Takes in that an upstream outlived a run of a request: it ends no upstream. `true` if it was suspect.
+    pub fn clear(&mut self, request: Fingerprint) -> bool {
+        self.suspects.remove(&request).is_some()
+    }
+
+    /// Decides on those whose time has come, and names those that are denied from now on.
+    ///
+    /// One that has not most of the blame stays suspect: what was beside it may be the cause. The next upstream that ends tells them apart.
+    pub fn decide(&mut self, now: Millis) -> Vec<Fingerprint> {
+        let due = |suspect: &Suspect| suspect.due.is_some_and(|due| due <= now);
+        let mut ripe: Vec<Fingerprint> =
+            self.suspects.iter().filter(|(_, suspect)| due(suspect)).map(|(request, _)| *request).collect();
+        ripe.sort_unstable();
+        let denied: Vec<Fingerprint> =
+            ripe.iter().copied().filter(|request| self.is_cause(*request)).collect();
+        for request in &ripe {
+            if let Some(suspect) = self.suspects.get_mut(request) {
+                suspect.due = None;
+            }
+        }
+        for request in &denied {
+            let upstreams = self.ends(*request).into_iter().map(|end| end.upstream).collect();
+            self.deny(*request, &upstreams, DENIED_MS, now);
+        }
+        denied
+    }
+
+    /// Denies a request for so many milliseconds; `true` if it was not denied before. What else ran at these upstreams is cleared of their
+    /// ends.
+    pub fn deny(
+        &mut self,
+        request: Fingerprint,
+        upstreams: &Upstreams,
+        lasts_ms: Millis,
+        now: Millis,
+    ) -> bool {
+        self.forget(now);
+        self.suspects.remove(&request);
+        let is_new = !self.denials.contains_key(&request);
+        if is_new && self.denials.len() >= DENIALS {
+            self.forget_nearest();
+        }
+        let until = now + lasts_ms.min(DENIED_MS);
+        let denial =
+            self.denials.entry(request).or_insert_with(|| Denial { upstreams: Upstreams::new(), until });
+        denial.until = denial.until.max(until);
+        upstreams.iter().for_each(|upstream| add(&mut denial.upstreams, upstream));
+        let names: SmallVec<[&str; 8]> = upstreams.iter().map(String::as_str).collect();
+        self.explain(&names);
+        is_new
+    }
+
+    /// What is known of a request that came.
+    pub fn verdict(&self, request: Fingerprint, now: Millis) -> Verdict {
+        if self.denials.get(&request).is_some_and(|denial| denial.until > now) {
+            return Verdict::Denied;
+        }
+        match self.suspects.get(&request) {
+            Some(Suspect { due: Some(_), .. }) => Verdict::Undecided,
+            Some(suspect) => Verdict::Suspect(suspect.ends.len()),
+            None => Verdict::Clear,
+        }
+    }
+
+    /// Denies a request that came again for longer; its upstreams if that should be told, since half of the time was over.
+    pub fn renew(&mut self, request: Fingerprint, now: Millis) -> Option<Upstreams> {
+        let denial = self.denials.get_mut(&request).filter(|denial| denial.until > now)?;
+        if denial.until - now > DENIED_MS / 2 {
+            return None;
+        }
+        denial.until = now + DENIED_MS;
+        Some(denial.upstreams.clone())
+    }
+
+    /// Whether a suspect is the cause of its ends, as far as is known.
+    fn is_cause(&self, request: Fingerprint) -> bool {
+        let Some(suspect) = self.suspects.get(&request) else { return false };
+        let silent = suspect.silent();
+        let has_most_blame = silent >= MOST_ENDED && self.blame(suspect) > MOST_BLAME * silent as f64;
+        has_most_blame || suspect.ends.len() >= CERTAIN
+    }
+
+    /// The ends that are a suspect's doing: each is shared by all that were silent there, by the square of the ends that
+    /// they have: the cause is there each time, and what is beside it seldom more than once.
+    fn blame(&self, suspect: &Suspect) -> f64 {
+        let own = suspect.silent().pow(2) as f64;
+        let all = |upstream: &str| -> usize {
+            let there = |other: &&Suspect| other.stage(upstream) == Some(Stage::Silent);
+            self.suspects.values().filter(there).map(|other| other.silent().pow(2)).sum()
+        };
+        let shares = suspect.ends.iter().filter(|end| end.stage == Stage::Silent);
+        shares.map(|end| own / all(&end.upstream) as f64).sum()
+    }
+
+    /// Takes ends whose cause is known from the others that ran there.
+    fn explain(&mut self, ended: &[&str]) {
+        for suspect in self.suspects.values_mut() {
+            suspect.ends.retain(|end| !ended.contains(&end.upstream.as_str()));
+            if !suspect.is_ripe() {
+                suspect.due = None;
+            }
+        }
+        self.suspects.retain(|_, suspect| !suspect.ends.is_empty());
+    }
+
+    fn forget(&mut self, now: Millis) {
+        self.suspects.retain(|_, suspect| now.saturating_sub(suspect.last) < EVIDENCE_MS);
+        self.denials.retain(|_, denial| denial.until > now);
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.suspects.iter().min_by_key(|(request, suspect)| (suspect.last, **request));
+        if let Some(request) = oldest.map(|(request, _)| *request) {
+            self.suspects.remove(&request);
+        }
+    }
+
+    fn forget_nearest(&mut self) {
+        let nearest = self.denials.iter().min_by_key(|(request, denial)| (denial.until, **request));
+        if let Some(request) = nearest.map(|(request, _)| *request) {
+            self.denials.remove(&request);
+        }
+    }
+}
+
+impl Suspect {
+    fn stage(&self, upstream: &str) -> Option<Stage> {
+        self.ends.iter().find(|end| end.upstream == upstream).map(|end| end.stage)
+    }
+
+    /// Ends before it had answered.
+    fn silent(&self) -> usize {
+        self.ends.iter().filter(|end| end.stage == Stage::Silent).count()
+    }
+
+    /// Whether there are enough ends to decide on it.
+    fn is_ripe(&self) -> bool {
+        self.silent() >= MOST_ENDED || self.ends.len() >= CERTAIN
+    }
+}
+
+impl Denial {
+    fn holds(&self, upstream: &str) -> bool {
+        self.upstreams.iter().any(|known| known == upstream)
+    }
+}
+
+/// Adds a name that is not held yet, if there is room.
+fn add(upstreams: &mut Upstreams, name: &str) {
+    if upstreams.len() < UPSTREAMS && !upstreams.iter().any(|known| known == name) {
+        upstreams.push(name.to_owned());
+    }
+}
+
 /// What a request is, whichever attempt of its caller it comes in: a digest of its path, its caller and its body.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(into = "String", try_from = "String")]
