An upstream that says in an answer that it leaves gets nothing more

What callers saw: requests sent to an upstream 2.2 to 5.4 s after the gateway had passed on an answer which said that it leaves; those that still ran when it ended were cut off.

Cause: the header had no place in the gateway, which knew of leaving from the list only; the store was away for twelve seconds.

Mend: route::signals keeps each upstream's own word beside the list. It is read on the request path before the answer is passed on, and placement asks it; also a dispatch that was decided on before and still waits for a connection. It holds whatever the list says, and if the entry lapses and comes back, until a later start of that upstream is listed.

A request that is withdrawn so is neither a try nor a failure of the upstream. Not told to other gateways yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     Whole(response::Parts, Bytes),
     /// A stream, with its first events.
     Stream(response::Parts, Box<Flow<W, S>>, Bytes),
+    /// It was not sent: the upstream takes no work any more.
+    Withdrawn(String),
     /// The upstream certainly did not run the request.
     NotRun(String),
     /// It answered with a failure of its own.
@@ -96,7 +98,9 @@
         }
         let most = node.connections(all);
         node.load.send(self.request.body.len());
-        let sending = node.pool.send("dispatch", listing.address, most, request);
+        // A connection may be waited for while the upstream says that it leaves.
+        let is_wanted = || node.places().admits(&chosen.upstream);
+        let sending = node.pool.send("dispatch", listing.address, most, request, is_wanted);
         let began = node.now();
         let first = self.await_first(chosen, seat, splitter, may_move, sending).await;
         self.judge(chosen, began, &first);
@@ -163,6 +167,9 @@
     ) -> Read<W, S> {
         let (response, lease) = match sending.await {
             Ok(answer) => answer,
+            Err(failure) if failure.is_unwanted => {
+                return Read::Other(First::Withdrawn(failure.error.to_string()));
+            }
             Err(failure) => {
                 return Read::Other(match failure.error.fault {
                     net::Fault::Unsent => First::NotRun(failure.error.to_string()),
@@ -171,7 +178,11 @@
             }
         };
         let (head, body) = response.into_parts();
-        match self.node.wire.reply(&head, &self.request.ask.id) {
+        let reply = self.node.wire.reply(&head, &self.request.ask.id);
+        if reply != Reply::OtherUpstream {
+            self.heed(&seat.upstream, &head);
+        }
+        match reply {
             Reply::Stray => Read::Other(First::Lost("the answer belongs to another request".to_owned())),
             Reply::OtherUpstream => {
                 self.finish(lease, body).await;
@@ -188,6 +199,18 @@
         }
     }
 
+    /// Takes in what an upstream says of itself, before its answer is passed on.
+    fn heed(&self, upstream: &str, head: &response::Parts) {
+        let node = &self.node;
+        if node.wire.leaves(head) && node.places().leave(upstream, node.now()) {
+            log::info!(
+                "upstream: event=leaves upstream={upstream} told-by=answer request={}",
+                self.request.ask.id
+            );
+            node.metrics.leaving.inc();
+        }
+    }
+
     /// Reads a short answer to its end, so that its connection can be kept.
     async fn finish(&self, lease: net::Lease, body: Incoming) {
         match net::collect(body, ANSWER_LIMIT).await {
@@ -284,6 +307,7 @@
                 places.err(&chosen.upstream);
                 false
             }
+            First::Withdrawn(_) => false,
             First::NotRun(_) | First::Broken(_) | First::Lost(_) | First::TimedOut => {
                 places.fail(&chosen.upstream, now)
             }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -222,6 +222,10 @@
             job.log_end("upstream-error", format_args!("status={}", head.status.as_u16()));
             Next::Reply(whole(head, bytes))
         }
+        First::Withdrawn(_) => {
+            let refusal = if ran == 0 { Refusal::NotRun } else { Refusal::Failed };
+            Next::Elsewhere(refuse(refusal))
+        }
         First::NotRun(_) if ran == 0 && refusals <= REFUSALS => Next::Elsewhere(refuse(Refusal::NotRun)),
         First::NotRun(_) if may_run_again => Next::Elsewhere(refuse(Refusal::Failed)),
         First::NotRun(reason) => {
@@ -274,11 +278,24 @@
         is_allowed
     }
 
+    /// Takes down that a dispatch reached nobody: it is neither a try nor a repeat.
+    fn withdraw(&self, upstream: &str, reason: &str) {
+        log::info!(
+            "request: id={} event=dispatch-withdrawn upstream={upstream} reason=\"{reason}\"",
+            self.request.ask.id
+        );
+        self.tries().avoid.push(upstream.to_owned());
+    }
+
     /// Takes down what a dispatch led to.
     pub(crate) fn note(&self, upstream: &str, first: &First<W, S>) {
         let (ran, reason) = match first {
             First::Whole(..) | First::Stream(..) => (true, None),
             First::Erred(head, _) => (true, Some(format!("status {}", head.status.as_u16()))),
+            First::Withdrawn(reason) => {
+                self.withdraw(upstream, reason);
+                return;
+            }
             First::NotRun(reason) => (false, Some(reason.clone())),
             First::Broken(reason) | First::Lost(reason) => (true, Some(reason.clone())),
             First::TimedOut => (true, Some("the time is over".to_owned())),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub fleet: IntGauge,
     /// Entries in the list of upstreams that name none.
     pub entries_unfit: IntCounter,
+    /// Upstreams that said in an answer that they leave.
+    pub leaving: IntCounter,
     /// Runs that broke off because their upstream ended.
     pub runs_lost: IntCounter,
     /// Requests that are denied since they end upstreams.
@@ -95,6 +97,10 @@
                 "tallypaddle_entries_unfit_total",
                 "Entries in the list of upstreams that name none.",
             ),
+            leaving: counter(
+                "tallypaddle_upstreams_leaving_total",
+                "Upstreams that said in an answer that they leave.",
+            ),
             runs_lost: counter(
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -145,6 +145,9 @@
     /// Reads what the head of an upstream's answer says of the request `id`.
     fn reply(&self, head: &response::Parts, id: &str) -> Reply;
 
+    /// Whether the head of an upstream's answer says that the upstream leaves.
+    fn leaves(&self, head: &response::Parts) -> bool;
+
     /// Names the request in an answer of the router's own.
     fn label(&self, id: &str, headers: &mut HeaderMap);
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -183,20 +183,20 @@
 
 /// Asks the upstream's address for a connection: a process that has ended refuses, a broken connection alone says nothing.
 async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, lost: LostRun) {
-    let Some(listing) = node.listings().get(&lost.upstream).cloned() else { return };
-    let reach = net::probe(listing.address, PROBE_LIMIT).await;
+    let Some(address) = node.listings().get(&lost.upstream).map(|listing| listing.address) else { return };
+    let reach = net::probe(address, PROBE_LIMIT).await;
     let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
+    let is_leaving = !node.places().admits(upstream);
     log::warn!(
-        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={}",
-        reach.name(),
-        listing.leaving
+        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={is_leaving}",
+        reach.name()
     );
     if reach != Reach::Refuses {
         return;
     }
     node.metrics.runs_lost.inc();
     // One that leaves ends of its own accord.
-    let Some(stage) = Stage::of(*begun_ms).filter(|_| !listing.leaving) else { return };
+    let Some(stage) = Stage::of(*begun_ms).filter(|_| !is_leaving) else { return };
     let is_new = node.quarantine().end(*fingerprint, upstream, stage, node.now());
     if is_new {
         tell_suspect(&node, *fingerprint);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -302,7 +302,7 @@
         }
         if started > std::mem::replace(newest, started) && node.listings().remove(&record.name).is_some() {
             // What was learned of its earlier life is not true of this one.
-            node.places().remove(&record.name);
+            node.places().forget(&record.name);
             log::info!("upstream: event=started-again upstream={} started={started}", record.name);
         }
     }
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -55,6 +55,10 @@
         Reply::Sound
     }
 
+    fn leaves(&self, _: &response::Parts) -> bool {
+        false
+    }
+
     fn label(&self, _: &str, _: &mut HeaderMap) {}
 }
 
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -61,37 +61,52 @@
     pub error: Error,
     /// Whether the request used a connection that had served others before.
     pub reused: bool,
+    /// Whether it was not sent because it was not wanted any more.
+    pub is_unwanted: bool,
 }
 
 impl Pool {
     /// Sends `request` to `peer` and waits for the head of the answer.
     ///
     /// A new connection is opened only if fewer than `most` are open. The connection returns to the pool once
-    /// the [`Lease`] is dropped and the answer was read whole.
+    /// the [`Lease`] is dropped and the answer was read whole. With a connection at hand it asks `is_wanted`: what was decided before may
+    /// be wrong by then.
     ///
     /// # Errors
-    /// Says whether the request was certainly not sent.
+    /// Says whether the request was certainly not sent, and whether it was not wanted any more.
     pub async fn send(
         &self,
         step: &'static str,
         peer: SocketAddr,
         most: usize,
         request: Request<Body>,
+        is_wanted: impl FnOnce() -> bool,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         let (mut sender, reused) = match self.take(peer) {
             Some(sender) => (sender, true),
             None => {
                 let opened = self.open(step, peer, most).await;
-                (opened.map_err(|error| Failure { error, reused: false })?, false)
+                (opened.map_err(|error| Failure { error, reused: false, is_unwanted: false })?, false)
             }
         };
+        if !is_wanted() {
+            let until = Instant::now() + IDLE_LIMIT.saturating_sub(IDLE_MARGIN);
+            Lease { pool: self.0.clone(), peer, sender: Some(sender), until }.keep();
+            let reason = "it is not wanted any more".to_owned();
+            let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
+            return Err(Failure { error, reused, is_unwanted: true });
+        }
         let answer = sender.try_send_request(request).await.map_err(|mut failure| {
             let fault = match failure.take_message() {
                 Some(_) => Fault::Unsent,
                 None => Fault::Unknown,
             };
             let reason = crate::client::describe(failure.error());
-            Failure { error: Error { step, peer: peer.to_string(), fault, reason }, reused }
+            Failure {
+                error: Error { step, peer: peer.to_string(), fault, reason },
+                reused,
+                is_unwanted: false,
+            }
         })?;
         let until = Instant::now() + idle_time(answer.headers());
         let lease = Lease { pool: self.0.clone(), peer, sender: Some(sender), until };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 mod reads;
 mod retry;
 mod share;
+mod signals;
 mod strain;
 mod teller;
 mod window;
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -10,6 +10,7 @@
 use crate::harm::Harm;
 use crate::health::{Health, Standing};
 use crate::reads::Reads;
+use crate::signals::Signals;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -240,6 +241,8 @@
 pub struct Places {
     data_centre: String,
     upstreams: BTreeMap<String, Upstream>,
+    /// Outlives the upstreams' places in the list.
+    signals: Signals,
     services: HashMap<String, Service>,
     awaited: HashMap<Ticket, Awaited>,
     running: HashMap<Ticket, Running>,
@@ -277,6 +280,7 @@
         Places {
             data_centre: data_centre.to_owned(),
             upstreams: BTreeMap::new(),
+            signals: Signals::default(),
             services: HashMap::new(),
             awaited: HashMap::new(),
             running: HashMap::new(),
@@ -312,17 +316,34 @@
         }
     }
 
-    /// Forgets an upstream.
+    /// Takes an upstream away that is not listed any more. What it said of itself holds on: its entry may come back.
     pub fn remove(&mut self, name: &str) {
         self.upstreams.remove(name);
     }
 
+    /// Forgets an upstream with all it said: another life of it begins.
+    pub fn forget(&mut self, name: &str) {
+        self.upstreams.remove(name);
+        self.signals.forget(name);
+    }
+
+    /// Takes in an upstream's word that it leaves; `true` if that is new.
+    pub fn leave(&mut self, name: &str, now: Millis) -> bool {
+        self.signals.leave(name, now)
+    }
+
+    /// Whether an upstream takes work, by the list and by its own word.
+    pub fn admits(&self, name: &str) -> bool {
+        self.upstreams.get(name).is_some_and(|upstream| !upstream.leaving) && self.signals.admits(name)
+    }
+
     /// Chooses the upstream with the least estimated time to a first answer; `None` if nothing serves the need.
     pub fn choose(&self, need: &Need<'_>, now: Millis) -> Option<Chosen> {
         let serving = || {
             self.upstreams.iter().filter(|(name, upstream)| {
                 upstream.site.service == need.service
                     && !upstream.leaving
+                    && self.signals.admits(name)
                     && !need.avoid.iter().any(|avoid| avoid == *name)
             })
         };
@@ -491,7 +512,7 @@
         for (service, known) in &mut self.services {
             let like = || self.upstreams.iter().filter(|(_, upstream)| upstream.site.service == *service);
             let usual = engine::usual(like().map(|(_, upstream)| upstream.pace));
-            let serving = like().filter(|(_, upstream)| !upstream.leaving);
+            let serving = like().filter(|(name, upstream)| !upstream.leaving && self.signals.admits(name));
             let members = serving.map(|(name, upstream)| Member {
                 name,
                 slowness: upstream.pace.quiet().map(|_| upstream.pace.slowness(usual)),
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -92,6 +92,29 @@
     assert_eq!(places.choose(&Need { service: "tiles", ..CALL }, 0), None);
 }
 
+#[test]
+fn the_word_of_an_upstream_that_leaves_outlasts_the_list_but_not_its_life() {
+    let mut places = places(2);
+    let site = || Site { service: "engines".into(), data_centre: "here".into(), slots: 8 };
+    let chosen = |places: &Places| places.choose(&CALL, 0).map(|chosen| chosen.upstream);
+    assert_eq!(chosen(&places).as_deref(), Some("e-0"));
+    assert!(places.leave("e-0", 0));
+    assert!(!places.leave("e-0", 10), "it is known");
+    assert_eq!(chosen(&places).as_deref(), Some("e-1"));
+    places.set("e-0", site(), false);
+    assert_eq!(chosen(&places).as_deref(), Some("e-1"), "the list is late");
+    places.remove("e-0");
+    places.set("e-0", site(), false);
+    assert_eq!(chosen(&places).as_deref(), Some("e-1"), "its entry lapsed and came back");
+    assert!(!places.admits("e-0"));
+    places.forget("e-0");
+    places.set("e-0", site(), false);
+    assert_eq!(chosen(&places).as_deref(), Some("e-0"), "another life of it");
+    places.leave("e-0", 20);
+    places.leave("e-1", 20);
+    assert_eq!(chosen(&places), None, "none is tried all the same");
+}
+
 #[test]
 fn a_grey_upstream_gets_less() {
     let mut places = places(4);
