A gateway's clock goes on while its VM is suspended

What callers would see: a request whose time passes in a suspension is answered late by the length of it, upstreams are told of time that is not left, rests last too long, and kept connections are used that their peers closed.

Cause: ages and deadlines ran on the steady clock, which stands still meanwhile.

Mend: net::Clock (CLOCK_BOOTTIME, by boot-time) is the node's clock and the pool's; what waits for a first answer looks at it every half second, since timers run on the steady clock. Notes and pledges stay on the steady clock, which is the safe side there: docs/design/time.md.

Tests suspend the clock by skipping.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,6 @@
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
-use net::exec;
 use route::place::Chosen;
 use std::pin::pin;
 use std::time::Duration;
@@ -124,7 +123,8 @@
             (first, seat)
         });
         let patience = self.patience(chosen).min(self.remaining());
-        let early = exec::timeout(patience, reading.as_mut()).await;
+        let clock = &self.node.clock;
+        let early = clock.timeout(patience, reading.as_mut()).await;
         let (first, seat) = match early {
             Some(done) => done,
             None if may_move && self.kind().is_repeatable() && !self.remaining().is_zero() => {
@@ -134,7 +134,7 @@
             None => {
                 let _overdue = Overdue::new(&self.node, &chosen.upstream);
                 let rest = self.remaining() + Duration::from_millis(DEADLINE_SLACK_MS);
-                match exec::timeout(rest, reading.as_mut()).await {
+                match clock.timeout(rest, reading.as_mut()).await {
                     Some(done) => done,
                     None => return First::TimedOut,
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -214,6 +214,11 @@
         (self.callers.address(), self.readiness.address())
     }
 
+    /// The clock by which it keeps deadlines, rests and ages.
+    pub fn clock(&self) -> &net::Clock {
+        &self.node.clock
+    }
+
     /// Stops without cutting off a request: not ready at once, no new work after the balancer's delay, every open
     /// answer finished as far as the grace allows, unused tokens given back.
     pub async fn stop(self) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,7 +13,7 @@
 use crate::strain::Load;
 use budget::ledger::Level;
 use event_listener::Event;
-use net::Pool;
+use net::{Clock, Pool};
 use route::place::Places;
 use route::quarantine::Quarantine;
 use route::{Millis, Terms, Window};
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::Instant;
+use std::time::Duration;
 use store::rows::{Progress, Rows};
 
 /// Connections to one upstream that are left unused, as a share: routers learn of each other late.
@@ -67,7 +67,7 @@
     pub quarantine_version: AtomicU64,
     /// Notified when another gateway has read a newer one.
     pub quarantine_grew: Event,
-    started: Instant,
+    pub clock: Clock,
     manifest: RwLock<Option<Arc<Manifest>>>,
     /// How far the read of the next manifest has come.
     manifest_read: Mutex<Progress>,
@@ -78,7 +78,8 @@
     purses: Mutex<HashMap<String, Arc<Purse>>>,
     phase: AtomicU8,
     note: async_channel::Sender<()>,
-    store_clock: Mutex<Option<(u64, Instant)>>,
+    /// What the store's clock said, in milliseconds, and when that was heard.
+    store_clock: Mutex<Option<(u64, Duration)>>,
 }
 
 impl<W: Wire, S: Rows> Node<W, S> {
@@ -89,6 +90,7 @@
         rows: S,
         note: async_channel::Sender<()>,
     ) -> Node<W, S> {
+        let clock = Clock::default();
         let metrics = Metrics::new();
         let failover = Failover::new(rows);
         let holder = format!("{}#{incarnation}", settings.name);
@@ -100,7 +102,8 @@
             wire,
             rows: Counted::new(failover.clone(), &metrics),
             failover,
-            pool: Pool::default(),
+            pool: Pool::new(clock.clone()),
+            clock,
             metrics,
             fleet: Arc::new(AtomicU64::new(ASSUMED_FLEET)),
             fleet_read: AtomicU64::new(0),
@@ -111,7 +114,6 @@
             quarantine_version: AtomicU64::new(0),
             quarantine_grew: Event::new(),
             quarantine: Mutex::default(),
-            started: Instant::now(),
             manifest: RwLock::default(),
             manifest_read: Mutex::default(),
             listings: Mutex::default(),
@@ -124,25 +126,25 @@
         }
     }
 
-    /// Milliseconds since the process started.
+    /// Milliseconds since the process started, those included for which the VM was suspended.
     pub(crate) fn now(&self) -> Millis {
-        self.started.elapsed().as_millis() as Millis
+        self.clock.now().as_millis() as Millis
     }
 
     /// The same with the parts of a millisecond.
     pub(crate) fn now_exact(&self) -> f64 {
-        self.started.elapsed().as_secs_f64() * 1_000.0
+        self.clock.now().as_secs_f64() * 1_000.0
     }
 
     /// Takes in what the store's clock said in an answer that came just now.
     pub(crate) fn set_store_clock(&self, now_ms: u64) {
-        *self.store_clock.lock().expect("the clock's lock") = Some((now_ms, Instant::now()));
+        *self.store_clock.lock().expect("the clock's lock") = Some((now_ms, self.clock.now()));
     }
 
     /// A moment not after now, in milliseconds of the store's clock; 0 if it is not known yet.
     pub(crate) fn store_now(&self) -> u64 {
         let clock = *self.store_clock.lock().expect("the clock's lock");
-        clock.map_or(0, |(now_ms, heard)| now_ms + heard.elapsed().as_millis() as u64)
+        clock.map_or(0, |(now_ms, heard)| now_ms + self.clock.now().saturating_sub(heard).as_millis() as u64)
     }
 
     pub(crate) fn manifest(&self) -> Option<Arc<Manifest>> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod client;
+mod clock;
 pub mod exec;
 mod pool;
 mod probe;
@@ -16,6 +17,7 @@
 
 pub use body::{Body, Pipe, collect, pipe};
 pub use client::{Answer, Client, Error, Fault};
+pub use clock::Clock;
 pub use pool::{Failure, Lease, Pool};
 pub use probe::{Reach, probe};
 pub use server::{Handle, Limits, serve};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -5,6 +5,7 @@
 
 use crate::body::Body;
 use crate::client::{Error, Fault};
+use crate::clock::Clock;
 use crate::exec;
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response};
@@ -16,7 +17,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a connection attempt may take: several round trips within a region.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -35,7 +36,8 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Body>,
-    until: Instant,
+    /// Until when it is kept, by the pool's clock.
+    until: Duration,
 }
 
 /// The connections to one peer.
@@ -47,6 +49,7 @@
 
 #[derive(Debug, Default)]
 struct Shared {
+    clock: Clock,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
 }
 
@@ -66,6 +69,11 @@
 }
 
 impl Pool {
+    /// A pool that keeps connections by this clock.
+    pub fn new(clock: Clock) -> Pool {
+        Pool(Arc::new(Shared { clock, peers: Mutex::default() }))
+    }
+
     /// Sends `request` to `peer` and waits for the head of the answer.
     ///
     /// A new connection is opened only if fewer than `most` are open. The connection returns to the pool once
@@ -90,7 +98,7 @@
             }
         };
         if !is_wanted() {
-            let until = Instant::now() + IDLE_LIMIT.saturating_sub(IDLE_MARGIN);
+            let until = self.0.clock.now() + IDLE_LIMIT.saturating_sub(IDLE_MARGIN);
             Lease { pool: self.0.clone(), peer, sender: Some(sender), until }.keep();
             let reason = "it is not wanted any more".to_owned();
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
@@ -108,7 +116,7 @@
                 is_unwanted: false,
             }
         })?;
-        let until = Instant::now() + idle_time(answer.headers());
+        let until = self.0.clock.now() + idle_time(answer.headers());
         let lease = Lease { pool: self.0.clone(), peer, sender: Some(sender), until };
         Ok((answer, lease))
     }
@@ -126,7 +134,7 @@
 
     /// Closes connections whose time has come, and forgets peers without any.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
         for peer in peers.values_mut() {
             peer.idle.retain(|idle| idle.until > now && idle.sender.is_ready());
@@ -135,7 +143,7 @@
     }
 
     fn take(&self, peer: SocketAddr) -> Option<SendRequest<Body>> {
-        let now = Instant::now();
+        let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
         let idle = &mut peers.get_mut(&peer)?.idle;
         while let Some(kept) = idle.pop() {
@@ -219,7 +227,7 @@
     pool: Arc<Shared>,
     peer: SocketAddr,
     sender: Option<SendRequest<Body>>,
-    until: Instant,
+    until: Duration,
 }
 
 impl Lease {
@@ -232,7 +240,7 @@
     /// answer was read.
     pub fn keep(mut self) {
         let Some(mut sender) = self.sender.take() else { return };
-        if self.until <= Instant::now() {
+        if self.until <= self.pool.clock.now() {
             return;
         }
         if sender.is_ready() {
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Kept connections, servers that are aborted, and what a connection attempt says.
 
 use http::{Request, Response};
-use net::{Body, Fault, Limits, Pool, Reach, exec};
+use net::{Body, Clock, Fault, Limits, Pool, Reach, exec};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -27,6 +27,56 @@
     Request::get("/").body(Body::empty()).expect("a request")
 }
 
+/// Waits until something holds.
+async fn until(holds: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if holds() {
+            return;
+        }
+        exec::sleep(Duration::from_millis(1)).await;
+    }
+    panic!("it never held");
+}
+
+#[test]
+fn a_timeout_counts_the_time_of_a_suspension() {
+    exec::block_on(async {
+        exec::start(2);
+        let clock = Clock::default();
+        let began = std::time::Instant::now();
+        let suspended = clock.clone();
+        exec::spawn(async move {
+            exec::sleep(Duration::from_millis(100)).await;
+            suspended.skip(Duration::from_secs(60));
+        })
+        .detach();
+        let ended = clock.timeout(Duration::from_secs(30), std::future::pending::<()>()).await;
+        assert!(ended.is_none() && began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+        assert_eq!(clock.timeout(Duration::from_secs(30), async { 7 }).await, Some(7));
+        let began = clock.now();
+        assert!(clock.timeout(Duration::from_millis(700), std::future::pending::<()>()).await.is_none());
+        assert!(clock.now() - began >= Duration::from_millis(700), "not before its time");
+    });
+}
+
+#[test]
+fn a_connection_that_was_kept_through_a_suspension_is_given_up() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (clock, peer) = (Clock::default(), server.address());
+        let pool = Pool::new(clock.clone());
+        let (answer, lease) = pool.send("ask", peer, 1, request(), || true).await.expect("an answer");
+        net::collect(answer.into_body(), 100).await.expect("an empty body");
+        lease.keep();
+        exec::sleep(Duration::from_millis(50)).await;
+        pool.sweep();
+        assert_eq!(pool.open_to(peer), 1, "it is young");
+        clock.skip(Duration::from_secs(10));
+        pool.sweep();
+        until(|| pool.open_to(peer) == 0).await;
+    });
+}
+
 #[test]
 fn what_is_not_wanted_any_more_is_not_sent_and_keeps_its_connection() {
     exec::block_on(async {
@@ -36,12 +86,7 @@
         assert!(failure.is_unwanted && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_to(peer)), (0, 1));
         // The connection is kept once its task has run.
-        for _ in 0..1_000 {
-            if pool.has_room(peer, 1) {
-                break;
-            }
-            exec::sleep(Duration::from_millis(1)).await;
-        }
+        until(|| pool.has_room(peer, 1)).await;
         assert!(pool.send("ask", peer, 1, request(), || true).await.is_ok());
         assert_eq!(count.load(Ordering::Relaxed), 1);
     });
