An upstream whose listener closes after its connections has ended too

What the soak showed: 12 servers ended under one request within six seconds. Cause: a process that ends closes its connections and its listener one after the other; the address was asked in between, and still took connections. Mend: it is asked once more 100 ms later.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -23,6 +23,9 @@
 
 /// How long the address of an upstream is asked for a connection: some round trips within a region.
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// The pause before an address that still takes connections is asked once more: a process that ends closes its connections and its
+/// listener one after the other.
+const PROBE_AGAIN: Duration = Duration::from_millis(100);
 /// The table of denied requests: a row's key is the fingerprint, its value an [`Entry`].
 const TABLE: &str = "quarantine";
 /// The pause after a call to the store failed.
@@ -184,7 +187,11 @@
 /// Asks the upstream's address for a connection: a process that has ended refuses, a broken connection alone says nothing.
 async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, lost: LostRun) {
     let Some(address) = node.listings().get(&lost.upstream).map(|listing| listing.address) else { return };
-    let reach = net::probe(address, PROBE_LIMIT).await;
+    let mut reach = net::probe(address, PROBE_LIMIT).await;
+    if reach == Reach::Listens {
+        exec::sleep(PROBE_AGAIN).await;
+        reach = net::probe(address, PROBE_LIMIT).await;
+    }
     let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
     let is_leaving = !node.places().admits(upstream, node.now());
     log::warn!(
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -23,8 +23,10 @@
     Pass,
     /// They pass late.
     Delay(Duration),
-    /// Connections are closed and new ones refused.
+    /// Connections are closed, new ones too.
     Cut,
+    /// Connections are closed, and nothing listens: the process behind it has ended.
+    Down,
     /// Nothing passes towards the target.
     HoleForward,
     /// Nothing passes back.
@@ -89,11 +91,7 @@
         let passed = Arc::new(AtomicU64::new(0));
         let way = Way { rule: rule.clone(), passed: passed.clone(), link };
         net::exec::spawn(async move {
-            let accepting = async {
-                while let Ok((stream, _)) = listener.accept().await {
-                    net::exec::spawn(relay(stream, target, way.clone())).detach();
-                }
-            };
+            let accepting = accept(listener, address, target, &way);
             smol::future::or(accepting, async {
                 let _ = stopped.recv().await;
             })
@@ -131,6 +129,33 @@
     fn rule(&self) -> Rule {
         *self.rule.lock().expect("the rule's lock")
     }
+
+    /// Waits until the rule is such a one.
+    async fn until(&self, is_such: impl Fn(Rule) -> bool) {
+        while !is_such(self.rule()) {
+            net::exec::sleep(RECHECK).await;
+        }
+    }
+}
+
+/// Accepts connections, but for the times in which nothing listens.
+async fn accept(mut listener: TcpListener, address: SocketAddr, target: SocketAddr, way: &Way) {
+    loop {
+        let accepting = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                net::exec::spawn(relay(stream, target, way.clone())).detach();
+            }
+        };
+        smol::future::or(accepting, way.until(|rule| rule == Rule::Down)).await;
+        drop(listener);
+        way.until(|rule| rule != Rule::Down).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => net::exec::sleep(RECHECK).await,
+            }
+        };
+    }
 }
 
 async fn relay(near: TcpStream, target: SocketAddr, way: Way) {
@@ -143,11 +168,7 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let forward = pump(near.clone(), far.clone(), &way, Direction::Forward);
     let back = pump(far, near, &way, Direction::Back);
-    let cut = async {
-        while way.rule() != Rule::Cut {
-            net::exec::sleep(RECHECK).await;
-        }
-    };
+    let cut = way.until(|rule| matches!(rule, Rule::Cut | Rule::Down));
     let both = async {
         futures::future::join(forward, back).await;
     };
