What routers tell each other of requests that end upstreams is decided in route::word, without a network

The gateway sends and receives, and decides nothing of it any more: who is told, who adds to what was said, when a decision is due.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -6,20 +6,17 @@
 
 use crate::node::Node;
 use crate::ports::Wire;
-use crate::quarantine::Word;
 use bincode::Options;
 use route::place::Told;
-use route::quarantine::Fingerprint;
+use route::word::{Audience, Bound, Word, deciders};
 use route::{Millis, Teller};
 use serde::{Deserialize, Serialize};
 use smol::net::UdpSocket;
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use store::rows::Rows;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The largest datagram, in bytes: one that every link carries whole.
 const LARGEST: usize = 1_400;
@@ -27,13 +24,6 @@
 const VERSION: u8 = 2;
 /// Datagrams that are sent in a row before other work goes on: about a fifth of a millisecond.
 const IN_A_ROW: usize = 16;
-/// Gateways that are told of an end under a request where not all are: one of them hears it even if another one is cut off and a
-/// datagram is lost.
-const DECIDERS: usize = 3;
-/// Suspects that each gateway hears of in a second, where all are told, and those that each may tell at once: some upstreams'
-/// ends.
-const SUSPECTS_PER_S: f64 = 20.0;
-const SUSPECTS_AT_ONCE: f64 = 8.0;
 /// The pauses before each datagram that tells of a request which ends upstreams: all have heard it well before the callers' next tries.
 const WARN_PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
 
@@ -48,15 +38,6 @@
     Quarantine(Word),
 }
 
-/// Who is told of a request that ends upstreams.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Audience {
-    /// The gateways that its fingerprint chooses: the same ones wherever it ran.
-    Deciders(Fingerprint),
-    /// Every gateway.
-    All,
-}
-
 /// A hint with its place among those of its sender.
 #[derive(Debug, Deserialize, Serialize)]
 struct Numbered {
@@ -92,35 +73,12 @@
     socket: Mutex<Option<Arc<UdpSocket>>>,
     peers: Mutex<Arc<Vec<SocketAddr>>>,
     teller: Mutex<Teller>,
-    suspects: Mutex<Bucket>,
+    bound: Mutex<Bound>,
     next: Mutex<u64>,
     /// The last number of each peer.
     heard: Mutex<HashMap<SocketAddr, u64>>,
 }
 
-/// Word that may still be told to all.
-#[derive(Debug)]
-struct Bucket {
-    left: f64,
-    filled: Millis,
-}
-
-impl Default for Bucket {
-    fn default() -> Bucket {
-        Bucket { left: SUSPECTS_AT_ONCE, filled: 0 }
-    }
-}
-
-impl Bucket {
-    fn take(&mut self, per_ms: f64, most: f64, now: Millis) -> bool {
-        self.left = (self.left + per_ms * now.saturating_sub(self.filled) as f64).min(most);
-        self.filled = now;
-        let is_left = self.left >= 1.0;
-        self.left -= f64::from(u8::from(is_left));
-        is_left
-    }
-}
-
 impl Default for Hints {
     fn default() -> Hints {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros() as u64);
@@ -128,7 +86,7 @@
             socket: Mutex::default(),
             peers: Mutex::default(),
             teller: Mutex::default(),
-            suspects: Mutex::default(),
+            bound: Mutex::default(),
             next: Mutex::new(started),
             heard: Mutex::default(),
         }
@@ -162,21 +120,15 @@
         self.send(Hint::Division { service: service.to_owned(), short: short.to_vec() });
     }
 
-    /// Whether all may be told of a suspect: they hear of a fixed number a second, however many gateways there are.
-    pub(crate) fn may_tell_all(&self, now: Millis) -> bool {
-        let gateways = self.peers.lock().expect("the peers' lock").len() as f64 + 1.0;
-        let per_ms = SUSPECTS_PER_S / 1_000.0 / gateways;
-        self.suspects.lock().expect("the bucket's lock").take(per_ms, SUSPECTS_AT_ONCE, now)
-    }
-
     /// Tells of a request that ends upstreams, more than once since datagrams are lost.
-    pub(crate) fn warn(self: &Arc<Hints>, word: &Word, audience: Audience) {
-        let (hints, word) = (self.clone(), word.clone());
+    pub(crate) fn warn(self: &Arc<Hints>, word: Word, now: Millis) {
+        let gateways = self.peers.lock().expect("the peers' lock").len() + 1;
+        let audience = self.bound.lock().expect("the bound's lock").audience(&word, gateways, now);
+        let hints = self.clone();
         net::exec::spawn(async move {
             for pause in WARN_PAUSES {
                 net::exec::sleep(pause).await;
-                let peers = hints.audience(audience);
-                hints.send_to(Hint::Quarantine(word.clone()), peers);
+                hints.send_to(Hint::Quarantine(word.clone()), hints.audience(audience));
             }
         })
         .detach();
@@ -186,7 +138,9 @@
         let peers = self.peers.lock().expect("the peers' lock").clone();
         match audience {
             Audience::All => peers,
-            Audience::Deciders(fingerprint) => Arc::new(deciders(&peers, fingerprint)),
+            Audience::Deciders(fingerprint) => {
+                Arc::new(deciders(fingerprint, peers.iter().map(|peer| (*peer, peer.to_string()))))
+            }
         }
     }
 
@@ -238,15 +192,6 @@
     }
 }
 
-/// The peers that a fingerprint prefers.
-fn deciders(peers: &[SocketAddr], fingerprint: Fingerprint) -> Vec<SocketAddr> {
-    let weight = |peer: &SocketAddr| xxh3_64_with_seed(peer.to_string().as_bytes(), fingerprint.seed());
-    let mut ranked = peers.to_vec();
-    ranked.sort_by_cached_key(|peer| Reverse(weight(peer)));
-    ranked.truncate(DECIDERS);
-    ranked
-}
-
 fn options() -> impl Options {
     bincode::DefaultOptions::new().with_limit(LARGEST as u64)
 }
@@ -285,7 +230,7 @@
             Ok((length, from)) => match node.hints.accept(&buffer[..length], from) {
                 Ok(Hint::Dispatch { upstream, told }) => node.places().hear(&upstream, &told, node.now()),
                 Ok(Hint::Division { service, short }) => node.follow_division(&service, &short),
-                Ok(Hint::Quarantine(word)) => crate::quarantine::hear(&node, word),
+                Ok(Hint::Quarantine(word)) => crate::quarantine::hear(&node, &word),
                 Err(unfit) => {
                     log::debug!("hints: event=dropped reason={} from={from}", unfit.name());
                     node.metrics.hints_dropped.with_label_values(&[unfit.name()]).inc();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,16 +4,14 @@
 //! gateways are, which its fingerprint chooses, so that what a gateway hears of ends does not grow with the fleet. What is denied is told to all, and written to a table that each
 //! gateway reads when it starts, and when another one's heartbeat says that it knows more.
 
-use crate::hints::Audience;
 use crate::job::{Admitted, Job};
 use crate::node::Node;
 use crate::ports::Wire;
 use crate::table::{decode, encode};
 use net::{Reach, exec};
 use route::Millis;
-use route::quarantine::{
-    DENIED_MS, End, Ends, Fingerprint, GATHER_MS, MOST_ENDED, Stage, Upstreams, Verdict,
-};
+use route::quarantine::{DENIED_MS, Fingerprint, GATHER_MS, Stage, Upstreams, Verdict};
+use route::word::{Reaction, Word};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
@@ -30,38 +28,6 @@
 const TABLE: &str = "quarantine";
 /// The pause after a call to the store failed.
 const AGAIN: Duration = Duration::from_secs(1);
-/// Names of upstreams in one message at most, and the longest, in bytes.
-const MOST_NAMES: usize = 8;
-const LONGEST_NAME: usize = 120;
-
-/// What gateways tell each other of requests that end upstreams.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) enum Word {
-    /// These ended under it.
-    Suspect { fingerprint: Fingerprint, ends: Ends },
-    /// It is denied for so many milliseconds.
-    Denied { fingerprint: Fingerprint, upstreams: Upstreams, lasts_ms: Millis },
-    /// An upstream outlived it.
-    Cleared { fingerprint: Fingerprint },
-}
-
-impl Word {
-    /// Whether it can be what a gateway says: an altered message may hold anything.
-    pub(crate) fn is_sound(&self) -> bool {
-        let is_name = |name: &str| name.len() <= LONGEST_NAME;
-        match self {
-            Word::Suspect { ends, .. } => {
-                ends.len() <= MOST_NAMES && ends.iter().all(|end| is_name(&end.upstream))
-            }
-            Word::Denied { upstreams, .. } => {
-                (MOST_ENDED..=MOST_NAMES).contains(&upstreams.len())
-                    && upstreams.iter().all(|name| is_name(name))
-            }
-            Word::Cleared { .. } => true,
-        }
-    }
-}
-
 /// A denied request, as the store keeps it.
 #[derive(Debug, Deserialize, Serialize)]
 struct Entry {
@@ -125,7 +91,7 @@
         let fingerprint = self.request.fingerprint();
         if self.node.quarantine().clear(fingerprint) {
             log::info!("quarantine: event=cleared fingerprint={fingerprint} request={}", self.request.ask.id);
-            self.node.hints.warn(&Word::Cleared { fingerprint }, Audience::All);
+            self.node.hints.warn(Word::Cleared { fingerprint }, self.node.now());
         }
     }
 
@@ -204,34 +170,21 @@
     node.metrics.runs_lost.inc();
     // One that leaves ends of its own accord.
     let Some(stage) = Stage::of(*begun_ms).filter(|_| !is_leaving) else { return };
-    let is_new = node.quarantine().end(*fingerprint, upstream, stage, node.now());
-    if is_new {
-        tell_suspect(&node, *fingerprint);
-    }
+    let reaction = node.quarantine().observe(*fingerprint, upstream, stage, node.now());
+    react(&node, reaction);
 }
 
-/// Tells who should know of a suspect, and decides on it in time.
-fn tell_suspect<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, fingerprint: Fingerprint) {
-    let ends = node.quarantine().ends(fingerprint);
-    let names: Vec<&str> = ends.iter().map(|end| end.upstream.as_str()).collect();
-    log::warn!(
-        "quarantine: event=suspect fingerprint={fingerprint} ended={} upstreams={}",
-        ends.len(),
-        names.join(",")
-    );
-    // What was silent there has a part of the blame that all have to know of, as far as the fleet bears it.
-    let is_blamed = ends.len() > 1 || ends.iter().any(|end| end.stage == Stage::Silent);
-    let audience = match is_blamed && node.hints.may_tell_all(node.now()) {
-        true => Audience::All,
-        false => Audience::Deciders(fingerprint),
-    };
-    node.hints.warn(&Word::Suspect { fingerprint, ends }, audience);
-    decide_in_time(node, fingerprint);
-}
-
-/// Sees to it that a suspect is decided on when it is due.
-fn decide_in_time<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, fingerprint: Fingerprint) {
-    if node.quarantine().verdict(fingerprint, node.now()) == Verdict::Undecided {
+/// Tells the others what they should know, and sees to it that a suspect is decided on in time.
+fn react<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, reaction: Reaction) {
+    if let Some(word) = reaction.tell {
+        if let Word::Suspect { fingerprint, ends } = &word {
+            let names: Vec<&str> = ends.iter().map(|end| end.upstream.as_str()).collect();
+            let (ended, names) = (ends.len(), names.join(","));
+            log::warn!("quarantine: event=suspect fingerprint={fingerprint} ended={ended} upstreams={names}");
+        }
+        node.hints.warn(word, node.now());
+    }
+    if reaction.is_due {
         exec::spawn(decide(node.clone())).detach();
     }
 }
@@ -257,7 +210,7 @@
 async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
     count(&node);
     let word = Word::Denied { fingerprint, upstreams: upstreams.clone(), lasts_ms: DENIED_MS };
-    node.hints.warn(&word, Audience::All);
+    node.hints.warn(word, node.now());
     while node.quarantine().denial(fingerprint).is_some() {
         match keep(&node, fingerprint, &upstreams).await {
             Ok(()) => return,
@@ -287,31 +240,12 @@
 }
 
 /// Takes in what another gateway says.
-pub(crate) fn hear<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, word: Word) {
-    let now = node.now();
-    match word {
-        Word::Suspect { fingerprint, ends } => {
-            let known = node.quarantine().ends(fingerprint).len();
-            for End { upstream, stage } in &ends {
-                node.quarantine().end(fingerprint, upstream, *stage, now);
-            }
-            let all = node.quarantine().ends(fingerprint).len();
-            if all == known {
-                return;
-            }
-            // Who can add to what was said tells all; otherwise all have heard it.
-            match all > ends.len() {
-                true => tell_suspect(node, fingerprint),
-                false => decide_in_time(node, fingerprint),
-            }
-        }
-        Word::Denied { fingerprint, upstreams, lasts_ms } => {
-            deny(node, fingerprint, &upstreams, lasts_ms, "gateway");
-        }
-        Word::Cleared { fingerprint } => {
-            node.quarantine().clear(fingerprint);
-        }
+pub(crate) fn hear<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, word: &Word) {
+    if let Word::Denied { fingerprint, upstreams, lasts_ms } = word {
+        return deny(node, *fingerprint, upstreams, *lasts_ms, "gateway");
     }
+    let reaction = node.quarantine().hear(word, node.now());
+    react(node, reaction);
 }
 
 fn deny<W: Wire, S: Rows>(
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -4,6 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::place::Sent;
+use route::quarantine::Fingerprint;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -67,13 +68,9 @@
     assert_eq!(listening().accept(&older, address(1)).err(), Some(Unfit::Unreadable));
 }
 
-fn fingerprint(first: u8) -> Fingerprint {
-    Fingerprint::new([first; 16])
-}
-
 fn denied(names: &[&str]) -> Word {
     let upstreams = names.iter().map(|name| (*name).to_owned()).collect();
-    Word::Denied { fingerprint: fingerprint(7), upstreams, lasts_ms: 600_000 }
+    Word::Denied { fingerprint: Fingerprint::new([7; 16]), upstreams, lasts_ms: 600_000 }
 }
 
 #[test]
@@ -96,27 +93,6 @@
     assert!(heard(denied(&[long.as_str(); 8])).is_ok(), "the longest fits into a datagram");
 }
 
-#[test]
-fn a_fingerprint_prefers_the_same_gateways_whoever_asks() {
-    let peers: Vec<SocketAddr> = (1..40).map(address).collect();
-    let backwards: Vec<SocketAddr> = peers.iter().rev().copied().collect();
-    let chosen = deciders(&peers, fingerprint(1));
-    assert_eq!(chosen.len(), DECIDERS);
-    assert_eq!(chosen, deciders(&backwards, fingerprint(1)));
-    assert_ne!(chosen, deciders(&peers, fingerprint(2)));
-}
-
-#[test]
-fn what_all_hear_of_suspects_does_not_grow_with_the_fleet() {
-    for gateways in [6, 75, 295, 1_400] {
-        let hints = Hints::default();
-        hints.set_peers((1..gateways).map(address).collect());
-        let told = (0..60_000).filter(|now| hints.may_tell_all(*now)).count() as f64 - SUSPECTS_AT_ONCE;
-        let heard_per_s = told * f64::from(gateways) / 60.0;
-        assert!(heard_per_s <= SUSPECTS_PER_S * 1.05, "{heard_per_s} a second with {gateways} gateways");
-    }
-}
-
 #[test]
 fn no_bytes_make_a_gateway_panic_or_believe_the_impossible() {
     let mut random = SmallRng::seed_from_u64(7);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,6 +32,7 @@
 mod strain;
 mod teller;
 mod window;
+pub mod word;
 
 pub use board::{Ask, Board, Choice, Pick, Reason, Report, Spec, View, home};
 pub use desk::{Desk, Entered, Want};
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -4,8 +4,9 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use route::quarantine::{
-    DENIED_MS, Fingerprint, GATHER_MS, MOST_ENDED, Quarantine, Stage, Upstreams, Verdict,
+    DENIED_MS, End, Ends, Fingerprint, GATHER_MS, MOST_ENDED, Quarantine, Stage, Upstreams, Verdict,
 };
+use route::word::{self, Audience, Bound, Word};
 use std::collections::BTreeMap;
 
 fn request(number: u64) -> Fingerprint {
@@ -19,10 +20,10 @@
 }
 
 /// Upstreams that end, each with the requests that ran there.
-type Ends = Vec<(String, Vec<u64>)>;
+type Ended = Vec<(String, Vec<u64>)>;
 
 /// Takes the ends in, and decides once all have come.
-fn told(ends: &Ends, quarantine: &mut Quarantine, now: u64) -> Vec<Fingerprint> {
+fn told(ends: &Ended, quarantine: &mut Quarantine, now: u64) -> Vec<Fingerprint> {
     for (upstream, there) in ends {
         there.iter().for_each(|number| {
             quarantine.end(request(*number), upstream, Stage::Silent, now);
@@ -31,7 +32,7 @@
     quarantine.decide(now + GATHER_MS)
 }
 
-fn ends(ran: &[&[u64]]) -> Ends {
+fn ends(ran: &[&[u64]]) -> Ended {
     ran.iter().enumerate().map(|(index, there)| (format!("e-{index}"), there.to_vec())).collect()
 }
 
@@ -162,6 +163,32 @@
     assert!(missed < 200, "{missed} of 20,000 rounds denied nothing though four or more had ended");
 }
 
+#[test]
+fn a_fingerprint_prefers_the_same_routers_whoever_asks() {
+    let names: Vec<String> = (0..40).map(|index| format!("vm-{index}")).collect();
+    let chosen = |request, order: &[usize]| {
+        word::deciders(request, order.iter().map(|index| (*index, names[*index].as_str())))
+    };
+    let forth: Vec<usize> = (0..40).collect();
+    let back: Vec<usize> = (0..40).rev().collect();
+    assert_eq!(chosen(request(1), &forth).len(), word::DECIDERS);
+    assert_eq!(chosen(request(1), &forth), chosen(request(1), &back));
+    assert_ne!(chosen(request(1), &forth), chosen(request(2), &forth));
+}
+
+#[test]
+fn what_all_hear_of_suspects_does_not_grow_with_the_fleet() {
+    let ends = Ends::from_iter([End { upstream: "e-0".to_owned(), stage: Stage::Silent }]);
+    let suspect = Word::Suspect { fingerprint: request(1), ends };
+    for routers in [6, 75, 295, 1_400] {
+        let mut bound = Bound::default();
+        let all = (0..60_000).filter(|now| bound.audience(&suspect, routers, *now) == Audience::All);
+        // Beyond what each may tell at once.
+        let heard_per_s = (all.count() as f64 - 8.0) * routers as f64 / 60.0;
+        assert!(heard_per_s <= 21.0, "{heard_per_s} a second with {routers} routers");
+    }
+}
+
 /// A run of an innocent request, in the play below.
 #[derive(Clone, Copy)]
 struct Run {
