Of many gateways that deny a request, the few that saw an end tell of it and keep it

What the emulator showed: with 1,400 routers each heard 3,963 words in ten seconds, since all that had heard of the ends decided, told all, and would have written the same row; word that an upstream outlived a request went to all too.

The emulator plays requests that end their engines, engines that end, retries, and lost messages, at 6 to 1,400 routers.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,6 +3,7 @@
 //! The engine model follows what the users' pages say of their engines; nothing of it is known to the routers, which
 //! run the same code as in the programs.
 
+mod deadly;
 mod engine;
 mod load;
 mod outcome;
@@ -11,6 +12,6 @@
 
 pub use engine::{Counts, Engine, Happened, Job, Part, Spec};
 pub use load::{Kind, Request, Shared, Size};
-pub use outcome::{Outcome, Share};
+pub use outcome::{Deadly, Outcome, Share};
 pub use scenes::{plains, reports, storms};
 pub use world::{Fault, Scene, play};
--- a/crates/emulator/src/outcome.rs
+++ b/crates/emulator/src/outcome.rs
@@ -39,6 +39,27 @@
     pub preempted: u64,
     /// Dispatches that routers heard of from others, by all of them together.
     pub told: u64,
+    /// What came of requests that end their engines.
+    pub deadly: Deadly,
+}
+
+/// What came of requests that end their engines.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Deadly {
+    /// Attempts that came.
+    pub came: u64,
+    /// Attempts that were denied.
+    pub denied: u64,
+    /// Engines that ended under them.
+    pub ended: u64,
+    /// Engines that ended under them later than the time in which all routers know what one knows, after the third.
+    pub ended_late: u64,
+    /// Other requests that were denied.
+    pub innocent: u64,
+    /// Words on them that routers heard from others, by all of them together.
+    pub words: u64,
+    /// From the third end until each router denies it, in milliseconds; 0 if that was not reached.
+    pub known_ms: f64,
 }
 
 impl Outcome {
@@ -51,6 +72,7 @@
             again: 0,
             preempted: 0,
             told: 0,
+            deadly: Deadly::default(),
         }
     }
 
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,11 +1,13 @@
 //! Callers, routers with private views, and engines in virtual time.
 
+use crate::deadly::{self, Message, Watch};
 use crate::engine::{Engine, Happened, Job, Spec};
 use crate::load::{Kind, Request};
 use crate::outcome::Outcome;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::place::{Chosen, Need, Part, Places, Prompt, Site, Ticket, Told};
+use route::word::Word;
 use route::{Millis, Pause, Pauses, Teller};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -18,6 +20,8 @@
 const AGAIN_MS: f64 = 10_000.0;
 /// How often the engines are divided, in milliseconds: with each heartbeat of a gateway.
 const DIVIDE_MS: f64 = 1_500.0;
+/// How often a request is tried again whose engine ended.
+const RETRIES: u32 = 2;
 /// Events come in units of this part of a millisecond.
 const TICKS: f64 = 1_000.0;
 
@@ -55,6 +59,10 @@
     Slow(usize, f64),
     /// The load becomes this multiple of the usual one.
     Load(f64),
+    /// An engine ends, and is back after some seconds.
+    Crash(usize),
+    /// From now on a request that ends its engines comes so many times a second, to any router.
+    Deadly(f64),
 }
 
 #[derive(Clone, Debug)]
@@ -66,6 +74,10 @@
     Leave { id: usize },
     Strike(Fault),
     Divide,
+    ArriveDeadly,
+    BeginDeadly { router: usize, engine: usize },
+    Word { router: usize, word: Option<Word> },
+    Return { engine: usize },
 }
 
 struct Timed {
@@ -97,6 +109,10 @@
 /// A request that is being carried out.
 struct Live {
     request: Request,
+    /// The request's number: a retry has the same.
+    number: u64,
+    /// Retries that are left.
+    retries: u32,
     router: usize,
     engine: usize,
     ticket: Ticket,
@@ -120,6 +136,8 @@
     count: usize,
     load: f64,
     used: HashMap<u64, f64>,
+    watch: Watch,
+    deadly_per_s: f64,
     outcome: Outcome,
 }
 
@@ -142,6 +160,7 @@
         world.outcome.read += engine.counts().read;
         world.outcome.preempted += engine.counts().preempted;
     }
+    world.outcome.deadly = world.watch.outcome;
     world.outcome
 }
 
@@ -171,6 +190,8 @@
             count: 0,
             load: scene.load,
             used: HashMap::new(),
+            watch: Watch::new(scene.routers, scene.slow.len()),
+            deadly_per_s: 0.0,
             outcome: Outcome::new(&scene.kinds),
             scene,
         }
@@ -192,7 +213,96 @@
             Event::Leave { id } => self.leave(id),
             Event::Strike(Fault::Slow(engine, slow)) => self.engines[engine].slow = slow,
             Event::Strike(Fault::Load(load)) => self.load = load,
+            Event::Strike(Fault::Crash(engine)) => self.crash(engine, None),
+            Event::Strike(Fault::Deadly(per_s)) => {
+                self.deadly_per_s = per_s;
+                self.push(self.now, Event::ArriveDeadly);
+            }
             Event::Divide => self.divide(),
+            Event::ArriveDeadly => self.arrive_deadly(),
+            Event::BeginDeadly { router, engine } => {
+                if !self.engines[engine].is_dead {
+                    self.crash(engine, Some(router));
+                }
+            }
+            Event::Word { router, word: Some(word) } => {
+                let messages = self.watch.hear(router, &word, self.now, &mut self.random);
+                self.send(messages);
+            }
+            Event::Word { router, word: None } => {
+                let messages = self.watch.decide(router, self.now, &mut self.random);
+                self.send(messages);
+            }
+            Event::Return { engine } => self.come_back(engine),
+        }
+    }
+
+    fn arrive_deadly(&mut self) {
+        if self.deadly_per_s <= 0.0 {
+            return;
+        }
+        let wait = -self.random.r#gen::<f64>().max(1e-12).ln() * 1_000.0 / self.deadly_per_s;
+        self.push(self.now + wait, Event::ArriveDeadly);
+        let router = self.random.gen_range(0..self.routers.len());
+        if !self.watch.admits_deadly(router, self.now) {
+            return;
+        }
+        let need = Need { service: SERVICE, prompt: None, avoid: &[] };
+        let Some(chosen) = self.routers[router].choose(&need, self.now as Millis) else { return };
+        let engine = self.names.iter().position(|name| *name == chosen.upstream).unwrap_or(0);
+        self.push(self.now + deadly::BEGINS_MS, Event::BeginDeadly { router, engine });
+    }
+
+    /// Ends an engine: it leaves the list, and what ran there is tried again.
+    fn crash(&mut self, engine: usize, of: Option<usize>) {
+        if self.engines[engine].is_dead {
+            return;
+        }
+        let lost = deadly::crash(&mut self.engines[engine]);
+        self.push(self.now + deadly::DOWN_MS, Event::Return { engine });
+        for router in &mut self.routers {
+            router.remove(&self.names[engine]);
+        }
+        let beside: Vec<_> = lost
+            .iter()
+            .filter_map(|id| self.live.get(id))
+            .map(|live| {
+                let first = live.request.arrived + live.first_ms;
+                let begun_ms = live.pauses.as_ref().map(|_| (self.now - first) as Millis);
+                (live.router, live.number, begun_ms)
+            })
+            .collect();
+        let messages = self.watch.end(engine, of, &beside, self.now, &mut self.random);
+        self.send(messages);
+        for id in lost {
+            self.retry(id);
+        }
+    }
+
+    fn retry(&mut self, id: usize) {
+        let Some(live) = self.live.get(&id) else { return };
+        if live.retries == 0 || !self.watch.admits(live.router, live.number, self.now) {
+            return self.close(id, false);
+        }
+        let (request, router) = (live.request.clone(), live.router);
+        let (number, retries) = (live.number, live.retries - 1);
+        self.live.remove(&id);
+        self.dispatch_as(request, router, number, retries);
+    }
+
+    fn come_back(&mut self, engine: usize) {
+        self.engines[engine].is_dead = false;
+        let slots = self.scene.engine.slots as u32;
+        let data_centre = format!("dc-{}", engine % self.scene.data_centres);
+        for router in &mut self.routers {
+            let site = Site { service: SERVICE.to_owned(), data_centre: data_centre.clone(), slots };
+            router.set(&self.names[engine], site, false);
+        }
+    }
+
+    fn send(&mut self, messages: Vec<Message>) {
+        for Message { at, router, word } in messages {
+            self.push(at, Event::Word { router, word });
         }
     }
 
@@ -221,10 +331,13 @@
         let index = index.unwrap_or(kinds.len() - 1);
         let request = kinds[index].draw(index, self.now, self.scene.engine.stride, &mut self.random);
         let router = self.random.gen_range(0..self.routers.len());
-        self.dispatch(request, router);
+        let number = self.count as u64;
+        if self.watch.admits(router, number, self.now) {
+            self.dispatch_as(request, router, number, RETRIES);
+        }
     }
 
-    fn dispatch(&mut self, request: Request, router: usize) {
+    fn dispatch_as(&mut self, request: Request, router: usize, number: u64, retries: u32) {
         let kind = &self.scene.kinds[request.kind];
         let parts: Vec<Part> =
             request.parts.iter().map(|part| Part { id: part.id, tokens: part.tokens as u32 }).collect();
@@ -245,8 +358,18 @@
         let id = self.count;
         self.count += 1;
         let wait_ms = kind.wait_ms;
-        let live =
-            Live { request, router, engine, ticket, pauses: None, last: 0.0, first_ms: 0.0, gap_ms: 0.0 };
+        let live = Live {
+            request,
+            number,
+            retries,
+            router,
+            engine,
+            ticket,
+            pauses: None,
+            last: 0.0,
+            first_ms: 0.0,
+            gap_ms: 0.0,
+        };
         self.live.insert(id, live);
         self.push(self.now + WAY_MS, Event::Reach { engine, id });
         self.push(self.now + wait_ms, Event::Leave { id });
@@ -338,6 +461,10 @@
         let Some(live) = self.live.remove(&id) else { return };
         let now = self.now as Millis;
         self.routers[live.router].end(&self.names[live.engine], live.ticket, now);
+        if is_complete {
+            let messages = self.watch.outlived(live.router, live.number, self.now, &mut self.random);
+            self.send(messages);
+        }
         if live.request.arrived < self.scene.warm_ms {
             return;
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -89,9 +89,10 @@
             return;
         }
         let fingerprint = self.request.fingerprint();
-        if self.node.quarantine().clear(fingerprint) {
+        let word = self.node.quarantine().outlived(fingerprint);
+        if let Some(word) = word {
             log::info!("quarantine: event=cleared fingerprint={fingerprint} request={}", self.request.ask.id);
-            self.node.hints.warn(Word::Cleared { fingerprint }, self.node.now());
+            self.node.hints.warn(word, self.node.now());
         }
     }
 
@@ -192,23 +193,36 @@
 /// Decides once word of the last end has come from all.
 async fn decide<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     exec::sleep(Duration::from_millis(GATHER_MS)).await;
-    let denied: Vec<(Fingerprint, Upstreams)> = {
+    let denied: Vec<Decision> = {
         let (mut quarantine, now) = (node.quarantine(), node.now());
         let requests = quarantine.decide(now);
-        let with_upstreams = |request| (request, quarantine.denial(request).unwrap_or_default());
-        requests.into_iter().map(with_upstreams).collect()
+        let decision = |fingerprint| Decision {
+            fingerprint,
+            upstreams: quarantine.denial(fingerprint).unwrap_or_default(),
+            is_own: quarantine.is_own(fingerprint),
+        };
+        requests.into_iter().map(decision).collect()
     };
-    let announced = denied.into_iter().map(|(fingerprint, upstreams)| {
+    for Decision { fingerprint, upstreams, is_own } in denied {
         let names = upstreams.join(",");
         log::warn!("quarantine: event=denied fingerprint={fingerprint} upstreams={names} told-by=self");
-        announce(node.clone(), fingerprint, upstreams)
-    });
-    futures::future::join_all(announced).await;
+        count(&node);
+        if is_own {
+            exec::spawn(announce(node.clone(), fingerprint, upstreams)).detach();
+        }
+    }
+}
+
+/// A request that this gateway denies from now on.
+struct Decision {
+    fingerprint: Fingerprint,
+    upstreams: Upstreams,
+    /// Whether this gateway saw one of the ends itself, and so tells the others.
+    is_own: bool,
 }
 
 /// Tells all gateways that a request is denied, and keeps it in the store.
 async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
-    count(&node);
     let word = Word::Denied { fingerprint, upstreams: upstreams.clone(), lasts_ms: DENIED_MS };
     node.hints.warn(word, node.now());
     while node.quarantine().denial(fingerprint).is_some() {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -105,6 +105,8 @@
     last: Millis,
     /// When it is decided on.
     due: Option<Millis>,
+    /// Whether this router saw one of the ends itself.
+    is_own: bool,
 }
 
 /// A request that is denied.
@@ -112,6 +114,8 @@
 struct Denial {
     upstreams: Upstreams,
     until: Millis,
+    /// Whether this router saw one of the ends itself.
+    is_own: bool,
 }
 
 /// What one router knows of requests that end upstreams.
@@ -146,7 +150,7 @@
         if self.suspects.len() >= SUSPECTS && !self.suspects.contains_key(&request) {
             self.forget_oldest();
         }
-        let new = || Suspect { ends: Ends::new(), last: now, due: None };
+        let new = || Suspect { ends: Ends::new(), last: now, due: None, is_own: false };
         let suspect = self.suspects.entry(request).or_insert_with(new);
         if suspect.ends.len() >= UPSTREAMS || suspect.stage(upstream).is_some() {
             return false;
@@ -169,9 +173,22 @@
         self.denials.get(&request).map(|denial| denial.upstreams.clone())
     }
 
-    /// Takes in that an upstream outlived a run of a request: it ends no upstream. `true` if it was suspect.
-    pub fn clear(&mut self, request: Fingerprint) -> bool {
-        self.suspects.remove(&request).is_some()
+    /// Whether this router saw one of the ends under a denied request itself. Those that did, a few, tell the others and keep it; all that
+    /// heard of the ends decide alike.
+    pub fn is_own(&self, request: Fingerprint) -> bool {
+        self.denials.get(&request).is_some_and(|denial| denial.is_own)
+    }
+
+    /// Takes in that this router saw an end of a suspect itself.
+    pub(crate) fn own(&mut self, request: Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.is_own = true;
+        }
+    }
+
+    /// Takes in that an upstream outlived a run of a request: it ends no upstream. How many ends it is cleared of.
+    pub fn clear(&mut self, request: Fingerprint) -> usize {
+        self.suspects.remove(&request).map_or(0, |suspect| suspect.ends.len())
     }
 
     /// Decides on those whose time has come, and names those that are denied from now on.
@@ -191,7 +208,11 @@
         }
         for request in &denied {
             let upstreams = self.ends(*request).into_iter().map(|end| end.upstream).collect();
+            let is_own = self.suspects.get(request).is_some_and(|suspect| suspect.is_own);
             self.deny(*request, &upstreams, DENIED_MS, now);
+            if let Some(denial) = self.denials.get_mut(request) {
+                denial.is_own = is_own;
+            }
         }
         denied
     }
@@ -212,8 +233,11 @@
             self.forget_nearest();
         }
         let until = now + lasts_ms.min(DENIED_MS);
-        let denial =
-            self.denials.entry(request).or_insert_with(|| Denial { upstreams: Upstreams::new(), until });
+        let denial = self.denials.entry(request).or_insert_with(|| Denial {
+            upstreams: Upstreams::new(),
+            until,
+            is_own: false,
+        });
         denial.until = denial.until.max(until);
         upstreams.iter().for_each(|upstream| add(&mut denial.upstreams, upstream));
         let names: SmallVec<[&str; 8]> = upstreams.iter().map(String::as_str).collect();
--- a/crates/route/src/word.rs
+++ b/crates/route/src/word.rs
@@ -9,6 +9,8 @@
 /// Routers that are told of an end under a request where not all are: one of them hears it even if another one is cut off and a
 /// message is lost.
 pub const DECIDERS: usize = 3;
+/// In a fleet of up to so many routers all are told of each suspect that was silent; in a larger one of such a part of them.
+const ALL_ROUTERS: u64 = 32;
 /// Suspects that each router hears of in a second, where all are told.
 const SUSPECTS_PER_S: f64 = 20.0;
 /// Suspects that each router may tell all of at once: those of some upstreams' ends.
@@ -40,6 +42,8 @@
     Cleared {
         /// The request.
         fingerprint: Fingerprint,
+        /// How many ends it is cleared of, as far as the sender knows.
+        ends: usize,
     },
 }
 
@@ -87,10 +91,17 @@
         stage: Stage,
         now: Millis,
     ) -> Reaction {
-        match self.end(fingerprint, upstream, stage, now) {
-            true => self.react(fingerprint, true, now),
-            false => Reaction::default(),
+        if !self.end(fingerprint, upstream, stage, now) {
+            return Reaction::default();
         }
+        self.own(fingerprint);
+        self.react(fingerprint, true, now)
+    }
+
+    /// Takes in that an upstream outlived a request of this router: what to tell the others, if it was suspect.
+    pub fn outlived(&mut self, fingerprint: Fingerprint) -> Option<Word> {
+        let ends = self.clear(fingerprint);
+        (ends > 0).then_some(Word::Cleared { fingerprint, ends })
     }
 
     /// Takes in what another router says.
@@ -113,7 +124,7 @@
                 self.deny(*fingerprint, upstreams, *lasts_ms, now);
                 Reaction::default()
             }
-            Word::Cleared { fingerprint } => {
+            Word::Cleared { fingerprint, .. } => {
                 self.clear(*fingerprint);
                 Reaction::default()
             }
@@ -130,8 +141,8 @@
 /// Bounds the word that goes to all.
 ///
 /// All should know what was silent at an upstream that ended, since it shares the blame. But in a large fleet that loses many upstreams, each
-/// router would hear of thousands. So together they tell all of a fixed number a second, however many routers there are, and of what is beyond
-/// that they tell a few.
+/// router would hear of thousands. So of those with one end a part is told to all, the smaller the larger the fleet, and the others to a
+/// few; and together the routers tell all of a fixed number a second.
 #[derive(Clone, Copy, Debug)]
 pub struct Bound {
     left: f64,
@@ -147,9 +158,17 @@
 impl Bound {
     /// Who is told in a fleet of so many routers.
     pub fn audience(&mut self, word: &Word, routers: usize, now: Millis) -> Audience {
-        let Word::Suspect { fingerprint, ends } = word else { return Audience::All };
-        let is_blamed = ends.len() > 1 || ends.iter().any(|end| end.stage == Stage::Silent);
-        match is_blamed && self.take(routers, now) {
+        let is_sampled =
+            |fingerprint: &Fingerprint| fingerprint.seed() % (routers as u64).max(1) < ALL_ROUTERS;
+        let (fingerprint, concerns_all) = match word {
+            Word::Denied { .. } => return Audience::All,
+            Word::Cleared { fingerprint, ends } => (fingerprint, *ends > 1),
+            Word::Suspect { fingerprint, ends } => {
+                let is_silent = ends.iter().any(|end| end.stage == Stage::Silent);
+                (fingerprint, ends.len() > 1 || is_silent && is_sampled(fingerprint))
+            }
+        };
+        match concerns_all && self.take(routers, now) {
             true => Audience::All,
             false => Audience::Deciders(*fingerprint),
         }
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -76,7 +76,8 @@
 fn a_run_that_an_upstream_outlives_clears_its_request() {
     let mut quarantine = Quarantine::default();
     told(&ends(&[&[1], &[1]]), &mut quarantine, 0);
-    assert!(quarantine.clear(request(1)));
+    assert_eq!(quarantine.clear(request(1)), 2);
+    assert_eq!(quarantine.clear(request(1)), 0);
     assert!(told(&vec![("e-9".to_owned(), vec![1])], &mut quarantine, 10).is_empty());
     assert_eq!(quarantine.verdict(request(1), 20), Verdict::Suspect(1));
 }
