Operators list and lift denials; gateways tell each other of an upstream that leaves

tallypaddlectl quarantine list and lift: a lifted denial stays in the store's table until its time is over, and gateways read the table every ten seconds while some are denied (fewer in a large fleet: a hundred reads a second of all together). gateway::denials holds the table's form for both. An upstream's word that it leaves goes to all gateways by datagram, three times, from the one that heard it first.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -208,6 +208,8 @@
                 self.request.ask.id
             );
             node.metrics.leaving.inc();
+            // The others may hold more of its connections, and lose their requests when it ends.
+            node.hints.tell_leaving(upstream);
         }
         match node.wire.rest_ms(head) {
             Ok(None) => {}
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -24,8 +24,8 @@
 const VERSION: u8 = 2;
 /// Datagrams that are sent in a row before other work goes on: about a fifth of a millisecond.
 const IN_A_ROW: usize = 16;
-/// The pauses before each datagram that tells of a request which ends upstreams: all have heard it well before the callers' next tries.
-const WARN_PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
+/// The pauses before each datagram that is sent more than once.
+const PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
 
 /// What one gateway tells the others.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -36,6 +36,8 @@
     Division { service: String, short: Vec<String> },
     /// What is known of a request that ends upstreams.
     Quarantine(Word),
+    /// An upstream said in an answer that it leaves.
+    Leaving { upstream: String },
 }
 
 /// A hint with its place among those of its sender.
@@ -120,15 +122,25 @@
         self.send(Hint::Division { service: service.to_owned(), short: short.to_vec() });
     }
 
-    /// Tells of a request that ends upstreams, more than once since datagrams are lost.
+    /// Tells of a request that ends upstreams.
     pub(crate) fn warn(self: &Arc<Hints>, word: Word, now: Millis) {
         let gateways = self.peers.lock().expect("the peers' lock").len() + 1;
         let audience = self.bound.lock().expect("the bound's lock").audience(&word, gateways, now);
+        self.repeat(Hint::Quarantine(word), audience);
+    }
+
+    /// Tells all that an upstream leaves.
+    pub(crate) fn tell_leaving(self: &Arc<Hints>, upstream: &str) {
+        self.repeat(Hint::Leaving { upstream: upstream.to_owned() }, Audience::All);
+    }
+
+    /// Sends a hint more than once, since datagrams are lost.
+    fn repeat(self: &Arc<Hints>, hint: Hint, audience: Audience) {
         let hints = self.clone();
         net::exec::spawn(async move {
-            for pause in WARN_PAUSES {
+            for pause in PAUSES {
                 net::exec::sleep(pause).await;
-                hints.send_to(Hint::Quarantine(word.clone()), hints.audience(audience));
+                hints.send_to(hint.clone(), hints.audience(audience));
             }
         })
         .detach();
@@ -231,6 +243,7 @@
                 Ok(Hint::Dispatch { upstream, told }) => node.places().hear(&upstream, &told, node.now()),
                 Ok(Hint::Division { service, short }) => node.follow_division(&service, &short),
                 Ok(Hint::Quarantine(word)) => crate::quarantine::hear(&node, &word),
+                Ok(Hint::Leaving { upstream }) => hear_leaving(&node, &upstream),
                 Err(unfit) => {
                     log::debug!("hints: event=dropped reason={} from={from}", unfit.name());
                     node.metrics.hints_dropped.with_label_values(&[unfit.name()]).inc();
@@ -244,6 +257,13 @@
     }
 }
 
+/// Takes in that an upstream leaves. One that is not listed may be another one's life that is not known yet.
+fn hear_leaving<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str) {
+    if node.listings().contains_key(upstream) && node.places().leave(upstream, node.now()) {
+        log::info!("upstream: event=leaves upstream={upstream} told-by=gateway");
+    }
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/hints.rs"]
 mod tests;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod closing;
 mod counted;
 mod delegate;
+pub mod denials;
 mod event;
 mod failover;
 mod handle;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,39 +4,31 @@
 //! gateways are, which its fingerprint chooses, so that what a gateway hears of ends does not grow with the fleet. What is denied is told to all, and written to a table that each
 //! gateway reads when it starts, and when another one's heartbeat says that it knows more.
 
+use crate::denials::{self, Denial};
 use crate::job::{Admitted, Job};
 use crate::node::Node;
 use crate::ports::Wire;
-use crate::table::{decode, encode};
 use net::{Reach, exec};
 use route::Millis;
 use route::quarantine::{DENIED_MS, Fingerprint, GATHER_MS, Stage, Upstreams, Verdict};
 use route::word::{Reaction, Word};
-use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use store::rows::{Change, Key, Page, Rows};
+use store::rows::Rows;
 
 /// How long the address of an upstream is asked for a connection: some round trips within a region.
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
 /// The pause before an address that still takes connections is asked once more: a process that ends closes its connections and its
 /// listener one after the other.
 const PROBE_AGAIN: Duration = Duration::from_millis(100);
-/// The table of denied requests: a row's key is the fingerprint, its value an [`Entry`].
-const TABLE: &str = "quarantine";
 /// The pause after a call to the store failed.
 const AGAIN: Duration = Duration::from_secs(1);
-/// A denied request, as the store keeps it.
-#[derive(Debug, Deserialize, Serialize)]
-struct Entry {
-    /// Upstreams that ended under it.
-    upstreams: Upstreams,
-    /// When it was denied or came again, in milliseconds of the store's clock.
-    since_ms: u64,
-}
-
+/// How often the table is read while some are denied, and in a large fleet the time for each gateway: a hundred reads a second of all of
+/// them together. So long a denial that was lifted is in force at most.
+const READ_AGAIN: Duration = Duration::from_secs(10);
+const READ_SHARE_MS: u64 = 10;
 /// A run that broke off.
 #[derive(Clone, Debug)]
 struct LostRun {
@@ -146,7 +138,7 @@
     }
     let renewed = node.quarantine().renew(fingerprint, now);
     if let Some(upstreams) = renewed {
-        exec::spawn(announce(node.clone(), fingerprint, upstreams)).detach();
+        exec::spawn(renew(node.clone(), fingerprint, upstreams)).detach();
     }
     Check::Denied(fingerprint)
 }
@@ -221,38 +213,32 @@
     is_own: bool,
 }
 
+/// Tells all gateways that a denied request came again, unless operators lifted the denial.
+async fn renew<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
+    if let Err(error) = read(&node).await {
+        log::warn!("quarantine: event=not-read {error}");
+    }
+    if node.quarantine().denial(fingerprint).is_some() {
+        announce(node, fingerprint, upstreams).await;
+    }
+}
+
 /// Tells all gateways that a request is denied, and keeps it in the store.
 async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
     let word = Word::Denied { fingerprint, upstreams: upstreams.clone(), lasts_ms: DENIED_MS };
     node.hints.warn(word, node.now());
     while node.quarantine().denial(fingerprint).is_some() {
-        match keep(&node, fingerprint, &upstreams).await {
-            Ok(()) => return,
+        match denials::keep(&node.rows, fingerprint, &upstreams).await {
+            Ok(()) => {
+                node.quarantine_grew.notify(usize::MAX);
+                return;
+            }
             Err(error) => log::warn!("quarantine: event=not-kept fingerprint={fingerprint} {error}"),
         }
         exec::sleep(AGAIN).await;
     }
 }
 
-/// Writes a denied request's row, and takes away those whose time is over.
-async fn keep<W: Wire, S: Rows>(
-    node: &Node<W, S>,
-    fingerprint: Fingerprint,
-    upstreams: &Upstreams,
-) -> Result<(), store::Error> {
-    let page = node.rows.list(TABLE, "").await?;
-    let is_over = |entry: &Entry| page.now_ms.saturating_sub(entry.since_ms) >= DENIED_MS;
-    let over = page.records.iter().filter(|record| decode(record).is_some_and(|entry| is_over(&entry)));
-    let entry = Entry { upstreams: upstreams.clone(), since_ms: page.now_ms };
-    let change = Change {
-        puts: vec![(Key::new(TABLE, fingerprint.to_string()), encode(&entry))],
-        drops: over.map(|record| Key::new(TABLE, &record.name)).collect(),
-        ..Change::default()
-    };
-    node.rows.commit(&change).await?;
-    read(node).await
-}
-
 /// Takes in what another gateway says.
 pub(crate) fn hear<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, word: &Word) {
     if let Word::Denied { fingerprint, upstreams, lasts_ms } = word {
@@ -280,40 +266,43 @@
     node.metrics.quarantined.set(node.quarantine().denied() as i64);
 }
 
-/// Reads the denied requests when the gateway starts, and whenever another one knows more.
+/// Reads the denied requests when the gateway starts, whenever another one knows more, and as long as some are denied now and then:
+/// operators may lift them.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     loop {
         let more = node.quarantine_grew.listen();
-        match read(&node).await {
-            Ok(()) => more.await,
+        let pause = match read(&node).await {
+            Ok(()) if node.quarantine().denied() == 0 => {
+                more.await;
+                continue;
+            }
+            Ok(()) => READ_AGAIN.max(Duration::from_millis(node.fleet_size() * READ_SHARE_MS)),
             Err(error) => {
                 log::warn!("quarantine: event=not-read {error}");
-                exec::sleep(AGAIN).await;
+                AGAIN
             }
-        }
+        };
+        exec::timeout(pause, more).await;
     }
 }
 
 async fn read<W: Wire, S: Rows>(node: &Node<W, S>) -> Result<(), store::Error> {
-    let page = node.rows.list(TABLE, "").await?;
-    take_in(node, &page);
+    let table = denials::read(&node.rows).await?;
+    for Denial { fingerprint, upstreams, left_ms, is_lifted } in table.denials {
+        match is_lifted {
+            true => lift(node, fingerprint),
+            false => deny(node, fingerprint, &upstreams, left_ms, "store"),
+        }
+    }
+    node.quarantine_version.fetch_max(table.version, Ordering::Relaxed);
     Ok(())
 }
 
-fn take_in<W: Wire, S: Rows>(node: &Node<W, S>, page: &Page) {
-    for record in &page.records {
-        let Ok(fingerprint) = record.name.parse::<Fingerprint>() else {
-            log::error!("quarantine: event=unreadable row={} version={}", record.name, record.version);
-            continue;
-        };
-        let Some(Entry { upstreams, since_ms }) = decode(record) else { continue };
-        let left_ms = DENIED_MS.saturating_sub(page.now_ms.saturating_sub(since_ms));
-        if left_ms > 0 {
-            deny(node, fingerprint, &upstreams, left_ms, "store");
-        }
+fn lift<W: Wire, S: Rows>(node: &Node<W, S>, fingerprint: Fingerprint) {
+    if node.quarantine().lift(fingerprint) {
+        log::warn!("quarantine: event=lifted fingerprint={fingerprint} told-by=store");
+        count(node);
     }
-    let newest = page.records.iter().map(|record| record.version).max().unwrap_or(0);
-    node.quarantine_version.fetch_max(newest, Ordering::Relaxed);
 }
 
 /// Takes in which version of the table another gateway has read.
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -173,6 +173,12 @@
         self.denials.get(&request).map(|denial| denial.upstreams.clone())
     }
 
+    /// Lets a denied request run again, as operators say; `true` if it was denied. Its earlier ends count no more.
+    pub fn lift(&mut self, request: Fingerprint) -> bool {
+        self.suspects.remove(&request);
+        self.denials.remove(&request).is_some()
+    }
+
     /// Whether this router saw one of the ends under a denied request itself. Those that did, a few, tell the others and keep it; all that
     /// heard of the ends decide alike.
     pub fn is_own(&self, request: Fingerprint) -> bool {
--- /dev/null
+++ b/src/cmd/ctl/quarantine.rs
@@ -0,0 +1,75 @@
+//! `tallypaddlectl quarantine list` and `quarantine lift`.
+
+use super::Error;
+use crate::cmd::read_gateway_settings;
+use gateway::denials::{self, Denial, Which};
+use serde_json::json;
+use std::path::{Path, PathBuf};
+
+/// The arguments of `quarantine list`.
+#[derive(Clone, Debug)]
+pub struct Denied {
+    /// A gateway's settings file.
+    pub settings: PathBuf,
+    /// Prints JSON.
+    pub json: bool,
+}
+
+/// The arguments of `quarantine lift`.
+#[derive(Clone, Debug)]
+pub struct Lift {
+    /// A fingerprint, or `all`.
+    pub which: String,
+    /// A gateway's settings file.
+    pub settings: PathBuf,
+}
+
+impl Denied {
+    /// Lists the requests that are denied since upstreams ended under them.
+    ///
+    /// # Errors
+    /// Fails if the store can't be read.
+    pub fn execute(&self) -> Result<(), Error> {
+        let rows = rows(&self.settings)?;
+        for denial in net::exec::block_on(denials::list(&rows))? {
+            println!("{}", if self.json { as_json(&denial) } else { as_text(&denial) });
+        }
+        Ok(())
+    }
+}
+
+impl Lift {
+    /// Lifts denials: gateways let the requests run again within seconds.
+    ///
+    /// # Errors
+    /// Fails if the fingerprint is none, nothing of that name is denied, or the store can't be read or written.
+    pub fn execute(&self) -> Result<(), Error> {
+        let which = match self.which.as_str() {
+            "all" => Which::All,
+            text => Which::One(
+                text.parse().map_err(|error| Error::Mistakes(format!("{error}; say `all` for all")))?,
+            ),
+        };
+        let rows = rows(&self.settings)?;
+        let lifted = net::exec::block_on(denials::lift(&rows, which))?;
+        if lifted.is_empty() && which != Which::All {
+            return Err(Error::Mistakes(format!("{} is not denied", self.which)));
+        }
+        lifted.iter().for_each(|denial| println!("lifted {}", denial.fingerprint));
+        Ok(())
+    }
+}
+
+fn rows(settings: &Path) -> Result<::platform::Http, Error> {
+    Ok(::platform::Http::new(read_gateway_settings(settings)?.store))
+}
+
+fn as_text(denial: &Denial) -> String {
+    let Denial { fingerprint, upstreams, left_ms, .. } = denial;
+    format!("{fingerprint}: ended {}; denied for {} s more", upstreams.join(", "), left_ms / 1_000)
+}
+
+fn as_json(denial: &Denial) -> String {
+    let Denial { fingerprint, upstreams, left_ms, .. } = denial;
+    json!({"fingerprint": fingerprint.to_string(), "upstreams": upstreams, "left-ms": left_ms}).to_string()
+}
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,7 +1,7 @@
 //! The operators' tool.
 
 use std::process::ExitCode;
-use tallypaddle::cmd::ctl::{Check, Diff, Explain, Log, NewKey, Roll, Rollback, Sign, Status};
+use tallypaddle::cmd::ctl::{Check, Denied, Diff, Explain, Lift, Log, NewKey, Roll, Rollback, Sign, Status};
 use tallypaddle::cmd::finish;
 
 mod flags {
@@ -31,6 +31,23 @@
                 /// Log files; standard input if there are none.
                 repeated logs: PathBuf
             }
+            /// Requests that gateways deny since upstreams ended under them.
+            cmd quarantine {
+                /// Lists them.
+                cmd list {
+                    /// A gateway's settings file: it names the store.
+                    required -s, --settings settings: PathBuf
+                    /// Prints JSON.
+                    optional --json
+                }
+                /// Lets them run again: all gateways follow within seconds.
+                cmd lift {
+                    /// A fingerprint as listed, or `all`.
+                    required which: String
+                    /// A gateway's settings file: it names the store.
+                    required -s, --settings settings: PathBuf
+                }
+            }
             /// Bundles.
             cmd bundle {
                 /// Names every mistake in a bundle with its line and key path.
@@ -108,6 +125,10 @@
             flags::KeyCmd::New(args) => NewKey { out: args.out }.execute(),
         },
         flags::TallypaddlectlCmd::Explain(args) => Explain { id: args.id, logs: args.logs }.execute(),
+        flags::TallypaddlectlCmd::Quarantine(quarantine) => match quarantine.subcommand {
+            flags::QuarantineCmd::List(args) => Denied { settings: args.settings, json: args.json }.execute(),
+            flags::QuarantineCmd::Lift(args) => Lift { which: args.which, settings: args.settings }.execute(),
+        },
         flags::TallypaddlectlCmd::Bundle(bundle) => match bundle.subcommand {
             flags::BundleCmd::Check(args) => Check { file: args.file }.execute(),
             flags::BundleCmd::Diff(args) => {
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -223,6 +223,23 @@
 t=21.000 level=info gateway: event=stopping open=0
 ";
 
+#[test]
+fn denials_are_listed_and_lifted_by_fingerprint() {
+    let folder = Folder::new();
+    let settings = folder.write(
+        "gateway.yaml",
+        "name: vm-1\ndata-centre: here\nlisten: {callers: 127.0.0.1:1, readiness: 127.0.0.1:2, peers: 127.0.0.1:3, metrics: \
+         127.0.0.1:4}\nstore: 127.0.0.1:9\n",
+    );
+    let call = |args: &[&str]| {
+        let output = ctl().arg("quarantine").args(args).arg("-s").arg(&settings).output().expect("it runs");
+        told(&output, &folder.0)
+    };
+    insta::assert_snapshot!(
+        [call(&["lift", "no-fingerprint"]), call(&["list"]), call(&["lift", "all"])].join("\n")
+    );
+}
+
 #[test]
 fn a_request_is_explained_from_logs_alone() {
     let folder = Folder::new();
