--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -4,51 +4,27 @@
 //! tell it of. Requests with a common prompt part prefer the same upstream at every router, so its cache and the
 //! others' load stay predictable. Long prompts and short ones go to different engines where there are both.
 
+mod estimate;
+mod upstream;
+
+use self::estimate::{Scene, plain, typical_call};
+use self::upstream::{Awaited, Running, Service, Upstream};
 use crate::Millis;
-use crate::division::{Division, Load, Member, is_long};
+use crate::division::{Division, Member};
 use crate::engine::{self, Model, Pace};
-use crate::harm::Harm;
 use crate::health::{Health, Standing};
 use crate::reads::Reads;
 use crate::signals::Signals;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-/// Cost of each prompt token that has to be read again beside the time it takes, in milliseconds: other prompts wait for
-/// it, and it pushes parts out of the cache that are then read again themselves. In the emulator 0.04 to 0.15 differ by
-/// less than 0.01 of the worth.
-const REREAD_COST: f64 = 0.08;
-/// Cost of short work at an engine that reads long prompts, as a share of the target: a stream there is late for its
-/// pauses about one time in ten.
-const AMONG_LONG: f64 = 0.125;
-/// Cost of long work at an engine that is kept for short work, as a share of the target: it makes a dozen streams late.
-const AMONG_SHORT: f64 = 1.0;
-/// Cost of each run that an engine already has, in milliseconds: it decides where nothing else does.
-const RUN_COST: f64 = 1.0;
-/// Cost of each call that a plain service already has, in milliseconds: the order of one call's work.
-const CALL_COST: f64 = 60.0;
-/// Cost of an upstream in another data centre, in milliseconds of estimated time: traffic between them is paid for.
-const DISTANCE_COST: f64 = 15.0;
-/// Cost of failing every request, in milliseconds.
-const FAILURE_COST: f64 = 1_500.0;
-/// Cost of a request that waits unusually long for its first answer, in milliseconds.
-const OVERDUE_COST: f64 = 400.0;
+
 /// Weight of a new outcome in the share of failures.
 const FAILURE_SAMPLE: f64 = 0.2;
 /// Weight of a new sample in the average pace of a plain service.
 const PACE_SAMPLE: f64 = 0.1;
-/// A plain service counts as slow from this multiple of the typical pace on: less is the load's doing.
-const SLOW: f64 = 1.6;
-/// Prompt parts remembered for each engine.
-const PARTS: usize = 2_048;
-/// How long a part is thought to stay cached without use, in milliseconds.
-const PART_AGE: Millis = 60_000;
 /// Others' runs remembered for each engine.
 const HEARD_RUNS: usize = 512;
-/// The weight of a new sample in the average time that a run takes.
-const RUN_SAMPLE: f64 = 0.05;
 /// How many times longer than its events alone a run is taken to last at least and at most: one that was broken off says
 /// less.
 const STRETCH: (f64, f64) = (1.0, 4.0);
@@ -180,62 +156,6 @@
 /// The number of one of this router's dispatches.
 pub type Ticket = u64;
 
-#[derive(Clone, Debug)]
-struct Upstream {
-    site: Site,
-    /// The first dispatch since it is known: those before went to an earlier one of its name.
-    first: Ticket,
-    leaving: bool,
-    open: u32,
-    overdue: u32,
-    reads: Reads,
-    /// When others' runs should end, in milliseconds.
-    heard: VecDeque<f64>,
-    pace: Pace,
-    failures: f64,
-    call_ms: f64,
-    health: Health,
-    parts: HashMap<u64, Millis>,
-    order: VecDeque<u64>,
-}
-
-/// A dispatch whose first answer is awaited.
-#[derive(Clone, Copy, Debug)]
-struct Awaited {
-    sent: Millis,
-    unread: u32,
-    events_ms: f64,
-    /// Whether nothing else was known to be read before it.
-    is_alone: bool,
-}
-
-/// A dispatch whose first answer came.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    since: Millis,
-    /// How long its events would take while nothing is read, in milliseconds.
-    events_ms: f64,
-}
-
-/// What is known of the engines of one service together.
-#[derive(Clone, Debug, Default)]
-struct Service {
-    model: Model,
-    load: Load,
-    harm: Harm,
-    division: Division,
-    /// How long runs take from the first answer on, on average, in milliseconds; 0 until one ended.
-    run_ms: f64,
-    /// How many times longer that is than their events would take while nothing is read; 0 until one ended.
-    stretch: f64,
-    /// Long pauses that the other routers were not told of.
-    untold: SmallVec<[u16; 4]>,
-    /// Dispatches that they were not told of.
-    sent: Sent,
-    /// The usual pace of its engines, in milliseconds, and when that was found.
-    usual: Option<(f64, Millis)>,
-}
-
 /// The upstreams as one router sees them.
 #[derive(Clone, Debug)]
 pub struct Places {
@@ -249,31 +169,6 @@
     tickets: Ticket,
 }
 
-/// What decides between the engines of one service for one prompt.
-struct Scene<'a> {
-    prompt: &'a Prompt<'a>,
-    model: &'a Model,
-    division: &'a Division,
-    /// The usual pace of the service's engines.
-    usual: f64,
-    is_long: bool,
-    home: Option<&'a str>,
-    run_ms: f64,
-    stretch: f64,
-    now: Millis,
-}
-
-/// What is expected of one upstream.
-#[derive(Clone, Copy, Debug, Default)]
-struct Estimate {
-    cost: f64,
-    uncached: u32,
-    first_ms: f64,
-    lasts_ms: f64,
-    events_ms: f64,
-    is_kept: bool,
-}
-
 impl Places {
     /// No upstreams, seen from `data_centre`.
     pub fn new(data_centre: &str) -> Places {
@@ -643,154 +538,3 @@
         self.upstreams.iter().map(|(name, upstream)| (name.as_str(), upstream.open))
     }
 }
-
-impl<'a> Scene<'a> {
-    fn new(
-        prompt: &'a Prompt<'a>,
-        engines: &[(&'a str, &'a Upstream)],
-        service: &'a Service,
-        now: Millis,
-    ) -> Scene<'a> {
-        let Service { model, division, run_ms, stretch, .. } = service;
-        let usual = engine::usual(engines.iter().map(|(_, engine)| engine.pace));
-        let is_long = is_long(model.read_ms(prompt.input as f64), prompt.gap_ms as f64);
-        let (run_ms, stretch) = (*run_ms, stretch.max(STRETCH.0));
-        let mut scene = Scene { prompt, model, division, usual, is_long, home: None, run_ms, stretch, now };
-        scene.home = scene.home(engines);
-        scene
-    }
-
-    /// The upstream that every router prefers for the prompt's last shared part: read once, it is cached there
-    /// for all. Another data centre is worth it, since a prompt is read in far more time than it is sent.
-    fn home(&self, engines: &[(&'a str, &Upstream)]) -> Option<&'a str> {
-        let shared = &self.prompt.parts[..self.prompt.parts.len().saturating_sub(1)];
-        let part = shared.last()?;
-        engines
-            .iter()
-            .filter(|(name, _)| !self.division.is_divided() || self.division.is_short(name) != self.is_long)
-            .max_by_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), part.id))
-            .map(|(name, _)| *name)
-    }
-
-    fn estimate(&self, name: &str, engine: &Upstream) -> Estimate {
-        let uncached = engine.uncached(self.prompt.parts, self.home == Some(name), self.now);
-        let slowness = engine.pace.slowness(self.usual);
-        let ahead_ms = engine.reads.left_ms(self.now);
-        let runs = engine.runs(self.now);
-        let slot_ms = self.run_ms * slowness * runs_to_end(runs, engine.site.slots);
-        let first_ms = slot_ms + ahead_ms + self.model.first_ms(f64::from(uncached)) * slowness;
-        let is_kept = self.division.is_short(name);
-        let mixed = match (self.division.is_divided(), self.is_long, is_kept) {
-            (true, true, true) => AMONG_SHORT * self.prompt.target_ms as f64,
-            (true, false, false) => AMONG_LONG * self.prompt.target_ms as f64,
-            _ => 0.0,
-        };
-        let cost = first_ms + mixed + RUN_COST * f64::from(runs) + REREAD_COST * f64::from(uncached);
-        let pace = engine.pace.quiet().unwrap_or(self.usual);
-        let events_ms = self.prompt.events as f64 * pace;
-        let lasts_ms = first_ms + events_ms * self.stretch;
-        Estimate { cost, uncached, first_ms, lasts_ms, events_ms, is_kept }
-    }
-}
-
-/// The part of an average run that passes until an engine with so many runs has a slot for one more: its runs end one
-/// after the other.
-fn runs_to_end(runs: u32, slots: u32) -> f64 {
-    f64::from((runs + 1).saturating_sub(slots)) / f64::from(slots.max(1))
-}
-
-/// What is expected of an upstream of a plain service.
-fn plain(upstream: &Upstream, typical: f64) -> Estimate {
-    let slow = match upstream.call_ms / typical.max(f64::MIN_POSITIVE) {
-        ratio if typical > 0.0 && ratio > SLOW => ratio,
-        _ => 1.0,
-    };
-    let cost = CALL_COST * ((1.0 + f64::from(upstream.open)) * slow - 1.0);
-    Estimate { cost, first_ms: cost, ..Estimate::default() }
-}
-
-impl Service {
-    /// Counts a short stream that begins beside long reads.
-    fn begin_short(&mut self, upstream: &str, now: Millis) {
-        if !self.division.is_short(upstream) {
-            self.harm.begin(1, now);
-        }
-    }
-
-    /// Counts a dispatch in the load, and for the other routers until they are told.
-    fn send(&mut self, chosen: &Chosen, now: Millis) {
-        let Chosen { uncached: unread, is_long, .. } = *chosen;
-        self.load.add(is_long, unread, now);
-        let sum = if is_long { &mut self.sent.long } else { &mut self.sent.short };
-        *sum = sum.saturating_add(unread);
-        if !is_long && !self.division.is_short(&chosen.upstream) {
-            self.sent.streams = self.sent.streams.saturating_add(1);
-        }
-    }
-
-    /// Takes in how long a run took from its first answer on.
-    fn end_run(&mut self, running: Running, now: Millis) {
-        let ms = now.saturating_sub(running.since) as f64;
-        let sample = if self.run_ms == 0.0 { 1.0 } else { RUN_SAMPLE };
-        self.run_ms += sample * (ms - self.run_ms);
-        if running.events_ms > 0.0 {
-            self.stretch += sample * ((ms / running.events_ms).clamp(STRETCH.0, STRETCH.1) - self.stretch);
-        }
-    }
-}
-
-impl Upstream {
-    fn is_fit(&self, now: Millis) -> bool {
-        match self.health.standing(now) {
-            Standing::Ejected => false,
-            Standing::Probation(most) => self.open < most,
-            Standing::Fit => true,
-        }
-    }
-
-    /// What speaks against it whatever the request is, in milliseconds, for a router in `data_centre`.
-    fn penalty(&self, data_centre: &str, now: Millis) -> f64 {
-        let distance = if self.site.data_centre == data_centre { 0.0 } else { DISTANCE_COST };
-        let failures = self.failures + f64::from(self.health.recent_failures(now));
-        distance + FAILURE_COST * failures + OVERDUE_COST * f64::from(self.overdue)
-    }
-
-    /// Runs that it has, this router's and others'.
-    fn runs(&self, now: Millis) -> u32 {
-        let heard = self.heard.iter().filter(|until| **until > now as f64).count();
-        self.open + u32::try_from(heard).unwrap_or(u32::MAX)
-    }
-
-    /// Prompt tokens that are not cached here: a part counts as cached only if every part before it does.
-    fn uncached(&self, parts: &[Part], is_home: bool, now: Millis) -> u32 {
-        let shared = parts.len().saturating_sub(1);
-        let cached = |index: usize, part: &Part| {
-            let known = self.parts.get(&part.id).is_some_and(|used| now.saturating_sub(*used) < PART_AGE);
-            known || (is_home && index < shared)
-        };
-        let first = parts.iter().enumerate().position(|(index, part)| !cached(index, part));
-        parts[first.unwrap_or(parts.len())..].iter().map(|part| part.tokens).sum()
-    }
-
-    fn remember(&mut self, part: u64, now: Millis) {
-        if self.parts.insert(part, now).is_none() {
-            self.order.push_back(part);
-            if self.order.len() > PARTS
-                && let Some(oldest) = self.order.pop_front()
-            {
-                self.parts.remove(&oldest);
-            }
-        }
-    }
-}
-
-/// The middle of the known times of calls; 0 if fewer than two are known.
-fn typical_call(serving: &[(&str, &Upstream)]) -> f64 {
-    let known = serving.iter().map(|(_, upstream)| upstream.call_ms).filter(|ms| *ms > 0.0);
-    let mut times: SmallVec<[f64; 32]> = known.collect();
-    if times.len() < 2 {
-        return 0.0;
-    }
-    times.sort_by(f64::total_cmp);
-    times[(times.len() - 1) / 2]
-}
