A run that broke off is looked into once, a tenth of a second later, also if its caller leaves

A request that is suspect waits for it before it is tried again; if its caller left meanwhile, the task was dropped with it, and the end was not taken down. It runs on by itself now. Found by reading.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,8 +1,7 @@
 //! Requests that end their upstreams: found by runs that broke off, told to the other gateways, and kept in the store.
 //!
-//! All are told of an end under a request as long as the fleet bears it, so that each knows what else ran there; beyond that a few
-//! gateways are, which its fingerprint chooses, so that what a gateway hears of ends does not grow with the fleet. What is denied is told to all, and written to a table that each
-//! gateway reads when it starts, and when another one's heartbeat says that it knows more.
+//! What is told to whom is decided in [`route::word`]. What is denied is told to all, and written to a table that each gateway reads when it
+//! starts, when another one's heartbeat says that it knows more, and now and then while something is denied.
 
 use crate::denials::{self, Denial};
 use crate::job::{Admitted, Job};
@@ -20,15 +19,15 @@
 
 /// How long the address of an upstream is asked for a connection: some round trips within a region.
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
-/// The pause before an address that still takes connections is asked once more: a process that ends closes its connections and its
-/// listener one after the other.
-const PROBE_AGAIN: Duration = Duration::from_millis(100);
+/// The pause before it is asked: a process that ends closes its connections and its listener one after the other.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// The pause after a call to the store failed.
 const AGAIN: Duration = Duration::from_secs(1);
 /// How often the table is read while some are denied, and in a large fleet the time for each gateway: a hundred reads a second of all of
 /// them together. So long a denial that was lifted is in force at most.
 const READ_AGAIN: Duration = Duration::from_secs(10);
 const READ_SHARE_MS: u64 = 10;
+
 /// A run that broke off.
 #[derive(Clone, Debug)]
 struct LostRun {
@@ -67,12 +66,15 @@
         let is_suspect = self.node.quarantine().verdict(fingerprint, self.node.now()) != Verdict::Clear;
         let (upstream, request) = (upstream.to_owned(), self.request.ask.id.clone());
         let lost = LostRun { upstream, request, fingerprint, begun_ms };
-        let inspecting = exec::spawn(inspect(self.node.clone(), lost));
-        if is_suspect {
-            return Inspection::Wait(inspecting);
-        }
-        inspecting.detach();
-        Inspection::Beside
+        // It goes on if the caller leaves, who may be the one that sends such requests.
+        let (done, waiting) = async_channel::bounded::<()>(1);
+        let inspecting = inspect(self.node.clone(), lost);
+        exec::spawn(async move {
+            inspecting.await;
+            drop(done);
+        })
+        .detach();
+        if is_suspect { Inspection::Wait(waiting) } else { Inspection::Beside }
     }
 
     /// Takes in that an upstream outlived a run of this request.
@@ -98,15 +100,16 @@
 pub(crate) enum Inspection {
     /// It may.
     Beside,
-    /// Only after this.
-    Wait(smol::Task<()>),
+    /// Only once this is closed.
+    Wait(async_channel::Receiver<()>),
 }
 
 impl Inspection {
     /// Waits until more may be dispatched.
     pub(crate) async fn done(self) {
-        if let Inspection::Wait(inspecting) = self {
-            inspecting.await;
+        if let Inspection::Wait(waiting) = self {
+            // Nothing is sent: it ends with an error once the inspection is done.
+            let _ = waiting.recv().await;
         }
     }
 }
@@ -146,11 +149,8 @@
 /// Asks the upstream's address for a connection: a process that has ended refuses, a broken connection alone says nothing.
 async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, lost: LostRun) {
     let Some(address) = node.listings().get(&lost.upstream).map(|listing| listing.address) else { return };
-    let mut reach = net::probe(address, PROBE_LIMIT).await;
-    if reach == Reach::Listens {
-        exec::sleep(PROBE_AGAIN).await;
-        reach = net::probe(address, PROBE_LIMIT).await;
-    }
+    exec::sleep(PROBE_PAUSE).await;
+    let reach = net::probe(address, PROBE_LIMIT).await;
     let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
     let is_leaving = !node.places().admits(upstream, node.now());
     log::warn!(
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -41,7 +41,7 @@
         Ok(value) => Some(value),
         Err(error) => {
             log::error!(
-                "budget: event=unreadable row={} version={} error={error}",
+                "store: event=unreadable row={} version={} error={error}",
                 record.name,
                 record.version
             );
