--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -209,7 +209,8 @@
             );
             node.metrics.leaving.inc();
             // The others may hold more of its connections, and lose their requests when it ends.
-            node.hints.tell_leaving(upstream);
+            let started = node.listings().get(upstream).and_then(|listing| listing.started);
+            node.hints.tell_leaving(upstream, started);
         }
         match node.wire.rest_ms(head) {
             Ok(None) => {}
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -36,8 +36,8 @@
     Division { service: String, short: Vec<String> },
     /// What is known of a request that ends upstreams.
     Quarantine(Word),
-    /// An upstream said in an answer that it leaves.
-    Leaving { upstream: String },
+    /// An upstream said in an answer that it leaves: the life that started then, if it says when.
+    Leaving { upstream: String, started: Option<u64> },
 }
 
 /// A hint with its place among those of its sender.
@@ -130,8 +130,8 @@
     }
 
     /// Tells all that an upstream leaves.
-    pub(crate) fn tell_leaving(self: &Arc<Hints>, upstream: &str) {
-        self.repeat(Hint::Leaving { upstream: upstream.to_owned() }, Audience::All);
+    pub(crate) fn tell_leaving(self: &Arc<Hints>, upstream: &str, started: Option<u64>) {
+        self.repeat(Hint::Leaving { upstream: upstream.to_owned(), started }, Audience::All);
     }
 
     /// Sends a hint more than once, since datagrams are lost.
@@ -243,7 +243,7 @@
                 Ok(Hint::Dispatch { upstream, told }) => node.places().hear(&upstream, &told, node.now()),
                 Ok(Hint::Division { service, short }) => node.follow_division(&service, &short),
                 Ok(Hint::Quarantine(word)) => crate::quarantine::hear(&node, &word),
-                Ok(Hint::Leaving { upstream }) => hear_leaving(&node, &upstream),
+                Ok(Hint::Leaving { upstream, started }) => hear_leaving(&node, &upstream, started),
                 Err(unfit) => {
                     log::debug!("hints: event=dropped reason={} from={from}", unfit.name());
                     node.metrics.hints_dropped.with_label_values(&[unfit.name()]).inc();
@@ -257,9 +257,10 @@
     }
 }
 
-/// Takes in that an upstream leaves. One that is not listed may be another one's life that is not known yet.
-fn hear_leaving<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str) {
-    if node.listings().contains_key(upstream) && node.places().leave(upstream, node.now()) {
+/// Takes in that an upstream leaves, if it is the life that is listed here.
+fn hear_leaving<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, started: Option<u64>) {
+    let is_meant = node.listings().get(upstream).is_some_and(|listing| listing.started == started);
+    if is_meant && node.places().leave(upstream, node.now()) {
         log::info!("upstream: event=leaves upstream={upstream} told-by=gateway");
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -152,7 +152,7 @@
     exec::sleep(PROBE_PAUSE).await;
     let reach = net::probe(address, PROBE_LIMIT).await;
     let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
-    let is_leaving = !node.places().admits(upstream, node.now());
+    let is_leaving = node.places().leaves(upstream);
     log::warn!(
         "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={is_leaving}",
         reach.name()
@@ -305,9 +305,9 @@
     }
 }
 
-/// Takes in which version of the table another gateway has read.
+/// Takes in which version of the table another gateway has read. It is asked for once: a row of that version may be gone by now.
 pub(crate) fn compare<W: Wire, S: Rows>(node: &Node<W, S>, version: u64) {
-    if version > node.quarantine_version.load(Ordering::Relaxed) {
+    if version > node.quarantine_version.fetch_max(version, Ordering::Relaxed) {
         node.quarantine_grew.notify(usize::MAX);
     }
 }
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -237,6 +237,11 @@
         self.upstreams.get(name).is_some_and(|upstream| !upstream.leaving) && self.signals.admits(name, now)
     }
 
+    /// Whether an upstream leaves, by the list or by its own word, or has left: then it ends of its own accord.
+    pub fn leaves(&self, name: &str) -> bool {
+        self.upstreams.get(name).is_none_or(|upstream| upstream.leaving) || self.signals.leaves(name)
+    }
+
     /// How long all upstreams of a service still rest, in milliseconds; `None` if one takes work, or none is there.
     pub fn rests_ms(&self, service: &str, now: Millis) -> Option<Millis> {
         let stays = |(name, upstream): &(&String, &Upstream)| {
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -106,7 +106,7 @@
     places.remove("e-0");
     places.set("e-0", site(), false);
     assert_eq!(chosen(&places).as_deref(), Some("e-1"), "its entry lapsed and came back");
-    assert!(!places.admits("e-0", 0));
+    assert!(!places.admits("e-0", 0) && places.leaves("e-0"));
     places.forget("e-0");
     places.set("e-0", site(), false);
     assert_eq!(chosen(&places).as_deref(), Some("e-0"), "another life of it");
@@ -123,6 +123,8 @@
     assert_eq!(chosen(&places, 200).as_deref(), Some("e-1"));
     assert_eq!(places.rests_ms("engines", 200), None, "one takes work");
     places.rest("e-1", 1_000, 200);
+    assert!(!places.admits("e-1", 200) && !places.leaves("e-1"), "one that rests does not leave");
+    assert!(places.leaves("e-9"), "one that is not listed has left");
     assert_eq!((chosen(&places, 300), places.rests_ms("engines", 300)), (None, Some(900)));
     places.rest("e-1", 100, 300);
     assert_eq!(places.rests_ms("engines", 300), Some(900), "a shorter rest takes nothing back");
