--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use engine::{Counts, Engine, Happened, Job, Part, Spec};
 pub use load::{Kind, Request, Shared, Size};
-pub use outcome::{Deadly, Outcome, Share};
+pub use outcome::{Deadly, Outcome, Share, Signals};
 pub use scenes::{plains, reports, storms};
 pub use world::{Fault, Scene, play};
--- a/crates/emulator/src/outcome.rs
+++ b/crates/emulator/src/outcome.rs
@@ -41,6 +41,21 @@
     pub told: u64,
     /// What came of requests that end their engines.
     pub deadly: Deadly,
+    /// What came of engines that leave or rest by their own word.
+    pub signals: Signals,
+}
+
+/// What came of engines that leave or rest by their own word.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Signals {
+    /// Requests that an engine refused since it rests.
+    pub refused: u64,
+    /// Of these, those that came from a router which it had told so.
+    pub refused_again: u64,
+    /// Requests that reached an engine from a router which an answer of it had told that it leaves.
+    pub late: u64,
+    /// Runs that were lost when an engine which had said that it leaves ended.
+    pub cut: u64,
 }
 
 /// What came of requests that end their engines.
@@ -73,6 +88,7 @@
             preempted: 0,
             told: 0,
             deadly: Deadly::default(),
+            signals: Signals::default(),
         }
     }
 
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -10,7 +10,7 @@
 use route::word::Word;
 use route::{Millis, Pause, Pauses, Teller};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 
 /// The name of the service.
 const SERVICE: &str = "engines";
@@ -20,6 +20,8 @@
 const AGAIN_MS: f64 = 10_000.0;
 /// How often the engines are divided, in milliseconds: with each heartbeat of a gateway.
 const DIVIDE_MS: f64 = 1_500.0;
+/// How long an engine that leaves still serves, in milliseconds.
+const LEAVES_MS: f64 = 4_000.0;
 /// How often a request is tried again whose engine ended.
 const RETRIES: u32 = 2;
 /// Events come in units of this part of a millisecond.
@@ -61,6 +63,10 @@
     Load(f64),
     /// An engine ends, and is back after some seconds.
     Crash(usize),
+    /// An engine says in its answers that it leaves, and the list does not; after some seconds it ends, and another life of it begins.
+    Leave(usize),
+    /// An engine refuses what comes, and asks for rest for the time that is left of so many milliseconds.
+    Rest(usize, f64),
     /// From now on a request that ends its engines comes so many times a second, to any router.
     Deadly(f64),
 }
@@ -78,6 +84,7 @@
     BeginDeadly { router: usize, engine: usize },
     Word { router: usize, word: Option<Word> },
     Return { engine: usize },
+    Depart { engine: usize },
 }
 
 struct Timed {
@@ -136,6 +143,12 @@
     count: usize,
     load: f64,
     used: HashMap<u64, f64>,
+    /// Until when each engine rests.
+    rests_until: Vec<f64>,
+    /// Routers that each engine told that it leaves; `None` as long as it doesn't.
+    leaving: Vec<Option<HashSet<usize>>>,
+    /// Routers that each engine told how long it rests.
+    told_rest: HashSet<(usize, usize)>,
     watch: Watch,
     deadly_per_s: f64,
     outcome: Outcome,
@@ -190,6 +203,9 @@
             count: 0,
             load: scene.load,
             used: HashMap::new(),
+            rests_until: vec![0.0; scene.slow.len()],
+            leaving: vec![None; scene.slow.len()],
+            told_rest: HashSet::new(),
             watch: Watch::new(scene.routers, scene.slow.len()),
             deadly_per_s: 0.0,
             outcome: Outcome::new(&scene.kinds),
@@ -214,6 +230,14 @@
             Event::Strike(Fault::Slow(engine, slow)) => self.engines[engine].slow = slow,
             Event::Strike(Fault::Load(load)) => self.load = load,
             Event::Strike(Fault::Crash(engine)) => self.crash(engine, None),
+            Event::Strike(Fault::Leave(engine)) => {
+                self.leaving[engine] = Some(HashSet::new());
+                self.push(self.now + LEAVES_MS, Event::Depart { engine });
+            }
+            Event::Strike(Fault::Rest(engine, ms)) => {
+                self.rests_until[engine] = self.now + ms;
+                self.told_rest.retain(|(resting, _)| *resting != engine);
+            }
             Event::Strike(Fault::Deadly(per_s)) => {
                 self.deadly_per_s = per_s;
                 self.push(self.now, Event::ArriveDeadly);
@@ -234,6 +258,10 @@
                 self.send(messages);
             }
             Event::Return { engine } => self.come_back(engine),
+            Event::Depart { engine } => {
+                self.outcome.signals.cut += self.engines[engine].running() as u64;
+                self.crash(engine, None);
+            }
         }
     }
 
@@ -292,9 +320,11 @@
 
     fn come_back(&mut self, engine: usize) {
         self.engines[engine].is_dead = false;
+        self.leaving[engine] = None;
         let slots = self.scene.engine.slots as u32;
         let data_centre = format!("dc-{}", engine % self.scene.data_centres);
         for router in &mut self.routers {
+            router.forget(&self.names[engine]);
             let site = Site { service: SERVICE.to_owned(), data_centre: data_centre.clone(), slots };
             router.set(&self.names[engine], site, false);
         }
@@ -388,7 +418,26 @@
         }
     }
 
+    /// Whether an engine rests, which it tells the router of a request.
+    fn rests(&mut self, engine: usize, router: usize) -> bool {
+        let left = self.rests_until[engine] - self.now;
+        if left <= 0.0 {
+            return false;
+        }
+        self.outcome.signals.refused += 1;
+        let is_new = self.told_rest.insert((engine, router));
+        self.outcome.signals.refused_again += u64::from(!is_new);
+        self.routers[router].rest(&self.names[engine], left as Millis, self.now as Millis);
+        true
+    }
+
     fn reach(&mut self, engine: usize, id: usize) {
+        let Some(router) = self.live.get(&id).map(|live| live.router) else { return };
+        if self.rests(engine, router) {
+            return self.retry(id);
+        }
+        let is_told = self.leaving[engine].as_ref().is_some_and(|told| told.contains(&router));
+        self.outcome.signals.late += u64::from(is_told);
         let Some(live) = self.live.get(&id) else { return };
         let request = &live.request;
         let shared = request.parts.len() - 1;
@@ -436,6 +485,10 @@
             None => {
                 live.pauses = Some(Pauses::new(self.now));
                 live.first_ms = self.now - live.request.arrived;
+                if let Some(told) = &mut self.leaving[live.engine] {
+                    told.insert(live.router);
+                    places.leave(name, now);
+                }
                 places.read(name, live.ticket, now);
             }
             Some(pauses) => {
--- a/crates/route/tests/deadly.rs
+++ b/crates/route/tests/deadly.rs
@@ -1,4 +1,5 @@
-//! A request that ends its engines, played with many routers that tell each other by messages of which some are lost.
+//! Requests that end their engines, and engines that leave or rest by their own word, played with many routers that tell each other by
+//! messages of which some are lost.
 
 use emulator::{Fault, Outcome, Scene, play};
 
@@ -47,6 +48,29 @@
     }
 }
 
+/// From a router, requests that were decided on before the word came are on their way for a millisecond.
+#[test]
+fn engines_that_leave_or_rest_by_their_own_word_get_next_to_nothing_more() {
+    let faults = |engines: usize| -> Vec<(f64, Fault)> {
+        let leave = (0..engines).step_by(4).map(|engine| (3_000.0, Fault::Leave(engine)));
+        let rest = (1..engines).step_by(4).map(|engine| (5_000.0, Fault::Rest(engine, 2_000.0)));
+        leave.chain(rest).collect()
+    };
+    for routers in [6, 22] {
+        let engines = scene(routers, 0, vec![]).slow.len();
+        let outcome = play(&scene(routers, 0, faults(engines)));
+        println!("{routers} routers: {:?}", outcome.signals);
+        let signals = outcome.signals;
+        let (telling, resting) = (routers * engines.div_ceil(4), (routers * engines.div_ceil(4)) as u64);
+        assert!(signals.late <= telling as u64 / 10, "{signals:?}");
+        assert!(
+            signals.refused - signals.refused_again <= resting,
+            "once a router and an engine: {signals:?}"
+        );
+        assert!(signals.refused_again * 20 <= signals.refused, "{signals:?}");
+    }
+}
+
 #[test]
 #[ignore = "by hand: figures of the design page"]
 fn figures() {
