--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -1,8 +1,8 @@
-//! Telling the other gateways of dispatches, and of requests that end upstreams: whoever sends a prompt behind others' would wait for
-//! them, and whoever runs such a request would lose an upstream.
+//! Telling the other gateways of dispatches, of upstreams that leave, and of requests that end upstreams: whoever sends a prompt behind
+//! others' would wait for them, and whoever runs such a request would lose an upstream.
 //!
-//! A hint is a datagram. One that is lost costs a worse choice, nothing else; one that can't be read, comes from a stranger
-//! or comes again changes nothing and is counted.
+//! A hint is a datagram. One that tells of a dispatch and is lost costs a worse choice, nothing else; the other kinds are sent more than once,
+//! and denials are kept in the store as well. One that can't be read, comes from a stranger or comes again changes nothing and is counted.
 
 use crate::node::Node;
 use crate::ports::Wire;
