Evacuated data centres get nothing, and upstreams that warm up no more than they bear

Change: evacuations are followed with the manifest's table and left out of each choice, also for repeats, resumed streams and requests that wait for a connection. While an upstream warms up, each gateway takes a part of its rate by a hash ring over the list of gateways (route::warmup). The sum keeps to the rate although lists differ: a gateway takes part only while its list and its heartbeat are fresh, and not before every list that lacks it has run out. After an ejection, and when a data centre is taken back, upstreams count as warming up, since the list tells of a start later than the first gateways try them.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,7 +90,9 @@
             .get(&self.request.service)
             .map_or(usize::MAX, |service| service.connections);
         let request = self.request(&chosen.upstream, after_event);
-        let seat = Seat::take(self, chosen);
+        let Some(seat) = Seat::take(self, chosen) else {
+            return First::Withdrawn("it warms up, and bears no more now".to_owned());
+        };
         if self.request.ask.prompt.is_some() && node.hints.tells(chosen.uncached, node.now()) {
             let told = node.places().tell(chosen);
             node.hints.tell(&chosen.upstream, told);
@@ -212,6 +214,16 @@
             let started = node.listings().get(upstream).and_then(|listing| listing.started);
             node.hints.tell_leaving(upstream, started);
         }
+        match node.wire.warmup_ms(head) {
+            Ok(None) => {}
+            Ok(Some(ms)) => node.places().warm_up(upstream, ms, node.now()),
+            Err(error) => {
+                log::warn!(
+                    "upstream: event=unreadable upstream={upstream} request={} {error}",
+                    self.request.ask.id
+                );
+            }
+        }
         match node.wire.rest_ms(head) {
             Ok(None) => {}
             Ok(Some(asked_ms)) => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -154,10 +154,17 @@
 }
 
 impl<W: Wire, S: Rows> Seat<W, S> {
-    pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Seat<W, S> {
+    /// `None` if the upstream warms up and another request took its last place since it was chosen.
+    pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Option<Seat<W, S>> {
         let node = job.node.clone();
-        let ticket = node.places().begin(chosen, job.prompt().as_ref(), node.now());
-        Seat { node, upstream: chosen.upstream.clone(), ticket, is_read: false }
+        let now = node.now();
+        let mut places = node.places();
+        if !places.has_room(&chosen.upstream, now) {
+            return None;
+        }
+        let ticket = places.begin(chosen, job.prompt().as_ref(), now);
+        drop(places);
+        Some(Seat { node, upstream: chosen.upstream.clone(), ticket, is_read: false })
     }
 
     /// Notes that the prompt was read: the first answer came.
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -1,5 +1,6 @@
 //! What the operator has put in force: routes, services and teams.
 
+use route::warmup::Warmup;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -77,6 +78,8 @@
     pub connections: usize,
     /// Tokens in one event of a stream, if its upstreams are engines.
     pub stride: u64,
+    /// What each of its upstreams bears while it warms up; `None` if the operator says nothing of it.
+    pub warmup: Option<Warmup>,
 }
 
 /// A team with its prepaid budget.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -71,6 +71,8 @@
     read: Option<u64>,
     /// Whether this gateway is the first by name of those alive.
     is_first: bool,
+    /// The time between two reads, in milliseconds.
+    interval_ms: u64,
 }
 
 /// Writes this gateway's heartbeats and follows the others'.
@@ -80,9 +82,12 @@
     loop {
         let period = period(&node);
         if node.now() >= next_read {
+            let asked = node.now();
             match node.rows.list(TABLE, "").await {
                 Ok(page) => {
                     next_read = node.now() + reading_ms(&page);
+                    seen.interval_ms = period.max(reading_ms(&page));
+                    enrol(&node, &page, asked, seen.interval_ms);
                     let gone = look(&node, &mut seen, &page, period * MISSED);
                     for name in gone {
                         log::warn!("fleet: event=gateway-gone gateway={name}");
@@ -93,7 +98,7 @@
             }
         }
         if node.phase() != Phase::Draining {
-            beat(&node, seen.is_first).await;
+            beat(&node, &seen).await;
         }
         exec::sleep(Duration::from_millis(period)).await;
     }
@@ -119,21 +124,36 @@
 }
 
 /// Writes a heartbeat.
-async fn beat<W: Wire, S: Rows>(node: &Node<W, S>, is_first: bool) {
-    let kept_for_short = if is_first { divide(node) } else { BTreeMap::new() };
+async fn beat<W: Wire, S: Rows>(node: &Node<W, S>, members: &Members) {
+    let kept_for_short = if members.is_first { divide(node) } else { BTreeMap::new() };
     for (service, short) in &kept_for_short {
         node.hints.divide(service, short);
     }
     let quarantine = node.quarantine_version.load(Ordering::Relaxed);
     let (holder, peers, cores) = (node.holder.clone(), node.settings.listen.peers, node.settings.cores());
-    let beat = Beat { holder, peers, cores, up_ms: node.now(), kept_for_short, quarantine };
+    let sent = node.now();
+    let beat = Beat { holder, peers, cores, up_ms: sent, kept_for_short, quarantine };
     let change =
         Change { puts: vec![(Key::new(TABLE, &node.settings.name), encode(&beat))], ..Change::default() };
-    if let Err(error) = node.rows.commit(&change).await {
-        log::warn!("fleet: event=heartbeat-failed {error}");
+    match node.rows.commit(&change).await {
+        Ok(_) => {
+            let lasts_ms = period(node) * MISSED / 2;
+            node.places().roster.beat(sent, node.now(), lasts_ms, members.interval_ms);
+        }
+        Err(error) => log::warn!("fleet: event=heartbeat-failed {error}"),
     }
 }
 
+/// Takes the list in as the one by which this gateway takes its part of what upstreams bear while they warm up: with all rows, since
+/// one that seems gone may live on behind a cut.
+fn enrol<W: Wire, S: Rows>(node: &Node<W, S>, page: &Page, asked: u64, interval_ms: u64) {
+    let own = &node.settings.name;
+    let row = page.records.iter().find(|record| record.name == *own);
+    let up_ms = row.map(|row| decode::<Beat>(row).map_or(0, |beat| beat.up_ms));
+    let listed = page.records.iter().map(|record| record.name.as_str());
+    node.places().roster.read(own, listed, up_ms, asked, interval_ms);
+}
+
 /// Divides the engines anew between long and short work.
 fn divide<W: Wire, S: Rows>(node: &Node<W, S>) -> BTreeMap<String, Vec<String>> {
     let mut places = node.places();
@@ -143,6 +163,7 @@
 
 /// Says good-bye, so that nobody waits for this gateway's heartbeats.
 pub(crate) async fn leave<W: Wire, S: Rows>(node: &Node<W, S>) {
+    node.places().roster.leave();
     let change = Change { drops: vec![Key::new(TABLE, &node.settings.name)], ..Change::default() };
     if let Err(error) = node.rows.commit(&change).await {
         log::warn!("fleet: event=good-bye-failed {error}");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub upstreams: IntGauge,
     /// Gateways in the fleet.
     pub fleet: IntGauge,
+    /// Data centres whose upstreams get nothing, by the operators' word.
+    pub evacuated: IntGauge,
     /// Entries in the list of upstreams that name none.
     pub entries_unfit: IntCounter,
     /// Upstreams that said in an answer that they leave.
@@ -95,6 +97,10 @@
                 "Dispatches beyond the first of a request, by service and reason.",
                 &["service", "reason"],
             ),
+            evacuated: gauge(
+                "tallypaddle_data_centres_evacuated",
+                "Data centres whose upstreams get nothing.",
+            ),
             entries_unfit: counter(
                 "tallypaddle_entries_unfit_total",
                 "Entries in the list of upstreams that name none.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -172,6 +172,9 @@
             *current = Some(next.clone());
         }
         self.metrics.manifest_version.set(next.version as i64);
+        let warmups =
+            next.services.iter().filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
+        self.places().set_warmups(warmups.collect());
         let teams = next.teams.values();
         self.owners.set_levels(teams.filter_map(|team| Some((team.name.as_str(), team.reserved?))));
         for (team, purse) in self.purses().iter() {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -101,6 +101,8 @@
     /// When it started, in milliseconds of its own clock, if it says so: one that starts again under its name knows nothing
     /// of before.
     pub started: Option<u64>,
+    /// How long it still warms up, in milliseconds: it bears little meanwhile.
+    pub warmup_ms: u64,
 }
 
 /// A message that could not be decoded.
@@ -118,6 +120,9 @@
     /// The table and the key of the manifest.
     fn manifest_row(&self) -> (&str, &str);
 
+    /// The data centre whose upstreams get nothing as long as a row of this key is in the manifest's table.
+    fn evacuated<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// The table that lists the upstreams.
     fn upstreams_table(&self) -> &str;
 
@@ -154,6 +159,12 @@
     /// Says what can't be read.
     fn rest_ms(&self, head: &response::Parts) -> Result<Option<u64>, Malformed>;
 
+    /// How long the upstream still warms up, in milliseconds, if the head of its answer says so.
+    ///
+    /// # Errors
+    /// Says what can't be read.
+    fn warmup_ms(&self, head: &response::Parts) -> Result<Option<u64>, Malformed>;
+
     /// Names the request in an answer of the router's own.
     fn label(&self, id: &str, headers: &mut HeaderMap);
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -143,14 +143,20 @@
     }
 }
 
-/// Follows the manifest.
+/// Follows the manifest, and which data centres the operators evacuate.
 pub(crate) async fn manifest<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut follower = Follower::new("manifest");
+    let mut evacuations = Evacuations::default();
     loop {
         let (table, _) = node.wire.manifest_row();
         let progress = Progress::default();
         node.set_manifest_read(&progress);
         let found = step(&node, &node.rows.reporting(&progress), table, &mut follower, WAIT_MS).await;
+        match &found {
+            Step::Whole(page) => evacuations.take_whole(&node, page),
+            Step::Changes(page) => page.records.iter().for_each(|record| evacuations.take(&node, record)),
+            Step::Start(_) | Step::Failed => {}
+        }
         if let Step::Whole(page) | Step::Changes(page) = found {
             let Some(bytes) = adopt_newest(&node, page) else { continue };
             follower.most = MANIFEST_LEAST.max((bytes as f64 * ENCODED * MANIFEST_MOST) as usize);
@@ -214,6 +220,60 @@
     Some(bytes.len())
 }
 
+/// The versions of the rows by which operators evacuate data centres, deleted ones included.
+#[derive(Default)]
+struct Evacuations(HashMap<String, u64>);
+
+impl Evacuations {
+    /// Takes in all rows: a data centre whose row is missing is taken back, unless the read is stale.
+    fn take_whole<W: Wire, S: Rows>(&mut self, node: &Node<W, S>, page: &Page) {
+        for record in &page.records {
+            self.take(node, record);
+        }
+        let newest = self.0.values().max().copied().unwrap_or(0);
+        if page.version < newest {
+            return;
+        }
+        let evacuated: Vec<String> = node.places().evacuated().map(str::to_owned).collect();
+        let named = |data_centre: &String| {
+            page.records.iter().any(|record| node.wire.evacuated(&record.name) == Some(data_centre))
+        };
+        for data_centre in evacuated.iter().filter(|data_centre| !named(data_centre)) {
+            restore(node, data_centre, page.version);
+        }
+    }
+
+    fn take<W: Wire, S: Rows>(&mut self, node: &Node<W, S>, record: &Record) {
+        let Some(data_centre) = node.wire.evacuated(&record.name) else { return };
+        let version = self.0.entry(record.name.clone()).or_default();
+        if record.version <= *version {
+            return;
+        }
+        *version = record.version;
+        match record.value {
+            // Whatever the row holds, it asks for the evacuation.
+            Some(_) => evacuate(node, data_centre, record.version),
+            None => restore(node, data_centre, record.version),
+        }
+    }
+}
+
+fn evacuate<W: Wire, S: Rows>(node: &Node<W, S>, data_centre: &str, version: u64) {
+    let mut places = node.places();
+    if places.evacuate(data_centre) {
+        node.metrics.evacuated.set(places.evacuated().count() as i64);
+        log::info!("upstream: event=evacuated data-centre={data_centre} row-version={version}");
+    }
+}
+
+fn restore<W: Wire, S: Rows>(node: &Node<W, S>, data_centre: &str, version: u64) {
+    let mut places = node.places();
+    if places.restore(data_centre, node.now()) {
+        node.metrics.evacuated.set(places.evacuated().count() as i64);
+        log::info!("upstream: event=taken-back data-centre={data_centre} row-version={version}");
+    }
+}
+
 /// What is known of the list of upstreams.
 #[derive(Default)]
 struct Known {
@@ -312,21 +372,32 @@
 
 fn set<W: Wire, S: Rows>(node: &Node<W, S>, name: &str, version: u64, listing: Listing) {
     let mut listings = node.listings();
-    if listings.get(name) == Some(&listing) {
+    let warmup_ms = listing.warmup_ms;
+    let known = listings.get(name);
+    if known == Some(&listing) {
         return;
     }
-    log::info!(
-        "upstream: event=listed upstream={name} service={} address={} leaving={} row-version={version}",
-        listing.service,
-        listing.address,
-        listing.leaving
-    );
+    // An upstream that warms up tells the time that is left with each of its heartbeats.
+    let is_old =
+        known.is_some_and(|known| *known == Listing { warmup_ms: known.warmup_ms, ..listing.clone() });
+    let is_warmer = known.is_some_and(|known| warmup_ms <= known.warmup_ms);
+    if !(is_old && is_warmer) {
+        log::info!(
+            "upstream: event=listed upstream={name} service={} address={} leaving={} warmup-ms={warmup_ms} row-version={version}",
+            listing.service,
+            listing.address,
+            listing.leaving
+        );
+    }
     let site = Site {
         service: listing.service.clone(),
         data_centre: listing.data_centre.clone(),
         slots: listing.slots,
     };
-    node.places().set(name, site, listing.leaving);
+    let mut places = node.places();
+    places.set(name, site, listing.leaving);
+    places.warm_up(name, warmup_ms, node.now());
+    drop(places);
     listings.insert(name.to_owned(), listing);
 }
 
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -9,7 +9,7 @@
 use standin::TableRows;
 use std::sync::Arc;
 
-/// A language in which an upstream's row is "service address [leaving] [started=N]", or else unfit.
+/// A language in which an upstream's row is "service address [leaving] [started=N] [warmup=N]", or else unfit.
 pub(crate) struct Plain;
 
 impl Wire for Plain {
@@ -17,6 +17,10 @@
         ("operator", "manifest")
     }
 
+    fn evacuated<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix("evacuated ")
+    }
+
     fn upstreams_table(&self) -> &str {
         "upstreams"
     }
@@ -37,6 +41,7 @@
                 .and_then(|word| word.parse().ok())
                 .ok_or(Malformed { step: "listing", reason: text.to_string() })?,
             data_centre: "here".to_owned(),
+            warmup_ms: words.iter().find_map(|word| word.strip_prefix("warmup=")?.parse().ok()).unwrap_or(0),
             slots: 4,
             leaving: words.contains(&"leaving"),
             started: words.iter().find_map(|word| word.strip_prefix("started=")?.parse().ok()),
@@ -63,6 +68,10 @@
         Ok(None)
     }
 
+    fn warmup_ms(&self, _: &response::Parts) -> Result<Option<u64>, Malformed> {
+        Ok(None)
+    }
+
     fn label(&self, _: &str, _: &mut HeaderMap) {}
 }
 
--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -162,3 +162,90 @@
         state("an earlier life's entry came late", 200, false).await;
     });
 }
+
+async fn evacuated(node: &Node<Plain, TableRows>, what: &str, expected: &[&str]) {
+    for _ in 0..300 {
+        if node.places().evacuated().eq(expected.iter().copied()) {
+            return;
+        }
+        exec::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what}: evacuated are {:?}", node.places().evacuated().collect::<Vec<_>>());
+}
+
+fn operator(rows: &TableRows, name: &str, value: &str) {
+    rows.put("operator", "", name, value);
+}
+
+#[test]
+fn evacuations_are_followed_through_outages_a_lost_history_and_a_restart() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        operator(&rows, "manifest", "1");
+        let first = node("vm-1", 1, &rows);
+        exec::spawn(manifest(first.clone())).detach();
+        operator(&rows, "evacuated here", "{}");
+        operator(&rows, "evacuated nowhere", "not what it should be");
+        evacuated(&first, "two rows", &["here", "nowhere"]).await;
+        rows.drop_row("operator", "", "evacuated nowhere");
+        evacuated(&first, "one is taken back", &["here"]).await;
+
+        outage(&rows, || {
+            rows.drop_row("operator", "", "evacuated here");
+            operator(&rows, "evacuated there", "{}");
+        })
+        .await;
+        evacuated(&first, "changes in an outage", &["there"]).await;
+
+        rows.set_fault(RowsFault::HistoryGone);
+        rows.drop_row("operator", "", "evacuated there");
+        operator(&rows, "evacuated here", "{}");
+        evacuated(&first, "after a whole read", &["here"]).await;
+        rows.set_fault(RowsFault::None);
+        assert_eq!(first.metrics.evacuated.get(), 1);
+
+        let next = node("vm-1", 2, &rows);
+        exec::spawn(manifest(next.clone())).detach();
+        evacuated(&next, "after a restart", &["here"]).await;
+    });
+}
+
+#[test]
+fn an_older_row_takes_no_data_centre_back() {
+    let rows = TableRows::default();
+    let node = node("vm-1", 1, &rows);
+    let mut evacuations = Evacuations::default();
+    let record = |version, value: Option<&str>| Record {
+        table: "operator".to_owned(),
+        name: "evacuated here".to_owned(),
+        version,
+        value: value.map(|value| value.as_bytes().to_vec()),
+    };
+    evacuations.take(&node, &record(7, Some("{}")));
+    evacuations.take(&node, &record(5, None));
+    evacuations.take_whole(&node, &Page { version: 6, ..Page::default() });
+    assert!(node.places().evacuated().eq(["here"]), "a stale read");
+    evacuations.take_whole(&node, &Page { version: 8, ..Page::default() });
+    assert_eq!(node.places().evacuated().count(), 0);
+}
+
+#[test]
+fn an_upstream_that_warms_up_is_known_by_its_entry() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 2);
+        let node = followed(&rows);
+        until(&node, "all are listed", 2).await;
+        node.places().set_warmups(std::collections::HashMap::from([(
+            "narrator".to_owned(),
+            route::warmup::Warmup { per_s: 5.0, lasts_ms: 100 },
+        )]));
+        let address = node.listings()["engine-1"].address;
+        put(&rows, &format!("narrator {address} warmup=700"));
+        exec::sleep(Duration::from_millis(300)).await;
+        assert!(!node.places().has_room("engine-1", node.now()), "this gateway is on no list yet");
+        assert!(node.places().has_room("engine-0", node.now()));
+        exec::sleep(Duration::from_millis(700)).await;
+        assert!(node.places().has_room("engine-1", node.now()));
+    });
+}
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -72,14 +72,15 @@
         self.failures.saturating_sub(forgotten as u32)
     }
 
-    /// Ejects it; `spared` ones come back after the shortest time.
-    pub(crate) fn eject(&mut self, now: Millis, spared: bool) {
+    /// Ejects it until the time that is returned; `spared` ones come back after the shortest time.
+    pub(crate) fn eject(&mut self, now: Millis, spared: bool) -> Millis {
         let doublings = if spared { 0 } else { self.ejections.min(10) };
         self.until = now + (EJECTION << doublings).min(EJECTION_MOST);
         self.ejections += 1;
         self.failures = 0;
         self.proven = 0;
         self.on_probation = true;
+        self.until
     }
 
     /// Notes the average gap between a run's tokens.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,6 +31,7 @@
 mod signals;
 mod strain;
 mod teller;
+pub mod warmup;
 mod window;
 pub mod word;
 
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -15,9 +15,10 @@
 use crate::health::{Health, Standing};
 use crate::reads::Reads;
 use crate::signals::Signals;
+use crate::warmup::{Roster, Warming, Warmup};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Weight of a new outcome in the share of failures.
 const FAILURE_SAMPLE: f64 = 0.2;
@@ -163,6 +164,11 @@
     upstreams: BTreeMap<String, Upstream>,
     /// Outlives the upstreams' places in the list.
     signals: Signals,
+    /// Data centres whose upstreams get nothing, by the operators' word.
+    evacuated: BTreeSet<String>,
+    warmups: HashMap<String, Warmup>,
+    /// The gateways, for the parts that each takes of what upstreams bear while they warm up.
+    pub roster: Roster,
     services: HashMap<String, Service>,
     awaited: HashMap<Ticket, Awaited>,
     running: HashMap<Ticket, Running>,
@@ -176,6 +182,9 @@
             data_centre: data_centre.to_owned(),
             upstreams: BTreeMap::new(),
             signals: Signals::default(),
+            evacuated: BTreeSet::new(),
+            warmups: HashMap::new(),
+            roster: Roster::default(),
             services: HashMap::new(),
             awaited: HashMap::new(),
             running: HashMap::new(),
@@ -205,6 +214,7 @@
                     health: Health::default(),
                     parts: HashMap::new(),
                     order: VecDeque::new(),
+                    warming: Warming::default(),
                 };
                 self.upstreams.insert(name.to_owned(), upstream);
             }
@@ -232,9 +242,65 @@
         self.signals.rest(name, ms, now)
     }
 
-    /// Whether an upstream takes work, by the list and by its own word.
+    /// Whether an upstream takes work, by the list, by its own word and by the operators'.
     pub fn admits(&self, name: &str, now: Millis) -> bool {
-        self.upstreams.get(name).is_some_and(|upstream| !upstream.leaving) && self.signals.admits(name, now)
+        let is_listed = |upstream: &Upstream| !upstream.leaving && !self.is_evacuated(upstream);
+        self.upstreams.get(name).is_some_and(is_listed) && self.signals.admits(name, now)
+    }
+
+    fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuated.contains(&upstream.site.data_centre)
+    }
+
+    /// Sends nothing more to the upstreams of a data centre; `true` if that is new.
+    pub fn evacuate(&mut self, data_centre: &str) -> bool {
+        self.evacuated.insert(data_centre.to_owned())
+    }
+
+    /// Takes a data centre's upstreams back; `true` if they got nothing before. They may have lost their caches meanwhile, which the
+    /// list may tell later than this comes, and are taken to warm up.
+    pub fn restore(&mut self, data_centre: &str, now: Millis) -> bool {
+        if !self.evacuated.remove(data_centre) {
+            return false;
+        }
+        let warmups = &self.warmups;
+        for upstream in self.upstreams.values_mut() {
+            let warmup = warmups.get(&upstream.site.service);
+            if let Some(warmup) = warmup.filter(|_| upstream.site.data_centre == data_centre) {
+                upstream.warming.begin(warmup.lasts_ms, now);
+            }
+        }
+        true
+    }
+
+    /// The data centres whose upstreams get nothing.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuated.iter().map(String::as_str)
+    }
+
+    /// Takes in what the upstreams of each service bear while they warm up; those of others bear what they always do.
+    pub fn set_warmups(&mut self, warmups: HashMap<String, Warmup>) {
+        self.warmups = warmups;
+    }
+
+    /// Takes in that an upstream warms up for so many milliseconds from now on.
+    pub fn warm_up(&mut self, name: &str, ms: Millis, now: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.warming.begin(ms, now);
+        }
+    }
+
+    /// Whether an upstream that warms up bears one more dispatch of this gateway now; a warm one always does.
+    pub fn has_room(&self, name: &str, now: Millis) -> bool {
+        self.upstreams.get(name).is_none_or(|upstream| self.bears(name, upstream, now))
+    }
+
+    fn bears(&self, name: &str, upstream: &Upstream, now: Millis) -> bool {
+        if !upstream.warming.lasts(now) {
+            return true;
+        }
+        let warmup = self.warmups.get(&upstream.site.service).copied();
+        upstream.warming.admits(name, warmup, &self.roster, now)
     }
 
     /// Whether an upstream leaves, by the list or by its own word, or has left: then it ends of its own accord.
@@ -245,7 +311,10 @@
     /// How long all upstreams of a service still rest, in milliseconds; `None` if one takes work, or none is there.
     pub fn rests_ms(&self, service: &str, now: Millis) -> Option<Millis> {
         let stays = |(name, upstream): &(&String, &Upstream)| {
-            upstream.site.service == service && !upstream.leaving && !self.signals.leaves(name)
+            upstream.site.service == service
+                && !upstream.leaving
+                && !self.is_evacuated(upstream)
+                && !self.signals.leaves(name)
         };
         let staying = self.upstreams.iter().filter(stays);
         staying.map(|(name, _)| self.signals.rests_ms(name, now)).min().filter(|ms| *ms > 0)
@@ -257,7 +326,9 @@
             self.upstreams.iter().filter(|(name, upstream)| {
                 upstream.site.service == need.service
                     && !upstream.leaving
+                    && !self.is_evacuated(upstream)
                     && self.signals.admits(name, now)
+                    && self.bears(name, upstream, now)
                     && !need.avoid.iter().any(|avoid| avoid == *name)
             })
         };
@@ -303,6 +374,7 @@
         let ticket = self.tickets;
         if let Some(upstream) = self.upstreams.get_mut(&chosen.upstream) {
             upstream.open += 1;
+            upstream.warming.send(now);
             let parts = prompt.map(|prompt| prompt.parts).unwrap_or_default();
             parts.iter().for_each(|part| upstream.remember(part.id, now));
         }
@@ -426,7 +498,10 @@
         for (service, known) in &mut self.services {
             let like = || self.upstreams.iter().filter(|(_, upstream)| upstream.site.service == *service);
             let usual = engine::usual(like().map(|(_, upstream)| upstream.pace));
-            let serving = like().filter(|(name, upstream)| !upstream.leaving && !self.signals.leaves(name));
+            let serving = like().filter(|(name, upstream)| {
+                let is_evacuated = self.evacuated.contains(&upstream.site.data_centre);
+                !upstream.leaving && !is_evacuated && !self.signals.leaves(name)
+            });
             let members = serving.map(|(name, upstream)| Member {
                 name,
                 slowness: upstream.pace.quiet().map(|_| upstream.pace.slowness(usual)),
@@ -500,7 +575,11 @@
         if !upstream.health.fail(now) {
             return false;
         }
-        upstream.health.eject(now, false);
+        let until = upstream.health.eject(now, false);
+        // It may have started again, which the list tells later than the first gateways try it.
+        if let Some(warmup) = self.warmups.get(&upstream.site.service) {
+            upstream.warming.begin(until.saturating_sub(now) + warmup.lasts_ms, now);
+        }
         upstream.parts.clear();
         upstream.order.clear();
         true
--- a/crates/route/src/place/upstream.rs
+++ b/crates/route/src/place/upstream.rs
@@ -7,6 +7,7 @@
 use crate::harm::Harm;
 use crate::health::{Health, Standing};
 use crate::reads::Reads;
+use crate::warmup::Warming;
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
 
@@ -40,6 +41,7 @@
     pub(super) health: Health,
     pub(super) parts: HashMap<u64, Millis>,
     pub(super) order: VecDeque<u64>,
+    pub(super) warming: Warming,
 }
 
 /// A dispatch whose first answer is awaited.
