--- a/crates/gateway/src/counted.rs
+++ b/crates/gateway/src/counted.rs
@@ -1,4 +1,4 @@
-//! The store with every call counted and timed.
+//! The store with every call counted and timed, and with the bytes of its rows.
 
 use crate::metrics::Metrics;
 use prometheus::{Histogram, IntCounterVec};
@@ -11,12 +11,18 @@
 pub(crate) struct Counted<S> {
     rows: S,
     calls: IntCounterVec,
+    bytes: IntCounterVec,
     seconds: Histogram,
 }
 
 impl<S: Rows> Counted<S> {
     pub(crate) fn new(rows: S, metrics: &Metrics) -> Counted<S> {
-        Counted { rows, calls: metrics.store_calls.clone(), seconds: metrics.store_time.clone() }
+        Counted {
+            rows,
+            calls: metrics.store_calls.clone(),
+            bytes: metrics.store_bytes.clone(),
+            seconds: metrics.store_time.clone(),
+        }
     }
 
     fn count<T>(&self, step: &str, table: &str, result: &Result<T, Error>, outcome: fn(&T) -> &'static str) {
@@ -27,6 +33,15 @@
         };
         self.calls.with_label_values(&[step, table, outcome]).inc();
     }
+
+    /// Counts the keys and values of rows, as they are before the store's encoding.
+    fn count_bytes(&self, step: &str, table: &str, bytes: usize) {
+        self.bytes.with_label_values(&[step, table]).inc_by(bytes as u64);
+    }
+}
+
+fn page_bytes(page: &Page) -> usize {
+    page.records.iter().map(|row| row.name.len() + row.value.as_ref().map_or(0, Vec::len)).sum()
 }
 
 impl<S: Rows> Rows for Counted<S> {
@@ -36,6 +51,8 @@
         self.seconds.observe(began.elapsed().as_secs_f64());
         let mut written = change.puts.iter().map(|(key, _)| key).chain(&change.drops);
         let table = written.next().map_or("-", |key| key.table.as_str());
+        let bytes = change.puts.iter().map(|(key, value)| key.name.len() + value.len()).sum();
+        self.count_bytes("commit", table, bytes);
         self.count("commit", table, &result, |commit| match commit {
             Commit::Applied(_) => "applied",
             Commit::Conflict(_) => "conflict",
@@ -47,12 +64,18 @@
         let began = Instant::now();
         let result = self.rows.list(table, part).await;
         self.seconds.observe(began.elapsed().as_secs_f64());
+        self.count_bytes("list", table, result.as_ref().map_or(0, page_bytes));
         self.count("list", table, &result, |_| "read");
         result
     }
 
     async fn feed(&self, table: &str, since: Since) -> Result<Feed, Error> {
         let result = self.rows.feed(table, since).await;
+        let bytes = match &result {
+            Ok(Feed::Changes(page)) => page_bytes(page),
+            _ => 0,
+        };
+        self.count_bytes("feed", table, bytes);
         self.count("feed", table, &result, |feed| match feed {
             Feed::Changes(_) => "read",
             Feed::Lost => "history-lost",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! One request goes through these modules, each of which imports only those after it: `handle` admits it and
 //! decides what to do when a dispatch fails, `relay` passes a stream on, `attempt` is one dispatch, `quarantine` looks into one that broke off, `job` holds
 //! the request and what it took, `purse` its tokens, `node` the gateway's state. `settle`, `notes` and `closing`
-//! keep the budgets in the store, `watch` and `members` follow it. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
+//! keep the budgets in the store, `watch` and `members` follow it, `snapshot` keeps the list of upstreams short for those that start. [`ports`] is the language of callers, upstreams and operators; an adapter speaks it.
 
 mod access;
 mod attempt;
@@ -32,6 +32,7 @@
 mod relay;
 mod settings;
 mod settle;
+mod snapshot;
 mod strain;
 mod table;
 mod watch;
@@ -173,6 +174,7 @@
         node.delegate.expire();
         if round.is_multiple_of(CALLS_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
+            log::info!("store: event=bytes {}", node.metrics.store_bytes_line());
             log_models(&node);
         }
         for (team, purse) in node.purses().iter() {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -211,6 +211,7 @@
     // One gateway looks after those that are gone: the first by name of those alive.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
     let was_first = std::mem::replace(&mut members.is_first, first == Some(own));
+    node.is_first.store(members.is_first, Ordering::Relaxed);
     let beat = first.and_then(|first| page.records.iter().find(|record| record.name == *first));
     // One that becomes the first goes on from what the one before decided, be it its own earlier process.
     if let Some(beat) = beat.filter(|_| !(was_first && members.is_first)).and_then(decode::<Beat>) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub repeats: IntCounterVec,
     /// Calls to the store, by step, table and outcome.
     pub store_calls: IntCounterVec,
+    /// Bytes of rows read from and written to the store, by step and table.
+    pub store_bytes: IntCounterVec,
     /// Time of a transaction of the store.
     pub store_time: Histogram,
     /// The version of the manifest in force.
@@ -119,6 +121,11 @@
                 "Datagrams between gateways that changed nothing.",
                 &["reason"],
             ),
+            store_bytes: counters(
+                "tallypaddle_store_bytes_total",
+                "Bytes of rows read from and written to the store.",
+                &["step", "table"],
+            ),
             store_calls: counters(
                 "tallypaddle_store_calls_total",
                 "Calls to the store, by step, table and outcome.",
@@ -148,19 +155,12 @@
 
     /// The calls to the store so far, in one line.
     pub(crate) fn store_calls_line(&self) -> String {
-        let count = |metric: &prometheus::proto::Metric| {
-            let labels: Vec<&str> = ["step", "table", "outcome"]
-                .into_iter()
-                .filter_map(|name| metric.get_label().iter().find(|label| label.name() == name))
-                .map(|label| label.value())
-                .collect();
-            format!("{}={}", labels.join("/"), metric.get_counter().get_value())
-        };
-        let families = self.store_calls.collect();
-        let mut counts: Vec<String> =
-            families.iter().flat_map(|family| family.get_metric()).map(count).collect();
-        counts.sort();
-        counts.join(" ")
+        line(&self.store_calls, &["step", "table", "outcome"])
+    }
+
+    /// The bytes of rows that went to and came from the store so far, in one line.
+    pub(crate) fn store_bytes_line(&self) -> String {
+        line(&self.store_bytes, &["step", "table"])
     }
 
     /// The text of all metrics.
@@ -172,3 +172,19 @@
         text
     }
 }
+
+/// Counters in one line, each behind the values of these labels.
+fn line(counters: &IntCounterVec, labels: &[&str]) -> String {
+    let count = |metric: &prometheus::proto::Metric| {
+        let values: Vec<&str> = labels
+            .iter()
+            .filter_map(|name| metric.get_label().iter().find(|label| label.name() == *name))
+            .map(|label| label.value())
+            .collect();
+        format!("{}={}", values.join("/"), metric.get_counter().get_value())
+    };
+    let families = counters.collect();
+    let mut counts: Vec<String> = families.iter().flat_map(|family| family.get_metric()).map(count).collect();
+    counts.sort();
+    counts.join(" ")
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,7 @@
 use route::{Millis, Terms, Window};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 use store::rows::{Progress, Rows};
@@ -56,6 +56,8 @@
     pub fleet: Arc<AtomicU64>,
     /// When the list of gateways was read last, in milliseconds since the process started; 0 if it was not yet.
     pub fleet_read: AtomicU64,
+    /// Whether this gateway is the first by name of those alive: it does what only one should.
+    pub is_first: AtomicBool,
     pub open: AtomicU64,
     pub load: Load,
     pub hints: Arc<Hints>,
@@ -107,6 +109,7 @@
             metrics,
             fleet: Arc::new(AtomicU64::new(ASSUMED_FLEET)),
             fleet_read: AtomicU64::new(0),
+            is_first: AtomicBool::new(false),
             open: AtomicU64::new(0),
             load: Load::new(settings.link_mbps),
             hints: Arc::default(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,6 +5,7 @@
 
 use crate::node::Node;
 use crate::ports::{Listing, Wire};
+use crate::snapshot::{self, Start, Writer};
 use crate::table::{RECALLS, Recall, decode};
 use net::exec;
 use route::Millis;
@@ -12,6 +13,7 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use store::Error;
 use store::rows::{Feed, Page, Progress, Record, Rows, Since};
@@ -55,13 +57,23 @@
     most: usize,
     lost_at: Option<Millis>,
     regained_at: Option<Millis>,
+    /// Whether no wait ended since the table was read whole.
+    is_new: bool,
     /// The pause before the next wait, so that changes which come together are read together.
     pause: Option<Duration>,
 }
 
 impl Follower {
     fn new(name: &'static str) -> Follower {
-        Follower { name, after: None, most: usize::MAX, lost_at: None, regained_at: None, pause: None }
+        Follower {
+            name,
+            after: None,
+            most: usize::MAX,
+            lost_at: None,
+            regained_at: None,
+            is_new: false,
+            pause: None,
+        }
     }
 
     /// Takes in how a call ended.
@@ -123,10 +135,12 @@
     match result {
         Ok(Step::Whole(page)) => {
             follower.after = Some(page.version);
+            follower.is_new = true;
             Step::Whole(page)
         }
         Ok(Step::Changes(page)) => {
             follower.after = follower.after.max(Some(page.version));
+            follower.is_new = false;
             let gather = (node.fleet_size() * GATHER_SHARE_MS).min(GATHER_MOST_MS);
             follower.pause = (!page.records.is_empty()).then(|| Duration::from_millis(gather));
             Step::Changes(page)
@@ -134,6 +148,8 @@
         Ok(Step::Start(reason)) => {
             log::warn!("store: event={reason} watch={} after={:?}", follower.name, follower.after);
             follower.after = None;
+            // A store that forgets at once would be read as fast as it answers.
+            follower.pause = follower.is_new.then_some(AGAIN);
             Step::Start(reason)
         }
         Ok(Step::Failed) | Err(_) => {
@@ -293,6 +309,17 @@
 pub(crate) async fn upstreams<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut follower = Follower::new("upstreams");
     let mut known = Known::default();
+    let mut writer = Writer::default();
+    let start = snapshot::start(&node).await;
+    let mut is_awaited = matches!(start, Start::ReadAndWrite);
+    if let Start::From(snapshot) = start {
+        log::info!("upstream: event=started-from-snapshot version={}", snapshot.version);
+        follower.after = Some(snapshot.version);
+        snapshot.upstreams.into_iter().for_each(|upstream| {
+            known.versions.insert(upstream.name.clone(), upstream.version);
+            begin(&node, &mut known, &upstream.name, upstream.version, upstream.listing);
+        });
+    }
     loop {
         let wait_ms = if known.vanished.is_empty() { WAIT_MS } else { GATHER_WAIT_MS };
         let found = step(&node, &node.rows, node.wire.upstreams_table(), &mut follower, wait_ms).await;
@@ -307,9 +334,25 @@
             log::warn!("upstream: event=unfit entries={count} {first}");
         }
         node.metrics.upstreams.set(node.listings().len() as i64);
+        let writes = is_awaited || node.is_first.load(Ordering::Relaxed);
+        if let Some(version) = follower.after.filter(|_| writes && writer.is_due(node.now())) {
+            is_awaited = false;
+            write(&node, &known, &mut writer, version);
+        }
     }
 }
 
+/// Writes a snapshot of the list. What vanished and may have lapsed is not in it: its row is not there.
+fn write<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, known: &Known, writer: &mut Writer, version: u64) {
+    let listings = node.listings().clone();
+    let rows = listings.iter().filter(|(name, _)| !known.vanished.contains_key(*name));
+    let versions = rows.map(|(name, listing)| {
+        let version = known.versions.get(name).copied().unwrap_or(0);
+        (name.as_str(), version, listing)
+    });
+    writer.write(node, version, versions);
+}
+
 /// Takes in the whole list: what is missing from one that is not stale has vanished.
 fn take_whole<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, page: &Page) {
     let newest = known.versions.values().max().copied().unwrap_or(0);
@@ -337,7 +380,7 @@
         return vanish(node, known, &record.name);
     };
     match node.wire.listing(bytes) {
-        Ok(listing) => begin(node, known, record, listing),
+        Ok(listing) => begin(node, known, &record.name, record.version, listing),
         Err(error) => {
             // Another writer's entry names no upstream, also in the place of one that did.
             node.metrics.entries_unfit.inc();
@@ -350,24 +393,21 @@
 }
 
 /// Takes in an upstream's entry, unless an earlier life of it wrote it late.
-fn begin<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, record: &Record, listing: Listing) {
+fn begin<W: Wire, S: Rows>(node: &Node<W, S>, known: &mut Known, name: &str, version: u64, listing: Listing) {
     if let Some(started) = listing.started {
-        let newest = known.started.entry(record.name.clone()).or_insert(started);
+        let newest = known.started.entry(name.to_owned()).or_insert(started);
         if started < *newest {
-            log::warn!(
-                "upstream: event=late-entry upstream={} started={started} newest={newest}",
-                record.name
-            );
+            log::warn!("upstream: event=late-entry upstream={name} started={started} newest={newest}",);
             return;
         }
-        if started > std::mem::replace(newest, started) && node.listings().remove(&record.name).is_some() {
+        if started > std::mem::replace(newest, started) && node.listings().remove(name).is_some() {
             // What was learned of its earlier life is not true of this one.
-            node.places().forget(&record.name);
-            log::info!("upstream: event=started-again upstream={} started={started}", record.name);
+            node.places().forget(name);
+            log::info!("upstream: event=started-again upstream={name} started={started}");
         }
     }
-    known.vanished.remove(&record.name);
-    set(node, &record.name, record.version, listing);
+    known.vanished.remove(name);
+    set(node, name, version, listing);
 }
 
 fn set<W: Wire, S: Rows>(node: &Node<W, S>, name: &str, version: u64, listing: Listing) {
--- /dev/null
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -0,0 +1,199 @@
+//! Starting from a snapshot of the list of upstreams.
+//!
+//! What was seen: a fleet of 300 gateways before 3,000 upstreams read 0.67 GB at the store on a day on which 30 before 300 read 0.016 GB: each
+//! read each row when it started.
+
+use super::*;
+use crate::support::{Plain, node};
+use crate::watch;
+use standin::{RowsFault, TableRows};
+
+const LIST: &str = "upstreams";
+
+fn list(rows: &TableRows, count: usize) {
+    for index in 0..count {
+        rows.put(LIST, "", &format!("engine-{index}"), format!("narrator 127.0.0.1:{}", 9_000 + index));
+    }
+}
+
+fn gateway(name: &str, rows: &TableRows) -> Arc<Node<Plain, TableRows>> {
+    let node = node(name, 1, rows);
+    exec::spawn(watch::upstreams(node.clone())).detach();
+    node
+}
+
+async fn until(what: &str, is_so: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if is_so() {
+            return;
+        }
+        exec::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what}");
+}
+
+fn knows(node: &Node<Plain, TableRows>, count: usize) -> impl Fn() -> bool + '_ {
+    move || node.listings().len() == count
+}
+
+fn whole_reads(node: &Node<Plain, TableRows>) -> u64 {
+    node.metrics.store_calls.with_label_values(&["list", LIST, "read"]).get()
+}
+
+fn has_snapshot(rows: &TableRows) -> bool {
+    rows.get(TABLE, PART, HEAD).is_some()
+}
+
+#[test]
+fn of_gateways_that_start_together_one_reads_the_whole_list() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 50);
+        let gateways: Vec<_> = (0..20).map(|index| gateway(&format!("vm-{index}"), &rows)).collect();
+        for gateway in &gateways {
+            until("all know the list", knows(gateway, 50)).await;
+        }
+        assert_eq!(gateways.iter().map(|gateway| whole_reads(gateway)).sum::<u64>(), 1);
+    });
+}
+
+#[test]
+fn what_changed_since_the_snapshot_is_followed() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let first = gateway("vm-1", &rows);
+        until("a snapshot", || has_snapshot(&rows)).await;
+        rows.drop_row(LIST, "", "engine-2");
+        rows.put(LIST, "", "engine-3", "narrator 127.0.0.1:9003 leaving");
+        rows.put(LIST, "", "engine-9", "narrator 127.0.0.1:9009 warmup=900");
+        let next = gateway("vm-2", &rows);
+        until("the first follows", knows(&first, 6)).await;
+        until("the changes", || {
+            let listings = next.listings();
+            !listings.contains_key("engine-2")
+                && listings.contains_key("engine-9")
+                && listings["engine-3"].leaving
+        })
+        .await;
+        assert_eq!(whole_reads(&next), 0);
+        assert_eq!(*next.listings(), *first.listings());
+    });
+}
+
+#[test]
+fn after_a_lost_history_the_list_is_read_whole() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let _first = gateway("vm-1", &rows);
+        until("a snapshot", || has_snapshot(&rows)).await;
+        rows.set_fault(RowsFault::HistoryGone);
+        rows.drop_row(LIST, "", "engine-2");
+        let next = gateway("vm-2", &rows);
+        until("the one that left is gone", knows(&next, 5)).await;
+        assert!(whole_reads(&next) > 0);
+    });
+}
+
+#[test]
+fn a_gateway_whose_claim_comes_to_nothing_is_not_waited_for_long() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let claim = encode(&Claim { holder: "vm-0#1".to_owned(), at_ms: 600_000 });
+        rows.put(TABLE, PART, CLAIM, claim);
+        let began = std::time::Instant::now();
+        let next = gateway("vm-2", &rows);
+        until("the list", knows(&next, 6)).await;
+        assert!(began.elapsed() < Duration::from_millis(CLAIM_MS + 900), "{:?}", began.elapsed());
+    });
+}
+
+/// The page of a snapshot of so many upstreams.
+fn page(count: usize, written_ms: u64) -> Page {
+    let mut body = Body::default();
+    for index in 0..count {
+        let listing = Listing {
+            service: format!("service-{}", index % 2),
+            address: SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 8_424)),
+            data_centre: format!("zone-{}", index % 3),
+            slots: 48,
+            leaving: index % 10 == 0,
+            started: Some(1_796_287_260_000 + index as u64),
+            warmup_ms: 0,
+        };
+        body.add(&format!("i-{:010x}", index * 7_919), 100_000 + index as u64, &listing);
+    }
+    let bytes = options().serialize(&body).expect("plain data");
+    let (change, _) = change(100_000, written_ms, &bytes, None);
+    let records = change.puts.into_iter().map(|(key, value)| store::rows::Record {
+        table: key.table,
+        name: key.name,
+        version: 1,
+        value: Some(value),
+    });
+    Page { records: records.collect(), version: 1, now_ms: 20_000 }
+}
+
+#[test]
+fn a_snapshot_of_three_thousand_upstreams_is_read_whole_if_it_is_fresh() {
+    let snapshot = read(&page(3_000, 15_000)).expect("a snapshot");
+    assert_eq!(snapshot.upstreams.len(), 3_000);
+    insta::assert_debug_snapshot!((snapshot.version, &snapshot.upstreams[2_990]));
+    assert!(
+        read(&page(3_000, 20_000 - FRESH_MS - 1)).is_none(),
+        "the store may have forgotten what came after it"
+    );
+    // 400 bytes each take 1.2 MB.
+    let bytes: usize = page(3_000, 0).records.iter().map(|row| row.value.as_ref().map_or(0, Vec::len)).sum();
+    assert!(bytes < 150_000, "{bytes} bytes");
+}
+
+#[test]
+fn rows_of_different_snapshots_altered_ones_and_missing_ones_are_none() {
+    for row in 0..3 {
+        let mut altered = page(3_000, 15_000);
+        if let Some(byte) = altered.records[row].value.as_mut().and_then(|value| value.last_mut()) {
+            *byte ^= 1;
+        }
+        assert!(read(&altered).is_none(), "row {row} altered");
+        let mut missing = page(3_000, 15_000);
+        missing.records.remove(row);
+        assert!(read(&missing).is_none(), "row {row} missing");
+    }
+    assert!(read(&Page::default()).is_none());
+}
+
+#[test]
+fn bytes_that_did_not_change_are_written_once() {
+    let (first, edition) = change(7, 100, b"bytes", None);
+    let (same, _) = change(9, 200, b"bytes", Some((edition, 41)));
+    let (other, _) = change(9, 200, b"others", Some((edition, 41)));
+    let shape = |change: &Change| (change.puts.len(), change.checks.clone());
+    insta::assert_debug_snapshot!([shape(&first), shape(&same), shape(&other)]);
+}
+
+#[test]
+fn an_upstream_whose_entry_lapsed_is_not_in_the_snapshot() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 6);
+        let first = gateway("vm-1", &rows);
+        until("the list", knows(&first, 6)).await;
+        until("a snapshot", || has_snapshot(&rows)).await;
+        rows.set_fault(RowsFault::Down);
+        exec::sleep(Duration::from_millis(1_300)).await;
+        (0..6).for_each(|index| rows.drop_row(LIST, "", &format!("engine-{index}")));
+        rows.drop_row(TABLE, PART, HEAD);
+        rows.set_fault(RowsFault::None);
+        first.is_first.store(true, std::sync::atomic::Ordering::Relaxed);
+        for _ in 0..40 {
+            exec::sleep(Duration::from_millis(50)).await;
+            let next = node("vm-2", 1, &rows);
+            if let Start::From(snapshot) = start(&next).await {
+                assert_eq!(snapshot.upstreams, vec![], "an entry that is not in the list");
+            }
+        }
+    });
+}
--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -249,3 +249,17 @@
         assert!(node.places().has_room("engine-1", node.now()));
     });
 }
+
+#[test]
+fn a_store_that_forgets_at_once_is_not_read_as_fast_as_it_answers() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        rows.set_fault(RowsFault::HistoryGone);
+        let node = followed(&rows);
+        exec::sleep(Duration::from_millis(1_000)).await;
+        let reads = node.metrics.store_calls.with_label_values(&["list", TABLE, "read"]).get();
+        assert!((2..=11).contains(&reads), "{reads} reads in a second");
+        rows.set_fault(RowsFault::None);
+    });
+}
