Own interface: upstreams of evacuated data centres get nothing new; a router that owns no slots lives on what others lend

Cause: the bundle had no way to say it. The test found that a router which owns no upstream of a model refused every request for it at once, with fewer upstreams than routers, instead of borrowing: it never got to the peers.

Change: the bundle names evacuated data centres, in a signed section of its own that is left out while there are none; a name that no upstream has is a mistake. Such a router waits for what the owners lend.

--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -10,7 +10,7 @@
 /// The largest weight of a team.
 const WEIGHT_MOST: u32 = 1_000;
 /// The keys of a bundle.
-const KEYS: &str = "teams, upstreams, models, services, limits";
+const KEYS: &str = "teams, upstreams, evacuated, models, services, limits";
 
 /// Reads and checks a bundle.
 ///
@@ -25,6 +25,7 @@
                 .map(|(name, team)| (name, Arc::new(team)))
                 .collect(),
             upstreams: reader.take_entries(&mut root, "upstreams"),
+            evacuated: reader.take(&mut root, "evacuated").unwrap_or_default(),
             models: reader.take_entries(&mut root, "models"),
             services: reader.take_entries(&mut root, "services"),
             limits: reader.take(&mut root, "limits").unwrap_or_default(),
@@ -49,6 +50,11 @@
             }
         }
     }
+    for data_centre in &bundle.evacuated {
+        if !bundle.upstreams.values().any(|upstream| upstream.data_centre == *data_centre) {
+            reader.add(&["evacuated"], format!("no upstream is in the data centre {data_centre}"));
+        }
+    }
     for (name, model) in &bundle.models {
         if model.default_max_tokens == 0 || model.default_max_tokens > model.context {
             let reason =
--- a/crates/bundle/src/diff.rs
+++ b/crates/bundle/src/diff.rs
@@ -54,6 +54,10 @@
     }
     compare("teams", &old.teams, &new.teams, &mut changes);
     compare("upstreams", &old.upstreams, &new.upstreams, &mut changes);
+    let is_evacuated = |bundle: &Bundle| -> BTreeMap<String, ()> {
+        bundle.evacuated.iter().map(|data_centre| (data_centre.clone(), ())).collect()
+    };
+    compare("evacuated", &is_evacuated(old), &is_evacuated(new), &mut changes);
     compare("models", &old.models, &new.models, &mut changes);
     compare("services", &old.services, &new.services, &mut changes);
     if old.limits != new.limits {
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -3,7 +3,7 @@
 use budget::ledger::Credit;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +15,8 @@
     pub teams: BTreeMap<String, Arc<Team>>,
     /// The model servers by name.
     pub upstreams: BTreeMap<String, Upstream>,
+    /// Data centres whose upstreams get nothing new.
+    pub evacuated: BTreeSet<String>,
     /// The models by the name that callers use.
     pub models: BTreeMap<String, Model>,
     /// The plain services by the name in their path.
@@ -23,6 +25,14 @@
     pub limits: Limits,
 }
 
+impl Bundle {
+    /// The upstreams that may get work: those of evacuated data centres finish what they have.
+    pub fn serving(&self) -> impl Iterator<Item = (&str, &Upstream)> {
+        let all = self.upstreams.iter().map(|(name, upstream)| (name.as_str(), upstream));
+        all.filter(|(_, upstream)| !self.evacuated.contains(&upstream.data_centre))
+    }
+}
+
 /// One team.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -160,6 +160,10 @@
     }
     sections.extend(indexes.into_iter().map(|(group, index)| section(group, &index)));
     sections.push(section("limits".to_owned(), &bundle.limits));
+    // A bundle without it keeps the digest that it had before there was such a section.
+    if !bundle.evacuated.is_empty() {
+        sections.push(section("evacuated".to_owned(), &bundle.evacuated));
+    }
     sections.push(section("models".to_owned(), &bundle.models));
     sections.push(section("services".to_owned(), &bundle.services));
     sections.push(section("upstreams".to_owned(), &bundle.upstreams));
@@ -238,6 +242,7 @@
     for (name, hash) in manifest.sections.iter().filter(|(name, _)| !name.starts_with(GROUP)) {
         let json = get(name, hash, &find)?;
         match name.as_str() {
+            "evacuated" => bundle.evacuated = parse(name, json)?,
             "limits" => bundle.limits = parse(name, json)?,
             "models" => bundle.models = parse(name, json)?,
             "services" => bundle.services = parse(name, json)?,
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -3,7 +3,7 @@
 use budget::ledger::Credit;
 use bundle::{Budget, Bundle, Key, Limits, Model, Route, Service, Team, Upstream, Weighing, hash_key};
 use standin::Shape;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -119,6 +119,7 @@
         Bundle {
             teams: teams.collect(),
             upstreams: upstreams.collect(),
+            evacuated: BTreeSet::new(),
             models,
             services: [("tiles".to_owned(), tiles)].into(),
             limits: self.limits.clone(),
--- a/crates/route/src/board.rs
+++ b/crates/route/src/board.rs
@@ -252,6 +252,11 @@
         self.entries.iter().map(|(name, entry)| (name.clone(), view(name, entry))).collect()
     }
 
+    /// Whether one of its upstreams serves a model, be it busy.
+    pub fn serves(&self, model: &str) -> bool {
+        self.entries.values().any(|entry| !entry.gone && entry.spec.models.iter().any(|one| one == model))
+    }
+
     /// Chooses an upstream and takes one of its slots.
     pub fn pick(&mut self, ask: &Ask<'_>, now: Millis) -> Pick {
         let pick = self.choose(ask, now);
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -157,8 +157,8 @@
 
     /// How many upstreams serve the model.
     fn serving(&self) -> usize {
-        let upstreams = self.entry.bundle.content.upstreams.values();
-        upstreams.filter(|upstream| upstream.models.contains(&self.ask.model)).count()
+        let upstreams = self.entry.bundle.content.serving();
+        upstreams.filter(|(_, upstream)| upstream.models.contains(&self.ask.model)).count()
     }
 
     fn may_retry(&self, number: u32, why: &str) -> Result<(), Refusal> {
--- a/crates/router/src/schedule.rs
+++ b/crates/router/src/schedule.rs
@@ -50,14 +50,14 @@
     pub(crate) fn configure(&self, bundle: &Bundle, view: &View, me: &str) {
         let sharers = view.sharers();
         let upstreams: Vec<(&str, u32)> =
-            bundle.upstreams.iter().map(|(name, upstream)| (name.as_str(), upstream.slots)).collect();
+            bundle.serving().map(|(name, upstream)| (name, upstream.slots)).collect();
         let shares = assign(&upstreams, &sharers);
         let mut state = self.lock();
         let mut mine = HashSet::new();
-        for (name, upstream) in &bundle.upstreams {
-            let owners = &shares[name.as_str()];
+        for (name, upstream) in bundle.serving() {
+            let owners = &shares[name];
             if let Some((_, slots)) = owners.iter().find(|(owner, _)| *owner == me) {
-                mine.insert(name.as_str());
+                mine.insert(name);
                 let spec = Spec {
                     data_centre: upstream.data_centre.clone(),
                     limit: *slots,
@@ -131,6 +131,11 @@
         self.lock().retries.withdraw()
     }
 
+    /// Whether this router owns slots of an upstream that serves a model.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.lock().desk.board.serves(model)
+    }
+
     /// Waits for an upstream; its slot is taken until [`Schedule::end`].
     pub(crate) async fn choose(&self, want: &Want<'_>) -> Result<Choice, Refusal> {
         let (chosen, choice) = async_channel::bounded(1);
@@ -157,10 +162,9 @@
     /// The upstream that all routers prefer for a prefix, and the routers that own it.
     pub(crate) fn home(&self, bundle: &Bundle, model: &str, prefix: u64) -> Option<(String, Vec<String>)> {
         let serving: Vec<&str> = bundle
-            .upstreams
-            .iter()
+            .serving()
             .filter(|(_, upstream)| upstream.models.iter().any(|one| one == model))
-            .map(|(name, _)| name.as_str())
+            .map(|(name, _)| name)
             .collect();
         if serving.is_empty() {
             return None;
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -78,6 +78,10 @@
         }
     }
     let own = async {
+        if !owners.is_empty() && !node.schedule.serves(want.model) {
+            // With fewer upstreams than routers some own none, and live on what the owners lend.
+            exec::sleep(millis(want.deadline.saturating_sub(node.clock.now()))).await;
+        }
         let choice = node.schedule.choose(want).await?;
         let slot = Slot { upstream: choice.upstream.clone(), loan: None, failed: AtomicBool::new(false) };
         Ok((choice, slot))
--- a/src/cmd/ctl/check.rs
+++ b/src/cmd/ctl/check.rs
@@ -25,6 +25,9 @@
             bundle.models.len(),
             bundle.services.len()
         );
+        for data_centre in &bundle.evacuated {
+            println!("upstreams in {data_centre} get nothing new: it is evacuated");
+        }
         Ok(())
     }
 }
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -172,3 +172,47 @@
     let own = &status["upstreams"]["engine-1"];
     own.is_null() || own["leaving"] == leaving
 }
+
+#[test]
+fn upstreams_of_an_evacuated_data_centre_get_nothing_new() {
+    run(async {
+        let mut fleet = fleet(Plan::small()).await;
+        let mut bundle = fleet.bundle.clone();
+        let all: Vec<String> =
+            bundle.upstreams.values().map(|upstream| upstream.data_centre.clone()).collect();
+        let (first, others) = all.split_first().expect("upstreams");
+        assert!(others.iter().any(|other| other != first), "one data centre only: {all:?}");
+        bundle.evacuated.insert(first.clone());
+        fleet.roll(&bundle).await.expect("a bundle");
+        for index in 0..fleet.nodes.len() {
+            fleet
+                .until("the bundle is in force", || async {
+                    fleet.status(index).await.unwrap_or_default()["bundle"]["sequence"].as_u64() == Some(2)
+                })
+                .await;
+        }
+        let started = |fleet: &harness::Fleet| -> Vec<usize> {
+            fleet.engines.iter().map(|engine| engine.ledger().started.len()).collect()
+        };
+        for index in 0..fleet.nodes.len() {
+            // The routers learn of each other's new slots within a moment.
+            fleet
+                .until("each router serves", || async {
+                    let ask = Ask::new("narrator", &format!("First {index}"), 2);
+                    fleet.caller(index).ask(&ask).await.is_whole(&ask)
+                })
+                .await;
+        }
+        let before = started(&fleet);
+        for index in 0..24 {
+            let ask = Ask::new("narrator", &format!("Cell {index}"), 2);
+            let answer = fleet.caller(index % fleet.nodes.len()).ask(&ask).await;
+            assert!(answer.is_whole(&ask), "{answer:?}");
+        }
+        let after = started(&fleet);
+        for (index, data_centre) in all.iter().enumerate().filter(|(_, data_centre)| *data_centre == first) {
+            assert_eq!(after[index], before[index], "engine {index} is in {data_centre}");
+        }
+        stop_all(&mut fleet).await;
+    });
+}
