An upstream that only may have started again is tried where no other is left; emulated returns of a third of all upstreams

Cause: an ejected upstream counted as warming up until long after its ejection, as one that says so. A gateway that is on no list yet takes no part of that, so with all upstreams ejected, or in a young fleet, it refused everything for up to half a minute.

Change: what is suspected is told from what is known. Doubt keeps a gateway from an upstream only while others are left.

--- /dev/null
+++ b/crates/route/examples/warming.rs
@@ -0,0 +1,28 @@
+//! How gateways keep to what upstreams bear while they warm up: `cargo run --release -p route --example warming`.
+//!
+//! Plays the return of a third of all upstreams, twenty seeds for each way and size of fleet.
+
+use emulator::{Bound, Received, Return, play_return};
+
+const SEEDS: u64 = 20;
+const FLEETS: [usize; 5] = [6, 22, 87, 295, 1_400];
+const BOUNDS: [Bound; 4] = [Bound::None, Bound::Heard, Bound::EqualParts, Bound::Ring];
+
+fn main() {
+    println!("gateways bound cut worst-second used datagrams-per-s-and-gateway");
+    for gateways in FLEETS {
+        for bound in BOUNDS {
+            for cut in [0, gateways / 3] {
+                let scene = Return { gateways, upstreams: 30, per_s: 420.0, bound, cut };
+                let all: Vec<Received> = (0..SEEDS).map(|seed| play_return(seed, &scene)).collect();
+                let mean = |of: fn(&Received) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
+                println!(
+                    "{gateways} {bound:?} {cut} {} {:.2} {:.1}",
+                    all.iter().map(|received| received.worst_second).max().unwrap_or(0),
+                    mean(|received| received.used),
+                    mean(|received| received.datagrams_per_s) / gateways as f64,
+                );
+            }
+        }
+    }
+}
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -15,7 +15,7 @@
 use crate::health::{Health, Standing};
 use crate::reads::Reads;
 use crate::signals::Signals;
-use crate::warmup::{Roster, Warming, Warmup};
+use crate::warmup::{Heat, Roster, Warming, Warmup};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -290,14 +290,17 @@
         }
     }
 
-    /// Whether an upstream that warms up bears one more dispatch of this gateway now; a warm one always does.
+    /// Whether an upstream that warms up bears one more dispatch of this gateway now; one that is not known to always does.
     pub fn has_room(&self, name: &str, now: Millis) -> bool {
-        self.upstreams.get(name).is_none_or(|upstream| self.bears(name, upstream, now))
+        self.upstreams.get(name).is_none_or(|upstream| self.bears(name, upstream, Heat::Cold, now))
     }
 
-    fn bears(&self, name: &str, upstream: &Upstream, now: Millis) -> bool {
-        if !upstream.warming.lasts(now) {
-            return true;
+    /// Whether an upstream bears one more dispatch of this gateway now, if those of this heat count as warming up.
+    fn bears(&self, name: &str, upstream: &Upstream, least: Heat, now: Millis) -> bool {
+        match upstream.warming.heat(now) {
+            Heat::Warm => return true,
+            Heat::Unsure if least == Heat::Cold => return true,
+            Heat::Unsure | Heat::Cold => {}
         }
         let warmup = self.warmups.get(&upstream.site.service).copied();
         upstream.warming.admits(name, warmup, &self.roster, now)
@@ -322,16 +325,19 @@
 
     /// Chooses the upstream with the least estimated time to a first answer; `None` if nothing serves the need.
     pub fn choose(&self, need: &Need<'_>, now: Millis) -> Option<Chosen> {
-        let serving = || {
-            self.upstreams.iter().filter(|(name, upstream)| {
+        let serving_from = |least: Heat| {
+            self.upstreams.iter().filter(move |(name, upstream)| {
                 upstream.site.service == need.service
                     && !upstream.leaving
                     && !self.is_evacuated(upstream)
                     && self.signals.admits(name, now)
-                    && self.bears(name, upstream, now)
+                    && self.bears(name, upstream, least, now)
                     && !need.avoid.iter().any(|avoid| avoid == *name)
             })
         };
+        // Where all may have started again, what gets nothing serves nobody.
+        let least = if serving_from(Heat::Unsure).next().is_some() { Heat::Unsure } else { Heat::Cold };
+        let serving = || serving_from(least);
         let any_fit = serving().any(|(_, upstream)| upstream.is_fit(now));
         let candidates: SmallVec<[(&str, &Upstream); 32]> = serving()
             .filter(|(_, upstream)| !any_fit || upstream.is_fit(now))
@@ -578,7 +584,7 @@
         let until = upstream.health.eject(now, false);
         // It may have started again, which the list tells later than the first gateways try it.
         if let Some(warmup) = self.warmups.get(&upstream.site.service) {
-            upstream.warming.begin(until.saturating_sub(now) + warmup.lasts_ms, now);
+            upstream.warming.suspect(until.saturating_sub(now) + warmup.lasts_ms, now);
         }
         upstream.parts.clear();
         upstream.order.clear();
--- a/crates/route/src/warmup.rs
+++ b/crates/route/src/warmup.rs
@@ -135,10 +135,20 @@
     }
 }
 
+/// Whether an upstream is warm.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Heat {
+    Warm,
+    /// It may have started again, and nothing says so yet.
+    Unsure,
+    Cold,
+}
+
 /// How one upstream warms up.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Warming {
     until: Millis,
+    unsure_until: Millis,
     /// Dispatches of this gateway within the last span: those before it was known to warm up count too.
     sent: SmallVec<[Millis; 4]>,
 }
@@ -149,15 +159,26 @@
         self.until = self.until.max(now + ms.min(LONGEST_MS));
     }
 
+    /// Takes in that it may warm up for so many milliseconds from now on.
+    pub(crate) fn suspect(&mut self, ms: Millis, now: Millis) {
+        self.unsure_until = self.unsure_until.max(now + ms.min(LONGEST_MS));
+    }
+
     /// Notes a dispatch.
     pub(crate) fn send(&mut self, now: Millis) {
         self.sent.retain(|at| now.saturating_sub(*at) < SPAN_MS);
         self.sent.push(now);
     }
 
-    /// Whether it warms up.
-    pub(crate) fn lasts(&self, now: Millis) -> bool {
-        now < self.until
+    /// Whether it is warm.
+    pub(crate) fn heat(&self, now: Millis) -> Heat {
+        if now < self.until {
+            Heat::Cold
+        } else if now < self.unsure_until {
+            Heat::Unsure
+        } else {
+            Heat::Warm
+        }
     }
 
     /// Whether this gateway may dispatch to it now, while it warms up.
