--- a/crates/gateway/tests/unit/snapshot.rs
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -16,10 +16,24 @@
     }
 }
 
-fn gateway(name: &str, rows: &TableRows) -> Arc<Node<Plain, TableRows>> {
+/// A node that follows the list until it is dropped: tasks that outlive their test take processor time from the others.
+struct Gateway {
+    node: Arc<Node<Plain, TableRows>>,
+    _watch: smol::Task<()>,
+}
+
+impl std::ops::Deref for Gateway {
+    type Target = Node<Plain, TableRows>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.node
+    }
+}
+
+fn gateway(name: &str, rows: &TableRows) -> Gateway {
     let node = node(name, 1, rows);
-    exec::spawn(watch::upstreams(node.clone())).detach();
-    node
+    let watch = exec::spawn(watch::upstreams(node.clone()));
+    Gateway { node, _watch: watch }
 }
 
 async fn until(what: &str, is_so: impl Fn() -> bool) {
