Decode, log and count request limits named by upstreams

Operators could not see that an upstream had named a request limit, because the adapter ignored the header. The port now decodes it, and the limit is reported by the log line `upstream: event=limit-named` and the counter `tallypaddle_upstream_limits_named_total`. The gateway's behavior is otherwise unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::event::Splitter;
 use crate::job::{Job, Overdue, Seat};
 use crate::manifest::Kind;
-use crate::ports::{Reply, Wire};
+use crate::ports::{Malformed, Reply, Wire};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
@@ -214,33 +214,33 @@
             let started = node.listings().get(upstream).and_then(|listing| listing.started);
             node.hints.tell_leaving(upstream, started);
         }
-        match node.wire.warmup_ms(head) {
-            Ok(None) => {}
-            Ok(Some(ms)) => node.places().warm_up(upstream, ms, node.now()),
-            Err(error) => {
-                log::warn!(
-                    "upstream: event=unreadable upstream={upstream} request={} {error}",
-                    self.request.ask.id
-                );
-            }
+        if let Some(ms) = self.value_or_warn(upstream, node.wire.warmup_ms(head)) {
+            node.places().warm_up(upstream, ms, node.now());
         }
-        match node.wire.rest_ms(head) {
-            Ok(None) => {}
-            Ok(Some(asked_ms)) => {
-                let ms = node.places().rest(upstream, asked_ms, node.now());
-                log::info!(
-                    "upstream: event=rests upstream={upstream} ms={ms} asked-ms={asked_ms} request={}",
-                    self.request.ask.id
-                );
-                node.metrics.rests.inc();
-            }
-            Err(error) => {
-                log::warn!(
-                    "upstream: event=unreadable upstream={upstream} request={} {error}",
-                    self.request.ask.id
-                );
-            }
+        if let Some(asked_ms) = self.value_or_warn(upstream, node.wire.rest_ms(head)) {
+            let ms = node.places().rest(upstream, asked_ms, node.now());
+            log::info!(
+                "upstream: event=rests upstream={upstream} ms={ms} asked-ms={asked_ms} request={}",
+                self.request.ask.id
+            );
+            node.metrics.rests.inc();
         }
+        if let Some(per_s) = self.value_or_warn(upstream, node.wire.limit_per_s(head)) {
+            log::info!(
+                "upstream: event=limit-named upstream={upstream} per-s={per_s} request={}",
+                self.request.ask.id
+            );
+            node.metrics.limits_named.inc();
+        }
+    }
+
+    /// Returns the value decoded from an answer; logs a warning and returns `None` if decoding failed.
+    fn value_or_warn<T>(&self, upstream: &str, decoded: Result<Option<T>, Malformed>) -> Option<T> {
+        decoded.unwrap_or_else(|error| {
+            let request = &self.request.ask.id;
+            log::warn!("upstream: event=unreadable upstream={upstream} request={request} {error}");
+            None
+        })
     }
 
     /// Reads a short answer to its end, so that its connection can be kept.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub leaving: IntCounter,
     /// Refusals of upstreams that asked for rest.
     pub rests: IntCounter,
+    /// Upstream answers with a valid request limit.
+    pub limits_named: IntCounter,
     /// Runs that broke off because their upstream ended.
     pub runs_lost: IntCounter,
     /// Requests that are denied since they end upstreams.
@@ -112,6 +114,10 @@
                 "Upstreams that said in an answer that they leave.",
             ),
             rests: counter("tallypaddle_upstream_rests_total", "Refusals of upstreams that asked for rest."),
+            limits_named: counter(
+                "tallypaddle_upstream_limits_named_total",
+                "Answers in which upstreams named a request limit.",
+            ),
             runs_lost: counter(
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -165,6 +165,12 @@
     /// Says what can't be read.
     fn warmup_ms(&self, head: &response::Parts) -> Result<Option<u64>, Malformed>;
 
+    /// The upstream's request limit, in requests per second across all gateways, if the head of its answer names one.
+    ///
+    /// # Errors
+    /// Returns [`Malformed`] if the head names a limit but no valid value.
+    fn limit_per_s(&self, head: &response::Parts) -> Result<Option<f64>, Malformed>;
+
     /// Names the request in an answer of the router's own.
     fn label(&self, id: &str, headers: &mut HeaderMap);
 }
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -72,6 +72,10 @@
         Ok(None)
     }
 
+    fn limit_per_s(&self, _: &response::Parts) -> Result<Option<f64>, Malformed> {
+        Ok(None)
+    }
+
     fn label(&self, _: &str, _: &mut HeaderMap) {}
 }
 
