Enforce request limits named by upstreams across all gateways

Callers of other requests were not affected.

Cause: no type of the gateway stored the limit, so nothing bounded the requests of all gateways together.

Change: each gateway takes its part of the rate from the hash ring over the list of gateways that already divides requests to upstreams that warm up. The ring moves to route::roster. A gateway that is new, or whose list or heartbeat has expired, takes a part of half the rate.

The limit persists when the upstream's entry disappears from the list. It ends when another life of the upstream begins, or with a successful answer to a later request that names no limit. Gateways tell each other when a limit begins, changes by more than a quarter or ends, and every 20 s. Gateways without a part that receive no news for a minute check in turn whether the limit still holds. If all upstreams of a service have reached their limits, requests are refused at once with a time to retry.

--- a/crates/emulator/src/warming.rs
+++ b/crates/emulator/src/warming.rs
@@ -6,7 +6,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::place::{Need, Places, Site};
-use route::warmup::{Roster, SPAN_MS, Warmup};
+use route::roster::{Roster, SPAN_MS};
+use route::warmup::Warmup;
 use std::collections::{HashMap, VecDeque};
 
 /// How long the upstreams warm up, in milliseconds.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::event::Splitter;
 use crate::job::{Job, Overdue, Seat};
+use crate::limits;
 use crate::manifest::Kind;
 use crate::ports::{Malformed, Reply, Wire};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -91,7 +92,7 @@
             .map_or(usize::MAX, |service| service.connections);
         let request = self.request(&chosen.upstream, after_event);
         let Some(seat) = Seat::take(self, chosen) else {
-            return First::Withdrawn("it warms up, and bears no more now".to_owned());
+            return First::Withdrawn("it accepts no more requests now".to_owned());
         };
         if self.request.ask.prompt.is_some() && node.hints.tells(chosen.uncached, node.now()) {
             let told = node.places().tell(chosen);
@@ -182,7 +183,7 @@
         let (head, body) = response.into_parts();
         let reply = self.node.wire.reply(&head, &self.request.ask.id);
         if reply != Reply::OtherUpstream {
-            self.heed(&seat.upstream, &head);
+            self.heed(seat, &head, reply);
         }
         match reply {
             Reply::Stray => Read::Other(First::Lost("the answer belongs to another request".to_owned())),
@@ -202,8 +203,9 @@
     }
 
     /// Takes in what an upstream says of itself, before its answer is passed on.
-    fn heed(&self, upstream: &str, head: &response::Parts) {
+    fn heed(&self, seat: &Seat<W, S>, head: &response::Parts, reply: Reply) {
         let node = &self.node;
+        let upstream = seat.upstream.as_str();
         if node.wire.leaves(head) && node.places().leave(upstream, node.now()) {
             log::info!(
                 "upstream: event=leaves upstream={upstream} told-by=answer request={}",
@@ -225,24 +227,34 @@
             );
             node.metrics.rests.inc();
         }
-        if let Some(per_s) = self.value_or_warn(upstream, node.wire.limit_per_s(head)) {
-            log::info!(
-                "upstream: event=limit-named upstream={upstream} per-s={per_s} request={}",
-                self.request.ask.id
-            );
-            node.metrics.limits_named.inc();
+        let is_success = reply == Reply::Sound && head.status.is_success();
+        match node.wire.limit_per_s(head) {
+            // A refusal may come from only a part of the upstream, so only a successful answer can end a limit.
+            Ok(None) if !is_success => {}
+            Ok(per_s) => {
+                let request = &self.request.ask.id;
+                limits::observe(
+                    node,
+                    &limits::Answer { upstream, request, dispatched: seat.dispatched, per_s },
+                );
+            }
+            Err(error) => self.warn_unreadable(upstream, &error),
         }
     }
 
     /// Returns the value decoded from an answer; logs a warning and returns `None` if decoding failed.
     fn value_or_warn<T>(&self, upstream: &str, decoded: Result<Option<T>, Malformed>) -> Option<T> {
         decoded.unwrap_or_else(|error| {
-            let request = &self.request.ask.id;
-            log::warn!("upstream: event=unreadable upstream={upstream} request={request} {error}");
+            self.warn_unreadable(upstream, &error);
             None
         })
     }
 
+    fn warn_unreadable(&self, upstream: &str, error: &Malformed) {
+        let request = &self.request.ask.id;
+        log::warn!("upstream: event=unreadable upstream={upstream} request={request} {error}");
+    }
+
     /// Reads a short answer to its end, so that its connection can be kept.
     async fn finish(&self, lease: net::Lease, body: Incoming) {
         match net::collect(body, ANSWER_LIMIT).await {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -283,7 +283,8 @@
         is_allowed
     }
 
-    /// The refusal of a request that no upstream ran, if all of them rest: when the first one takes work again.
+    /// The refusal of a request that no upstream ran, if all of them rest or have reached their limits. It says when the
+    /// first one accepts requests again.
     fn resting(&self) -> Option<Refusal> {
         if self.tries().ran > 0 {
             return None;
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -1,5 +1,5 @@
-//! Telling the other gateways of dispatches, of upstreams that leave, and of requests that end upstreams: whoever sends a prompt behind
-//! others' would wait for them, and whoever runs such a request would lose an upstream.
+//! Tells the other gateways of dispatches, of upstreams that leave or limit requests, and of requests that end upstreams.
+//! Otherwise prompts would queue behind those of other gateways, and further upstreams would run such requests and end.
 //!
 //! A hint is a datagram. One that tells of a dispatch and is lost costs a worse choice, nothing else; the other kinds are sent more than once,
 //! and denials are kept in the store as well. One that can't be read, comes from a stranger or comes again changes nothing and is counted.
@@ -25,7 +25,8 @@
 /// Datagrams that are sent in a row before other work goes on: about a fifth of a millisecond.
 const IN_A_ROW: usize = 16;
 /// The pauses before each datagram that is sent more than once.
-const PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
+pub(crate) const PAUSES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
 
 /// What one gateway tells the others.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -38,6 +39,9 @@
     Quarantine(Word),
     /// An upstream said in an answer that it leaves: the life that started then, if it says when.
     Leaving { upstream: String, started: Option<u64> },
+    /// The request limit that an upstream names in its answers, in requests per second from all gateways together; `None`
+    /// if it no longer names one.
+    Limit { upstream: String, started: Option<u64>, per_s: Option<f64> },
 }
 
 /// A hint with its place among those of its sender.
@@ -134,6 +138,11 @@
         self.repeat(Hint::Leaving { upstream: upstream.to_owned(), started }, Audience::All);
     }
 
+    /// Tells all gateways once of an upstream's request limit, or of its end.
+    pub(crate) fn tell_limit(&self, upstream: &str, started: Option<u64>, per_s: Option<f64>) {
+        self.send(Hint::Limit { upstream: upstream.to_owned(), started, per_s });
+    }
+
     /// Sends a hint more than once, since datagrams are lost.
     fn repeat(self: &Arc<Hints>, hint: Hint, audience: Audience) {
         let hints = self.clone();
@@ -221,6 +230,9 @@
     match &hint.hint {
         Hint::Dispatch { told, .. } if !told.is_sound() => Err(Unfit::Unreadable),
         Hint::Quarantine(word) if !word.is_sound() => Err(Unfit::Unreadable),
+        Hint::Limit { per_s: Some(per_s), .. } if !(per_s.is_finite() && *per_s >= 0.0) => {
+            Err(Unfit::Unreadable)
+        }
         _ => Ok(hint),
     }
 }
@@ -244,6 +256,9 @@
                 Ok(Hint::Division { service, short }) => node.follow_division(&service, &short),
                 Ok(Hint::Quarantine(word)) => crate::quarantine::hear(&node, &word),
                 Ok(Hint::Leaving { upstream, started }) => hear_leaving(&node, &upstream, started),
+                Ok(Hint::Limit { upstream, started, per_s }) => {
+                    crate::limits::hear(&node, &upstream, started, per_s);
+                }
                 Err(unfit) => {
                     log::debug!("hints: event=dropped reason={} from={from}", unfit.name());
                     node.metrics.hints_dropped.with_label_values(&[unfit.name()]).inc();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -149,12 +149,14 @@
 pub(crate) struct Seat<W: Wire, S: Rows> {
     node: Arc<Node<W, S>>,
     pub upstream: String,
+    /// When the request was dispatched.
+    pub dispatched: Millis,
     ticket: Ticket,
     is_read: bool,
 }
 
 impl<W: Wire, S: Rows> Seat<W, S> {
-    /// `None` if the upstream warms up and another request took its last place since it was chosen.
+    /// Returns `None` if the upstream accepts no more requests now, because others were dispatched since it was chosen.
     pub(crate) fn take(job: &Job<W, S>, chosen: &Chosen) -> Option<Seat<W, S>> {
         let node = job.node.clone();
         let now = node.now();
@@ -164,7 +166,7 @@
         }
         let ticket = places.begin(chosen, job.prompt().as_ref(), now);
         drop(places);
-        Some(Seat { node, upstream: chosen.upstream.clone(), ticket, is_read: false })
+        Some(Seat { node, upstream: chosen.upstream.clone(), dispatched: now, ticket, is_read: false })
     }
 
     /// Notes that the prompt was read: the first answer came.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod hints;
 mod holding;
 mod job;
+mod limits;
 pub mod manifest;
 mod members;
 mod metrics;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,77 @@
+//! Request limits that upstreams name in their answers, and the exchange of these limits between gateways.
+
+use crate::hints::PAUSES;
+use crate::node::Node;
+use crate::ports::Wire;
+use net::exec;
+use route::{LimitUpdate, Millis};
+use std::sync::Arc;
+use std::time::Duration;
+use store::rows::Rows;
+
+/// An answer of an upstream, and the request limit that it names.
+pub(crate) struct Answer<'a> {
+    pub upstream: &'a str,
+    /// The identifier of the request.
+    pub request: &'a str,
+    /// When the request was dispatched.
+    pub dispatched: Millis,
+    /// The limit, in requests per second from all gateways together; `None` if the answer names none.
+    pub per_s: Option<f64>,
+}
+
+/// Records the limit that an answer names, or that it names none, and tells the other gateways if they need to know.
+pub(crate) fn observe<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, answer: &Answer<'_>) {
+    let Answer { upstream, request, dispatched, per_s } = *answer;
+    let update = node.places().update_limit(upstream, per_s, dispatched, node.now());
+    match update {
+        LimitUpdate::Unchanged => {}
+        LimitUpdate::Renewed => tell(node, upstream, &PAUSES[..1]),
+        LimitUpdate::Named => {
+            let per_s = per_s.unwrap_or_default();
+            log::info!(
+                "upstream: event=limit-named upstream={upstream} per-s={per_s} told-by=answer request={request}"
+            );
+            node.metrics.limits_named.inc();
+            tell(node, upstream, &PAUSES);
+        }
+        LimitUpdate::Lifted => {
+            log::info!("upstream: event=limit-lifted upstream={upstream} told-by=answer request={request}");
+            tell(node, upstream, &PAUSES);
+        }
+    }
+}
+
+/// Tells the other gateways of an upstream's limit after each of `pauses`, since datagrams can be lost. Each datagram carries
+/// the limit known when it is sent.
+fn tell<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, upstream: &str, pauses: &'static [Duration]) {
+    let (node, upstream) = (node.clone(), upstream.to_owned());
+    exec::spawn(async move {
+        for pause in pauses {
+            exec::sleep(*pause).await;
+            let started = node.listings().get(&upstream).and_then(|listing| listing.started);
+            let per_s = node.places().limit_per_s(&upstream);
+            node.hints.tell_limit(&upstream, started, per_s);
+        }
+    })
+    .detach();
+}
+
+/// Records what another gateway reports about an upstream's limit, if it refers to the life that is listed here.
+pub(crate) fn hear<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    upstream: &str,
+    started: Option<u64>,
+    per_s: Option<f64>,
+) {
+    let is_meant = node.listings().get(upstream).is_some_and(|listing| listing.started == started);
+    if !is_meant || !node.places().hear_limit(upstream, per_s, node.now()) {
+        return;
+    }
+    match per_s {
+        Some(per_s) => {
+            log::info!("upstream: event=limit-named upstream={upstream} per-s={per_s} told-by=gateway");
+        }
+        None => log::info!("upstream: event=limit-lifted upstream={upstream} told-by=gateway"),
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -37,7 +37,8 @@
     Stopping,
     /// No upstream serves it now.
     NoUpstream,
-    /// Every upstream that serves it asked for rest; when one takes work again, in milliseconds.
+    /// Every upstream that serves it asked for rest or has reached its request limit; the time until the first one
+    /// accepts requests again, in milliseconds.
     Resting(u64),
     /// Every upstream tried refused it or could not be reached.
     NotRun,
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -93,6 +93,25 @@
     assert!(heard(denied(&[long.as_str(); 8])).is_ok(), "the longest fits into a datagram");
 }
 
+#[test]
+fn a_request_limit_comes_out_as_it_was_and_counts_only_if_it_is_a_rate() {
+    let heard = |per_s: Option<f64>| {
+        let hint = Hint::Limit { upstream: "i-7f3a91c2".to_owned(), started: Some(1_778_271_008_034), per_s };
+        let bytes = encode(&Numbered { number: 1_778_271_008_034_000, hint });
+        assert!(bytes.len() < 48, "{} bytes", bytes.len());
+        match listening().accept(&bytes, address(1)) {
+            Ok(Hint::Limit { per_s, .. }) => Ok(per_s),
+            Ok(other) => panic!("{other:?}"),
+            Err(unfit) => Err(unfit),
+        }
+    };
+    assert_eq!(heard(Some(2.2)), Ok(Some(2.2)));
+    assert_eq!(heard(None), Ok(None));
+    assert_eq!(heard(Some(-1.0)), Err(Unfit::Unreadable));
+    assert_eq!(heard(Some(f64::NAN)), Err(Unfit::Unreadable));
+    assert_eq!(heard(Some(f64::INFINITY)), Err(Unfit::Unreadable));
+}
+
 #[test]
 fn no_bytes_make_a_gateway_panic_or_believe_the_impossible() {
     let mut random = SmallRng::seed_from_u64(7);
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -13,9 +13,11 @@
 use crate::division::{Division, Member};
 use crate::engine::{self, Model, Pace};
 use crate::health::{Health, Standing};
+use crate::limit::LimitUpdate;
 use crate::reads::Reads;
+use crate::roster::Roster;
 use crate::signals::Signals;
-use crate::warmup::{Heat, Roster, Warming, Warmup};
+use crate::warmup::{Heat, Warming, Warmup};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -290,13 +292,40 @@
         }
     }
 
-    /// Whether an upstream that warms up bears one more dispatch of this gateway now; one that is not known to always does.
+    /// Records the request limit that an upstream's answer names, in requests per second from all gateways together;
+    /// `None` if it names none. The answered request was dispatched at `dispatched`.
+    pub fn update_limit(
+        &mut self,
+        name: &str,
+        per_s: Option<f64>,
+        dispatched: Millis,
+        now: Millis,
+    ) -> LimitUpdate {
+        let sent = self.upstreams.get(name).map(|upstream| upstream.warming.sent(now)).unwrap_or_default();
+        self.signals.update_limit(name, per_s, dispatched, &sent, now)
+    }
+
+    /// Records what another gateway reports about an upstream's request limit. Returns whether the limit begins or ends.
+    pub fn hear_limit(&mut self, name: &str, per_s: Option<f64>, now: Millis) -> bool {
+        let sent = self.upstreams.get(name).map(|upstream| upstream.warming.sent(now)).unwrap_or_default();
+        self.signals.hear_limit(name, per_s, &sent, now)
+    }
+
+    /// The request limit of an upstream, in requests per second from all gateways together, if it named one.
+    pub fn limit_per_s(&self, name: &str) -> Option<f64> {
+        self.signals.limit_per_s(name)
+    }
+
+    /// Whether an upstream accepts one more dispatch of this gateway now; a warm-up or a request limit may prevent it.
     pub fn has_room(&self, name: &str, now: Millis) -> bool {
         self.upstreams.get(name).is_none_or(|upstream| self.bears(name, upstream, Heat::Cold, now))
     }
 
     /// Whether an upstream bears one more dispatch of this gateway now, if those of this heat count as warming up.
     fn bears(&self, name: &str, upstream: &Upstream, least: Heat, now: Millis) -> bool {
+        if self.signals.limit_wait_ms(name, &self.roster, now) > 0 {
+            return false;
+        }
         match upstream.warming.heat(now) {
             Heat::Warm => return true,
             Heat::Unsure if least == Heat::Cold => return true,
@@ -311,7 +340,8 @@
         self.upstreams.get(name).is_none_or(|upstream| upstream.leaving) || self.signals.leaves(name)
     }
 
-    /// How long all upstreams of a service still rest, in milliseconds; `None` if one takes work, or none is there.
+    /// The time until the first upstream of a service accepts requests again, in milliseconds, if all of them rest or
+    /// have reached their limits; `None` if one accepts requests now, or none is left.
     pub fn rests_ms(&self, service: &str, now: Millis) -> Option<Millis> {
         let stays = |(name, upstream): &(&String, &Upstream)| {
             upstream.site.service == service
@@ -320,7 +350,10 @@
                 && !self.signals.leaves(name)
         };
         let staying = self.upstreams.iter().filter(stays);
-        staying.map(|(name, _)| self.signals.rests_ms(name, now)).min().filter(|ms| *ms > 0)
+        let wait_ms = |name: &str| {
+            self.signals.rests_ms(name, now).max(self.signals.limit_wait_ms(name, &self.roster, now))
+        };
+        staying.map(|(name, _)| wait_ms(name)).min().filter(|ms| *ms > 0)
     }
 
     /// Chooses the upstream with the least estimated time to a first answer; `None` if nothing serves the need.
@@ -381,6 +414,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&chosen.upstream) {
             upstream.open += 1;
             upstream.warming.send(now);
+            self.signals.send(&chosen.upstream, now);
             let parts = prompt.map(|prompt| prompt.parts).unwrap_or_default();
             parts.iter().for_each(|part| upstream.remember(part.id, now));
         }
--- /dev/null
+++ b/crates/route/src/roster.rs
@@ -0,0 +1,175 @@
+//! One gateway's list of all gateways, and its part of the requests that an upstream accepts from all of them together.
+//!
+//! Gateways share no counts, so each determines its part from its own list. The gateways are placed on a hash ring.
+//! Of the requests that an upstream accepts per period, the first one goes to the first gateway at or after the
+//! upstream's point on the ring, the second one to the next gateway, and so on, cyclically.
+//!
+//! The sum stays within what the upstream accepts even if lists differ. A surplus entry in a list only reduces the parts of
+//! others, so it is enough that each gateway which takes part knows all others that do. [`Roster`] sees to that: a gateway takes part
+//! while its list is not older than [`Roster::list_lasts_ms`], while its heartbeat is confirmed, and not before all lists that
+//! lack it have run out.
+
+use crate::Millis;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time within which a gateway dispatches its part once, in milliseconds: a second, and the time by which one request may be
+/// longer on its way than the next.
+pub const SPAN_MS: Millis = 1_250;
+/// How long a list is used beyond the time that two reads of it take, in milliseconds: calls to a slow store.
+const LIST_SLACK_MS: Millis = 2_000;
+
+/// The gateways on a hash ring.
+#[derive(Clone, Debug)]
+struct Ring {
+    /// In rising order, this gateway's included.
+    points: Vec<u64>,
+    own: u64,
+}
+
+impl Ring {
+    fn new<'a>(own: &str, others: impl Iterator<Item = &'a str>) -> Ring {
+        let own = xxh3_64(own.as_bytes());
+        let mut points: Vec<u64> = others.map(|name| xxh3_64(name.as_bytes())).chain([own]).collect();
+        points.sort_unstable();
+        points.dedup();
+        Ring { points, own }
+    }
+
+    /// How many gateways stand between an upstream's point and this gateway.
+    fn rank(&self, upstream: &str) -> usize {
+        let count = self.points.len();
+        let index = |point: u64| self.points.partition_point(|other| *other < point);
+        let first = index(xxh3_64(upstream.as_bytes())) % count;
+        (index(self.own) + count - first) % count
+    }
+
+    /// This gateway's part of so many requests.
+    fn part(&self, upstream: &str, requests: usize) -> usize {
+        requests.saturating_sub(self.rank(upstream)).div_ceil(self.points.len())
+    }
+}
+
+/// The list of gateways as one of them read it, and whether it may act by it.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    ring: Option<Ring>,
+    /// Until when the list counts.
+    list_until: Millis,
+    /// Until when the last heartbeat counts.
+    beat_until: Millis,
+    /// When the current list was requested.
+    list_asked: Millis,
+    /// A list requested at this time or later names all gateways that started together with this one; `None` while this
+    /// one is not listed.
+    joining_listed_from: Option<Millis>,
+    /// When the list and the heartbeat last became valid after one of them had expired.
+    current_since: Millis,
+    /// From when on all lists that count name this gateway; `None` while it is not listed.
+    named_from: Option<Millis>,
+}
+
+impl Roster {
+    /// How long a list counts that is read every `interval_ms`, in milliseconds.
+    pub fn list_lasts_ms(interval_ms: Millis) -> Millis {
+        2 * interval_ms + LIST_SLACK_MS
+    }
+
+    /// How long a gateway that is new to the list takes no part, in milliseconds: other gateways may read theirs less often, and
+    /// an answer may be older than its arrival.
+    pub fn join_ms(interval_ms: Millis) -> Millis {
+        2 * Roster::list_lasts_ms(interval_ms)
+    }
+
+    /// Takes in a list that was asked for at `asked` and is read every `interval_ms`. `own_up_ms` is how long this gateway, or an earlier process of
+    /// its name, had run by its row, if that is listed.
+    pub fn read<'a>(
+        &mut self,
+        own: &str,
+        listed: impl Iterator<Item = &'a str>,
+        own_up_ms: Option<Millis>,
+        asked: Millis,
+        interval_ms: Millis,
+    ) {
+        self.update_current_since(asked);
+        self.ring = Some(Ring::new(own, listed.filter(|name| *name != own)));
+        self.list_asked = asked;
+        self.list_until = asked + Roster::list_lasts_ms(interval_ms);
+        match own_up_ms {
+            // An earlier process was in all lists already, and may have dispatched its part just before it ended.
+            Some(up_ms) if self.named_from.is_none() && up_ms >= Roster::join_ms(interval_ms) => {
+                self.named_from = Some(asked + SPAN_MS);
+            }
+            Some(_) => {}
+            None => self.leave(),
+        }
+    }
+
+    /// Takes in that a heartbeat which was sent at `sent` was confirmed at `now`, and counts for `lasts_ms`.
+    pub fn beat(&mut self, sent: Millis, now: Millis, lasts_ms: Millis, interval_ms: Millis) {
+        self.update_current_since(now);
+        self.beat_until = sent + lasts_ms;
+        if self.named_from.is_none() {
+            self.named_from = Some(now + Roster::join_ms(interval_ms));
+            self.joining_listed_from = Some(now + LIST_SLACK_MS);
+        }
+    }
+
+    fn update_current_since(&mut self, now: Millis) {
+        if !self.is_current(now) {
+            self.current_since = now;
+        }
+    }
+
+    /// Takes no part any more: this gateway takes its row out of the list.
+    pub fn leave(&mut self) {
+        self.named_from = None;
+        self.joining_listed_from = None;
+    }
+
+    /// This gateway's part of `requests`. It is 0 while this gateway is joining, or its list or heartbeat has expired,
+    /// since the other gateways may then divide all requests among themselves.
+    pub(crate) fn part(&self, upstream: &str, requests: usize, now: Millis) -> usize {
+        self.ring.as_ref().filter(|_| self.takes_part(now)).map_or(0, |ring| ring.part(upstream, requests))
+    }
+
+    /// Like [`Roster::part`], but a gateway that is joining, or whose list or heartbeat has expired, takes a part of half
+    /// the requests, so that it can still use the upstream. Together with the gateways that divide all requests, such
+    /// gateways send up to one and a half times `requests`.
+    pub(crate) fn part_or_half(&self, upstream: &str, requests: usize, now: Millis) -> usize {
+        let Some(ring) = &self.ring else { return 0 };
+        if self.takes_part(now) {
+            ring.part(upstream, requests)
+        } else if self.lists_joining(now) || self.took_part(now) {
+            ring.part(upstream, requests / 2)
+        } else {
+            0
+        }
+    }
+
+    /// Whether the list is valid and names the gateways that started together with this one.
+    fn lists_joining(&self, now: Millis) -> bool {
+        self.is_current(now) && self.joining_listed_from.is_some_and(|from| from <= self.list_asked)
+    }
+
+    /// Whether this gateway took part until its list or heartbeat expired.
+    fn took_part(&self, now: Millis) -> bool {
+        self.named_from.is_some_and(|from| from <= now && self.is_current(from))
+    }
+
+    /// The number of gateways between an upstream's point on the ring and this gateway, and when this gateway began to
+    /// take part; `None` if it takes no part.
+    pub(crate) fn rank(&self, upstream: &str, now: Millis) -> Option<(usize, Millis)> {
+        let ring = self.ring.as_ref().filter(|_| self.takes_part(now))?;
+        Some((ring.rank(upstream), self.current_since.max(self.named_from?)))
+    }
+
+    fn takes_part(&self, now: Millis) -> bool {
+        let is_named = self.named_from.is_some_and(|from| from <= now);
+        is_named && self.is_current(now)
+    }
+
+    /// Whether neither the list nor the heartbeat has expired.
+    fn is_current(&self, now: Millis) -> bool {
+        now < self.list_until && now < self.beat_until
+    }
+}
--- a/crates/route/src/signals.rs
+++ b/crates/route/src/signals.rs
@@ -7,6 +7,8 @@
 //! has. It gets nothing for so long, also if no other upstream is left: callers are told at once when the first one takes work again.
 
 use crate::Millis;
+use crate::limit::{Limit, LimitUpdate};
+use crate::roster::Roster;
 use std::collections::HashMap;
 
 /// How long an upstream's word is remembered, in milliseconds: one that leaves is gone long before.
@@ -18,11 +20,13 @@
 const RETURN_MS: u64 = 500;
 
 /// What one upstream said.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Signal {
     leaves: bool,
     /// Until when it wants nothing.
     rests_until: Millis,
+    /// The request limit that it named.
+    limit: Option<Limit>,
     heard: Millis,
 }
 
@@ -45,6 +49,77 @@
         ms
     }
 
+    /// Records the limit that an answer names, or that it names none. The answered request was dispatched at
+    /// `dispatched`; `sent` holds the times of this gateway's recent dispatches.
+    pub(crate) fn update_limit(
+        &mut self,
+        upstream: &str,
+        per_s: Option<f64>,
+        dispatched: Millis,
+        sent: &[Millis],
+        now: Millis,
+    ) -> LimitUpdate {
+        let Some(per_s) = per_s else { return self.lift(upstream, dispatched) };
+        match &mut self.signal(upstream, now).limit {
+            Some(limit) => limit.confirm(per_s, now),
+            limit => {
+                *limit = Some(Limit::new(per_s, sent, now));
+                LimitUpdate::Named
+            }
+        }
+    }
+
+    /// Records that the answer to a request names no limit. Answers can arrive out of order, so the limit ends only if
+    /// the request was dispatched after the limit was last confirmed.
+    fn lift(&mut self, upstream: &str, dispatched: Millis) -> LimitUpdate {
+        let Some(signal) = self.0.get_mut(upstream) else { return LimitUpdate::Unchanged };
+        match signal.limit.take_if(|limit| limit.is_older_than(dispatched)) {
+            Some(_) => LimitUpdate::Lifted,
+            None => LimitUpdate::Unchanged,
+        }
+    }
+
+    /// Records what another gateway reports about an upstream's limit. Returns whether the limit begins or ends.
+    pub(crate) fn hear_limit(
+        &mut self,
+        upstream: &str,
+        per_s: Option<f64>,
+        sent: &[Millis],
+        now: Millis,
+    ) -> bool {
+        let limit = &mut self.signal(upstream, now).limit;
+        let Some(per_s) = per_s else { return limit.take().is_some() };
+        match limit {
+            Some(limit) => {
+                limit.hear(per_s, now);
+                false
+            }
+            None => {
+                *limit = Some(Limit::new(per_s, sent, now));
+                true
+            }
+        }
+    }
+
+    /// The limit of an upstream, in requests per second, if it named one.
+    pub(crate) fn limit_per_s(&self, upstream: &str) -> Option<f64> {
+        Some(self.0.get(upstream)?.limit.as_ref()?.per_s())
+    }
+
+    /// The time until this gateway may dispatch the next request within an upstream's limit, in milliseconds; 0 if it may
+    /// now.
+    pub(crate) fn limit_wait_ms(&self, upstream: &str, roster: &Roster, now: Millis) -> Millis {
+        let limit = self.0.get(upstream).and_then(|signal| signal.limit.as_ref());
+        limit.map_or(0, |limit| limit.wait_ms(upstream, roster, now))
+    }
+
+    /// Records a dispatch to an upstream.
+    pub(crate) fn send(&mut self, upstream: &str, now: Millis) {
+        if let Some(limit) = self.0.get_mut(upstream).and_then(|signal| signal.limit.as_mut()) {
+            limit.send(now);
+        }
+    }
+
     /// Whether an upstream said that it leaves.
     pub(crate) fn leaves(&self, upstream: &str) -> bool {
         self.0.get(upstream).is_some_and(|signal| signal.leaves)
@@ -57,7 +132,7 @@
 
     /// Whether an upstream takes work, as far as it said itself.
     pub(crate) fn admits(&self, upstream: &str, now: Millis) -> bool {
-        !self.leaves(upstream) && self.rests_ms(upstream, now) == 0
+        self.0.get(upstream).is_none_or(|signal| !signal.leaves && signal.rests_until <= now)
     }
 
     /// Forgets what an upstream said: another life of it began.
--- /dev/null
+++ b/crates/route/tests/limits.rs
@@ -0,0 +1,217 @@
+//! Request limits of upstreams, divided among gateways that share no counts.
+//!
+//! Guards against upstreams that get more requests than they accept from all gateways together.
+
+mod fleet;
+
+use fleet::{INTERVAL, Received, UPSTREAMS, send, site, upstream, worst};
+use route::place::{Need, Places};
+use route::roster::Roster;
+use route::{LimitUpdate, Millis};
+
+/// The window in which requests are counted, in milliseconds, and what an upstream may get in it beyond its limit.
+const WINDOW_MS: Millis = 4_000;
+const OVERSHOOT: f64 = 1.5;
+const EXTRA: f64 = 5.0;
+const RATES: [f64; 6] = [0.0, 0.4, 1.5, 2.2, 9.9, 40.0];
+
+fn allowed(per_s: f64) -> u32 {
+    (OVERSHOOT * per_s * WINDOW_MS as f64 / 1_000.0 + EXTRA) as u32
+}
+
+/// Places in which each upstream has named a limit.
+fn limited_places(per_s: f64) -> Places {
+    let mut places = unlimited_places();
+    (0..UPSTREAMS).for_each(|index| _ = places.update_limit(&upstream(index), Some(per_s), 0, 0));
+    places
+}
+
+fn unlimited_places() -> Places {
+    let mut places = Places::new("here");
+    (0..UPSTREAMS).for_each(|index| places.set(&upstream(index), site(), false));
+    places
+}
+
+/// Places of one gateway in a fleet whose gateways all list each other.
+fn fleet_member(number: usize, fleet: usize, mut places: Places) -> Places {
+    let names: Vec<String> = (0..fleet).map(|number| format!("vm-{number}")).collect();
+    let own = &names[number];
+    places.roster.read(own, names.iter().map(String::as_str), Some(Roster::join_ms(INTERVAL)), 0, 1_000_000);
+    places.roster.read(own, names.iter().map(String::as_str), Some(u64::MAX), 0, 1_000_000);
+    places.roster.beat(0, 0, 1_000_000, INTERVAL);
+    places
+}
+
+fn can_dispatch(places: &Places, now: Millis) -> bool {
+    places.choose(&Need { service: "narrator", prompt: None, avoid: &[] }, now).is_some()
+}
+
+#[test]
+fn no_upstream_gets_more_than_its_limit_allows_whatever_gateways_know_of_each_other() {
+    for seed in 0..60 {
+        let fleet = [1, 2, 3, 6, 12, 30][seed as usize % 6];
+        let per_s = RATES[seed as usize / 6 % RATES.len()];
+        // Each dispatch gets an answer that names the limit.
+        let dispatch = |places: &mut Places, now: Millis| {
+            let sent = send(places, now);
+            for index in (0..UPSTREAMS).filter(|index| sent[*index] > 0) {
+                places.update_limit(&upstream(index), Some(per_s), now, now);
+            }
+            sent
+        };
+        let mut received = fleet::play(seed, fleet, || limited_places(per_s), dispatch);
+        received.iter_mut().for_each(|received| received.retain(|received| received.connected));
+        let most = received.iter().map(|received| worst(received, WINDOW_MS)).max().unwrap_or(0);
+        assert!(
+            most <= allowed(per_s),
+            "seed {seed}: {fleet} gateways sent {most}, {per_s} per second allowed"
+        );
+    }
+}
+
+#[test]
+fn fleets_of_every_size_use_most_of_a_limit() {
+    let mut lines = vec![];
+    for fleet in [1, 6, 22, 87, 295, 1_400] {
+        for per_s in RATES {
+            let mut gateways: Vec<Places> =
+                (0..fleet).map(|number| fleet_member(number, fleet, limited_places(per_s))).collect();
+            let mut received = 0;
+            for now in (0..40_000).step_by(100) {
+                received += gateways.iter_mut().flat_map(|places| send(places, now)).sum::<u32>();
+            }
+            let part = f64::from(received) / (UPSTREAMS as f64 * per_s * 40.0);
+            lines.push(format!(
+                "{fleet} gateways, {per_s} per second: {received} requests, {part:.2} of the limit"
+            ));
+        }
+    }
+    insta::assert_debug_snapshot!(lines);
+}
+
+#[test]
+fn a_limit_ends_with_an_answer_to_a_later_request_that_names_none() {
+    let mut places = unlimited_places();
+    let name = upstream(0);
+    assert_eq!(places.update_limit(&name, None, 0, 10), LimitUpdate::Unchanged);
+    assert_eq!(places.update_limit(&name, Some(2.2), 0, 100), LimitUpdate::Named);
+    assert_eq!(places.update_limit(&name, Some(2.2), 50, 200), LimitUpdate::Unchanged);
+    assert_eq!(
+        places.update_limit(&name, None, 150, 210),
+        LimitUpdate::Unchanged,
+        "its request was dispatched before the limit was confirmed"
+    );
+    assert!(!places.has_room(&name, 220), "this gateway is not listed and has no part");
+    assert_eq!(places.update_limit(&name, None, 201, 230), LimitUpdate::Lifted);
+    assert!(places.has_room(&name, 240));
+}
+
+#[test]
+fn other_gateways_are_told_of_changes_and_now_and_then_of_a_limit_that_holds() {
+    let mut places = unlimited_places();
+    let name = upstream(0);
+    let said = [
+        (2.0, 0),
+        (2.2, 100),
+        (2.6, 200),
+        (2.5, 300),
+        (1.9, 400),
+        (1.9, 20_300),
+        (1.9, 20_400),
+        (1.9, 20_500),
+    ];
+    let updates: Vec<LimitUpdate> =
+        said.iter().map(|(per_s, now)| places.update_limit(&name, Some(*per_s), *now, *now)).collect();
+    insta::assert_debug_snapshot!(updates);
+}
+
+#[test]
+fn a_limit_outlasts_the_entry_in_the_list_but_not_the_upstreams_life() {
+    let mut places = unlimited_places();
+    let name = upstream(0);
+    places.update_limit(&name, Some(0.0), 0, 0);
+    places.remove(&name);
+    places.set(&name, site(), false);
+    assert!(!places.has_room(&name, 1));
+    places.forget(&name);
+    places.set(&name, site(), false);
+    assert!(places.has_room(&name, 2));
+}
+
+#[test]
+fn a_gateway_without_a_part_hears_of_a_limit_and_of_its_end() {
+    let mut places = unlimited_places();
+    let name = upstream(0);
+    assert!(places.hear_limit(&name, Some(1.5), 0));
+    assert!(!places.hear_limit(&name, Some(1.0), 1), "only the rate changed");
+    assert_eq!(places.limit_per_s(&name), Some(1.0));
+    assert!(!places.has_room(&name, 2));
+    assert!(places.hear_limit(&name, None, 3));
+    assert!(!places.hear_limit(&name, None, 4));
+    assert!(places.has_room(&name, 5));
+}
+
+#[test]
+fn gateways_without_news_check_one_after_the_other_whether_a_limit_still_holds() {
+    const FLEET: usize = 20;
+    let mut gateways: Vec<Places> =
+        (0..FLEET).map(|number| fleet_member(number, FLEET, limited_places(0.1))).collect();
+    let mut received = vec![];
+    for now in (0..240_000).step_by(100) {
+        for places in &mut gateways {
+            received.push(Received { at: now, count: send(places, now)[0], connected: true });
+        }
+    }
+    let mut last = 0;
+    let checks: Vec<Millis> = received
+        .iter()
+        .filter(|received| received.count > 0)
+        .map(|received| received.at - std::mem::replace(&mut last, received.at))
+        .collect();
+    assert!(checks.len() > 20, "{checks:?}");
+    assert!(worst(&received, WINDOW_MS) <= allowed(0.1), "{checks:?}");
+}
+
+#[test]
+fn a_store_outage_leaves_upstreams_half_of_their_limits() {
+    let (fleet, per_s) = (6, 9.9);
+    let mut gateways: Vec<Places> = (0..fleet)
+        .map(|number| {
+            let mut places = limited_places(per_s);
+            let names: Vec<String> = (0..fleet).map(|number| format!("vm-{number}")).collect();
+            places.roster.read(&names[number], names.iter().map(String::as_str), Some(u64::MAX), 0, INTERVAL);
+            places.roster.beat(0, 0, INTERVAL, INTERVAL);
+            places
+        })
+        .collect();
+    let mut received = vec![];
+    for now in (20_000..40_000).step_by(100) {
+        for places in &mut gateways {
+            received.push(Received { at: now, count: send(places, now)[0], connected: true });
+        }
+    }
+    let sum: u32 = received.iter().map(|received| received.count).sum();
+    assert!((40..=99).contains(&sum), "{sum} of 198 in 20 s");
+    assert!(can_dispatch(&gateways[0], 41_300) || can_dispatch(&gateways[1], 41_300));
+}
+
+#[test]
+fn callers_are_told_when_the_first_upstream_accepts_a_request_again() {
+    let mut places = fleet_member(0, 1, limited_places(2.0));
+    assert_eq!(places.rests_ms("narrator", 5_000), None, "there is room");
+    assert_eq!(send(&mut places, 5_000), [4; UPSTREAMS]);
+    assert_eq!(places.rests_ms("narrator", 5_250), Some(2_000));
+    assert!(!can_dispatch(&places, 7_249) && can_dispatch(&places, 7_250));
+}
+
+#[test]
+fn dispatches_just_before_a_limit_count_toward_it() {
+    let mut places = fleet_member(0, 1, unlimited_places());
+    let need = Need { service: "narrator", prompt: None, avoid: &[upstream(1), upstream(2)] };
+    for _ in 0..4 {
+        let chosen = places.choose(&need, 5_000).expect("an upstream");
+        places.begin(&chosen, None, 5_000);
+    }
+    places.update_limit(&upstream(0), Some(2.0), 5_000, 5_100);
+    assert_eq!(places.choose(&need, 5_200), None);
+}
--- a/crates/route/tests/warmup.rs
+++ b/crates/route/tests/warmup.rs
@@ -3,49 +3,17 @@
 //! What users saw: a third of all upstreams came back together, and one of them got 21 requests in a second where 19.9 were allowed. Each
 //! of 87 gateways had chosen it as the one with the least to do.
 
+mod fleet;
+
 use emulator::{Bound, Return, play_return};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use fleet::{INTERVAL, UPSTREAMS, site, upstream, worst};
 use route::Millis;
-use route::place::{Chosen, Need, Places, Site};
-use route::warmup::{Roster, Warmup};
-use std::collections::{BTreeMap, HashMap};
+use route::place::{Need, Places};
+use route::roster::Roster;
+use route::warmup::Warmup;
+use std::collections::HashMap;
 
 const PER_S: f64 = 9.9;
-/// Time between two heartbeats, two reads of the list, and the part of the heartbeats' lease that is the gateway's own.
-const PERIOD: Millis = 1_500;
-const INTERVAL: Millis = 3_000;
-const LEASE: Millis = 6_000;
-/// After so long without a heartbeat a row is taken out of the list.
-const FORGOTTEN: Millis = 12_000;
-/// How old an answer of the store may be when it arrives.
-const OLDEST: Millis = 1_500;
-const UPSTREAMS: usize = 3;
-
-/// The names of gateways, each with how long its process had run by its row.
-type Listed = Vec<(String, Millis)>;
-
-/// A gateway as the play knows it.
-struct Gateway {
-    name: String,
-    places: Places,
-    started: Millis,
-    next_read: Millis,
-    next_beat: Millis,
-    /// An answer to a read that is on its way: when it arrives, when it was asked for, and the rows.
-    reading: Option<(Millis, Millis, Listed)>,
-    /// The confirmation of a heartbeat that is on its way: when it arrives, and when the heartbeat was sent.
-    beating: Option<(Millis, Millis)>,
-    cut: bool,
-}
-
-fn upstream(index: usize) -> String {
-    format!("engine-{index}")
-}
-
-fn site() -> Site {
-    Site { service: "narrator".to_owned(), data_centre: "here".to_owned(), slots: 48 }
-}
 
 fn places(per_s: f64) -> Places {
     let mut places = Places::new("here");
@@ -54,127 +22,18 @@
     places
 }
 
-impl Gateway {
-    fn new(name: String, now: Millis, random: &mut SmallRng) -> Gateway {
-        Gateway {
-            name,
-            places: places(PER_S),
-            started: now,
-            next_read: now,
-            next_beat: now + random.gen_range(100..400),
-            reading: None,
-            beating: None,
-            cut: false,
-        }
-    }
-}
-
 /// Sends as much as it may to the upstreams, all of which warm up all the time; how many requests each got.
 fn send(places: &mut Places, now: Millis) -> [u32; UPSTREAMS] {
-    let mut sent = [0; UPSTREAMS];
     (0..UPSTREAMS).for_each(|index| places.warm_up(&upstream(index), 60_000, now));
-    let need = Need { service: "narrator", prompt: None, avoid: &[] };
-    while let Some(chosen) = places.choose(&need, now) {
-        let index: usize = chosen.upstream["engine-".len()..].parse().expect("a number");
-        sent[index] += 1;
-        dispatch(places, &chosen, now);
-    }
-    sent
-}
-
-fn dispatch(places: &mut Places, chosen: &Chosen, now: Millis) {
-    let ticket = places.begin(chosen, None, now);
-    places.end(&chosen.upstream, ticket, now);
-}
-
-/// Plays a fleet whose gateways start, end, are killed and cut off from the store at random; the most requests that one upstream got in a second.
-fn worst_second(seed: u64, fleet: usize) -> u32 {
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut rows: BTreeMap<String, (Millis, Millis)> = BTreeMap::new();
-    let mut gateways: Vec<Gateway> =
-        (0..fleet).map(|index| Gateway::new(format!("vm-{index}"), 0, &mut random)).collect();
-    let mut names = fleet;
-    let mut seen: [Vec<(Millis, u32)>; UPSTREAMS] = Default::default();
-    for now in (0..120_000).step_by(20) {
-        if random.gen_bool(0.01) {
-            let index = random.gen_range(0..gateways.len());
-            match random.gen_range(0..5) {
-                // Killed, and back under its name.
-                0 => gateways[index] = Gateway::new(gateways[index].name.clone(), now, &mut random),
-                1 => gateways[index].cut = !gateways[index].cut,
-                // All are cut off, or none.
-                2 => {
-                    let cut = random.gen_bool(0.3);
-                    gateways.iter_mut().for_each(|gateway| gateway.cut = cut);
-                }
-                3 => {
-                    names += 1;
-                    gateways.push(Gateway::new(format!("vm-{names}"), now, &mut random));
-                }
-                _ if gateways.len() > 2 => {
-                    let gone = gateways.swap_remove(index);
-                    if random.gen_bool(0.5) {
-                        rows.remove(&gone.name);
-                    }
-                }
-                _ => {}
-            }
-        }
-        rows.retain(|_, (beaten, _)| now - *beaten < FORGOTTEN);
-        for gateway in &mut gateways {
-            let interval = INTERVAL + random.gen_range(0..500);
-            if now >= gateway.next_read && gateway.reading.is_none() && !gateway.cut {
-                let listed = rows.iter().map(|(name, (_, up))| (name.clone(), *up)).collect();
-                gateway.reading = Some((now + random.gen_range(0..OLDEST), now, listed));
-                gateway.next_read = now + interval;
-            }
-            if let Some((arrives, asked, listed)) = gateway.reading.take() {
-                if now < arrives {
-                    gateway.reading = Some((arrives, asked, listed));
-                } else {
-                    let own = listed.iter().find(|(name, _)| *name == gateway.name).map(|(_, up)| *up);
-                    let names = listed.iter().map(|(name, _)| name.as_str());
-                    gateway.places.roster.read(&gateway.name, names, own, asked, INTERVAL);
-                }
-            }
-            if now >= gateway.next_beat && gateway.beating.is_none() && !gateway.cut {
-                rows.insert(gateway.name.clone(), (now, now - gateway.started));
-                // Of some, the answer is lost.
-                let answer = random.gen_bool(0.9).then(|| (now + random.gen_range(0..OLDEST), now));
-                gateway.beating = answer;
-                gateway.next_beat = now + PERIOD;
-            }
-            if let Some((arrives, sent)) = gateway.beating.filter(|(arrives, _)| now >= *arrives) {
-                gateway.places.roster.beat(sent, arrives, LEASE, INTERVAL);
-                gateway.beating = None;
-            }
-            let sent = send(&mut gateway.places, now);
-            for (seen, count) in seen.iter_mut().zip(sent).filter(|(_, count)| *count > 0) {
-                seen.push((now, count));
-            }
-        }
-    }
-    seen.iter().map(|seen| worst(seen)).max().unwrap_or(0)
-}
-
-fn worst(seen: &[(Millis, u32)]) -> u32 {
-    let (mut first, mut sum, mut most) = (0, 0, 0);
-    for (at, count) in seen {
-        sum += count;
-        while seen[first].0 + 1_000 <= *at {
-            sum -= seen[first].1;
-            first += 1;
-        }
-        most = most.max(sum);
-    }
-    most
+    fleet::send(places, now)
 }
 
 #[test]
 fn no_upstream_that_warms_up_gets_more_than_it_bears_whatever_gateways_know() {
     for seed in 0..40 {
         let fleet = [2, 3, 6, 12, 30][seed as usize % 5];
-        let most = worst_second(seed, fleet);
+        let seen = fleet::play(seed, fleet, || places(PER_S), send);
+        let most = seen.iter().map(|seen| worst(seen, 1_000)).max().unwrap_or(0);
         assert!(most <= PER_S as u32, "seed {seed}: {fleet} gateways sent {most} in a second");
         assert!(most > 0, "seed {seed}: {fleet} gateways sent nothing");
     }
