Keep repeats of low-traffic services in large fleets within the bound

With at least as many routers as the extra allows repeats, each router could hold one whole repeat, however small its share was. Without the fix, the new test fails with 1.16 at 295 routers and 10 requests per second (extra 56).

After the first window of its life, a router that can hold less than one repeat now repeats with a probability of 0.8 times what it has left, sampled by a hash of the request identifier, and holds no more than its part of the extra. Routers whose part is one repeat or more are unchanged, and so is the one repeat with which each life starts: a large fleet that is restarted at once while all requests fail can still exceed the bound. The new test passes for 6 to 1,400 routers and 5 to 1,300 requests per second, with five seeds each.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -263,8 +263,9 @@
     /// Takes one repeat out of the service's window.
     pub(crate) fn repeat(&self, reason: &str) -> bool {
         let service = &self.request.service;
+        let chance = xxh3_64(self.request.ask.id.as_bytes()) as f64 / u64::MAX as f64;
         let (is_allowed, count) =
-            self.node.window(service, |window, now| (window.repeat(now), window.count(now)));
+            self.node.window(service, |window, now| (window.repeat(now, chance), window.count(now)));
         let event = match is_allowed {
             true => "repeat",
             false => "repeat-denied",
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -4,10 +4,10 @@
 //! ```
 //! let mut window = route::Window::new(route::Terms { ratio: 0.5, extra: 4.0, length: 10_000 }, 0);
 //! window.set_routers(Some(2));
-//! assert!(window.repeat(0), "a router that has just started may repeat once");
-//! assert!(!window.repeat(0));
+//! assert!(window.repeat(0, 0.5), "a router that has just started may repeat once");
+//! assert!(!window.repeat(0, 0.5));
 //! (0..4).for_each(|_| window.request(0));
-//! assert!(window.repeat(0), "requests bring more");
+//! assert!(window.repeat(0, 0.5), "requests allow further repeats");
 //! ```
 
 use crate::Millis;
@@ -21,6 +21,9 @@
 const GATHERED: f64 = 0.3;
 /// What a life of a router starts with: so that the first request that fails is tried again.
 const START: f64 = 1.0;
+/// Scales the probability of a repeat at a router that can hold less than one. It is below one, since the number of
+/// routers that repeat at the same time varies.
+const PROBABILITY_SCALE: f64 = 0.8;
 /// Requests within one bucket are counted together, in milliseconds.
 const BUCKET: Millis = 100;
 
@@ -91,10 +94,13 @@
         self.add(FLOW * self.terms.ratio, now);
     }
 
-    /// Counts a repeat, if one is allowed.
-    pub fn repeat(&mut self, now: Millis) -> bool {
+    /// Counts a repeat if one is allowed, and returns whether it is. If this router can hold less than one repeat, as in a
+    /// large fleet, a repeat is allowed with a probability proportional to what is left. `chance` is uniformly distributed
+    /// between 0 and 1.
+    pub fn repeat(&mut self, now: Millis, chance: f64) -> bool {
         self.fill(now);
-        let is_allowed = self.left >= 1.0;
+        let is_sampled = self.most(now) < 1.0 && chance < PROBABILITY_SCALE * self.left;
+        let is_allowed = self.left >= 1.0 || is_sampled;
         self.left -= f64::from(u8::from(is_allowed));
         is_allowed
     }
@@ -116,10 +122,25 @@
         self.left = (self.left + repeats).min(self.most(now));
     }
 
-    /// The most that may gather. At least one repeat, so that a router with few requests can repeat at all.
+    /// The most repeats that this router may hold.
     fn most(&mut self, now: Millis) -> f64 {
         let allowed = self.terms.ratio * f64::from(self.requests(now)) + self.extra(now);
-        (GATHERED * allowed).max(1.0)
+        (GATHERED * allowed).max(self.least(now))
+    }
+
+    /// The minimum that this router may hold. It is one, so that a router with few requests can repeat at all. After the first
+    /// window it is the part of its share of the extra that may gather, if that is less: a large fleet would exceed the bound if
+    /// each router could hold one repeat.
+    fn least(&self, now: Millis) -> f64 {
+        match self.routers {
+            Some(_) if !self.is_new(now) => (GATHERED * self.extra(now)).min(START),
+            _ => START,
+        }
+    }
+
+    /// Whether this router is in the first window of its life.
+    fn is_new(&self, now: Millis) -> bool {
+        now.saturating_sub(self.started) < self.terms.length
     }
 
     /// This router's share of the extra. None in the first window of its life, when it does not know yet how many routers there
@@ -127,9 +148,7 @@
     /// (`tests/windows.rs`).
     fn extra(&self, now: Millis) -> f64 {
         match self.routers {
-            Some(routers) if now.saturating_sub(self.started) >= self.terms.length => {
-                self.terms.extra / f64::from(routers)
-            }
+            Some(routers) if !self.is_new(now) => self.terms.extra / f64::from(routers),
             _ => 0.0,
         }
     }
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -164,7 +164,7 @@
         window.request(now);
         requests.push(now);
         // Everything is tried again as often as it may be.
-        while window.repeat(now) {
+        while window.repeat(now, 0.5) {
             repeats.push(now);
         }
     }
--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -7,6 +7,8 @@
 //! second before the stop, 180 in the nine seconds after it. Besides, a gateway that knew of few others divided the
 //! extra by those.
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use route::{Millis, Terms, Window};
 
 const TERMS: Terms = Terms { ratio: 0.2, extra: 56.0, length: 10_000 };
@@ -47,7 +49,7 @@
         if at >= started.max(failing) && now.is_multiple_of(10) {
             for (index, window) in windows.iter_mut().enumerate() {
                 window.set_routers(known(index, at - started));
-                seen.repeats[now] += u32::from(window.repeat(at));
+                seen.repeats[now] += u32::from(window.repeat(at, 0.5));
             }
         }
     }
@@ -112,3 +114,42 @@
     let steady = worst(&play(78, 0, &[], known));
     assert!((0.55..=1.0).contains(&steady), "repeats reach {steady:.2} of what is allowed, steadily");
 }
+
+/// The largest part of what is allowed that the repeats of one window reach, with Poisson arrivals at random routers and
+/// all requests failing in the second half.
+fn worst_with_poisson_arrivals(routers: u32, per_s: f64, seed: u64) -> f64 {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut windows: Vec<Window> = (0..routers).map(|_| Window::new(TERMS, 0)).collect();
+    let mut seen = Seen { requests: vec![0; 60 * SECOND], repeats: vec![0; 60 * SECOND] };
+    let mut arrival = 0.0;
+    loop {
+        arrival += -random.gen_range(f64::MIN_POSITIVE..1.0_f64).ln() * SECOND as f64 / per_s;
+        let now = arrival as usize;
+        if now >= seen.requests.len() {
+            return worst(&seen);
+        }
+        let window = &mut windows[random.gen_range(0..routers as usize)];
+        window.set_routers(Some(routers));
+        window.request(now as Millis);
+        seen.requests[now] += 1;
+        if now > 30 * SECOND {
+            seen.repeats[now] += u32::from(window.repeat(now as Millis, random.r#gen()));
+        }
+    }
+}
+
+/// Guards against large fleets exceeding the bound because each router can hold one whole repeat.
+#[test]
+fn repeats_stay_within_the_bound_across_fleet_sizes_and_request_rates() {
+    for routers in [6, 22, 87, 295, 1_400] {
+        for per_s in [5.0, 10.0, 27.0, 100.0, 400.0, 1_300.0] {
+            for seed in 0..5 {
+                let worst = worst_with_poisson_arrivals(routers, per_s, seed);
+                assert!(
+                    worst <= 1.0,
+                    "{routers} routers, {per_s} requests per second, seed {seed}: repeats reach {worst:.2} of what is allowed"
+                );
+            }
+        }
+    }
+}
