A request right after its budget was opened is not refused while other routers hold idle tokens

Callers received 503 `budget-elsewhere` at once.

Cause: the settlement that opens a budget draws a share, but sends no call for idle tokens, since no request is waiting yet. A request that arrived just after it treated that settlement as fresh proof that the tokens could not be had, so the other routers were never asked.

Change: such a refusal now requires a recent call for tokens. Without one, the request waits for a settlement that sends the call.

The new test waits for that settlement; it failed before the change ("Err(Elsewhere)").

--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -131,16 +131,21 @@
         }
     }
 
-    /// Whether the other routers should be asked for idle tokens now.
+    /// Whether the other routers should be asked for idle tokens now. If so, records the time of the call.
     pub(crate) fn may_recall(&mut self, now: u64, rivals: u64) -> bool {
-        let again = RECALL_AGAIN_MS.max(rivals * RECALL_SHARE_MS);
-        let may = self.asked.is_none_or(|asked| now.saturating_sub(asked) >= again);
+        let may = !self.has_recent_recall(now, rivals);
         if may {
             self.asked = Some(now);
         }
         may
     }
 
+    /// Whether the latest known call for idle tokens is too recent for another one.
+    pub(crate) fn has_recent_recall(&self, now: u64, rivals: u64) -> bool {
+        let again = RECALL_AGAIN_MS.max(rivals * RECALL_SHARE_MS);
+        self.asked.is_some_and(|asked| now.saturating_sub(asked) < again)
+    }
+
     /// Whether nothing is held, in use or unsettled.
     pub(crate) fn is_empty(&self) -> bool {
         self.batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -149,7 +149,12 @@
                 return Ok(Reservation::here(self, state.life, tokens));
             }
             let is_fresh = now.saturating_sub(state.latest.began) < EMPTY_MS;
-            if let Some(denied) = state.denied(tokens).filter(|_| is_fresh) {
+            let is_conclusive = |denied: &Denied| match denied {
+                // A settlement without waiting requests, such as the opening one, sends no call for tokens.
+                Denied::Elsewhere => state.has_recent_recall(now, self.rivals()),
+                Denied::Spent | Denied::Away => true,
+            };
+            if let Some(denied) = state.denied(tokens).filter(|denied| is_fresh && is_conclusive(denied)) {
                 return Err(denied);
             }
             state.begun
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -204,3 +204,24 @@
         assert!(held.is_ok(), "the call was not heard: {held:?}");
     });
 }
+
+/// Guards against refusing on the result of the opening settlement, which sends no call for tokens.
+#[test]
+fn a_request_just_after_its_budget_was_opened_waits_for_tokens_of_other_routers() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (started("vm-1", &rows, 1, 10_000), started("vm-2", &rows, 1, 10_000));
+        drop(purse(&one).reserve(1_000, PATIENCE).await.expect("tokens"));
+        until(&rows, "the first router holds its share", |pool| pool.outstanding >= 3_000).await;
+        let purse = purse(&two);
+        for _ in 0..2_000 {
+            if purse.lock().latest.settled {
+                break;
+            }
+            net::exec::sleep(Duration::from_millis(1)).await;
+        }
+        assert!(purse.lock().latest.settled, "the budget was never opened");
+        let held = purse.reserve(9_500, PATIENCE).await;
+        assert!(held.is_ok(), "refused although the other router holds idle tokens: {held:?}");
+    });
+}
