--- a/crates/gateway/tests/unit/members.rs
+++ b/crates/gateway/tests/unit/members.rs
@@ -85,3 +85,16 @@
         assert_eq!((pool.spent, pool.outstanding), (10_000 + held, 0));
     });
 }
+
+#[test]
+fn gateways_of_a_large_fleet_open_no_more_connections_than_an_upstream_accepts() {
+    const ALL: usize = 360;
+    exec::block_on(async {
+        let node = router();
+        for fleet in [6, 87, 295, 1_400] {
+            node.fleet.store(fleet, Ordering::Relaxed);
+            let sum = node.connections(ALL) * fleet as usize;
+            assert!(sum <= ALL, "{fleet} gateways open up to {sum} connections of {ALL}");
+        }
+    });
+}
