--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -20,17 +20,11 @@
 /// The names of gateways, each with how long its process had run by its row.
 type Listed = Vec<(String, Millis)>;
 
-/// A gateway counts as connected again after this time without a fault of its own.
-const CONNECTED_AFTER: Millis = 3_000;
-
 /// Requests that an upstream got from one gateway at the same time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Received {
     pub(crate) at: Millis,
     pub(crate) count: u32,
-    /// Whether the gateway has run for [`CONNECTED_AFTER`] without losing the store, other than in an outage of the store.
-    #[allow(dead_code, reason = "not read by every test")]
-    pub(crate) connected: bool,
 }
 
 /// A gateway as the play knows it.
@@ -45,10 +39,6 @@
     /// The confirmation of a heartbeat that is on its way: when it arrives, and when the heartbeat was sent.
     beating: Option<(Millis, Millis)>,
     cut: bool,
-    /// Whether it is cut off by a fault of its own, not by an outage of the store.
-    cut_alone: bool,
-    /// When it last started, was cut off alone, or was reconnected after that.
-    disturbed: Millis,
 }
 
 pub(crate) fn upstream(index: usize) -> String {
@@ -70,18 +60,7 @@
             reading: None,
             beating: None,
             cut: false,
-            cut_alone: false,
-            disturbed: now,
-        }
-    }
-
-    /// Cuts the gateway off from the store, or reconnects it. `alone` is false in an outage of the store.
-    fn set_cut(&mut self, cut: bool, alone: bool, now: Millis) {
-        if self.cut_alone || alone {
-            self.disturbed = now;
         }
-        self.cut = cut;
-        self.cut_alone = cut && alone;
     }
 }
 
@@ -122,13 +101,12 @@
                         Gateway::new(gateways[index].name.clone(), now, new_places(), &mut random)
                 }
                 1 => {
-                    let cut = !gateways[index].cut;
-                    gateways[index].set_cut(cut, true, now);
+                    gateways[index].cut = !gateways[index].cut;
                 }
                 // All are cut off, or none.
                 2 => {
                     let cut = random.gen_bool(0.3);
-                    gateways.iter_mut().for_each(|gateway| gateway.set_cut(cut, false, now));
+                    gateways.iter_mut().for_each(|gateway| gateway.cut = cut);
                 }
                 3 => {
                     names += 1;
@@ -172,9 +150,8 @@
                 gateway.beating = None;
             }
             let sent = send(&mut gateway.places, now);
-            let connected = !gateway.cut_alone && now >= gateway.disturbed + CONNECTED_AFTER;
             for (seen, count) in seen.iter_mut().zip(sent).filter(|(_, count)| *count > 0) {
-                seen.push(Received { at: now, count, connected });
+                seen.push(Received { at: now, count });
             }
         }
     }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -59,8 +59,7 @@
             }
             sent
         };
-        let mut received = fleet::play(seed, fleet, || limited_places(per_s), dispatch);
-        received.iter_mut().for_each(|received| received.retain(|received| received.connected));
+        let received = fleet::play(seed, fleet, || limited_places(per_s), dispatch);
         let most = received.iter().map(|received| worst(received, WINDOW_MS)).max().unwrap_or(0);
         assert!(
             most <= allowed(per_s),
@@ -159,7 +158,7 @@
     let mut received = vec![];
     for now in (0..240_000).step_by(100) {
         for places in &mut gateways {
-            received.push(Received { at: now, count: send(places, now)[0], connected: true });
+            received.push(Received { at: now, count: send(places, now)[0] });
         }
     }
     let mut last = 0;
@@ -187,7 +186,7 @@
     let mut received = vec![];
     for now in (20_000..40_000).step_by(100) {
         for places in &mut gateways {
-            received.push(Received { at: now, count: send(places, now)[0], connected: true });
+            received.push(Received { at: now, count: send(places, now)[0] });
         }
     }
     let sum: u32 = received.iter().map(|received| received.count).sum();
