--- a/crates/gateway/tests/unit/members.rs
+++ b/crates/gateway/tests/unit/members.rs
@@ -88,13 +88,16 @@
 
 #[test]
 fn gateways_of_a_large_fleet_open_no_more_connections_than_an_upstream_accepts() {
-    const ALL: usize = 360;
+    const CONNECTION_LIMIT: usize = 360;
     exec::block_on(async {
         let node = router();
         for fleet in [6, 87, 295, 1_400] {
             node.fleet.store(fleet, Ordering::Relaxed);
-            let sum = node.connections(ALL) * fleet as usize;
-            assert!(sum <= ALL, "{fleet} gateways open up to {sum} connections of {ALL}");
+            let sum = node.connections(CONNECTION_LIMIT) * fleet as usize;
+            assert!(
+                sum <= CONNECTION_LIMIT,
+                "{fleet} gateways may open {sum} connections to an upstream that accepts {CONNECTION_LIMIT}"
+            );
         }
     });
 }
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -205,7 +205,8 @@
     });
 }
 
-/// Guards against refusing on the result of the opening settlement, which sends no call for tokens.
+/// Guards against refusing a request on the result of the settlement that opened the budget, which sends no call for
+/// tokens.
 #[test]
 fn a_request_just_after_its_budget_was_opened_waits_for_tokens_of_other_routers() {
     net::exec::block_on(async {
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -21,8 +21,8 @@
 const GATHERED: f64 = 0.3;
 /// What a life of a router starts with: so that the first request that fails is tried again.
 const START: f64 = 1.0;
-/// Scales the probability of a repeat at a router that can hold less than one. It is below one, since the number of
-/// routers that repeat at the same time varies.
+/// Scales the probability of a repeat at a router whose capacity is below one repeat. It is below one to leave headroom,
+/// since the number of routers that repeat at the same time varies.
 const PROBABILITY_SCALE: f64 = 0.8;
 /// Requests within one bucket are counted together, in milliseconds.
 const BUCKET: Millis = 100;
@@ -94,9 +94,9 @@
         self.add(FLOW * self.terms.ratio, now);
     }
 
-    /// Counts a repeat if one is allowed, and returns whether it is. If this router can hold less than one repeat, as in a
-    /// large fleet, a repeat is allowed with a probability proportional to what is left. `chance` is uniformly distributed
-    /// between 0 and 1.
+    /// Counts a repeat if one is allowed, and returns whether it is. If the capacity is below one repeat, as in a large fleet,
+    /// a repeat is allowed with a probability proportional to what is left, which may then become negative. `chance` must be
+    /// uniformly distributed between 0 and 1.
     pub fn repeat(&mut self, now: Millis, chance: f64) -> bool {
         self.fill(now);
         let is_sampled = self.most(now) < 1.0 && chance < PROBABILITY_SCALE * self.left;
@@ -122,24 +122,24 @@
         self.left = (self.left + repeats).min(self.most(now));
     }
 
-    /// The most repeats that this router may hold.
+    /// The capacity of the token bucket, in repeats.
     fn most(&mut self, now: Millis) -> f64 {
         let allowed = self.terms.ratio * f64::from(self.requests(now)) + self.extra(now);
-        (GATHERED * allowed).max(self.least(now))
+        (GATHERED * allowed).max(self.min_capacity(now))
     }
 
-    /// The minimum that this router may hold. It is one, so that a router with few requests can repeat at all. After the first
-    /// window it is the part of its share of the extra that may gather, if that is less: a large fleet would exceed the bound if
-    /// each router could hold one repeat.
-    fn least(&self, now: Millis) -> f64 {
+    /// The lower bound of the capacity. It is one repeat in the first window and while the number of routers is unknown, so
+    /// that a router with few requests can repeat at all. Otherwise it is limited to the part of this router's share of the
+    /// extra that may gather: a large fleet would exceed the bound if each router could hold one repeat.
+    fn min_capacity(&self, now: Millis) -> f64 {
         match self.routers {
-            Some(_) if !self.is_new(now) => (GATHERED * self.extra(now)).min(START),
+            Some(_) if !self.is_in_first_window(now) => (GATHERED * self.extra(now)).min(START),
             _ => START,
         }
     }
 
-    /// Whether this router is in the first window of its life.
-    fn is_new(&self, now: Millis) -> bool {
+    /// Whether less than one window has passed since this router started.
+    fn is_in_first_window(&self, now: Millis) -> bool {
         now.saturating_sub(self.started) < self.terms.length
     }
 
@@ -148,7 +148,7 @@
     /// (`tests/windows.rs`).
     fn extra(&self, now: Millis) -> f64 {
         match self.routers {
-            Some(routers) if !self.is_new(now) => self.terms.extra / f64::from(routers),
+            Some(routers) if !self.is_in_first_window(now) => self.terms.extra / f64::from(routers),
             _ => 0.0,
         }
     }
