Consider a bounded part of the upstreams for a request, in an order of each gateway's own

Change: each service's upstreams stand in an order of the gateway's own (rendezvous hashing). A request considers the first 160 that accept it, or as many as give each upstream 16 gateways; a quarter of them in other data centres. A prompt part has its home among 160 upstreams that follow its point on a ring, by the same hash as before, so fleets of up to 160 upstreams choose as before but for ties.

--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -188,7 +188,7 @@
             (0..scenario.slowdowns.len()).map(|engine| format!("engine-{engine:03}")).collect();
         let data_centre = |index: usize| format!("dc-{}", index % scenario.data_centres);
         let router = |index| {
-            let mut placer = Placer::new(&data_centre(index));
+            let mut placer = Placer::new(&data_centre(index)).with_gateway(&format!("router-{index}"));
             for (engine, name) in names.iter().enumerate() {
                 let slots = scenario.engine.slots as u32;
                 let info =
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -110,7 +110,7 @@
             owners: Owners::new(&settings.name, settings.cores()),
             peer_reservations: Arc::new(PeerReservations::new(&holder)),
             holder,
-            placer: Mutex::new(Placer::new(&settings.data_centre)),
+            placer: Mutex::new(Placer::new(&settings.data_centre).with_gateway(&settings.name)),
             wire,
             rows: MeteredRows::new(failover.clone(), &metrics),
             failover,
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -5,9 +5,11 @@
 //! its cache and the load from other routers stay predictable. If a service has engines for both, long and
 //! short prompts go to different engines.
 
+mod candidates;
 mod estimate;
 mod upstream;
 
+use self::candidates::{Candidates, Group};
 use self::estimate::{EngineEstimator, estimate_plain, median_call_ms};
 use self::upstream::{AwaitingDispatch, RunningDispatch, Service, Upstream};
 use crate::Millis;
@@ -22,6 +24,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The weight of a new outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
@@ -140,6 +143,13 @@
     pub since: DispatchTotals,
 }
 
+impl UpstreamInfo {
+    /// Whether another upstream runs the same service in the same data centre.
+    fn is_placed_like(&self, other: &UpstreamInfo) -> bool {
+        self.service == other.service && self.data_centre == other.data_centre
+    }
+}
+
 impl DispatchHint {
     /// Whether the values are plausible for a dispatch. Those of an altered message may be anything.
     pub fn is_plausible(&self) -> bool {
@@ -167,7 +177,11 @@
 #[derive(Clone, Debug)]
 pub struct Placer {
     data_centre: String,
+    /// The seed of this gateway's order of upstreams; `None` for an order by name.
+    order_seed: Option<u64>,
     upstreams: BTreeMap<String, Upstream>,
+    /// The names of each service's upstreams, in this gateway's order.
+    groups: HashMap<String, Group>,
     /// Kept even if the upstreams disappear from the list.
     signals: Signals,
     /// Data centres whose upstreams get no requests, on the operators' request.
@@ -186,7 +200,9 @@
     pub fn new(data_centre: &str) -> Placer {
         Placer {
             data_centre: data_centre.to_owned(),
+            order_seed: None,
             upstreams: BTreeMap::new(),
+            groups: HashMap::new(),
             signals: Signals::default(),
             evacuated: BTreeSet::new(),
             warmups: HashMap::new(),
@@ -198,8 +214,24 @@
         }
     }
 
+    /// Prefers the upstreams in an order of this gateway's own where their costs are equal. With the same
+    /// order everywhere, gateways that know nothing of each other's dispatches would all choose the same
+    /// upstream. Without a gateway's name, the order is that of the upstreams' names.
+    ///
+    /// Call it before upstreams are added.
+    pub fn with_gateway(mut self, name: &str) -> Placer {
+        self.order_seed = Some(xxh3_64(name.as_bytes()));
+        self
+    }
+
     /// Adds or changes an upstream.
     pub fn set(&mut self, name: &str, info: UpstreamInfo, leaving: bool) {
+        if self.upstreams.get(name).is_none_or(|upstream| !upstream.info.is_placed_like(&info)) {
+            self.remove_from_group(name);
+            let is_near = info.data_centre == self.data_centre;
+            let group = self.groups.entry(info.service.clone()).or_default();
+            group.insert(name, self.order_seed, is_near);
+        }
         match self.upstreams.get_mut(name) {
             Some(upstream) => {
                 upstream.info = info;
@@ -230,12 +262,20 @@
     /// Removes an upstream that is no longer listed. What it signalled about itself stays in force, since its
     /// entry may come back.
     pub fn remove(&mut self, name: &str) {
+        self.remove_from_group(name);
         self.upstreams.remove(name);
     }
 
+    fn remove_from_group(&mut self, name: &str) {
+        let Some(Upstream { info, .. }) = self.upstreams.get(name) else { return };
+        if let Some(group) = self.groups.get_mut(&info.service) {
+            group.remove(name, self.order_seed, info.data_centre == self.data_centre);
+        }
+    }
+
     /// Removes an upstream and all that it signalled, because a new instance of it has started.
     pub fn forget(&mut self, name: &str) {
-        self.upstreams.remove(name);
+        self.remove(name);
         self.signals.forget(name);
     }
 
@@ -374,33 +414,13 @@
     /// Chooses the upstream with the lowest cost, which is mainly the estimated time to the first answer;
     /// `None` if no upstream fits the request.
     pub fn choose(&self, request: &PlacementRequest<'_>, now: Millis) -> Option<Placement> {
-        let serving_from = |limited_from: WarmupState| {
-            self.upstreams.iter().filter(move |(name, upstream)| {
-                upstream.info.service == request.service
-                    && !upstream.leaving
-                    && !self.is_evacuated(upstream)
-                    && self.signals.admits(name, now)
-                    && self.has_capacity(name, upstream, limited_from, now)
-                    && !request.avoid.iter().any(|avoid| avoid == *name)
-            })
-        };
-        // If all upstreams may have restarted, those that are not known to have done so are not limited:
-        // otherwise none would accept the request.
-        let limited_from = if serving_from(WarmupState::Uncertain).next().is_some() {
-            WarmupState::Uncertain
-        } else {
-            WarmupState::WarmingUp
-        };
-        let serving = || serving_from(limited_from);
-        let is_any_available = serving().any(|(_, upstream)| upstream.is_available(now));
-        let candidates: SmallVec<[(&str, &Upstream); 32]> = serving()
-            .filter(|(_, upstream)| !is_any_available || upstream.is_available(now))
-            .map(|(name, upstream)| (name.as_str(), upstream))
-            .collect();
         let unknown = Service::default();
         let service = self.services.get(request.service).unwrap_or(&unknown);
-        let estimator =
-            request.prompt.as_ref().map(|prompt| EngineEstimator::new(prompt, &candidates, service, now));
+        let Candidates { upstreams: candidates, home } = self.candidates(request, service, now)?;
+        let estimator = request
+            .prompt
+            .as_ref()
+            .map(|prompt| EngineEstimator::new(prompt, &candidates, home, service, now));
         let median_ms = median_call_ms(&candidates);
         let estimate = |name: &str, upstream: &Upstream| {
             let mut estimate = match &estimator {
@@ -611,8 +631,11 @@
         {
             return *ms;
         }
-        let same_service = self.upstreams.values().filter(|other| other.info.service == *service);
-        let ms = engine::median_pace(same_service.map(|upstream| upstream.pace));
+        let sample = self.groups.get(service).into_iter().flat_map(|group| {
+            let names = group.names(self.max_candidates(group));
+            names.filter_map(|name| self.upstreams.get(name))
+        });
+        let ms = engine::median_pace(sample.map(|upstream| upstream.pace));
         self.services.entry(service.clone()).or_default().cached_pace = Some((ms, now));
         ms
     }
--- a/crates/route/src/placement/estimate.rs
+++ b/crates/route/src/placement/estimate.rs
@@ -6,7 +6,6 @@
 use crate::division::{Division, is_long};
 use crate::engine::{self, Model};
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The cost of each prompt token that has to be read again, in addition to the time that it takes, in
 /// milliseconds: other prompts wait for it, and it evicts parts from the cache that then have to be read
@@ -35,6 +34,7 @@
     /// The usual pace of the service's engines.
     pub(super) median_pace: f64,
     pub(super) is_long: bool,
+    /// The upstream that all gateways prefer for the prompt's last shared part.
     pub(super) home: Option<&'a str>,
     pub(super) run_ms: f64,
     pub(super) stretch: f64,
@@ -56,6 +56,7 @@
     pub(super) fn new(
         prompt: &'a Prompt<'a>,
         engines: &[(&'a str, &'a Upstream)],
+        home: Option<&'a str>,
         service: &'a Service,
         now: Millis,
     ) -> EngineEstimator<'a> {
@@ -63,34 +64,7 @@
         let median_pace = engine::median_pace(engines.iter().map(|(_, engine)| engine.pace));
         let is_long = is_long(model.read_ms(prompt.input as f64), prompt.gap_ms as f64);
         let (run_ms, stretch) = (*run_ms, stretch.max(STRETCH_RANGE.0));
-        let mut estimator = EngineEstimator {
-            prompt,
-            model,
-            division,
-            median_pace,
-            is_long,
-            home: None,
-            run_ms,
-            stretch,
-            now,
-        };
-        estimator.home = estimator.home(engines);
-        estimator
-    }
-
-    /// The upstream that every router prefers for the prompt's last shared part: once it was read there, it
-    /// is cached for all routers. The upstream may be in another data centre, since reading a prompt takes
-    /// far longer than sending it.
-    pub(super) fn home(&self, engines: &[(&'a str, &Upstream)]) -> Option<&'a str> {
-        let shared = &self.prompt.parts[..self.prompt.parts.len().saturating_sub(1)];
-        let part = shared.last()?;
-        engines
-            .iter()
-            .filter(|(name, _)| {
-                !self.division.is_divided() || self.division.is_reserved(name) != self.is_long
-            })
-            .max_by_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), part.id))
-            .map(|(name, _)| *name)
+        EngineEstimator { prompt, model, division, median_pace, is_long, home, run_ms, stretch, now }
     }
 
     pub(super) fn estimate(&self, name: &str, engine: &Upstream) -> Estimate {
--- a/crates/route/src/roster.rs
+++ b/crates/route/src/roster.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The number of gateways in the list that was last read, including this one; 1 if none was read.
+    pub(crate) fn gateways(&self) -> usize {
+        self.ring.as_ref().map_or(1, |ring| ring.points.len())
+    }
+
     /// Stops taking a part, since this gateway removes its row from the list.
     pub fn leave(&mut self) {
         self.listed_everywhere_from = None;
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -6,6 +6,7 @@
 
 mod budgets;
 mod control;
+mod placement;
 mod policy;
 mod process;
 mod router;
@@ -14,7 +15,7 @@
 use std::process::ExitCode;
 use tallypaddle::cmd::{Serve, finish};
 
-const USAGE: &str = "usage: bench router | budgets | policy [ROUNDS] | control";
+const USAGE: &str = "usage: bench router | budgets | policy [ROUNDS] | control | placement";
 
 fn main() -> ExitCode {
     let owned: Vec<String> = std::env::args().skip(1).collect();
@@ -28,6 +29,7 @@
     match arguments.as_slice() {
         ["router"] => net::exec::block_on(router::run(&program)),
         ["budgets"] => budgets::run(),
+        ["placement"] => placement::run(),
         ["policy"] => policy::run(),
         ["control"] => net::exec::block_on(control::run(&program)),
         _ => {
