Walk the list of upstreams once for a full read and once for an outage

Cause: a full read looked for each known upstream among all rows, and an outage walked all listings twice for each upstream that vanished.

Change: a set of the listed names, and the expired services from one walk.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,7 +12,7 @@
 use route::Millis;
 use route::placement::UpstreamInfo;
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -385,7 +385,8 @@
         log::warn!("upstream: event=stale-list version={} known={newest}", page.version);
         return;
     }
-    let is_listed = |name: &String| page.records.iter().any(|record| record.name == *name);
+    let listed: HashSet<&str> = page.records.iter().map(|record| record.name.as_str()).collect();
+    let is_listed = |name: &String| listed.contains(name.as_str());
     let missing: Vec<String> = node.listings().keys().filter(|name| !is_listed(name)).cloned().collect();
     for name in missing {
         vanish(node, list, &name);
@@ -493,8 +494,14 @@
     let now = node.now();
     let due: Vec<String> =
         list.vanished.iter().filter(|(_, until)| **until <= now).map(|(name, _)| name.clone()).collect();
+    if due.is_empty() {
+        return;
+    }
+    let relisting_until = relisting_until(list, now);
+    let expired = expired_services(node, list);
     for name in due {
-        match relisting_until(list, now).filter(|_| has_expired(node, list, &name)) {
+        let service = node.listings().get(&name).map(|listing| listing.service.clone());
+        match relisting_until.filter(|_| service.is_some_and(|service| expired.contains(&service))) {
             Some(until) => {
                 list.vanished.insert(name, until);
             }
@@ -506,14 +513,19 @@
     }
 }
 
-/// Whether the entry of a vanished upstream has expired, as indicated by how many upstreams of its service
-/// vanished.
-fn has_expired<W: Wire, S: Rows>(node: &Node<W, S>, list: &UpstreamRows, name: &str) -> bool {
+/// The services whose vanished upstreams have expired, as indicated by how many of them vanished.
+fn expired_services<W: Wire, S: Rows>(node: &Node<W, S>, list: &UpstreamRows) -> HashSet<String> {
     let listings = node.listings();
-    let Some(service) = listings.get(name).map(|listing| &listing.service) else { return false };
-    let of_service = || listings.iter().filter(|(_, listing)| listing.service == *service);
-    let vanished = of_service().filter(|(name, _)| list.vanished.contains_key(*name)).count();
-    vanished > 1 && vanished as f64 >= of_service().count() as f64 * EXPIRED_RATIO
+    let mut counts: HashMap<&str, (usize, usize)> = HashMap::new();
+    for (name, listing) in listings.iter() {
+        let (vanished, all) = counts.entry(&listing.service).or_default();
+        *vanished += usize::from(list.vanished.contains_key(name));
+        *all += 1;
+    }
+    let has_expired =
+        |vanished: usize, all: usize| vanished > 1 && vanished as f64 >= all as f64 * EXPIRED_RATIO;
+    let expired = counts.into_iter().filter(|(_, (vanished, all))| has_expired(*vanished, *all));
+    expired.map(|(service, _)| service.to_owned()).collect()
 }
 
 fn remove<W: Wire, S: Rows>(node: &Node<W, S>, list: &UpstreamRows, name: &str) {
--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -270,3 +270,38 @@
         rows.set_fault(RowsFault::None);
     });
 }
+
+/// The time in which a node applies a full read of `count` upstreams, sees them all expire in an outage and
+/// decides on them.
+fn expiry_time(count: usize) -> Duration {
+    let rows = TableRows::default();
+    let node = node("vm-1", 1, &rows);
+    let record = |index: usize| Record {
+        table: TABLE.to_owned(),
+        name: format!("engine-{index}"),
+        version: 1,
+        value: Some(format!("narrator 127.0.0.1:{}", 9_000 + index).into_bytes()),
+    };
+    let full = Page { records: (0..count).map(record).collect(), version: 1, now_ms: 0 };
+    let mut list = UpstreamRows { regained_at: Some(node.now()), ..UpstreamRows::default() };
+    let began = std::time::Instant::now();
+    apply_list(&node, &mut list, &full);
+    apply_list(&node, &mut list, &full);
+    apply_list(&node, &mut list, &Page { version: 2, ..Page::default() });
+    list.vanished.values_mut().for_each(|until| *until = 0);
+    resolve_vanished(&node, &mut list);
+    let elapsed = began.elapsed();
+    assert_eq!((node.listings().len(), list.vanished.len()), (count, count), "all may be listed again");
+    elapsed
+}
+
+/// With a walk over all upstreams for each of them, ten times the upstreams would take a hundred times as
+/// long.
+#[test]
+fn the_time_of_an_outage_does_not_grow_faster_than_the_list() {
+    exec::block_on(async {
+        let least = |count| (0..3).map(|_| expiry_time(count)).min().expect("three times");
+        let (small, large) = (least(600), least(6_000));
+        assert!(large < small * 30, "600 upstreams take {small:?}, 6,000 take {large:?}");
+    });
+}
