--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -2,7 +2,7 @@
 //!
 //! The rows of the list take about 400 bytes per upstream. If all gateways start together and each reads the
 //! rows, the transferred bytes grow with the product of gateways and upstreams. Therefore one gateway
-//! maintains a snapshot, which is about a tenth of that size. The others start from it and follow the changes
+//! maintains a compressed snapshot, which takes about 30 bytes per upstream. The others start from it and follow the changes
 //! since, as they would after reading the list, so an older snapshot only costs more changes. No gateway
 //! waits for a snapshot once it follows the list, and one that finds no fresh snapshot reads the list in
 //! full.
@@ -11,8 +11,12 @@
 use crate::ports::{Listing, Wire};
 use crate::table::{decode, encode};
 use bincode::Options;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use net::exec;
 use serde::{Deserialize, Serialize};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +37,8 @@
 const CHUNK_BYTES: usize = 48 << 10;
 /// The largest snapshot, in bytes. The store limits transactions to 1 MB, including the encoding.
 const MAX_SNAPSHOT_BYTES: usize = 640 << 10;
+/// The largest snapshot before its compression, in bytes.
+const MAX_CONTENTS_BYTES: u64 = 4 << 20;
 /// The interval between snapshots, in milliseconds.
 const WRITE_INTERVAL_MS: u64 = 6_000;
 /// The age up to which a snapshot is used, in milliseconds. The store discards changes after about 20 s.
@@ -198,7 +204,7 @@
         log::warn!("upstream: event=no-snapshot reason=\"its rows are of different ones\"");
         return None;
     }
-    let contents: Contents = options().deserialize(&bytes).ok()?;
+    let contents = decompress(&bytes)?;
     Some(Snapshot { version: head.version, upstreams: contents.upstreams()? })
 }
 
@@ -207,7 +213,25 @@
 }
 
 fn options() -> impl Options {
-    bincode::DefaultOptions::new().with_limit(MAX_SNAPSHOT_BYTES as u64)
+    bincode::DefaultOptions::new().with_limit(MAX_CONTENTS_BYTES)
+}
+
+/// The bytes of a snapshot.
+fn compress(contents: &Contents) -> Result<Vec<u8>, bincode::Error> {
+    let mut encoder = DeflateEncoder::new(vec![], Compression::fast());
+    options().serialize_into(&mut encoder, contents)?;
+    let bytes = encoder.finish()?;
+    if bytes.len() > MAX_SNAPSHOT_BYTES {
+        return Err(bincode::ErrorKind::SizeLimit.into());
+    }
+    Ok(bytes)
+}
+
+/// The contents of a snapshot; `None` if the bytes are not one.
+fn decompress(bytes: &[u8]) -> Option<Contents> {
+    let mut contents = vec![];
+    DeflateDecoder::new(bytes).take(MAX_CONTENTS_BYTES).read_to_end(&mut contents).ok()?;
+    options().deserialize(&contents).ok()
 }
 
 /// Writes snapshots periodically.
@@ -236,7 +260,7 @@
         let mut contents = Contents::default();
         upstreams.for_each(|(name, version, listing)| contents.add(name, version, listing));
         contents.entries.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        let bytes = match options().serialize(&contents) {
+        let bytes = match compress(&contents) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::warn!(
--- a/crates/gateway/tests/unit/snapshot.rs
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -126,22 +126,36 @@
     });
 }
 
-/// The page with a snapshot of `count` upstreams.
-fn page(count: usize, written_ms: u64) -> Page {
+/// A snapshot of `count` upstreams, whose names and addresses are as irregular as those of a platform.
+fn contents(count: usize) -> Contents {
     let mut contents = Contents::default();
     for index in 0..count {
+        let zone = index % 3;
         let listing = Listing {
             service: format!("service-{}", index % 2),
-            address: SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 8_424)),
-            data_centre: format!("zone-{}", index % 3),
+            address: SocketAddr::from((
+                [10, zone as u8, (scatter(index) % 250) as u8, (index % 250) as u8],
+                8_424,
+            )),
+            data_centre: format!("zone-{zone}"),
             slots: 48,
             leaving: index % 10 == 0,
-            started: Some(1_796_287_260_000 + index as u64),
+            started: Some(1_796_287_260_000 + scatter(index) % 10_000),
             warmup_ms: 0,
         };
-        contents.add(&format!("i-{:010x}", index * 7_919), 100_000 + index as u64, &listing);
+        contents.add(&format!("i-{:010x}", scatter(index)), 100_000 + index as u64, &listing);
     }
-    let bytes = options().serialize(&contents).expect("the contents serialize to bincode");
+    contents
+}
+
+/// A number of 40 bits without a pattern.
+fn scatter(index: usize) -> u64 {
+    xxh3_64(&index.to_le_bytes()) >> 24
+}
+
+/// The page with a snapshot of `count` upstreams.
+fn page(count: usize, written_ms: u64) -> Page {
+    let bytes = compress(&contents(count)).expect("the snapshot is small enough");
     let (change, _) = change(100_000, written_ms, &bytes, None);
     let records = change.puts.into_iter().map(|(key, value)| store::rows::Record {
         table: key.table,
@@ -163,18 +177,35 @@
     );
     // Rows of 400 bytes each would take 1.2 MB.
     let bytes: usize = page(3_000, 0).records.iter().map(|row| row.value.as_ref().map_or(0, Vec::len)).sum();
-    assert!(bytes < 150_000, "{bytes} bytes");
+    assert!(bytes < 100_000, "{bytes} bytes");
+}
+
+/// Twice the upstreams of the target. Without compression, 11,900 upstreams are the most.
+#[test]
+fn a_snapshot_of_twenty_four_thousand_upstreams_fits_into_a_transaction() {
+    let bytes = compress(&contents(24_000)).expect("the snapshot is small enough");
+    println!("{} bytes", bytes.len());
+    assert_eq!(decompress(&bytes).and_then(Contents::upstreams).map(|all| all.len()), Some(24_000));
+}
+
+#[test]
+fn bytes_that_expand_beyond_the_limit_are_not_used() {
+    let mut encoder = DeflateEncoder::new(vec![], Compression::best());
+    let zeros = vec![0; 2 * MAX_CONTENTS_BYTES as usize];
+    std::io::Write::write_all(&mut encoder, &zeros).expect("memory accepts all bytes");
+    assert!(decompress(&encoder.finish().expect("memory accepts all bytes")).is_none());
+    assert!(decompress(b"not compressed").is_none());
 }
 
 #[test]
 fn a_snapshot_with_altered_or_missing_rows_is_not_used() {
     for row in 0..3 {
-        let mut altered = page(3_000, 15_000);
+        let mut altered = page(6_000, 15_000);
         if let Some(byte) = altered.records[row].value.as_mut().and_then(|value| value.last_mut()) {
             *byte ^= 1;
         }
         assert!(read(&altered).is_none(), "row {row} altered");
-        let mut missing = page(3_000, 15_000);
+        let mut missing = page(6_000, 15_000);
         missing.records.remove(row);
         assert!(read(&missing).is_none(), "row {row} missing");
     }
