Leave each upstream's connections to as many gateways as it accepts connections from

Change: route::connections. Where an equal share is less than two, only the first gateways after an upstream's point on the roster's ring connect to it, and the others consider other upstreams. A service whose upstreams are too few for that (16 for each gateway) is shared as before: a gateway without any upstream would refuse all its requests. What is left: until a gateway has read its first list, it assumes eight gateways.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,7 +99,8 @@
             let hint = node.placer().take_hint(chosen);
             node.hints.announce_dispatch(&chosen.upstream, hint);
         }
-        let max_connections = node.max_connections(connection_limit);
+        let connection_share = node.max_connections(connection_limit);
+        let max_connections = node.placer().max_connections(&chosen.upstream, connection_share);
         node.load.record_sent(self.request.body.len());
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
         // back-off.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,10 +24,6 @@
 use std::time::Duration;
 use store::rows::{Progress, Rows};
 
-/// The fraction of an upstream's accepted connections that the gateways use together. The rest is a margin,
-/// since gateways learn of each other with a delay.
-const CONNECTION_FRACTION: f64 = 0.9;
-
 /// The size of the fleet that is assumed until the list of gateways is read. With a smaller one, a single
 /// gateway could use up all that the fleet shares.
 const INITIAL_FLEET_SIZE: u64 = 8;
@@ -194,7 +190,11 @@
         self.metrics.manifest_version.set(next.version as i64);
         let warmups =
             next.services.iter().filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
-        self.placer().set_warmups(warmups.collect());
+        let connections = next.services.iter().map(|(name, service)| (name.clone(), service.connections));
+        let mut placer = self.placer();
+        placer.set_warmups(warmups.collect());
+        placer.set_connection_limits(connections.collect());
+        drop(placer);
         let teams = next.teams.values();
         self.owners.set_levels(teams.filter_map(|team| Some((team.name.as_str(), team.reserved?))));
         for (team, budget) in self.budgets().iter() {
@@ -287,11 +287,10 @@
         self.fleet_size.load(Ordering::Relaxed).max(1)
     }
 
-    /// The number of connections that this gateway may open to an upstream which accepts `accepted` of them
-    /// from all gateways together. Each gateway may open at least two.
+    /// This gateway's equal share of the connections that an upstream accepts from all gateways together. In
+    /// a large fleet it may be none.
     pub(crate) fn max_connections(&self, accepted: usize) -> usize {
-        let share = accepted as f64 * CONNECTION_FRACTION / self.fleet_size() as f64;
-        (share as usize).max(2)
+        route::equal_share(accepted, self.fleet_size())
     }
 
     pub(crate) fn phase(&self) -> Phase {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod assignment;
+mod connections;
 mod dispatcher;
 mod division;
 mod engine;
@@ -40,6 +41,7 @@
 pub mod warmup;
 
 pub use assignment::{Owners, assign_slots};
+pub use connections::equal_share;
 pub use dispatcher::{Dispatcher, SubmitOutcome, SubmitRequest};
 pub use engine::Model;
 pub use health::HealthStatus;
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -13,6 +13,7 @@
 use self::estimate::{EngineEstimator, estimate_plain, median_call_ms};
 use self::upstream::{AwaitingDispatch, RunningDispatch, Service, Upstream};
 use crate::Millis;
+use crate::connections;
 use crate::division::{Division, Member};
 use crate::engine::{self, Model, Pace};
 use crate::health::{Health, HealthStatus};
@@ -187,7 +188,9 @@
     /// Data centres whose upstreams get no requests, on the operators' request.
     evacuated: BTreeSet<String>,
     warmups: HashMap<String, Warmup>,
-    /// The gateways, which determine this gateway's part of what upstreams accept while they warm up.
+    /// The connections that each upstream of a service accepts from all gateways together.
+    connection_limits: HashMap<String, usize>,
+    /// The gateways, which determine this gateway's part of what upstreams accept.
     pub roster: Roster,
     services: HashMap<String, Service>,
     awaiting: HashMap<DispatchId, AwaitingDispatch>,
@@ -206,6 +209,7 @@
             signals: Signals::default(),
             evacuated: BTreeSet::new(),
             warmups: HashMap::new(),
+            connection_limits: HashMap::new(),
             roster: Roster::default(),
             services: HashMap::new(),
             awaiting: HashMap::new(),
@@ -333,6 +337,33 @@
         self.warmups = warmups;
     }
 
+    /// Sets how many connections each upstream of a service accepts from all gateways together. Upstreams of
+    /// services that are not named are not limited.
+    pub fn set_connection_limits(&mut self, limits: HashMap<String, usize>) {
+        self.connection_limits = limits;
+    }
+
+    /// The number of connections that this gateway may open to an upstream, if its equal share of those that
+    /// the upstream accepts is `share`; 0 if the upstream is left to other gateways.
+    pub fn max_connections(&self, name: &str, share: usize) -> usize {
+        let service = self.upstreams.get(name).map(|upstream| upstream.info.service.as_str());
+        let connecting = service.and_then(|service| self.connecting_gateways(service));
+        connections::max_connections(share, self.connects_to(name, connecting))
+    }
+
+    /// The number of gateways that connect to each upstream of a service; `None` if all do.
+    fn connecting_gateways(&self, service: &str) -> Option<usize> {
+        let (limit, group) = (self.connection_limits.get(service)?, self.groups.get(service)?);
+        let gateways = self.roster.gateways();
+        let connecting = connections::connecting_gateways(*limit, group.len(), gateways);
+        (connecting < gateways).then_some(connecting)
+    }
+
+    /// Whether this gateway connects to an upstream, if that many gateways do.
+    fn connects_to(&self, name: &str, connecting: Option<usize>) -> bool {
+        connecting.is_none_or(|count| self.roster.is_among_first(name, count))
+    }
+
     /// Records that an upstream warms up for `ms` milliseconds from now on.
     pub fn warm_up(&mut self, name: &str, ms: Millis, now: Millis) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -58,7 +58,7 @@
         if is_near { &mut self.near } else { &mut self.far }
     }
 
-    fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.ring.len()
     }
 
@@ -118,10 +118,13 @@
         service: &Service,
         now: Millis,
     ) -> Option<Candidates<'_>> {
+        let connecting = self.connecting_gateways(request.service);
         // If all upstreams may have restarted, those that are not known to have done so are not limited:
         // otherwise none would accept the request.
         [WarmupState::Uncertain, WarmupState::WarmingUp].into_iter().find_map(|limited_from| {
-            let find = |name| self.serving(name, request, limited_from, now);
+            let find = |name| {
+                self.serving(name, request, limited_from, now).filter(|_| self.connects_to(name, connecting))
+            };
             let find_available = |name| find(name).filter(|upstream| upstream.is_available(now));
             let available = self.find_candidates(request, service, find_available);
             available.or_else(|| self.find_candidates(request, service, find))
--- a/crates/route/src/roster.rs
+++ b/crates/route/src/roster.rs
@@ -140,6 +140,12 @@
         self.ring.as_ref().map_or(1, |ring| ring.points.len())
     }
 
+    /// Whether this gateway is among the first `count` at or after an upstream's point on the ring. Without a
+    /// list, it is.
+    pub(crate) fn is_among_first(&self, upstream: &str, count: usize) -> bool {
+        self.ring.as_ref().is_none_or(|ring| ring.rank(upstream) < count)
+    }
+
     /// Stops taking a part, since this gateway removes its row from the list.
     pub fn leave(&mut self) {
         self.listed_everywhere_from = None;
