--- a/crates/route/tests/herd.rs
+++ b/crates/route/tests/herd.rs
@@ -2,7 +2,7 @@
 //! upstreams, at a cost that doesn't grow with the fleet.
 
 use route::Millis;
-use route::placement::{Placement, PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo};
+use route::placement::{DispatchHint, Placement, PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo};
 use std::collections::HashMap;
 
 const GATEWAYS: usize = 300;
@@ -142,3 +142,28 @@
     let (sent, all): (usize, usize) = (failing.map(|(_, count)| count).sum(), received.values().sum());
     assert!(sent * 100 <= all * 2, "{sent} of {all} requests went to one in a hundred upstreams");
 }
+
+#[test]
+fn an_engine_that_is_reported_to_be_fast_does_not_attract_the_fleet() {
+    let report = |event_ms| DispatchHint {
+        unread: 0,
+        lasts_ms: 100.0,
+        event_ms: Some(event_ms),
+        pauses_ms: Default::default(),
+        since: Default::default(),
+    };
+    let unshared = [PromptPart { id: 1, tokens: 628 }];
+    let mut received = HashMap::new();
+    for index in 0..GATEWAYS {
+        let mut placer = gateway(index, GATEWAYS, UPSTREAMS);
+        (0..UPSTREAMS)
+            .step_by(10)
+            .for_each(|other| placer.record_dispatch_hint(&upstream(other), &report(20.0), 0));
+        placer.record_dispatch_hint(&upstream(7), &report(5.0), 0);
+        for placement in place(&mut placer, Some(prompt(&unshared)), 1) {
+            *received.entry(placement.upstream).or_default() += 1;
+        }
+    }
+    // Some 16 gateways consider the engine.
+    assert!(max_received(&received) <= 48, "{} of {GATEWAYS}", max_received(&received));
+}
