Keep the number of a former peer's last hint; test that a failed read hides no denial

A peer that left the list and returned was accepted with datagrams that it had sent before: the_datagrams_of_a_peer_that_is_listed_again_are_still_stale failed by the old code's reset to 0. Point 2 is no fault: the follower reads the table again until a read succeeds, which the new test shows.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -27,6 +27,8 @@
 const VERSION: u8 = 2;
 /// The number of datagrams that are sent before other tasks get a turn: about a fifth of a millisecond.
 const SEND_BURST: usize = 16;
+/// The largest number of former peers that are remembered.
+const MAX_FORMER_PEERS: usize = 4_096;
 /// The delays before each transmission of a hint that is sent more than once.
 pub(crate) const SEND_DELAYS: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(700)];
@@ -89,8 +91,27 @@
     notice_limiter: Mutex<NoticeLimiter>,
     /// The number of the last hint that was sent.
     last_sent: Mutex<u64>,
-    /// The number of the last hint that was accepted from each peer.
-    last_received: Mutex<HashMap<SocketAddr, u64>>,
+    /// The number of the last hint that was accepted from each peer, and from each former one.
+    last_received: Mutex<Received>,
+}
+
+/// The numbers of the last hints that were accepted, by sender.
+#[derive(Debug, Default)]
+struct Received {
+    peers: HashMap<SocketAddr, u64>,
+    /// Those of senders that are no longer listed: if one is listed again, its earlier datagrams stay stale.
+    former: HashMap<SocketAddr, u64>,
+}
+
+impl Received {
+    fn set_peers(&mut self, peers: &[SocketAddr]) {
+        let Received { peers: known, former } = self;
+        former.extend(known.drain());
+        *known = peers.iter().map(|peer| (*peer, former.remove(peer).unwrap_or(0))).collect();
+        if former.len() > MAX_FORMER_PEERS {
+            former.clear();
+        }
+    }
 }
 
 impl Default for Hints {
@@ -111,8 +132,7 @@
     /// Sets the addresses of the other gateways.
     pub(crate) fn set_peers(&self, peers: Vec<SocketAddr>) {
         let mut last_received = self.last_received.lock().expect("the numbers lock is not poisoned");
-        let known = |peer: &SocketAddr| (*peer, last_received.get(peer).copied().unwrap_or(0));
-        *last_received = peers.iter().map(known).collect();
+        last_received.set_peers(&peers);
         drop(last_received);
         *self.peers.lock().expect("the peers lock is not poisoned") = Arc::new(peers);
     }
@@ -219,7 +239,7 @@
     /// Decodes a datagram, unless it has to be dropped.
     fn accept(&self, bytes: &[u8], from: SocketAddr) -> Result<Hint, Rejection> {
         let mut last_received = self.last_received.lock().expect("the numbers lock is not poisoned");
-        let last = last_received.get_mut(&from).ok_or(Rejection::UnknownSender)?;
+        let last = last_received.peers.get_mut(&from).ok_or(Rejection::UnknownSender)?;
         let NumberedHint { number, hint } = decode(bytes)?;
         if number <= *last {
             return Err(Rejection::Stale);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -323,3 +323,7 @@
         node.quarantine_changed.notify(usize::MAX);
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/quarantine.rs"]
+mod tests;
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -58,6 +58,27 @@
     );
 }
 
+#[test]
+fn the_datagrams_of_a_peer_that_is_listed_again_are_still_stale() {
+    let hints = hints();
+    assert!(hints.accept(&datagram(5), address(1)).is_ok());
+    hints.set_peers(vec![address(2)]);
+    assert_eq!(hints.accept(&datagram(6), address(1)).err(), Some(Rejection::UnknownSender));
+    hints.set_peers(vec![address(1), address(2)]);
+    assert_eq!(hints.accept(&datagram(5), address(1)).err(), Some(Rejection::Stale));
+    assert!(hints.accept(&datagram(6), address(1)).is_ok());
+}
+
+#[test]
+fn a_bounded_number_of_former_peers_is_remembered() {
+    let hints = Hints::default();
+    for port in 1..=2 * MAX_FORMER_PEERS as u16 {
+        hints.set_peers(vec![address(port)]);
+    }
+    let received = hints.last_received.lock().expect("the numbers lock is not poisoned");
+    assert!(received.former.len() <= MAX_FORMER_PEERS, "{} are remembered", received.former.len());
+}
+
 #[test]
 fn a_datagram_of_an_unknown_sender_is_dropped() {
     assert_eq!(hints().accept(&datagram(5), address(9)).err(), Some(Rejection::UnknownSender));
