Forget the last departure of an empty queue, and what a pool no longer needs

A queue that emptied because its requests expired kept the time of the last departure, so after an idle time a caller was told Late with 10 s to wait though the queue drains in milliseconds: the new test fails on the old code. An evicted prefix stayed in the order of a pool, and expired messages of peers were kept for good. MAX_UPSTREAMS stands once.

--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -1,7 +1,9 @@
 //! Notices that routers exchange about requests which crash upstreams, and who receives them.
 
 use crate::Millis;
-use crate::quarantine::{Crashes, DENIAL_THRESHOLD, Fingerprint, Quarantine, Stage, Upstreams, Verdict};
+use crate::quarantine::{
+    Crashes, DENIAL_THRESHOLD, Fingerprint, MAX_UPSTREAMS, Quarantine, Stage, Upstreams, Verdict,
+};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -16,8 +18,7 @@
 const BROADCASTS_PER_S: f64 = 20.0;
 /// The most such notices that a router may send at once: enough for the suspects of a few crashes.
 const BROADCAST_BURST: f64 = 8.0;
-/// The most upstreams in one notice, and the longest name of one, in bytes.
-const MAX_UPSTREAMS: usize = 8;
+/// The longest name of an upstream in a notice, in bytes.
 const MAX_NAME_BYTES: usize = 120;
 
 /// What one router tells others about a request.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -213,6 +213,7 @@
     /// mark alive between them.
     pub fn record_leaving_hint(&mut self, name: &str, now: Millis) -> bool {
         let is_new = !self.is_leaving(name, now);
+        self.peer_leaving.retain(|_, until| now < *until);
         self.peer_leaving.insert(name.to_owned(), now + PEER_LEAVING_MS);
         is_new
     }
@@ -241,6 +242,7 @@
                 remember_prefix(entry, prefix);
             } else {
                 entry.cached.remove(&prefix);
+                entry.prefix_order.retain(|known| *known != prefix);
             }
         }
     }
@@ -432,3 +434,7 @@
     let score = |name: &&&str| xxh3_64_with_seed(name.as_bytes(), prefix);
     serving.iter().max_by_key(score).copied().unwrap_or_default()
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/pool.rs"]
+mod tests;
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -56,8 +56,8 @@
 const MAX_SUSPECTS: usize = 4_096;
 /// The most denied requests to remember. The one whose denial expires first is evicted first.
 const MAX_DENIALS: usize = 1_024;
-/// The most upstreams to remember for each request.
-const MAX_UPSTREAMS: usize = 8;
+/// The most upstreams to remember for each request, and to name in a notice.
+pub(crate) const MAX_UPSTREAMS: usize = 8;
 
 /// The progress of a run at the time of the crash.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -133,19 +133,20 @@
             self.departure_interval_ms += INTERVAL_WEIGHT * (gap_ms - self.departure_interval_ms);
         }
         self.last_departure = Some(now);
-        let request = self.remove(number);
-        if self.is_empty() {
-            self.finish_times.clear();
-            self.last_departure = None;
-        }
-        request
+        self.remove(number)
     }
 
     /// Removes a request that no longer waits.
     pub fn remove(&mut self, number: u64) -> Option<QueuedRequest<T>> {
         let key = self.keys.remove(&number)?;
         self.order.remove(&key);
-        self.requests.remove(&number)
+        let request = self.requests.remove(&number);
+        if self.is_empty() {
+            // The time until the next departure depends on when requests arrive, not on how fast they leave.
+            self.finish_times.clear();
+            self.last_departure = None;
+        }
+        request
     }
 
     /// Removes and returns the requests whose deadline has passed.
--- a/crates/route/tests/decisions.rs
+++ b/crates/route/tests/decisions.rs
@@ -2,7 +2,8 @@
 //! chosen.
 
 use route::{
-    Dispatcher, LoadReport, Pick, PickRequest, Pool, SubmitOutcome, SubmitRequest, UpstreamSpec, assign_slots,
+    Dispatcher, FairQueue, LoadReport, Pick, PickRequest, Pool, PushOutcome, QueuedRequest, SubmitOutcome,
+    SubmitRequest, UpstreamSpec, assign_slots,
 };
 use std::fmt::Write;
 
@@ -101,6 +102,23 @@
     );
 }
 
+#[test]
+fn an_idle_time_after_requests_expired_does_not_count_as_slow_departures() {
+    let queued = |deadline| QueuedRequest { item: (), team: "desk".to_owned(), priority: 1, deadline };
+    let mut queue = FairQueue::new(10);
+    for now in [0, 10, 20] {
+        let (_, number) = queue.push(queued(now + 1_000), 1, now);
+        queue.push(queued(now + 5), 1, now);
+        queue.depart(number, now);
+        queue.expire(now + 5);
+    }
+    let (_, number) = queue.push(queued(101_000), 1, 100_000);
+    queue.push(queued(101_000), 1, 100_000);
+    queue.depart(number, 100_001);
+    let (outcome, _) = queue.push(queued(100_500), 1, 100_002);
+    assert_eq!(outcome, PushOutcome::Waiting, "the queue drains in milliseconds");
+}
+
 #[test]
 fn a_slot_is_not_lent_while_an_equally_urgent_request_waits() {
     let mut dispatcher = full_dispatcher(8);
