--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -2,7 +2,7 @@
 //!
 //! The rows of the list take about 400 bytes per upstream. If all gateways start together and each reads the
 //! rows, the transferred bytes grow with the product of gateways and upstreams. Therefore one gateway
-//! maintains a compressed snapshot, which takes about 30 bytes per upstream. The others start from it and follow the changes
+//! maintains a compressed snapshot, which takes about 20 bytes per upstream. The others start from it and follow the changes
 //! since, as they would after reading the list, so an older snapshot only costs more changes. No gateway
 //! waits for a snapshot once it follows the list, and one that finds no fresh snapshot reads the list in
 //! full.
@@ -41,6 +41,8 @@
 const MAX_CONTENTS_BYTES: u64 = 4 << 20;
 /// The interval between snapshots, in milliseconds.
 const WRITE_INTERVAL_MS: u64 = 6_000;
+/// The interval between snapshots while bursts of changes arrive, in milliseconds.
+const BURST_WRITE_INTERVAL_MS: u64 = 1_000;
 /// The age up to which a snapshot is used, in milliseconds. The store discards changes after about 20 s.
 const MAX_AGE_MS: u64 = 14_000;
 /// How long other gateways wait for a claimed snapshot, in milliseconds: the time of reading a long list over
@@ -176,6 +178,13 @@
     Start::Read
 }
 
+/// Loads the snapshot, if there is a fresh one.
+pub(crate) async fn load<W: Wire, S: Rows>(node: &Node<W, S>) -> Option<Snapshot> {
+    let page = node.rows.list(TABLE, PART).await.ok()?;
+    node.set_store_clock(page.now_ms);
+    read(&page)
+}
+
 /// Claims the snapshot, unless the row of the claim no longer has this version. Returns whether it did.
 async fn try_claim<W: Wire, S: Rows>(node: &Node<W, S>, version: u64, at_ms: u64) -> bool {
     let key = Key::new(TABLE, CLAIM);
@@ -234,19 +243,27 @@
     options().deserialize(&contents).ok()
 }
 
-/// Writes snapshots periodically.
+/// Writes snapshots periodically, and more often while bursts of changes arrive.
 #[derive(Debug, Default)]
 pub(crate) struct Writer {
     /// When the next snapshot is due, in milliseconds since the process started.
     next_ms: u64,
+    /// When the next snapshot is due if a burst of changes has arrived since the last one.
+    burst_ms: u64,
+    has_burst: bool,
     /// The edition that this gateway wrote last, and the version of the row that describes it.
     written: Arc<std::sync::Mutex<Option<(u64, u64)>>>,
 }
 
 impl Writer {
+    /// Records that many rows changed at once.
+    pub(crate) fn record_burst(&mut self) {
+        self.has_burst = true;
+    }
+
     /// Whether a snapshot is due.
     pub(crate) fn is_due(&self, now: u64) -> bool {
-        now >= self.next_ms
+        now >= self.next_ms || (self.has_burst && now >= self.burst_ms)
     }
 
     /// Writes a snapshot of the list at `version` in the background. Unchanged bytes are not written again.
@@ -257,6 +274,8 @@
         upstreams: impl Iterator<Item = (&'a str, u64, &'a Listing)>,
     ) {
         self.next_ms = node.now() + WRITE_INTERVAL_MS;
+        self.burst_ms = node.now() + BURST_WRITE_INTERVAL_MS;
+        self.has_burst = false;
         let mut contents = Contents::default();
         upstreams.for_each(|(name, version, listing)| contents.add(name, version, listing));
         contents.entries.sort_unstable_by(|left, right| left.name.cmp(&right.name));
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,7 +6,7 @@
 
 use crate::node::Node;
 use crate::ports::{Listing, Wire};
-use crate::snapshot::{self, Start, Writer};
+use crate::snapshot::{self, Snapshot, Start, Upstream, Writer};
 use crate::table::{RECALLS, Recall, decode};
 use net::exec;
 use route::Millis;
@@ -43,6 +43,14 @@
 /// of the store entries expire together, whereas upstreams leave a few at a time.
 const EXPIRED_RATIO: f64 = 0.34;
 
+/// The number of rows of the list that have to change within [`BURST_WINDOW_MS`] for a burst: a start of the
+/// platform, or the end of an outage. The snapshot takes a tenth of the bytes of the changed rows.
+pub(crate) const BURST_ROWS: usize = 256;
+const BURST_WINDOW_MS: Millis = 1_000;
+/// The interval at which a gateway reads the snapshot during a burst. Upstreams that leave meanwhile are known
+/// that much later.
+const BURST_READ_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Changes of the manifest of up to this size are always read, in bytes: 50 ms on a link of 10 Mbit/s.
 const MIN_CHANGES_LIMIT: usize = 64 << 10;
 /// Larger changes are read only up to this multiple of the manifest's size. If they contain two or more
@@ -316,10 +324,29 @@
     regained_at: Option<Millis>,
     /// The latest start of each upstream, in milliseconds of its own clock.
     started: HashMap<String, u64>,
+    burst: Burst,
     /// The number of malformed entries since they were last logged, and the first of them.
     malformed: Option<(u64, String)>,
 }
 
+/// The rows that changed recently.
+#[derive(Default)]
+struct Burst {
+    rows: usize,
+    since: Millis,
+}
+
+impl Burst {
+    /// Records changed rows. Returns whether they are part of a burst.
+    fn record(&mut self, rows: usize, now: Millis) -> bool {
+        if now.saturating_sub(self.since) >= BURST_WINDOW_MS {
+            *self = Burst { rows: 0, since: now };
+        }
+        self.rows += rows;
+        self.rows >= BURST_ROWS
+    }
+}
+
 /// Follows the list of upstreams.
 pub(crate) async fn follow_upstreams<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let mut follower = Follower::new("upstreams");
@@ -331,10 +358,7 @@
     if let Start::FromSnapshot(snapshot) = start {
         log::info!("upstream: event=started-from-snapshot version={}", snapshot.version);
         follower.after = Some(snapshot.version);
-        snapshot.upstreams.into_iter().for_each(|upstream| {
-            list.versions.insert(upstream.name.clone(), upstream.version);
-            list_upstream(&node, &mut list, &upstream.name, upstream.version, upstream.listing);
-        });
+        apply_snapshot(&node, &mut list, snapshot);
     }
     loop {
         let wait_ms = if list.vanished.is_empty() { FEED_WAIT_MS } else { VANISH_FEED_WAIT_MS };
@@ -342,7 +366,15 @@
         list.regained_at = follower.regained_at;
         match found {
             Step::Full(page) => apply_list(&node, &mut list, &page),
-            Step::Changes(page) => page.records.iter().for_each(|record| apply_row(&node, &mut list, record)),
+            Step::Changes(page) => {
+                page.records.iter().for_each(|record| apply_row(&node, &mut list, record));
+                let is_burst = list.burst.record(page.records.len(), node.now());
+                match is_burst {
+                    true if node.is_first.load(Ordering::Relaxed) => writer.record_burst(),
+                    true => skip_burst(&node, &mut list, &mut follower).await,
+                    false => {}
+                }
+            }
             Step::Restart(_) | Step::Failed => {}
         }
         resolve_vanished(&node, &mut list);
@@ -358,6 +390,45 @@
     }
 }
 
+/// Reads snapshots in place of the rest of a burst of changes. Without a newer one, the changes are followed
+/// as usual.
+async fn skip_burst<W: Wire, S: Rows>(node: &Node<W, S>, list: &mut UpstreamRows, follower: &mut Follower) {
+    while !node.is_first.load(Ordering::Relaxed) {
+        exec::sleep(BURST_READ_INTERVAL).await;
+        let newer = |snapshot: &Snapshot| follower.after.is_some_and(|after| snapshot.version > after);
+        let Some(snapshot) = snapshot::load(node).await.filter(newer) else { return };
+        let version = snapshot.version;
+        let changed = apply_snapshot(node, list, snapshot);
+        log::info!(
+            "upstream: event=burst-skipped after={:?} version={version} changed={changed}",
+            follower.after
+        );
+        follower.after = Some(version);
+        if changed < BURST_ROWS {
+            return;
+        }
+    }
+}
+
+/// Applies a snapshot that is newer than what is known. Upstreams that are missing from it have vanished.
+/// Returns the number of upstreams that changed.
+fn apply_snapshot<W: Wire, S: Rows>(node: &Node<W, S>, list: &mut UpstreamRows, snapshot: Snapshot) -> usize {
+    let names: HashSet<&str> = snapshot.upstreams.iter().map(|upstream| upstream.name.as_str()).collect();
+    let missing: Vec<String> =
+        node.listings().keys().filter(|name| !names.contains(name.as_str())).cloned().collect();
+    missing.iter().for_each(|name| vanish(node, list, name));
+    let mut changed = missing.len();
+    for Upstream { name, version, listing } in snapshot.upstreams {
+        let known = list.versions.entry(name.clone()).or_default();
+        if version > *known {
+            *known = version;
+            changed += 1;
+            list_upstream(node, list, &name, version, listing);
+        }
+    }
+    changed
+}
+
 /// Writes a snapshot of the list. It omits vanished upstreams that are still kept, since they have no row.
 fn write_snapshot<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
--- a/crates/gateway/tests/unit/snapshot.rs
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -97,6 +97,49 @@
     });
 }
 
+/// The bytes of rows of the list that a node has read.
+fn list_bytes(node: &Node<PlainTextWire, TableRows>) -> u64 {
+    let bytes = |step| node.metrics.store_bytes.with_label_values(&[step, LIST]).get();
+    bytes("list") + bytes("feed")
+}
+
+/// All upstreams start after the gateways, as when the platform itself starts. Some of them leave meanwhile.
+#[test]
+fn a_gateway_reads_a_small_part_of_a_burst_of_changes() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let (first, other) = (gateway("vm-1", &rows), gateway("vm-2", &rows));
+        first.is_first.store(true, std::sync::atomic::Ordering::Relaxed);
+        until("there is no snapshot", || has_snapshot(&rows)).await;
+        for index in 0..4_000 {
+            rows.put(LIST, "", &format!("engine-{index}"), format!("narrator 127.0.0.1:{}", 9_000 + index));
+            if index % 20 == 19 {
+                rows.delete(LIST, "", &format!("engine-{}", index - 5));
+                exec::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        until("the first gateway does not know the list", knows(&first, 3_800)).await;
+        until("the other gateway does not know the list", knows(&other, 3_800)).await;
+        assert_eq!(*other.listings(), *first.listings());
+        let (read, all) = (list_bytes(&other), list_bytes(&first));
+        assert!(read * 2 < all, "the other gateway read {read} bytes, the first one {all}");
+    });
+}
+
+/// The gateway that writes snapshots may be gone.
+#[test]
+fn a_burst_of_changes_is_followed_without_a_newer_snapshot() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        let gateway = gateway("vm-1", &rows);
+        until("there is no snapshot", || has_snapshot(&rows)).await;
+        list(&rows, 2 * watch::BURST_ROWS);
+        until("the gateway does not know the list", knows(&gateway, 2 * watch::BURST_ROWS)).await;
+        list(&rows, 3 * watch::BURST_ROWS);
+        until("the gateway does not know the longer list", knows(&gateway, 3 * watch::BURST_ROWS)).await;
+    });
+}
+
 #[test]
 fn the_list_is_read_in_full_after_the_store_lost_its_history() {
     exec::block_on(async {
