--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -28,7 +28,24 @@
 const HOME_CHOICES: usize = 160;
 
 /// A name with its position in an order.
-type Ranked = (u64, Arc<str>);
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Ranked {
+    rank: u64,
+    name: Arc<str>,
+}
+
+impl Ranked {
+    /// A name on the ring.
+    fn on_ring(name: &str) -> Ranked {
+        Ranked { rank: xxh3_64(name.as_bytes()), name: name.into() }
+    }
+
+    /// A name in the order of the gateway with this seed.
+    fn in_order(name: &str, order_seed: Option<u64>) -> Ranked {
+        let rank = order_seed.map_or(0, |seed| xxh3_64_with_seed(name.as_bytes(), seed));
+        Ranked { rank, name: name.into() }
+    }
+}
 
 /// The names of one service's upstreams.
 #[derive(Clone, Debug, Default)]
@@ -43,15 +60,13 @@
 
 impl Group {
     pub(super) fn insert(&mut self, name: &str, order_seed: Option<u64>, is_near: bool) {
-        let name: Arc<str> = name.into();
-        self.ring.insert((xxh3_64(name.as_bytes()), name.clone()));
-        self.side_mut(is_near).insert((rank(&name, order_seed), name));
+        self.ring.insert(Ranked::on_ring(name));
+        self.side_mut(is_near).insert(Ranked::in_order(name, order_seed));
     }
 
     pub(super) fn remove(&mut self, name: &str, order_seed: Option<u64>, is_near: bool) {
-        let name: Arc<str> = name.into();
-        self.ring.remove(&(xxh3_64(name.as_bytes()), name.clone()));
-        self.side_mut(is_near).remove(&(rank(&name, order_seed), name));
+        self.ring.remove(&Ranked::on_ring(name));
+        self.side_mut(is_near).remove(&Ranked::in_order(name, order_seed));
     }
 
     fn side_mut(&mut self, is_near: bool) -> &mut BTreeSet<Ranked> {
@@ -64,7 +79,7 @@
 
     /// The first `count` names in this gateway's order.
     pub(super) fn names(&self, count: usize) -> impl Iterator<Item = &str> {
-        self.near.iter().chain(&self.far).map(|(_, name)| &**name).take(count)
+        self.near.iter().chain(&self.far).map(|ranked| &*ranked.name).take(count)
     }
 
     /// The first upstreams that `find` returns, at most `count`, in this gateway's order.
@@ -73,7 +88,7 @@
         count: usize,
         find: impl Fn(&'a str) -> Option<&'a Upstream>,
     ) -> SmallVec<[(&'a str, &'a Upstream); 32]> {
-        let find = |(_, name): &'a Ranked| find(name).map(|upstream| (&**name, upstream));
+        let find = |ranked: &'a Ranked| find(&ranked.name).map(|upstream| (&*ranked.name, upstream));
         let near_count = count - (count / FAR_PART).min(self.far.len());
         let mut found: SmallVec<_> = self.near.iter().filter_map(find).take(near_count).collect();
         let far_count = count - found.len();
@@ -89,20 +104,16 @@
         part: u64,
         find: impl Fn(&'a str) -> Option<&'a Upstream>,
     ) -> Option<(&'a str, &'a Upstream)> {
-        let from = (xxh3_64(&part.to_le_bytes()), Arc::from(""));
+        let from = Ranked { rank: xxh3_64(&part.to_le_bytes()), name: "".into() };
         let clockwise = self.ring.range(from..).chain(&self.ring).take(self.ring.len().min(HOME_CHOICES));
-        let weighted = clockwise.map(|(_, name)| (xxh3_64_with_seed(name.as_bytes(), part), &**name));
+        let weighted =
+            clockwise.map(|Ranked { name, .. }| (xxh3_64_with_seed(name.as_bytes(), part), &**name));
         let mut weighted: BinaryHeap<(u64, &str)> = weighted.collect();
         std::iter::from_fn(|| weighted.pop())
             .find_map(|(_, name)| find(name).map(|upstream| (name, upstream)))
     }
 }
 
-/// The position of an upstream in the order of the gateway with this seed.
-fn rank(name: &str, order_seed: Option<u64>) -> u64 {
-    order_seed.map_or(0, |seed| xxh3_64_with_seed(name.as_bytes(), seed))
-}
-
 /// The upstreams to consider for a request.
 pub(super) struct Candidates<'a> {
     pub(super) upstreams: SmallVec<[(&'a str, &'a Upstream); 32]>,
