Log and count a bounded number of upstreams

Cause: each second a gateway set a gauge for each upstream, 10,000 of them, which also stayed for those that are gone; each 10 s a log line named the pace of each engine, more than 100 KB. Names of the candidates were stored twice.

Change: a gauge for upstreams with open requests, the 16 slowest engines in the line, names shared.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -87,6 +87,9 @@
 /// The number of sweeps between two log lines with the totals of calls to the store.
 const SWEEPS_PER_LOG_LINE: u64 = 10;
 
+/// The number of engines of a service that a log line names.
+const MAX_LOGGED_ENGINES: usize = 16;
+
 /// A running gateway.
 pub struct Running<W: Wire, S: Rows> {
     node: Arc<Node<W, S>>,
@@ -214,28 +217,33 @@
                 node.metrics.budget_tokens.with_label_values(&[team.as_str(), state]).set(tokens as i64);
             }
         }
-        for (upstream, open_requests) in node.placer().open_requests() {
-            node.metrics.upstream_open_requests.with_label_values(&[upstream]).set(i64::from(open_requests));
-        }
+        node.metrics.set_open_requests(node.placer().open_requests());
     }
 }
 
-/// Logs the measured speed of each service's engines, and the share of short streams that are late beside
-/// long reads.
+/// Logs the measured speed of each service's engines, the slowest of them, and the share of short streams that
+/// are late beside long reads.
 fn log_models<W: Wire, S: Rows>(node: &Node<W, S>) {
     let placer = node.placer();
     for (service, model, median_pace) in placer.models() {
-        let slowness: Vec<String> =
-            placer.slowness(service).iter().map(|(name, slowness)| format!("{name}:{slowness:.2}")).collect();
+        let slowest = slowest(placer.slowness(service));
         let late_share =
             placer.late_share(service, node.now()).map_or("-".to_owned(), |share| format!("{share:.2}"));
         log::info!(
-            "upstream: event=model service={service} {model} event-ms={median_pace:.1} late-beside-reads={late_share} slowness={}",
-            slowness.join(",")
+            "upstream: event=model service={service} {model} event-ms={median_pace:.1} late-beside-reads={late_share} slowness={slowest}"
         );
     }
 }
 
+/// The slowest engines, each with the factor by which it is slower than usual.
+fn slowest(mut slowness: Vec<(&str, f64)>) -> String {
+    slowness.sort_by(|left, right| right.1.total_cmp(&left.1));
+    slowness.truncate(MAX_LOGGED_ENGINES);
+    let entries: Vec<String> =
+        slowness.iter().map(|(name, slowness)| format!("{name}:{slowness:.2}")).collect();
+    entries.join(",")
+}
+
 impl<W: Wire, S: Rows> Running<W, S> {
     /// The addresses bound for callers and for readiness checks.
     pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
@@ -277,3 +285,7 @@
         log::info!("gateway: event=stop");
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/gateway.rs"]
+mod tests;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Sets the number of open requests of the upstreams that have any. The others have no gauge: in a large
+    /// fleet nearly all are idle, and those that are gone would stay for good.
+    pub(crate) fn set_open_requests<'a>(&self, open_requests: impl Iterator<Item = (&'a str, u32)>) {
+        self.upstream_open_requests.reset();
+        for (upstream, open_requests) in open_requests {
+            self.upstream_open_requests.with_label_values(&[upstream]).set(i64::from(open_requests));
+        }
+    }
+
     /// The counts of calls to the store, formatted as one line.
     pub(crate) fn store_calls_line(&self) -> String {
         format_counters(&self.store_calls, &["step", "table", "outcome"])
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -749,8 +749,9 @@
         self.upstreams.get(name).map(|upstream| upstream.info.service.as_str())
     }
 
-    /// The number of open requests on each upstream.
+    /// The number of open requests on each upstream that has any.
     pub fn open_requests(&self) -> impl Iterator<Item = (&str, u32)> {
-        self.upstreams.iter().map(|(name, upstream)| (name.as_str(), upstream.open))
+        let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.open > 0);
+        busy.map(|(name, upstream)| (name.as_str(), upstream.open))
     }
 }
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -36,14 +36,14 @@
 
 impl Ranked {
     /// A name on the ring.
-    fn on_ring(name: &str) -> Ranked {
-        Ranked { rank: xxh3_64(name.as_bytes()), name: name.into() }
+    fn on_ring(name: Arc<str>) -> Ranked {
+        Ranked { rank: xxh3_64(name.as_bytes()), name }
     }
 
     /// A name in the order of the gateway with this seed.
-    fn in_order(name: &str, order_seed: Option<u64>) -> Ranked {
+    fn in_order(name: Arc<str>, order_seed: Option<u64>) -> Ranked {
         let rank = order_seed.map_or(0, |seed| xxh3_64_with_seed(name.as_bytes(), seed));
-        Ranked { rank, name: name.into() }
+        Ranked { rank, name }
     }
 }
 
@@ -60,12 +60,14 @@
 
 impl Group {
     pub(super) fn insert(&mut self, name: &str, order_seed: Option<u64>, is_near: bool) {
-        self.ring.insert(Ranked::on_ring(name));
+        let name: Arc<str> = name.into();
+        self.ring.insert(Ranked::on_ring(name.clone()));
         self.side_mut(is_near).insert(Ranked::in_order(name, order_seed));
     }
 
     pub(super) fn remove(&mut self, name: &str, order_seed: Option<u64>, is_near: bool) {
-        self.ring.remove(&Ranked::on_ring(name));
+        let name: Arc<str> = name.into();
+        self.ring.remove(&Ranked::on_ring(name.clone()));
         self.side_mut(is_near).remove(&Ranked::in_order(name, order_seed));
     }
 
