--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -1,11 +1,15 @@
-//! A compact snapshot of the list of upstreams in the store, which gateways read when they start.
+//! A compact snapshot of the list of upstreams in the store, which gateways read when they start and during
+//! bursts of changes.
 //!
 //! The rows of the list take about 400 bytes per upstream. If all gateways start together and each reads the
 //! rows, the transferred bytes grow with the product of gateways and upstreams. Therefore one gateway
-//! maintains a compressed snapshot, which takes about 20 bytes per upstream. The others start from it and follow the changes
-//! since, as they would after reading the list, so an older snapshot only costs more changes. No gateway
-//! waits for a snapshot once it follows the list, and one that finds no fresh snapshot reads the list in
-//! full.
+//! maintains a compressed snapshot, which takes about 20 bytes per upstream. The others start from it and
+//! follow the changes since, as they would after reading the list, so an older snapshot only costs more
+//! changes. A gateway that finds no fresh snapshot reads the list in full.
+//!
+//! If many upstreams start after the gateways, or are listed again after an outage, the changes themselves are
+//! as long as the list. The gateway that maintains the snapshot then writes it more often, and the others read
+//! it in place of the changes.
 
 use crate::node::Node;
 use crate::ports::{Listing, Wire};
@@ -250,6 +254,7 @@
     next_ms: u64,
     /// When the next snapshot is due if a burst of changes has arrived since the last one.
     burst_ms: u64,
+    /// Whether a burst of changes has arrived since the last snapshot.
     has_burst: bool,
     /// The edition that this gateway wrote last, and the version of the row that describes it.
     written: Arc<std::sync::Mutex<Option<(u64, u64)>>>,
