Cut the engine off only after its first token in a test of held tokens

That answer comes only from cancel_uncertain, which is reached before the first token was relayed; the test cut as soon as the engine counted the run, which is earlier. The answer is right there: the run's outcome is unknown, and its tokens stay held.

Change: the test waits until the router counts the first token. Its checks are unchanged.

--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -114,6 +114,13 @@
         fleet
             .wait_until("the engine runs the request", || async { executions(&fleet, &request.prompt) == 1 })
             .await;
+        // Before the first token, the answer would be a whole 502 in place of a broken stream.
+        fleet
+            .wait_until("the first token is relayed", || async {
+                let metrics = fleet.get(0, "/metrics").await.unwrap_or_default();
+                metrics.contains("tallypaddle_first_token_seconds_count 1")
+            })
+            .await;
         fleet.engine_proxies[0].set_rule(Rule::Cut);
         let answer = pending.await;
         assert!(!answer.complete, "{answer:?}");
