Remember reports that overtake their reservation

A gateway that stops waiting for an owner reports a use of 0 at once. If the owner was still waiting for tokens, the report found no reservation, and the one made afterwards stayed open until its longest time and was charged in full. The owner now remembers such reports for 10 s, at most 4,096 of them. Two unit tests; gateway's peer_reservations tests pass (9).

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use store::rows::Rows;
 
@@ -43,6 +43,11 @@
 const REPORT_ATTEMPTS: u32 = 4;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// How long an owner remembers a report that arrived before its reservation was made. A reservation is made
+/// within the time for which the request may wait for tokens, a part of its target latency.
+const EARLY_REPORT_LIFETIME: Duration = Duration::from_secs(10);
+/// The largest number of such reports that an owner remembers.
+const MAX_EARLY_REPORTS: usize = 4_096;
 /// How long an owner waits for the report after the request's longest duration.
 const REPORT_GRACE: Duration = Duration::from_secs(10);
 
@@ -85,8 +90,18 @@
     tokens: u64,
 }
 
-/// The reservations that this gateway holds for others, and when they expire, by process and number.
-type HeldReservations = HashMap<(String, u64), (Reservation, Instant)>;
+/// The process that a reservation was made for, and its number there.
+type ReservationKey = (String, u64);
+
+/// The reservations that this gateway holds for others.
+#[derive(Debug, Default)]
+struct HeldReservations {
+    /// The open reservations, and when they expire.
+    open: HashMap<ReservationKey, (Reservation, Instant)>,
+    /// Reports that arrived before their reservation was made, and until when they are remembered. A gateway
+    /// that stops waiting for the answer reports at once, while the owner may still be waiting for tokens.
+    early_reports: HashMap<ReservationKey, (UsageReport, Instant)>,
+}
 
 /// The reservations of this gateway at others, and those that it holds for others.
 #[derive(Debug)]
@@ -195,22 +210,48 @@
         .detach();
     }
 
+    fn held(&self) -> MutexGuard<'_, HeldReservations> {
+        self.held.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Holds a reservation for another gateway until its use is reported, or settles it if it was already
+    /// reported.
+    fn hold(&self, key: ReservationKey, reservation: Reservation, until: Instant) {
+        let mut held = self.held();
+        match held.early_reports.remove(&key) {
+            Some((report, _)) => {
+                drop(held);
+                log::info!("budget: event=reported-early holder={} number={}", key.0, key.1);
+                settle_report(reservation, &report);
+            }
+            None => {
+                held.open.insert(key, (reservation, until));
+            }
+        }
+    }
+
     /// Charges the reservation with the use that another gateway reports; it is released if nothing was used.
-    fn apply_report(&self, report: &UsageReport) {
+    fn apply_report(&self, report: UsageReport) {
         let key = (report.holder.clone(), report.number);
-        let reservation = self.held.lock().expect("no thread panics while it holds the lock").remove(&key);
-        if let Some((reservation, _)) = reservation
-            && report.tokens > 0
-        {
-            reservation.charge(&report.request, report.tokens);
+        let mut held = self.held();
+        match held.open.remove(&key) {
+            Some((reservation, _)) => {
+                drop(held);
+                settle_report(reservation, &report);
+            }
+            None if held.early_reports.len() < MAX_EARLY_REPORTS => {
+                held.early_reports.insert(key, (report, Instant::now() + EARLY_REPORT_LIFETIME));
+            }
+            None => {}
         }
     }
 
     /// Charges the worst case of requests whose use was not reported in time.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
-        let mut held = self.held.lock().expect("no thread panics while it holds the lock");
-        let expired = held.extract_if(|_, (_, until)| *until <= now).collect::<Vec<_>>();
+        let mut held = self.held();
+        held.early_reports.retain(|_, (_, until)| *until > now);
+        let expired = held.open.extract_if(|_, (_, until)| *until <= now).collect::<Vec<_>>();
         drop(held);
         for ((holder, number), (reservation, _)) in expired {
             log::warn!("budget: event=charged-at-the-worst holder={holder} number={number}");
@@ -219,6 +260,13 @@
     }
 }
 
+/// Charges a reservation with the reported use, or releases it if nothing was used.
+fn settle_report(reservation: Reservation, report: &UsageReport) {
+    if report.tokens > 0 {
+        reservation.charge(&report.request, report.tokens);
+    }
+}
+
 impl RemoteReservation {
     /// Reports what the request used.
     pub(crate) fn charge(mut self, request: &str, tokens: u64) {
@@ -290,7 +338,7 @@
         },
         _ => match bincode::deserialize::<UsageReport>(&bytes) {
             Ok(report) => {
-                node.peer_reservations.apply_report(&report);
+                node.peer_reservations.apply_report(report);
                 encode_response(&())
             }
             Err(_) => bad_request(),
@@ -312,12 +360,7 @@
     match budget.reserve(request.tokens, Duration::from_millis(request.patience_ms)).await {
         Ok(reservation) => {
             let until = Instant::now() + Duration::from_millis(request.lasts_ms) + REPORT_GRACE;
-            let key = (request.holder, request.number);
-            node.peer_reservations
-                .held
-                .lock()
-                .expect("no thread panics while it holds the lock")
-                .insert(key, (reservation, until));
+            node.peer_reservations.hold((request.holder, request.number), reservation, until);
             ReserveResponse::Held
         }
         Err(denied) => {
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -118,7 +118,7 @@
         // As if the other gateway died: no report is sent.
         let Reservation::Remote(remote) = reservation else { panic!("the reservation is local") };
         remote.discard();
-        for (_, until) in pair.owner.peer_reservations.held.lock().expect("the lock").values_mut() {
+        for (_, until) in pair.owner.peer_reservations.held().open.values_mut() {
             *until = Instant::now();
         }
         pair.owner.peer_reservations.expire();
@@ -158,3 +158,43 @@
         assert_matches!(reservation, Reservation::Local(_));
     });
 }
+
+/// Without the memory of early reports, the reservation stays open until it is charged at its worst case.
+#[test]
+fn a_reservation_that_was_given_up_before_it_was_made_is_released() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let report = UsageReport { holder: "vm-9#1".to_owned(), number: 7, request: "-".to_owned(), tokens: 0 };
+        pair.owner.peer_reservations.apply_report(report);
+        let manifest = pair.owner.manifest().expect("a manifest");
+        let request = ReserveRequest {
+            holder: "vm-9#1".to_owned(),
+            number: 7,
+            team: TEAM.to_owned(),
+            level_version: manifest.version,
+            level_tokens: TOTAL,
+            tokens: 10_000,
+            patience_ms: 500,
+            lasts_ms: 5_000,
+        };
+        assert_matches!(reserve_for_peer(&pair.owner, request).await, ReserveResponse::Held);
+        assert_eq!(pair.reserved_tokens(), 0);
+        assert!(pair.owner.peer_reservations.held().early_reports.is_empty());
+    });
+}
+
+#[test]
+fn early_reports_are_bounded_and_forgotten() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let reservations = &pair.owner.peer_reservations;
+        for number in 0..2 * MAX_EARLY_REPORTS as u64 {
+            let holder = "vm-9#1".to_owned();
+            reservations.apply_report(UsageReport { holder, number, request: "-".to_owned(), tokens: 0 });
+        }
+        assert_eq!(reservations.held().early_reports.len(), MAX_EARLY_REPORTS);
+        reservations.held().early_reports.values_mut().for_each(|(_, until)| *until = Instant::now());
+        reservations.expire();
+        assert!(reservations.held().early_reports.is_empty());
+    });
+}
