--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod demand;
 pub mod exposure;
 pub mod grant;
+pub mod holder;
 pub mod ledger;
