Hold tokens of a team at the gateway of its heavy caller

A gateway states its rate of a team's requests behind each reservation, and the owner answers whether it may hold tokens itself (budget::holder). Builds without the suffix still understand both messages.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub manifest_version: IntGauge,
     /// Budget tokens, by team and state.
     pub budget_tokens: IntGaugeVec,
+    /// The number of teams whose tokens this gateway holds although others own their budgets.
+    pub budgets_held: IntGauge,
     /// Open requests of this gateway, by upstream.
     pub upstream_open_requests: IntGaugeVec,
     /// The number of listed upstreams.
@@ -154,6 +156,10 @@
                 "Tokens by team and state: available and in use here, free in the pool.",
                 &["team", "state"],
             ),
+            budgets_held: gauge(
+                "tallypaddle_budgets_held",
+                "Teams whose tokens are held here though other gateways own their budgets.",
+            ),
             upstream_open_requests: gauges(
                 "tallypaddle_upstream_open_requests",
                 "Requests of this gateway at an upstream.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -248,6 +248,11 @@
         Some(budget)
     }
 
+    /// The budget of a team if it is open at this gateway.
+    pub(crate) fn held_budget(&self, team: &str) -> Option<Arc<TeamBudget>> {
+        self.budgets().get(team).cloned()
+    }
+
     /// Sets the other gateways that are alive.
     pub(crate) fn set_peers(&self, peers: &[Peer]) {
         let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -4,16 +4,22 @@
 //! from then on. When the request has ended, the other gateway reports the actual use. Until then, and for
 //! good if no report arrives, the worst case counts as used. So neither the death of a gateway nor a lost
 //! message can make a token be spent twice.
+//!
+//! A gateway that makes a large part of a team's requests holds tokens of the team itself (see
+//! [`budget::holder`]). It states its rate of requests behind each [`ReserveRequest`], and the owner's answer
+//! tells behind the [`ReserveResponse`] whether it may hold tokens. Earlier builds ignore both.
 
 use crate::budget_state::DenialReason;
 use crate::node::{Node, Phase};
 use crate::owners::Owner;
 use crate::ports::Wire;
 use crate::team_budget::{Reservation, TeamBudget};
+use budget::holder::{Holders, Holding, Millis, Place};
 use budget::ledger::Level;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::{Body, Client, exec};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -110,6 +116,10 @@
     client: Client,
     next_number: AtomicU64,
     held: Mutex<HeldReservations>,
+    /// The teams whose requests arrive here and whose budgets other gateways own.
+    holdings: Mutex<HashMap<String, Holding>>,
+    /// The gateways that reserve tokens here, by team.
+    holders: Mutex<HashMap<String, Holders>>,
 }
 
 /// Tokens reserved at another gateway, until their use is reported.
@@ -121,12 +131,36 @@
     is_reported: bool,
 }
 
+/// A message of another gateway.
+trait Decode: Sized {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error>;
+}
+
+impl Decode for () {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
+        bincode::deserialize(bytes)
+    }
+}
+
+/// A message followed by a value that earlier builds neither send nor read; they ignore bytes behind a
+/// message. Without it, the value is the default.
+struct WithSuffix<T, V>(T, V);
+
+impl<T: DeserializeOwned, V: Default + DeserializeOwned> Decode for WithSuffix<T, V> {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
+        let mut rest = bytes;
+        let message = bincode::deserialize_from(&mut rest)?;
+        Ok(WithSuffix(message, bincode::deserialize_from(rest).unwrap_or_default()))
+    }
+}
+
 /// Why tokens can't be reserved: the reason, when to retry in milliseconds, and the details for the log.
 pub(crate) type Denial = (DenialReason, u64, String);
 
 /// The outcome of a [`ReserveRequest`].
 enum ReserveOutcome {
-    Held(RemoteReservation),
+    /// The reservation, and whether this gateway may hold tokens itself.
+    Held(RemoteReservation, bool),
     Denied(Denial),
     /// The owner did not answer, is stopping, or does not know the team.
     Unavailable,
@@ -139,10 +173,58 @@
             client: Client::with_idle_limits(IDLE_CONNECTIONS.0, IDLE_CONNECTIONS.1),
             next_number: AtomicU64::new(1),
             held: Mutex::default(),
+            holdings: Mutex::default(),
+            holders: Mutex::default(),
+        }
+    }
+
+    /// Records a request of a team whose budget another gateway owns. Returns where to reserve its tokens, and
+    /// the rate of the team's requests at this gateway.
+    fn record_request(&self, team: &str, now: Millis) -> (Place, f64) {
+        let mut holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        if !holdings.contains_key(team) {
+            holdings.retain(|_, holding| !holding.is_idle(now));
+            holdings.insert(team.to_owned(), Holding::default());
+        }
+        let holding = holdings.get_mut(team).expect("it was just inserted");
+        let place = holding.record_request(now);
+        (place, holding.requests_per_s(now))
+    }
+
+    /// Records an owner's answer whether this gateway may hold tokens of a team.
+    fn record_answer(&self, team: &str, may_hold: bool, now: Millis) {
+        let mut holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        let Some(holding) = holdings.get_mut(team) else { return };
+        if holding.record_answer(may_hold, now) {
+            let event = if may_hold { "holds" } else { "holds-no-more" };
+            log::info!("budget: event={event} team={team} requests-per-s={:.1}", holding.requests_per_s(now));
         }
     }
 
-    async fn reserve_at(self: &Arc<Self>, owner: SocketAddr, request: &ReserveRequest) -> ReserveOutcome {
+    /// Whether this gateway holds tokens of a team whose budget others own.
+    pub(crate) fn holds(&self, team: &str) -> bool {
+        let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        holdings.get(team).is_some_and(Holding::holds)
+    }
+
+    /// The number of teams whose tokens this gateway holds although others own their budgets.
+    pub(crate) fn held_teams(&self) -> usize {
+        let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        holdings.values().filter(|holding| holding.holds()).count()
+    }
+
+    /// Decides as an owner whether the asking gateway may hold tokens itself.
+    fn may_hold(&self, team: &str, asking: &str, requests_per_s: f64, now: Millis) -> bool {
+        let mut holders = self.holders.lock().expect("no thread panics while it holds the lock");
+        holders.entry(team.to_owned()).or_default().record(asking, requests_per_s, now)
+    }
+
+    async fn reserve_at(
+        self: &Arc<Self>,
+        owner: SocketAddr,
+        request: &ReserveRequest,
+        requests_per_s: f64,
+    ) -> ReserveOutcome {
         let limit = Duration::from_millis(request.patience_ms) + NETWORK_ALLOWANCE;
         // From here on the owner may hold the reservation, so unless it is discarded, dropping it reports
         // that nothing was used.
@@ -152,13 +234,14 @@
             number: request.number,
             is_reported: false,
         };
-        match self.send::<ReserveResponse>("reserve", owner, RESERVE_PATH, request, limit).await {
-            Ok(ReserveResponse::Held) => ReserveOutcome::Held(reservation),
-            Ok(ReserveResponse::Denied { denied, ready_ms, detail }) => {
+        let message = (request, requests_per_s);
+        match self.send("reserve", owner, RESERVE_PATH, &message, limit).await {
+            Ok(WithSuffix(ReserveResponse::Held, may_hold)) => ReserveOutcome::Held(reservation, may_hold),
+            Ok(WithSuffix(ReserveResponse::Denied { denied, ready_ms, detail }, _)) => {
                 reservation.discard();
                 ReserveOutcome::Denied((denied, ready_ms, format!("{detail} owner={owner}")))
             }
-            Ok(ReserveResponse::Unfit) => {
+            Ok(WithSuffix(ReserveResponse::Unfit, _)) => {
                 reservation.discard();
                 ReserveOutcome::Unavailable
             }
@@ -172,7 +255,7 @@
         }
     }
 
-    async fn send<T: for<'a> Deserialize<'a>>(
+    async fn send<T: Decode>(
         &self,
         step: &'static str,
         peer: SocketAddr,
@@ -186,7 +269,7 @@
         let request = Request::post(format!("http://{peer}{path}")).body(Body::from(bytes));
         let request = request.map_err(|reason| error(net::Fault::Unsent, reason.to_string()))?;
         let answer = self.client.exchange(step, request, MESSAGE_LIMIT, limit).await?;
-        bincode::deserialize(answer.body()).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
+        T::decode(answer.body()).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
     }
 
     /// Reports the use of a request in the background.
@@ -302,6 +385,16 @@
     let began = Instant::now();
     let owner = node.owners.owner_of(team);
     if let Owner::Peer(owner) = owner {
+        let (place, requests_per_s) = node.peer_reservations.record_request(team, node.now());
+        let holding = node.peer_reservations.holds(team).then(|| node.held_budget(team)).flatten();
+        if let Some(budget) = &holding {
+            // The tokens of the first requests are not here yet; until they are, an owner is asked.
+            if place == Place::Holder && budget.can_reserve(tokens) {
+                let left = timeout.saturating_sub(began.elapsed());
+                return reserve_here(budget, tokens, left).await;
+            }
+            budget.record_demand(tokens);
+        }
         let request = ReserveRequest {
             holder: node.holder.clone(),
             number: node.peer_reservations.next_number.fetch_add(1, Ordering::Relaxed),
@@ -312,15 +405,29 @@
             patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
-        match node.peer_reservations.reserve_at(owner, &request).await {
-            ReserveOutcome::Held(reservation) => return Ok(Some(Reservation::Remote(reservation))),
+        match node.peer_reservations.reserve_at(owner, &request, requests_per_s).await {
+            ReserveOutcome::Held(reservation, may_hold) => {
+                node.peer_reservations.record_answer(team, may_hold, node.now());
+                if may_hold && holding.is_none() {
+                    // Opens the budget, so that its first settlement draws tokens.
+                    budget();
+                }
+                return Ok(Some(Reservation::Remote(reservation)));
+            }
             ReserveOutcome::Denied(denial) => return Err(denial),
             ReserveOutcome::Unavailable => node.owners.skip(owner),
         }
     }
     let Some(budget) = budget() else { return Ok(None) };
-    let left = timeout.saturating_sub(began.elapsed());
-    let reserved = budget.reserve(tokens, left).await;
+    reserve_here(&budget, tokens, timeout.saturating_sub(began.elapsed())).await
+}
+
+async fn reserve_here(
+    budget: &Arc<TeamBudget>,
+    tokens: u64,
+    timeout: Duration,
+) -> Result<Option<Reservation>, Denial> {
+    let reserved = budget.reserve(tokens, timeout).await;
     reserved.map(Some).map_err(|denied| (denied, budget.retry_after_ms(tokens), budget.explain(tokens)))
 }
 
@@ -332,8 +439,15 @@
     let path = request.uri().path().to_owned();
     let Ok(bytes) = net::collect(request.into_body(), MESSAGE_LIMIT).await else { return bad_request() };
     match path.as_str() {
-        RESERVE_PATH => match bincode::deserialize::<ReserveRequest>(&bytes) {
-            Ok(request) => encode_response(&reserve_for_peer(&node, request).await),
+        RESERVE_PATH => match WithSuffix::<ReserveRequest, f64>::decode(&bytes) {
+            Ok(WithSuffix(request, requests_per_s)) => {
+                let asking = request.holder.clone();
+                let team = request.team.clone();
+                let response = reserve_for_peer(&node, request).await;
+                let may_hold = matches!(response, ReserveResponse::Held)
+                    && node.peer_reservations.may_hold(&team, &asking, requests_per_s, node.now());
+                encode_response(&(response, may_hold))
+            }
             Err(_) => bad_request(),
         },
         _ => match bincode::deserialize::<UsageReport>(&bytes) {
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -227,6 +227,23 @@
         }
     }
 
+    /// Whether this gateway holds the tokens that a request needs. The notes may still have to allow their use.
+    pub(crate) fn can_reserve(&self, tokens: u64) -> bool {
+        let state = self.lock();
+        state.notes.age(state.now()).is_some() && state.grant.usable() >= tokens
+    }
+
+    /// Records the demand of a request whose tokens another gateway reserves although this one holds some, and
+    /// has more drawn.
+    pub(crate) fn record_demand(&self, tokens: u64) {
+        let mut state = self.lock();
+        let now = state.now();
+        state.demand.record_request(now);
+        state.demand.record_consumption(tokens);
+        drop(state);
+        let _ = self.settle_requests.try_send(());
+    }
+
     /// Sets the tokens that earlier processes of this VM used. They predict how many this process will need.
     pub(crate) fn set_earlier_use(&self, tokens: u64) {
         self.lock().earlier_use = tokens;
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -42,6 +42,29 @@
         Pair { rows, owner, handle: Some(handle), other }
     }
 
+    /// Reserves and charges tokens for requests of a heavy caller at the other gateway, until that gateway
+    /// holds tokens itself. Returns how many requests that took.
+    async fn become_holder(&self) -> usize {
+        for round in 1..=500 {
+            let reservation = self.reserve(10).await.expect("tokens").expect("a budget");
+            if matches!(reservation, Reservation::Local(_)) {
+                return round;
+            }
+            reservation.charge("r", 10);
+            self.note_budgets();
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the gateway with the heavy caller still asks the owner");
+    }
+
+    /// Acknowledges a usage note of the other gateway's budgets, which its background task would write.
+    fn note_budgets(&self) {
+        for budget in self.other.budgets().values() {
+            let (generation, _) = budget.begin_note(1, 1);
+            budget.end_note(generation, Some(true));
+        }
+    }
+
     async fn reserve(&self, tokens: u64) -> Result<Option<Reservation>, Denial> {
         let manifest = self.other.manifest().expect("a manifest");
         let budget = || self.other.budget(&manifest, &manifest.teams[TEAM]);
@@ -164,7 +187,8 @@
 fn a_reservation_that_was_given_up_before_it_was_made_is_released() {
     exec::block_on(async {
         let pair = Pair::start().await;
-        let report = UsageReport { holder: "vm-9#1".to_owned(), number: 7, request: "-".to_owned(), tokens: 0 };
+        let report =
+            UsageReport { holder: "vm-9#1".to_owned(), number: 7, request: "-".to_owned(), tokens: 0 };
         pair.owner.peer_reservations.apply_report(report);
         let manifest = pair.owner.manifest().expect("a manifest");
         let request = ReserveRequest {
@@ -198,3 +222,57 @@
         assert!(reservations.held().early_reports.is_empty());
     });
 }
+
+/// The network between the gateway with a heavy caller and the owner fails, or is saturated by the caller.
+#[test]
+fn a_gateway_with_a_heavy_caller_needs_no_owner() {
+    exec::block_on(async {
+        let mut pair = Pair::start().await;
+        pair.become_holder().await;
+        drop(pair.handle.take());
+        for _ in 0..20 {
+            pair.note_budgets();
+            let reservation = pair.reserve(10).await.expect("tokens").expect("a budget");
+            assert_matches!(reservation, Reservation::Local(_));
+            reservation.charge("r", 10);
+        }
+        assert!(pair.other.peer_reservations.holds(TEAM));
+    });
+}
+
+#[test]
+fn tokens_held_for_a_heavy_caller_are_those_of_the_pool() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.become_holder().await;
+        let pool = pair.rows.get(BUDGETS, TEAM, POOL).expect("the pool was written");
+        let pool: Pool = serde_json::from_slice(&pool).expect("a pool");
+        assert!(pool.is_balanced());
+        let budgets = [&pair.owner, &pair.other].map(|node| node.held_budget(TEAM).expect("it is open"));
+        let held: u64 = budgets.iter().map(|budget| budget.lock().grant.total()).sum();
+        assert!(held <= pool.outstanding, "{held} are held, {} are outstanding", pool.outstanding);
+    });
+}
+
+/// Builds before the rate was added send requests without it, and ignore what follows the answer.
+#[test]
+fn messages_of_earlier_builds_are_understood() {
+    let request = ReserveRequest {
+        holder: "vm-9#1".to_owned(),
+        number: 7,
+        team: TEAM.to_owned(),
+        level_version: 1,
+        level_tokens: TOTAL,
+        tokens: 10_000,
+        patience_ms: 500,
+        lasts_ms: 5_000,
+    };
+    let earlier = bincode::serialize(&request).expect("bytes");
+    let WithSuffix(decoded, requests_per_s) =
+        WithSuffix::<ReserveRequest, f64>::decode(&earlier).expect("whole");
+    assert_eq!((decoded.number, requests_per_s), (7, 0.0));
+    let current = bincode::serialize(&(ReserveResponse::Held, true)).expect("bytes");
+    assert_matches!(bincode::deserialize(&current), Ok(ReserveResponse::Held));
+    let cut = &current[..2];
+    assert!(WithSuffix::<ReserveResponse, bool>::decode(cut).is_err());
+}
