Keep the last tokens of a budget for a team's urgent requests

When a budget runs out, long requests of little urgency took the last tokens although urgent ones with few tokens could have gone on. budget::urgency keeps as much as more urgent requests ask for, at most 3 % of the budget, which is what counted as spent before. The priority travels behind the reservation. Tests: urgent requests go on, the reserve is bounded, a team without urgent requests uses its whole budget; gateway unit tests pass.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod grant;
 pub mod holder;
 pub mod ledger;
+pub mod urgency;
--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -6,6 +6,7 @@
 use budget::exposure::{Schedule, ScheduleInput, UsageNotes};
 use budget::grant::{Grant, ReserveOutcome};
 use budget::ledger::{Account, Batch, Level, Pool};
+use budget::urgency::Mix;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -85,6 +86,8 @@
     use_growth: Demand,
     /// The highest use seen when `use_growth` was updated.
     max_used: u64,
+    /// The use of the budget by priority, as far as this gateway reserves its tokens.
+    pub mix: Mix,
     pub level: Level,
     pub is_level_lowered: bool,
     pub waiting_tokens: u64,
@@ -118,6 +121,7 @@
             demand: Demand::default(),
             use_growth: Demand::default(),
             max_used: 0,
+            mix: Mix::default(),
             level,
             is_level_lowered: false,
             waiting_tokens: 0,
@@ -155,6 +159,18 @@
         self.open_batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
     }
 
+    /// Whether the last tokens of the budget are kept for requests that are more urgent than `priority`.
+    pub(crate) fn is_withheld(&self, tokens: u64, priority: u32, owners: u64) -> bool {
+        let withheld = self.mix.withheld(priority, self.level.tokens);
+        // Once a gateway lacks tokens that the pool does not have, only those at hand count: the others may
+        // be lost with dead gateways. Each owner then keeps its part.
+        let (left, withheld) = match self.rows.pool.wanted {
+            true => (self.latest_settlement.pool_free + self.grant.available(), withheld / owners.max(1)),
+            false => (self.unspent().saturating_sub(self.grant.in_use()), withheld),
+        };
+        withheld > 0 && left < tokens + withheld
+    }
+
     /// Reserves tokens if this gateway holds them and its notes allow their use.
     pub(crate) fn reserve(&mut self, tokens: u64) -> bool {
         !self.exceeds_note_limit(tokens) && self.grant.reserve(tokens) == ReserveOutcome::Reserved
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,7 +7,7 @@
 use crate::job::{Admitted, Job, TokenMeter};
 use crate::manifest::Lookup;
 use crate::node::{Node, Phase};
-use crate::peer_reservations::{self, Denial};
+use crate::peer_reservations::{self, Cost, Denial};
 use crate::ports::{Ask, Wire};
 use crate::quarantine::{self, Check};
 use crate::refusal::Refusal;
@@ -156,8 +156,8 @@
     let lifetime = Duration::from_millis(ask.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms));
     let stride = manifest.services.get(service).map_or(1, |service| service.stride);
     let budget = || node.budget(manifest, team);
-    peer_reservations::reserve(node, budget, &team.name, level, prompt.max_tokens(stride), max_wait, lifetime)
-        .await
+    let cost = Cost { tokens: prompt.max_tokens(stride), priority: route.priority };
+    peer_reservations::reserve(node, budget, &team.name, level, cost, max_wait, lifetime).await
 }
 
 /// What to do after an attempt.
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -6,8 +6,8 @@
 //! message can make a token be spent twice.
 //!
 //! A gateway that makes a large part of a team's requests holds tokens of the team itself (see
-//! [`budget::holder`]). It states its rate of requests behind each [`ReserveRequest`], and the owner's answer
-//! tells behind the [`ReserveResponse`] whether it may hold tokens. Earlier builds ignore both.
+//! [`budget::holder`]). It states its rate of requests in the [`RequestSuffix`], and the owner tells behind
+//! the [`ReserveResponse`] whether it may hold tokens. Earlier builds ignore both.
 
 use crate::budget_state::DenialReason;
 use crate::node::{Node, Phase};
@@ -74,6 +74,15 @@
     lasts_ms: u64,
 }
 
+/// What follows a [`ReserveRequest`]; earlier builds neither send nor read it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct RequestSuffix {
+    /// The rate of the team's requests at the asking gateway.
+    requests_per_s: f64,
+    /// The priority of the request among those of its team, 0 being the most urgent.
+    priority: u32,
+}
+
 /// The owner's response to a [`ReserveRequest`].
 #[derive(Debug, Deserialize, Serialize)]
 enum ReserveResponse {
@@ -223,7 +232,7 @@
         self: &Arc<Self>,
         owner: SocketAddr,
         request: &ReserveRequest,
-        requests_per_s: f64,
+        suffix: RequestSuffix,
     ) -> ReserveOutcome {
         let limit = Duration::from_millis(request.patience_ms) + NETWORK_ALLOWANCE;
         // From here on the owner may hold the reservation, so unless it is discarded, dropping it reports
@@ -234,7 +243,7 @@
             number: request.number,
             is_reported: false,
         };
-        let message = (request, requests_per_s);
+        let message = (request, suffix);
         match self.send("reserve", owner, RESERVE_PATH, &message, limit).await {
             Ok(WithSuffix(ReserveResponse::Held, may_hold)) => ReserveOutcome::Held(reservation, may_hold),
             Ok(WithSuffix(ReserveResponse::Denied { denied, ready_ms, detail }, _)) => {
@@ -371,6 +380,15 @@
     }
 }
 
+/// What a request may cost its team.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Cost {
+    /// The tokens that it may use at most.
+    pub tokens: u64,
+    /// Its priority among the requests of the team, 0 being the most urgent.
+    pub priority: u32,
+}
+
 /// Reserves the worst-case cost of a request: at the team's owner, or here if this gateway owns the budget or
 /// the owner is unavailable.
 pub(crate) async fn reserve<W: Wire, S: Rows>(
@@ -378,7 +396,7 @@
     budget: impl FnOnce() -> Option<Arc<TeamBudget>>,
     team: &str,
     level: Level,
-    tokens: u64,
+    cost: Cost,
     timeout: Duration,
     max_duration: Duration,
 ) -> Result<Option<Reservation>, Denial> {
@@ -389,23 +407,24 @@
         let holding = node.peer_reservations.holds(team).then(|| node.held_budget(team)).flatten();
         if let Some(budget) = &holding {
             // The tokens of the first requests are not here yet; until they are, an owner is asked.
-            if place == Place::Holder && budget.can_reserve(tokens) {
+            if place == Place::Holder && budget.can_reserve(cost.tokens) {
                 let left = timeout.saturating_sub(began.elapsed());
-                return reserve_here(budget, tokens, left).await;
+                return reserve_here(budget, cost, left).await;
             }
-            budget.record_demand(tokens);
+            budget.record_demand(cost.tokens);
         }
+        let suffix = RequestSuffix { requests_per_s, priority: cost.priority };
         let request = ReserveRequest {
             holder: node.holder.clone(),
             number: node.peer_reservations.next_number.fetch_add(1, Ordering::Relaxed),
             team: team.to_owned(),
             level_version: level.version,
             level_tokens: level.tokens,
-            tokens,
+            tokens: cost.tokens,
             patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
-        match node.peer_reservations.reserve_at(owner, &request, requests_per_s).await {
+        match node.peer_reservations.reserve_at(owner, &request, suffix).await {
             ReserveOutcome::Held(reservation, may_hold) => {
                 node.peer_reservations.record_answer(team, may_hold, node.now());
                 if may_hold && holding.is_none() {
@@ -419,15 +438,15 @@
         }
     }
     let Some(budget) = budget() else { return Ok(None) };
-    reserve_here(&budget, tokens, timeout.saturating_sub(began.elapsed())).await
+    reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await
 }
 
 async fn reserve_here(
     budget: &Arc<TeamBudget>,
-    tokens: u64,
+    Cost { tokens, priority }: Cost,
     timeout: Duration,
 ) -> Result<Option<Reservation>, Denial> {
-    let reserved = budget.reserve(tokens, timeout).await;
+    let reserved = budget.reserve(tokens, priority, timeout).await;
     reserved.map(Some).map_err(|denied| (denied, budget.retry_after_ms(tokens), budget.explain(tokens)))
 }
 
@@ -439,11 +458,11 @@
     let path = request.uri().path().to_owned();
     let Ok(bytes) = net::collect(request.into_body(), MESSAGE_LIMIT).await else { return bad_request() };
     match path.as_str() {
-        RESERVE_PATH => match WithSuffix::<ReserveRequest, f64>::decode(&bytes) {
-            Ok(WithSuffix(request, requests_per_s)) => {
+        RESERVE_PATH => match WithSuffix::<ReserveRequest, RequestSuffix>::decode(&bytes) {
+            Ok(WithSuffix(request, RequestSuffix { requests_per_s, priority })) => {
                 let asking = request.holder.clone();
                 let team = request.team.clone();
-                let response = reserve_for_peer(&node, request).await;
+                let response = reserve_for_peer(&node, request, priority).await;
                 let may_hold = matches!(response, ReserveResponse::Held)
                     && node.peer_reservations.may_hold(&team, &asking, requests_per_s, node.now());
                 encode_response(&(response, may_hold))
@@ -461,7 +480,11 @@
 }
 
 /// Reserves tokens for a request of another gateway.
-async fn reserve_for_peer<W: Wire, S: Rows>(node: &Node<W, S>, request: ReserveRequest) -> ReserveResponse {
+async fn reserve_for_peer<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    request: ReserveRequest,
+    priority: u32,
+) -> ReserveResponse {
     if node.phase() != Phase::Serving {
         return ReserveResponse::Unfit;
     }
@@ -471,7 +494,8 @@
         return ReserveResponse::Unfit;
     };
     budget.set_level(Level { version: request.level_version, tokens: request.level_tokens });
-    match budget.reserve(request.tokens, Duration::from_millis(request.patience_ms)).await {
+    let patience = Duration::from_millis(request.patience_ms);
+    match budget.reserve(request.tokens, priority, patience).await {
         Ok(reservation) => {
             let until = Instant::now() + Duration::from_millis(request.lasts_ms) + REPORT_GRACE;
             node.peer_reservations.hold((request.holder, request.number), reservation, until);
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -144,16 +144,22 @@
         }
     }
 
-    /// Reserves the worst-case cost of a request, waiting for tokens for at most `timeout`.
+    /// Reserves the worst-case cost of a request, waiting for tokens for at most `timeout`. The last tokens of
+    /// a budget are kept for the more urgent requests.
     pub(crate) async fn reserve(
         self: &Arc<TeamBudget>,
         tokens: u64,
+        priority: u32,
         timeout: Duration,
     ) -> Result<Reservation, DenialReason> {
         let now = self.now();
         let begun = {
             let mut state = self.lock();
             state.demand.record_request(now);
+            if state.is_withheld(tokens, priority, self.owners.load(Ordering::Relaxed)) {
+                return Err(DenialReason::Spent);
+            }
+            state.mix.record(priority, tokens);
             if state.reserve(tokens) {
                 return Ok(Reservation::local(self, state.generation, tokens));
             }
--- a/crates/gateway/tests/unit/members.rs
+++ b/crates/gateway/tests/unit/members.rs
@@ -69,13 +69,13 @@
         }
         let teams = cut_off.manifest().expect("a manifest");
         let budget = cut_off.budget(&teams, &teams.teams["desk"]).expect("a budget");
-        budget.reserve(10_000, Duration::from_secs(2)).await.expect("tokens").charge("r-1", 10_000);
+        budget.reserve(10_000, 0, Duration::from_secs(2)).await.expect("tokens").charge("r-1", 10_000);
         let held = budget.token_counts().available;
         assert!(held > 10_000, "only {held} tokens are available");
 
         remove_gateway(&other, "vm-1").await;
         budget
-            .reserve(held, Duration::from_secs(2))
+            .reserve(held, 0, Duration::from_secs(2))
             .await
             .expect("the tokens are still available")
             .charge("r-2", held);
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -52,9 +52,9 @@
     net::exec::block_on(async {
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
-        let desk = budget(&first, "desk").reserve(1_000, RESERVE_TIMEOUT).await.expect("desk's tokens");
+        let desk = budget(&first, "desk").reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("desk's tokens");
         let branch =
-            budget(&first, "branch").reserve(20_000, RESERVE_TIMEOUT).await.expect("branch's tokens");
+            budget(&first, "branch").reserve(20_000, 0, RESERVE_TIMEOUT).await.expect("branch's tokens");
         write_note(&first, &mut Some(0)).await.expect("the note is written");
         // The process dies here: its reservations are neither charged nor released.
         std::mem::forget((desk, branch));
@@ -73,7 +73,7 @@
     net::exec::block_on(async {
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
-        let used = budget(&first, "desk").reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens");
+        let used = budget(&first, "desk").reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
         std::mem::forget(used);
         let before = account(&rows, "desk").lines["desk"];
         assert!(before.exposed >= 1_000);
@@ -92,7 +92,7 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", 1, &rows);
         let budget = budget(&gateway, "branch");
-        drop(budget.reserve(20_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget.reserve(20_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         let mut version = Some(0);
         write_note(&gateway, &mut version).await.expect("the note is written");
         let noted = budget.lock().note_limit();
@@ -102,7 +102,7 @@
         rows.set_fault(RowsFault::Down);
         let limit = budget.lock().note_limit();
         assert!(limit <= noted + 1_000, "an unacknowledged note raised the limit from {noted} to {limit}");
-        let denied = budget.reserve(limit + 1, Duration::from_millis(100)).await.err();
+        let denied = budget.reserve(limit + 1, 0, Duration::from_millis(100)).await.err();
         assert_matches!(denied, Some(DenialReason::Away));
 
         // The next note is written under the condition that the late one has not taken effect.
@@ -118,10 +118,10 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", 1, &rows);
         let budget = budget(&gateway, "branch");
-        drop(budget.reserve(20_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget.reserve(20_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         write_note(&gateway, &mut Some(0)).await.expect("the note is written");
         rows.set_fault(RowsFault::Down);
-        let at_once = budget.reserve(8_000, Duration::from_millis(50)).await.err();
+        let at_once = budget.reserve(8_000, 0, Duration::from_millis(50)).await.err();
         assert_matches!(at_once, Some(DenialReason::Away));
         let before = budget.lock().note_limit();
         let mut waited = 0;
@@ -130,7 +130,7 @@
             waited += 1;
             exec::sleep(Duration::from_millis(50)).await;
         }
-        budget.reserve(8_000, Duration::from_millis(50)).await.expect("the limit has grown");
+        budget.reserve(8_000, 0, Duration::from_millis(50)).await.expect("the limit has grown");
     });
 }
 
@@ -140,7 +140,7 @@
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
         first.fleet_size.store(1, std::sync::atomic::Ordering::Relaxed);
-        std::mem::forget(budget(&first, "branch").reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        std::mem::forget(budget(&first, "branch").reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         exec::sleep(Duration::from_millis(200)).await;
         assert!(budget(&first, "branch").token_counts().available > 40_000, "it holds much of the budget");
         write_note(&first, &mut Some(0)).await.expect("the note is written");
@@ -162,7 +162,7 @@
         let branch = budget(&gateway, "branch");
         let mut open = vec![];
         for _ in 0..80 {
-            open.push(branch.reserve(150, RESERVE_TIMEOUT).await.expect("tokens"));
+            open.push(branch.reserve(150, 0, RESERVE_TIMEOUT).await.expect("tokens"));
             exec::sleep(Duration::from_millis(50)).await;
         }
         let (_, schedule) = branch.begin_note(5, 1);
@@ -175,7 +175,7 @@
     let began = std::time::Instant::now();
     let mut used = 0;
     while began.elapsed() < duration {
-        if let Ok(held) = budget.reserve(500, Duration::from_millis(50)).await {
+        if let Ok(held) = budget.reserve(500, 0, Duration::from_millis(50)).await {
             held.charge("r-1", 500);
             used += 500;
         }
@@ -217,7 +217,7 @@
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
         budget(&first, "branch")
-            .reserve(20_000, RESERVE_TIMEOUT)
+            .reserve(20_000, 0, RESERVE_TIMEOUT)
             .await
             .expect("tokens")
             .charge("r-1", 20_000);
@@ -229,7 +229,7 @@
         exec::sleep(Duration::from_millis(300)).await;
         rows.set_fault(RowsFault::Down);
         budget(&second, "branch")
-            .reserve(5_000, RESERVE_TIMEOUT)
+            .reserve(5_000, 0, RESERVE_TIMEOUT)
             .await
             .expect("tokens were drawn before the first request");
     });
@@ -241,14 +241,14 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", 1, &rows);
         let budget = budget(&gateway, "branch");
-        drop(budget.reserve(20_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget.reserve(20_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         write_note(&gateway, &mut Some(0)).await.expect("the note is written");
         rows.set_fault(RowsFault::Down);
         assert_matches!(
-            budget.reserve(3_000, Duration::from_millis(10)).await.err(),
+            budget.reserve(3_000, 0, Duration::from_millis(10)).await.err(),
             Some(DenialReason::Away)
         );
-        budget.reserve(3_000, Duration::from_millis(4_000)).await.expect("the limit grows while it waits");
+        budget.reserve(3_000, 0, Duration::from_millis(4_000)).await.expect("the limit grows while it waits");
     });
 }
 
@@ -257,7 +257,7 @@
     net::exec::block_on(async {
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
-        std::mem::forget(budget(&first, "branch").reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        std::mem::forget(budget(&first, "branch").reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         write_note(&first, &mut Some(0)).await.expect("the note is written");
         let before = pool(&rows, "branch").outstanding;
         let second = start_gateway("vm-1", 2, &rows);
@@ -276,7 +276,7 @@
         let rows = TableRows::default();
         let first = start_gateway("vm-1", 1, &rows);
         for (team, _) in TEAMS {
-            std::mem::forget(budget(&first, team).reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+            std::mem::forget(budget(&first, team).reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         }
         write_note(&first, &mut Some(0)).await.expect("the note is written");
         let second = start_gateway("vm-1", 2, &rows);
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -69,7 +69,8 @@
         let manifest = self.other.manifest().expect("a manifest");
         let budget = || self.other.budget(&manifest, &manifest.teams[TEAM]);
         let level = Level { version: manifest.version, tokens: TOTAL };
-        reserve(&self.other, budget, TEAM, level, tokens, Duration::from_millis(500), MAX_DURATION).await
+        let cost = Cost { tokens, priority: 0 };
+        reserve(&self.other, budget, TEAM, level, cost, Duration::from_millis(500), MAX_DURATION).await
     }
 
     /// The tokens that are reserved at the owner.
@@ -201,7 +202,7 @@
             patience_ms: 500,
             lasts_ms: 5_000,
         };
-        assert_matches!(reserve_for_peer(&pair.owner, request).await, ReserveResponse::Held);
+        assert_matches!(reserve_for_peer(&pair.owner, request, 0).await, ReserveResponse::Held);
         assert_eq!(pair.reserved_tokens(), 0);
         assert!(pair.owner.peer_reservations.held().early_reports.is_empty());
     });
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -56,10 +56,10 @@
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         rows.set_fault(RowsFault::LostAnswers);
         let budget = budget(&gateway);
-        let first = budget.reserve(4_000, Duration::from_millis(50)).await;
+        let first = budget.reserve(4_000, 0, Duration::from_millis(50)).await;
         assert_matches!(first, Err(DenialReason::Away));
         rows.set_fault(RowsFault::None);
-        budget.reserve(4_000, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 3_000);
+        budget.reserve(4_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 3_000);
         wait_for_pool(&rows, "the charge is settled", |pool| pool.spent == 3_000 && pool.is_balanced()).await;
     });
 }
@@ -71,9 +71,9 @@
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         rows.set_fault(RowsFault::LateWrites);
         let budget = budget(&gateway);
-        assert_matches!(budget.reserve(4_000, Duration::from_millis(50)).await, Err(DenialReason::Away));
+        assert_matches!(budget.reserve(4_000, 0, Duration::from_millis(50)).await, Err(DenialReason::Away));
         rows.set_fault(RowsFault::None);
-        let held = budget.reserve(4_000, RESERVE_TIMEOUT).await.expect("tokens");
+        let held = budget.reserve(4_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
         rows.apply_late_writes();
         held.charge("r-1", 4_000);
         wait_for_pool(&rows, "the charge is settled", |pool| pool.spent == 4_000).await;
@@ -88,13 +88,13 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         let budget = budget(&gateway);
-        assert_matches!(budget.reserve(10_001, RESERVE_TIMEOUT).await, Err(DenialReason::Spent));
-        let all = budget.reserve(10_000, RESERVE_TIMEOUT).await.expect("the whole budget fits");
+        assert_matches!(budget.reserve(10_001, 0, RESERVE_TIMEOUT).await, Err(DenialReason::Spent));
+        let all = budget.reserve(10_000, 0, RESERVE_TIMEOUT).await.expect("the whole budget fits");
         all.charge("r-1", 10_000);
-        assert_matches!(budget.reserve(1, RESERVE_TIMEOUT).await, Err(DenialReason::Spent));
+        assert_matches!(budget.reserve(1, 0, RESERVE_TIMEOUT).await, Err(DenialReason::Spent));
         gateway.apply_manifest(manifest(2, &[("desk", 12_000)]));
         net::exec::sleep(Duration::from_millis(300)).await;
-        budget.reserve(2_000, RESERVE_TIMEOUT).await.expect("the raised level covers the request");
+        budget.reserve(2_000, 0, RESERVE_TIMEOUT).await.expect("the raised level covers the request");
     });
 }
 
@@ -103,9 +103,9 @@
     net::exec::block_on(async {
         let rows = TableRows::default();
         let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
-        drop(budget(&one).reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget(&one).reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         wait_for_pool(&rows, "the first gateway holds its share", |pool| pool.outstanding >= 3_000).await;
-        let held = budget(&two).reserve(9_500, RESERVE_TIMEOUT).await;
+        let held = budget(&two).reserve(9_500, 0, RESERVE_TIMEOUT).await;
         assert!(held.is_ok(), "the idle tokens were not returned: {held:?}");
     });
 }
@@ -116,7 +116,7 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         let budget = budget(&gateway);
-        budget.reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 1_000);
+        budget.reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 1_000);
         wait_for_pool(&rows, "a share is held", |pool| pool.spent == 1_000 && pool.outstanding > 0).await;
         gateway.apply_manifest(manifest(2, &[("desk", 1_500)]));
         wait_for_pool(&rows, "no more than the level is spent or outstanding", |pool| {
@@ -124,7 +124,7 @@
         })
         .await;
         assert_matches!(
-            budget.reserve(1_000, RESERVE_TIMEOUT).await,
+            budget.reserve(1_000, 0, RESERVE_TIMEOUT).await,
             Err(DenialReason::Spent | DenialReason::Elsewhere)
         );
     });
@@ -136,7 +136,7 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         let budget = budget(&gateway);
-        budget.reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 700);
+        budget.reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 700);
         budget.close(RESERVE_TIMEOUT).await;
         let pool = pool(&rows);
         assert_eq!((pool.spent, pool.outstanding, pool.free), (700, 0, 9_300));
@@ -168,7 +168,7 @@
         let rows = TableRows::default();
         let gateway = start_gateway("vm-1", &rows, 1, 10_000);
         let budget = budget(&gateway);
-        let all = budget.reserve(10_000, RESERVE_TIMEOUT).await;
+        let all = budget.reserve(10_000, 0, RESERVE_TIMEOUT).await;
         let all =
             all.unwrap_or_else(|denied| panic!("{denied:?} {} {:?}", budget.explain(10_000), budget.lock()));
         net::exec::sleep(Duration::from_millis(300)).await;
@@ -216,9 +216,9 @@
         let rows = TableRows::default();
         let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
         net::exec::sleep(Duration::from_millis(100)).await;
-        drop(budget(&one).reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget(&one).reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         wait_for_pool(&rows, "the first gateway holds its share", |pool| pool.outstanding >= 3_000).await;
-        let held = budget(&two).reserve(9_500, Duration::from_millis(600)).await;
+        let held = budget(&two).reserve(9_500, 0, Duration::from_millis(600)).await;
         assert!(held.is_ok(), "the recall was not followed: {held:?}");
     });
 }
@@ -230,7 +230,7 @@
     net::exec::block_on(async {
         let rows = TableRows::default();
         let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
-        drop(budget(&one).reserve(1_000, RESERVE_TIMEOUT).await.expect("tokens"));
+        drop(budget(&one).reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
         wait_for_pool(&rows, "the first gateway holds its share", |pool| pool.outstanding >= 3_000).await;
         let budget = budget(&two);
         for _ in 0..2_000 {
@@ -240,7 +240,20 @@
             net::exec::sleep(Duration::from_millis(1)).await;
         }
         assert!(budget.lock().latest_settlement.succeeded, "the budget was never opened");
-        let held = budget.reserve(9_500, RESERVE_TIMEOUT).await;
+        let held = budget.reserve(9_500, 0, RESERVE_TIMEOUT).await;
         assert!(held.is_ok(), "denied although the other gateway holds idle tokens: {held:?}");
     });
 }
+
+/// Long requests would take the last tokens although urgent ones could go on with them.
+#[test]
+fn the_last_tokens_of_a_budget_are_kept_for_urgent_requests() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let budget = budget(&start_gateway("vm-1", &rows, 1, 10_000));
+        budget.reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 1_000);
+        budget.reserve(8_600, 1, RESERVE_TIMEOUT).await.expect("tokens").charge("r-2", 8_600);
+        assert_matches!(budget.reserve(150, 1, RESERVE_TIMEOUT).await, Err(DenialReason::Spent));
+        budget.reserve(350, 0, RESERVE_TIMEOUT).await.expect("the rest is kept for this request");
+    });
+}
