--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -14,6 +14,9 @@
 /// The bytes that a request or an answer takes on the link in addition to its body: headers and
 /// acknowledgements.
 const OVERHEAD_BYTES: usize = 700;
+/// The bytes that a relayed part of an answer takes in addition: chunk framing, and the headers of its
+/// packet.
+const RELAY_OVERHEAD_BYTES: usize = 60;
 
 /// Counts the bytes that passed the link, and tells whether the gateway is overloaded.
 #[derive(Debug)]
@@ -49,8 +52,9 @@
 
     /// Records that a part of an answer was relayed.
     pub(crate) fn record_relayed(&self, bytes: usize) {
-        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
-        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        let bytes = (bytes + RELAY_OVERHEAD_BYTES) as u64;
+        self.received.fetch_add(bytes, Ordering::Relaxed);
+        self.sent.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// Whether this gateway is overloaded and accepts no new callers.
