Record what dead gateways had charged as spent, and write the rest off

They were never recorded as spent, and refusals said that others held them (budget-elsewhere, 503), so callers came back in vain. The note's charged tokens are now spent, and what else the process may have used is written off and no longer counts as left. Budget and gateway tests pass; the new test fails before (spent stays at what was settled).

--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -27,7 +27,7 @@
 //! assert_eq!(schedule.limit(9_500), 290, "then by demand only, since a crash loses what was allowed");
 //! ```
 
-use crate::ledger::Line;
+use crate::ledger::{Exposed, Line};
 use serde::{Deserialize, Serialize};
 
 /// A new note allows the demand of at least this time, in milliseconds, in addition to the tokens that
@@ -170,10 +170,12 @@
             .fold(self.used, u64::saturating_add)
     }
 
-    /// The most that a dead router may have used in addition to the spent tokens that its account's line
-    /// shows.
-    pub fn exposed(&self, line: &Line, elapsed_ms: u64) -> u64 {
-        self.limit(elapsed_ms).saturating_sub(line.spent)
+    /// What a dead router may have used in addition to the spent tokens that its account's line shows.
+    pub fn exposed(&self, line: &Line, elapsed_ms: u64) -> Exposed {
+        Exposed {
+            charged: self.charged.saturating_sub(line.spent),
+            at_most: self.limit(elapsed_ms).saturating_sub(line.spent),
+        }
     }
 }
 
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -51,12 +51,19 @@
     /// The total set by the operator, for budgets that are not prepaid by single credits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub level: Option<Level>,
+    /// The part of `outstanding` that dead routers may have used. It is neither charged nor ever returned.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub written_off: u64,
     /// For a budget with a level: a router needed more than was free, so the others should return idle
     /// tokens.
     #[serde(default)]
     pub wanted: bool,
 }
 
+fn is_zero(tokens: &u64) -> bool {
+    *tokens == 0
+}
+
 /// A prepaid total, which the operator may raise or lower. The latest version of the configuration applies.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Level {
@@ -167,28 +174,43 @@
     account: &mut Account,
     pools: &mut BTreeMap<String, Pool>,
 ) -> Result<BTreeMap<String, u64>, Error> {
-    close_account_with_exposure(account, pools, |_, line| line.exposed)
+    close_account_with_exposure(account, pools, |_, line| Exposed { charged: 0, at_most: line.exposed })
+}
+
+/// What a router may have used of a budget beyond the spent tokens that its line shows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Exposed {
+    /// Tokens that were certainly charged.
+    pub charged: u64,
+    /// The most tokens that were used, including those charged.
+    pub at_most: u64,
 }
 
-/// Like [`close_account`], for a router that is known to be dead: `exposed` gives the tokens of each budget
-/// that it may have used beyond those that its line shows.
+/// Like [`close_account`], for a router that is known to be dead: `exposed` gives what it may have used of
+/// each budget beyond what its line shows. What was certainly charged is spent; the rest is written off.
 ///
 /// # Errors
 /// See [`close_account`].
 pub fn close_account_with_exposure(
     account: &mut Account,
     pools: &mut BTreeMap<String, Pool>,
-    exposed: impl Fn(&str, &Line) -> u64,
+    exposed: impl Fn(&str, &Line) -> Exposed,
 ) -> Result<BTreeMap<String, u64>, Error> {
     let mut released = BTreeMap::new();
     for (budget, line) in &mut account.lines {
-        let tokens = line.held().saturating_sub(exposed(budget, line));
+        let Exposed { charged, at_most } = exposed(budget, line);
+        let held = line.held();
+        let tokens = held.saturating_sub(at_most);
+        let charged = charged.min(held - tokens);
         let pool = pools.entry(budget.clone()).or_default();
         let imbalance = || Error::Imbalance(budget.clone());
-        pool.outstanding = pool.outstanding.checked_sub(tokens).ok_or_else(imbalance)?;
+        pool.outstanding = pool.outstanding.checked_sub(tokens + charged).ok_or_else(imbalance)?;
         pool.free += tokens;
+        pool.spent += charged;
         pool.recompute_free();
         line.returned += tokens;
+        line.spent += charged;
+        pool.written_off += line.held();
         released.insert(budget.clone(), tokens);
     }
     account.closed = true;
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -89,7 +89,7 @@
         }
     }
     let line = Line { granted: held, ..Line::default() };
-    let exposed = schedule.exposed(&line, outage_ms + RESTART_MS).min(line.held());
+    let exposed = schedule.exposed(&line, outage_ms + RESTART_MS).at_most.min(line.held());
     outcome.lost = exposed.saturating_sub(used) as f64 / prepaid;
     outcome
 }
--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -226,7 +226,7 @@
         }
         let idle = (self.level.tokens as f64 * IDLE_ELSEWHERE_RATIO) as u64;
         let pool = &self.rows.pool;
-        let left = self.level.tokens.saturating_sub(pool.spent + self.grant.in_use());
+        let left = self.level.tokens.saturating_sub(pool.spent + pool.written_off + self.grant.in_use());
         Some(if left < tokens + idle { DenialReason::Spent } else { DenialReason::Elsewhere })
     }
 
@@ -262,10 +262,10 @@
         (tokens as f64 * MAX_KEPT_RATIO * self.abundance()) as u64
     }
 
-    /// The tokens of the budget that are not spent, in the pool and on all gateways, as far as this gateway
-    /// knows.
+    /// The tokens of the budget that are neither spent nor written off, in the pool and on all gateways, as far
+    /// as this gateway knows.
     fn unspent(&self) -> u64 {
-        self.level.tokens.saturating_sub(self.rows.pool.spent)
+        self.level.tokens.saturating_sub(self.rows.pool.spent + self.rows.pool.written_off)
     }
 
     /// From 0 for a spent budget to 1 for one that is not scarce.
--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -3,7 +3,7 @@
 
 use crate::settle::conflict_backoff;
 use crate::table::{ACCOUNT, BUDGETS, POOL, decode, encode};
-use budget::ledger::{self, Account, Line, Pool};
+use budget::ledger::{self, Account, Exposed, Line, Pool};
 use net::exec;
 use std::collections::BTreeMap;
 use store::rows::{Change, Commit, Key, Record, Rows};
@@ -16,8 +16,8 @@
 
 /// What is known about the use of an account beyond the line in its row.
 pub(crate) trait Exposure {
-    /// The most tokens that the account's holder may have used beyond its line.
-    fn exposed(&self, team: &str, account: &str, line: &Line) -> u64;
+    /// What the account's holder may have used beyond its line.
+    fn exposed(&self, team: &str, account: &str, line: &Line) -> Exposed;
 
     /// The usage note that `exposed` is based on; `None` if there is none.
     fn note_summary(&self, team: &str, account: &str) -> Option<NoteSummary>;
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -13,7 +13,7 @@
 use crate::team_budget::TeamBudget;
 use async_channel::Receiver;
 use budget::exposure::Schedule;
-use budget::ledger::Line;
+use budget::ledger::{Exposed, Line};
 use net::exec;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -67,11 +67,11 @@
 }
 
 impl Exposure for PreviousNote {
-    fn exposed(&self, team: &str, account: &str, line: &Line) -> u64 {
+    fn exposed(&self, team: &str, account: &str, line: &Line) -> Exposed {
         match self.schedule(team, account) {
             Some(schedule) => schedule.exposed(line, self.age_ms()),
             // The process died before it noted this account, so only the account's line limited its use.
-            None => line.exposed,
+            None => Exposed { charged: 0, at_most: line.exposed },
         }
     }
 
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -291,3 +291,30 @@
         assert!(!account(&rows, "branch").closed, "an account that counts as closed is not read again");
     });
 }
+
+/// Charges that were not settled stayed outstanding for good: they were never recorded as spent, and callers
+/// were told to come back for them.
+#[test]
+fn charges_that_a_dead_process_noted_are_spent_and_the_rest_is_written_off() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let first = start_gateway("vm-1", 1, &rows);
+        let open = budget(&first, "desk").reserve(7_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        let ended = budget(&first, "desk").reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        ended.charge("r-1", 600);
+        write_note(&first, &mut Some(0)).await.expect("the note is written");
+        // The process dies before it settles the charge.
+        let unsettled = pool(&rows, "desk").spent;
+        std::mem::forget(open);
+
+        let second = start_gateway("vm-1", 2, &rows);
+        recover(&second).await;
+        let pool = pool(&rows, "desk");
+        assert!(unsettled < 600 && pool.spent == 600, "{unsettled}, then {} are spent", pool.spent);
+        assert!(pool.written_off >= 7_000, "{} are written off", pool.written_off);
+        assert_eq!(pool.outstanding, pool.written_off, "no process holds tokens");
+        assert!(pool.is_balanced());
+        let denied = budget(&second, "desk").reserve(4_000, 0, RESERVE_TIMEOUT).await.err();
+        assert_matches!(denied, Some(DenialReason::Spent), "what is written off never returns");
+    });
+}
