--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -32,4 +32,6 @@
 pub mod demand;
 pub mod exposure;
 pub mod grant;
+pub mod holder;
 pub mod ledger;
+pub mod urgency;
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -4,21 +4,27 @@
 //! from then on. When the request has ended, the other gateway reports the actual use. Until then, and for
 //! good if no report arrives, the worst case counts as used. So neither the death of a gateway nor a lost
 //! message can make a token be spent twice.
+//!
+//! A gateway that makes a large part of a team's requests holds tokens of the team itself (see
+//! [`budget::holder`]). It states its rate of requests in the [`RequestSuffix`], and the owner tells behind
+//! the [`ReserveResponse`] whether it may hold tokens. Earlier builds ignore both.
 
 use crate::budget_state::DenialReason;
 use crate::node::{Node, Phase};
 use crate::owners::Owner;
 use crate::ports::Wire;
 use crate::team_budget::{Reservation, TeamBudget};
+use budget::holder::{Holders, Holding, Millis, Place};
 use budget::ledger::Level;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::{Body, Client, exec};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use store::rows::Rows;
 
@@ -43,6 +49,11 @@
 const REPORT_ATTEMPTS: u32 = 4;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// How long an owner remembers a report that arrived before its reservation was made. A reservation is made
+/// within the time for which the request may wait for tokens, a part of its target latency.
+const EARLY_REPORT_LIFETIME: Duration = Duration::from_secs(10);
+/// The largest number of such reports that an owner remembers.
+const MAX_EARLY_REPORTS: usize = 4_096;
 /// How long an owner waits for the report after the request's longest duration.
 const REPORT_GRACE: Duration = Duration::from_secs(10);
 
@@ -63,6 +74,15 @@
     lasts_ms: u64,
 }
 
+/// What follows a [`ReserveRequest`]; earlier builds neither send nor read it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct RequestSuffix {
+    /// The rate of the team's requests at the asking gateway.
+    requests_per_s: f64,
+    /// The priority of the request among those of its team, 0 being the most urgent.
+    priority: u32,
+}
+
 /// The owner's response to a [`ReserveRequest`].
 #[derive(Debug, Deserialize, Serialize)]
 enum ReserveResponse {
@@ -85,8 +105,18 @@
     tokens: u64,
 }
 
-/// The reservations that this gateway holds for others, and when they expire, by process and number.
-type HeldReservations = HashMap<(String, u64), (Reservation, Instant)>;
+/// The process that a reservation was made for, and its number there.
+type ReservationKey = (String, u64);
+
+/// The reservations that this gateway holds for others.
+#[derive(Debug, Default)]
+struct HeldReservations {
+    /// The open reservations, and when they expire.
+    open: HashMap<ReservationKey, (Reservation, Instant)>,
+    /// Reports that arrived before their reservation was made, and until when they are remembered. A gateway
+    /// that stops waiting for the answer reports at once, while the owner may still be waiting for tokens.
+    early_reports: HashMap<ReservationKey, (UsageReport, Instant)>,
+}
 
 /// The reservations of this gateway at others, and those that it holds for others.
 #[derive(Debug)]
@@ -95,6 +125,10 @@
     client: Client,
     next_number: AtomicU64,
     held: Mutex<HeldReservations>,
+    /// The teams whose requests arrive here and whose budgets other gateways own.
+    holdings: Mutex<HashMap<String, Holding>>,
+    /// The gateways that reserve tokens here, by team.
+    holders: Mutex<HashMap<String, Holders>>,
 }
 
 /// Tokens reserved at another gateway, until their use is reported.
@@ -106,12 +140,36 @@
     is_reported: bool,
 }
 
+/// A message of another gateway.
+trait Decode: Sized {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error>;
+}
+
+impl Decode for () {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
+        bincode::deserialize(bytes)
+    }
+}
+
+/// A message followed by a value that earlier builds neither send nor read; they ignore bytes behind a
+/// message. Without it, the value is the default.
+struct WithSuffix<T, V>(T, V);
+
+impl<T: DeserializeOwned, V: Default + DeserializeOwned> Decode for WithSuffix<T, V> {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
+        let mut rest = bytes;
+        let message = bincode::deserialize_from(&mut rest)?;
+        Ok(WithSuffix(message, bincode::deserialize_from(rest).unwrap_or_default()))
+    }
+}
+
 /// Why tokens can't be reserved: the reason, when to retry in milliseconds, and the details for the log.
 pub(crate) type Denial = (DenialReason, u64, String);
 
 /// The outcome of a [`ReserveRequest`].
 enum ReserveOutcome {
-    Held(RemoteReservation),
+    /// The reservation, and whether this gateway may hold tokens itself.
+    Held(RemoteReservation, bool),
     Denied(Denial),
     /// The owner did not answer, is stopping, or does not know the team.
     Unavailable,
@@ -124,10 +182,58 @@
             client: Client::with_idle_limits(IDLE_CONNECTIONS.0, IDLE_CONNECTIONS.1),
             next_number: AtomicU64::new(1),
             held: Mutex::default(),
+            holdings: Mutex::default(),
+            holders: Mutex::default(),
+        }
+    }
+
+    /// Records a request of a team whose budget another gateway owns. Returns where to reserve its tokens, and
+    /// the rate of the team's requests at this gateway.
+    fn record_request(&self, team: &str, now: Millis) -> (Place, f64) {
+        let mut holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        if !holdings.contains_key(team) {
+            holdings.retain(|_, holding| !holding.is_idle(now));
+            holdings.insert(team.to_owned(), Holding::default());
+        }
+        let holding = holdings.get_mut(team).expect("it was just inserted");
+        let place = holding.record_request(now);
+        (place, holding.requests_per_s(now))
+    }
+
+    /// Records an owner's answer whether this gateway may hold tokens of a team.
+    fn record_answer(&self, team: &str, may_hold: bool, now: Millis) {
+        let mut holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        let Some(holding) = holdings.get_mut(team) else { return };
+        if holding.record_answer(may_hold, now) {
+            let event = if may_hold { "holds" } else { "holds-no-more" };
+            log::info!("budget: event={event} team={team} requests-per-s={:.1}", holding.requests_per_s(now));
         }
     }
 
-    async fn reserve_at(self: &Arc<Self>, owner: SocketAddr, request: &ReserveRequest) -> ReserveOutcome {
+    /// Whether this gateway holds tokens of a team whose budget others own.
+    pub(crate) fn holds(&self, team: &str) -> bool {
+        let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        holdings.get(team).is_some_and(Holding::holds)
+    }
+
+    /// The number of teams whose tokens this gateway holds although others own their budgets.
+    pub(crate) fn held_teams(&self) -> usize {
+        let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
+        holdings.values().filter(|holding| holding.holds()).count()
+    }
+
+    /// Decides as an owner whether the asking gateway may hold tokens itself.
+    fn may_hold(&self, team: &str, asking: &str, requests_per_s: f64, now: Millis) -> bool {
+        let mut holders = self.holders.lock().expect("no thread panics while it holds the lock");
+        holders.entry(team.to_owned()).or_default().record(asking, requests_per_s, now)
+    }
+
+    async fn reserve_at(
+        self: &Arc<Self>,
+        owner: SocketAddr,
+        request: &ReserveRequest,
+        suffix: RequestSuffix,
+    ) -> ReserveOutcome {
         let limit = Duration::from_millis(request.patience_ms) + NETWORK_ALLOWANCE;
         // From here on the owner may hold the reservation, so unless it is discarded, dropping it reports
         // that nothing was used.
@@ -137,13 +243,14 @@
             number: request.number,
             is_reported: false,
         };
-        match self.send::<ReserveResponse>("reserve", owner, RESERVE_PATH, request, limit).await {
-            Ok(ReserveResponse::Held) => ReserveOutcome::Held(reservation),
-            Ok(ReserveResponse::Denied { denied, ready_ms, detail }) => {
+        let message = (request, suffix);
+        match self.send("reserve", owner, RESERVE_PATH, &message, limit).await {
+            Ok(WithSuffix(ReserveResponse::Held, may_hold)) => ReserveOutcome::Held(reservation, may_hold),
+            Ok(WithSuffix(ReserveResponse::Denied { denied, ready_ms, detail }, _)) => {
                 reservation.discard();
                 ReserveOutcome::Denied((denied, ready_ms, format!("{detail} owner={owner}")))
             }
-            Ok(ReserveResponse::Unfit) => {
+            Ok(WithSuffix(ReserveResponse::Unfit, _)) => {
                 reservation.discard();
                 ReserveOutcome::Unavailable
             }
@@ -157,7 +264,7 @@
         }
     }
 
-    async fn send<T: for<'a> Deserialize<'a>>(
+    async fn send<T: Decode>(
         &self,
         step: &'static str,
         peer: SocketAddr,
@@ -171,7 +278,7 @@
         let request = Request::post(format!("http://{peer}{path}")).body(Body::from(bytes));
         let request = request.map_err(|reason| error(net::Fault::Unsent, reason.to_string()))?;
         let answer = self.client.exchange(step, request, MESSAGE_LIMIT, limit).await?;
-        bincode::deserialize(answer.body()).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
+        T::decode(answer.body()).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
     }
 
     /// Reports the use of a request in the background.
@@ -195,22 +302,48 @@
         .detach();
     }
 
+    fn held(&self) -> MutexGuard<'_, HeldReservations> {
+        self.held.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Holds a reservation for another gateway until its use is reported, or settles it if it was already
+    /// reported.
+    fn hold(&self, key: ReservationKey, reservation: Reservation, until: Instant) {
+        let mut held = self.held();
+        match held.early_reports.remove(&key) {
+            Some((report, _)) => {
+                drop(held);
+                log::info!("budget: event=reported-early holder={} number={}", key.0, key.1);
+                settle_report(reservation, &report);
+            }
+            None => {
+                held.open.insert(key, (reservation, until));
+            }
+        }
+    }
+
     /// Charges the reservation with the use that another gateway reports; it is released if nothing was used.
-    fn apply_report(&self, report: &UsageReport) {
+    fn apply_report(&self, report: UsageReport) {
         let key = (report.holder.clone(), report.number);
-        let reservation = self.held.lock().expect("no thread panics while it holds the lock").remove(&key);
-        if let Some((reservation, _)) = reservation
-            && report.tokens > 0
-        {
-            reservation.charge(&report.request, report.tokens);
+        let mut held = self.held();
+        match held.open.remove(&key) {
+            Some((reservation, _)) => {
+                drop(held);
+                settle_report(reservation, &report);
+            }
+            None if held.early_reports.len() < MAX_EARLY_REPORTS => {
+                held.early_reports.insert(key, (report, Instant::now() + EARLY_REPORT_LIFETIME));
+            }
+            None => {}
         }
     }
 
     /// Charges the worst case of requests whose use was not reported in time.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
-        let mut held = self.held.lock().expect("no thread panics while it holds the lock");
-        let expired = held.extract_if(|_, (_, until)| *until <= now).collect::<Vec<_>>();
+        let mut held = self.held();
+        held.early_reports.retain(|_, (_, until)| *until > now);
+        let expired = held.open.extract_if(|_, (_, until)| *until <= now).collect::<Vec<_>>();
         drop(held);
         for ((holder, number), (reservation, _)) in expired {
             log::warn!("budget: event=charged-at-the-worst holder={holder} number={number}");
@@ -219,6 +352,13 @@
     }
 }
 
+/// Charges a reservation with the reported use, or releases it if nothing was used.
+fn settle_report(reservation: Reservation, report: &UsageReport) {
+    if report.tokens > 0 {
+        reservation.charge(&report.request, report.tokens);
+    }
+}
+
 impl RemoteReservation {
     /// Reports what the request used.
     pub(crate) fn charge(mut self, request: &str, tokens: u64) {
@@ -240,6 +380,15 @@
     }
 }
 
+/// What a request may cost its team.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Cost {
+    /// The tokens that it may use at most.
+    pub tokens: u64,
+    /// Its priority among the requests of the team, 0 being the most urgent.
+    pub priority: u32,
+}
+
 /// Reserves the worst-case cost of a request: at the team's owner, or here if this gateway owns the budget or
 /// the owner is unavailable.
 pub(crate) async fn reserve<W: Wire, S: Rows>(
@@ -247,32 +396,57 @@
     budget: impl FnOnce() -> Option<Arc<TeamBudget>>,
     team: &str,
     level: Level,
-    tokens: u64,
+    cost: Cost,
     timeout: Duration,
     max_duration: Duration,
 ) -> Result<Option<Reservation>, Denial> {
     let began = Instant::now();
     let owner = node.owners.owner_of(team);
     if let Owner::Peer(owner) = owner {
+        let (place, requests_per_s) = node.peer_reservations.record_request(team, node.now());
+        let holding = node.peer_reservations.holds(team).then(|| node.held_budget(team)).flatten();
+        if let Some(budget) = &holding {
+            // The tokens of the first requests are not here yet; until they are, an owner is asked.
+            if place == Place::Holder && budget.can_reserve(cost.tokens) {
+                let left = timeout.saturating_sub(began.elapsed());
+                return reserve_here(budget, cost, left).await;
+            }
+            budget.record_demand(cost.tokens);
+        }
+        let suffix = RequestSuffix { requests_per_s, priority: cost.priority };
         let request = ReserveRequest {
             holder: node.holder.clone(),
             number: node.peer_reservations.next_number.fetch_add(1, Ordering::Relaxed),
             team: team.to_owned(),
             level_version: level.version,
             level_tokens: level.tokens,
-            tokens,
+            tokens: cost.tokens,
             patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
-        match node.peer_reservations.reserve_at(owner, &request).await {
-            ReserveOutcome::Held(reservation) => return Ok(Some(Reservation::Remote(reservation))),
+        match node.peer_reservations.reserve_at(owner, &request, suffix).await {
+            ReserveOutcome::Held(reservation, may_hold) => {
+                node.peer_reservations.record_answer(team, may_hold, node.now());
+                if may_hold && holding.is_none() {
+                    // Opens the budget, so that its first settlement draws tokens.
+                    budget();
+                }
+                return Ok(Some(Reservation::Remote(reservation)));
+            }
             ReserveOutcome::Denied(denial) => return Err(denial),
             ReserveOutcome::Unavailable => node.owners.skip(owner),
         }
     }
     let Some(budget) = budget() else { return Ok(None) };
-    let left = timeout.saturating_sub(began.elapsed());
-    let reserved = budget.reserve(tokens, left).await;
+    reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await
+}
+
+async fn reserve_here(
+    budget: &Arc<TeamBudget>,
+    Cost { tokens, priority }: Cost,
+    timeout: Duration,
+) -> Result<Option<Reservation>, Denial> {
+    let reserved = budget.reserve(tokens, priority, timeout).await;
     reserved.map(Some).map_err(|denied| (denied, budget.retry_after_ms(tokens), budget.explain(tokens)))
 }
 
@@ -284,13 +458,20 @@
     let path = request.uri().path().to_owned();
     let Ok(bytes) = net::collect(request.into_body(), MESSAGE_LIMIT).await else { return bad_request() };
     match path.as_str() {
-        RESERVE_PATH => match bincode::deserialize::<ReserveRequest>(&bytes) {
-            Ok(request) => encode_response(&reserve_for_peer(&node, request).await),
+        RESERVE_PATH => match WithSuffix::<ReserveRequest, RequestSuffix>::decode(&bytes) {
+            Ok(WithSuffix(request, RequestSuffix { requests_per_s, priority })) => {
+                let asking = request.holder.clone();
+                let team = request.team.clone();
+                let response = reserve_for_peer(&node, request, priority).await;
+                let may_hold = matches!(response, ReserveResponse::Held)
+                    && node.peer_reservations.may_hold(&team, &asking, requests_per_s, node.now());
+                encode_response(&(response, may_hold))
+            }
             Err(_) => bad_request(),
         },
         _ => match bincode::deserialize::<UsageReport>(&bytes) {
             Ok(report) => {
-                node.peer_reservations.apply_report(&report);
+                node.peer_reservations.apply_report(report);
                 encode_response(&())
             }
             Err(_) => bad_request(),
@@ -299,7 +480,11 @@
 }
 
 /// Reserves tokens for a request of another gateway.
-async fn reserve_for_peer<W: Wire, S: Rows>(node: &Node<W, S>, request: ReserveRequest) -> ReserveResponse {
+async fn reserve_for_peer<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    request: ReserveRequest,
+    priority: u32,
+) -> ReserveResponse {
     if node.phase() != Phase::Serving {
         return ReserveResponse::Unfit;
     }
@@ -309,15 +494,11 @@
         return ReserveResponse::Unfit;
     };
     budget.set_level(Level { version: request.level_version, tokens: request.level_tokens });
-    match budget.reserve(request.tokens, Duration::from_millis(request.patience_ms)).await {
+    let patience = Duration::from_millis(request.patience_ms);
+    match budget.reserve(request.tokens, priority, patience).await {
         Ok(reservation) => {
             let until = Instant::now() + Duration::from_millis(request.lasts_ms) + REPORT_GRACE;
-            let key = (request.holder, request.number);
-            node.peer_reservations
-                .held
-                .lock()
-                .expect("no thread panics while it holds the lock")
-                .insert(key, (reservation, until));
+            node.peer_reservations.hold((request.holder, request.number), reservation, until);
             ReserveResponse::Held
         }
         Err(denied) => {
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -42,11 +42,35 @@
         Pair { rows, owner, handle: Some(handle), other }
     }
 
+    /// Reserves and charges tokens for requests of a heavy caller at the other gateway, until that gateway
+    /// holds tokens itself. Returns how many requests that took.
+    async fn become_holder(&self) -> usize {
+        for round in 1..=500 {
+            let reservation = self.reserve(10).await.expect("tokens").expect("a budget");
+            if matches!(reservation, Reservation::Local(_)) {
+                return round;
+            }
+            reservation.charge("r", 10);
+            self.note_budgets();
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the gateway with the heavy caller still asks the owner");
+    }
+
+    /// Acknowledges a usage note of the other gateway's budgets, which its background task would write.
+    fn note_budgets(&self) {
+        for budget in self.other.budgets().values() {
+            let (generation, _) = budget.begin_note(1, 1);
+            budget.end_note(generation, Some(true));
+        }
+    }
+
     async fn reserve(&self, tokens: u64) -> Result<Option<Reservation>, Denial> {
         let manifest = self.other.manifest().expect("a manifest");
         let budget = || self.other.budget(&manifest, &manifest.teams[TEAM]);
         let level = Level { version: manifest.version, tokens: TOTAL };
-        reserve(&self.other, budget, TEAM, level, tokens, Duration::from_millis(500), MAX_DURATION).await
+        let cost = Cost { tokens, priority: 0 };
+        reserve(&self.other, budget, TEAM, level, cost, Duration::from_millis(500), MAX_DURATION).await
     }
 
     /// The tokens that are reserved at the owner.
@@ -118,7 +142,7 @@
         // As if the other gateway died: no report is sent.
         let Reservation::Remote(remote) = reservation else { panic!("the reservation is local") };
         remote.discard();
-        for (_, until) in pair.owner.peer_reservations.held.lock().expect("the lock").values_mut() {
+        for (_, until) in pair.owner.peer_reservations.held().open.values_mut() {
             *until = Instant::now();
         }
         pair.owner.peer_reservations.expire();
@@ -158,3 +182,98 @@
         assert_matches!(reservation, Reservation::Local(_));
     });
 }
+
+/// Without the memory of early reports, the reservation stays open until it is charged at its worst case.
+#[test]
+fn a_reservation_that_was_given_up_before_it_was_made_is_released() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let report =
+            UsageReport { holder: "vm-9#1".to_owned(), number: 7, request: "-".to_owned(), tokens: 0 };
+        pair.owner.peer_reservations.apply_report(report);
+        let manifest = pair.owner.manifest().expect("a manifest");
+        let request = ReserveRequest {
+            holder: "vm-9#1".to_owned(),
+            number: 7,
+            team: TEAM.to_owned(),
+            level_version: manifest.version,
+            level_tokens: TOTAL,
+            tokens: 10_000,
+            patience_ms: 500,
+            lasts_ms: 5_000,
+        };
+        assert_matches!(reserve_for_peer(&pair.owner, request, 0).await, ReserveResponse::Held);
+        assert_eq!(pair.reserved_tokens(), 0);
+        assert!(pair.owner.peer_reservations.held().early_reports.is_empty());
+    });
+}
+
+#[test]
+fn early_reports_are_bounded_and_forgotten() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let reservations = &pair.owner.peer_reservations;
+        for number in 0..2 * MAX_EARLY_REPORTS as u64 {
+            let holder = "vm-9#1".to_owned();
+            reservations.apply_report(UsageReport { holder, number, request: "-".to_owned(), tokens: 0 });
+        }
+        assert_eq!(reservations.held().early_reports.len(), MAX_EARLY_REPORTS);
+        reservations.held().early_reports.values_mut().for_each(|(_, until)| *until = Instant::now());
+        reservations.expire();
+        assert!(reservations.held().early_reports.is_empty());
+    });
+}
+
+/// The network between the gateway with a heavy caller and the owner fails, or is saturated by the caller.
+#[test]
+fn a_gateway_with_a_heavy_caller_needs_no_owner() {
+    exec::block_on(async {
+        let mut pair = Pair::start().await;
+        pair.become_holder().await;
+        drop(pair.handle.take());
+        for _ in 0..20 {
+            pair.note_budgets();
+            let reservation = pair.reserve(10).await.expect("tokens").expect("a budget");
+            assert_matches!(reservation, Reservation::Local(_));
+            reservation.charge("r", 10);
+        }
+        assert!(pair.other.peer_reservations.holds(TEAM));
+    });
+}
+
+#[test]
+fn tokens_held_for_a_heavy_caller_are_those_of_the_pool() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.become_holder().await;
+        let pool = pair.rows.get(BUDGETS, TEAM, POOL).expect("the pool was written");
+        let pool: Pool = serde_json::from_slice(&pool).expect("a pool");
+        assert!(pool.is_balanced());
+        let budgets = [&pair.owner, &pair.other].map(|node| node.held_budget(TEAM).expect("it is open"));
+        let held: u64 = budgets.iter().map(|budget| budget.lock().grant.total()).sum();
+        assert!(held <= pool.outstanding, "{held} are held, {} are outstanding", pool.outstanding);
+    });
+}
+
+/// Builds before the rate was added send requests without it, and ignore what follows the answer.
+#[test]
+fn messages_of_earlier_builds_are_understood() {
+    let request = ReserveRequest {
+        holder: "vm-9#1".to_owned(),
+        number: 7,
+        team: TEAM.to_owned(),
+        level_version: 1,
+        level_tokens: TOTAL,
+        tokens: 10_000,
+        patience_ms: 500,
+        lasts_ms: 5_000,
+    };
+    let earlier = bincode::serialize(&request).expect("bytes");
+    let WithSuffix(decoded, requests_per_s) =
+        WithSuffix::<ReserveRequest, f64>::decode(&earlier).expect("whole");
+    assert_eq!((decoded.number, requests_per_s), (7, 0.0));
+    let current = bincode::serialize(&(ReserveResponse::Held, true)).expect("bytes");
+    assert_matches!(bincode::deserialize(&current), Ok(ReserveResponse::Held));
+    let cut = &current[..2];
+    assert!(WithSuffix::<ReserveResponse, bool>::decode(cut).is_err());
+}
