State a router's rate without the request that it is stated with

The average was read right after a request was added to it, so a router with one request in ten seconds stated at least one per second. Among 1,400 of them the owner counted about 1,000 requests per second instead of 140, and a caller with 42 % of the requests got no holder.

--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -42,6 +42,8 @@
 /// The time constant of the average rate, in milliseconds. A heavy caller has to be seen within about a
 /// second.
 const AVERAGING_TIME_MS: f64 = 1_000.0;
+/// What an event adds to the average rate, in events per second.
+const PER_EVENT: f64 = 1_000.0 / AVERAGING_TIME_MS;
 /// How long a holder goes on without asking an owner, in milliseconds.
 const RENEWAL_MS: Millis = 5_000;
 /// How long an owner counts a rate that is not stated again, in milliseconds: holders state theirs at each
@@ -59,12 +61,21 @@
 
 impl Rate {
     fn record(&mut self, now: Millis) {
-        self.per_s = self.at(now) + 1_000.0 / AVERAGING_TIME_MS;
+        self.per_s = self.at(now) + PER_EVENT;
         self.updated = self.updated.max(now);
     }
 
     fn at(&self, now: Millis) -> f64 {
-        self.per_s * (-(now.saturating_sub(self.updated) as f64) / AVERAGING_TIME_MS).exp()
+        self.per_s * self.decay(now)
+    }
+
+    /// The rate without the last event.
+    fn before_last(&self, now: Millis) -> f64 {
+        (self.per_s - PER_EVENT).max(0.0) * self.decay(now)
+    }
+
+    fn decay(&self, now: Millis) -> f64 {
+        (-(now.saturating_sub(self.updated) as f64) / AVERAGING_TIME_MS).exp()
     }
 }
 
@@ -107,7 +118,7 @@
 
     /// The average rate of requests.
     pub fn requests_per_s(&self, now: Millis) -> f64 {
-        self.rate.at(now)
+        self.rate.before_last(now)
     }
 
     /// Whether the router holds tokens.
--- a/crates/budget/tests/holders.rs
+++ b/crates/budget/tests/holders.rs
@@ -64,6 +64,22 @@
     }
 }
 
+/// Routers that make a request now and then state their rate right after it. Counted with that request, it is
+/// at least one per second, and many such routers hide the share of a heavy caller.
+#[test]
+fn many_routers_with_few_requests_do_not_hide_a_heavy_caller() {
+    let (mut fleet, mut holders) = (fleet([0.0].into_iter().chain([0.1; 1_400])), Holders::default());
+    for (index, router) in fleet.iter_mut().enumerate() {
+        router.due = (index % 100) as f64 / 100.0;
+    }
+    play(&mut fleet, &mut holders, 0, 20);
+    // These are 42 % of the requests.
+    fleet[0].requests_per_s = 100.0;
+    play(&mut fleet, &mut holders, 20, 30);
+    let [at_owner, at_holder] = fleet[0].reserved;
+    assert!(at_owner * 4 < at_holder, "{at_owner} at an owner, {at_holder} at the router itself");
+}
+
 #[test]
 fn a_router_whose_heavy_caller_leaves_asks_an_owner_again() {
     let mut fleet = fleet([40.0].into_iter().chain([2.0; 20]));
