Forget a holder without requests

A holding with the owner's permission was never idle: a team whose requests had stopped stayed in the memory of the gateway and in tallypaddle_budgets_held for good. Test: a_holder_without_requests_becomes_idle, failed on the old code.

--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -116,7 +116,9 @@
         std::mem::replace(&mut self.may_hold, may_hold) != may_hold
     }
 
-    /// The average rate of requests.
+    /// The average rate of requests before the last one. It is stated when a request arrives; counted with
+    /// that request, a router with few requests would state one per second or more, and many such routers
+    /// would hide the share of a heavy caller.
     pub fn requests_per_s(&self, now: Millis) -> f64 {
         self.rate.before_last(now)
     }
@@ -126,9 +128,10 @@
         self.may_hold
     }
 
-    /// Whether nothing is left to remember: the router holds no tokens and had no requests lately.
+    /// Whether nothing is left to remember: the router had no requests lately. Owners have forgotten its rate
+    /// by then, and it asks one at its next request.
     pub fn is_idle(&self, now: Millis) -> bool {
-        !self.may_hold && now.saturating_sub(self.rate.updated) > STATED_MS
+        now.saturating_sub(self.rate.updated) > STATED_MS
     }
 }
 
--- a/crates/budget/tests/holders.rs
+++ b/crates/budget/tests/holders.rs
@@ -80,6 +80,16 @@
     assert!(at_owner * 4 < at_holder, "{at_owner} at an owner, {at_holder} at the router itself");
 }
 
+/// Otherwise a team whose requests stopped counts as held for good, and takes memory.
+#[test]
+fn a_holder_without_requests_becomes_idle() {
+    let mut holding = Holding::default();
+    holding.record_request(0);
+    holding.record_answer(true, 0);
+    assert!(!holding.is_idle(10_000));
+    assert!(holding.is_idle(10_001));
+}
+
 #[test]
 fn a_router_whose_heavy_caller_leaves_asks_an_owner_again() {
     let mut fleet = fleet([40.0].into_iter().chain([2.0; 20]));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -217,7 +217,7 @@
                 node.metrics.budget_tokens.with_label_values(&[team.as_str(), state]).set(tokens as i64);
             }
         }
-        node.metrics.budgets_held.set(node.peer_reservations.held_teams() as i64);
+        node.metrics.budgets_held.set(node.peer_reservations.held_teams(node.now()) as i64);
         node.metrics.set_open_requests(node.placer().open_requests());
     }
 }
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -217,9 +217,9 @@
     }
 
     /// The number of teams whose tokens this gateway holds although others own their budgets.
-    pub(crate) fn held_teams(&self) -> usize {
+    pub(crate) fn held_teams(&self, now: Millis) -> usize {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
-        holdings.values().filter(|holding| holding.holds()).count()
+        holdings.values().filter(|holding| holding.holds() && !holding.is_idle(now)).count()
     }
 
     /// Decides as an owner whether the asking gateway may hold tokens itself.
