Decode messages between gateways without allocating a claimed length

bincode allocates the length that a message claims when it reads from a reader. A damaged message panicked the gateway with 'capacity overflow'. Both parts are now decoded from the slice. Test: a_message_with_a_false_length_is_an_error, panicked on the old code.

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -157,9 +157,11 @@
 
 impl<T: DeserializeOwned, V: Default + DeserializeOwned> Decode for WithSuffix<T, V> {
     fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
-        let mut rest = bytes;
-        let message = bincode::deserialize_from(&mut rest)?;
-        Ok(WithSuffix(message, bincode::deserialize_from(rest).unwrap_or_default()))
+        // Both from the slice: from a reader, bincode allocates the length that a message claims.
+        match bincode::deserialize(bytes) {
+            Ok((message, suffix)) => Ok(WithSuffix(message, suffix)),
+            Err(_) => Ok(WithSuffix(bincode::deserialize(bytes)?, V::default())),
+        }
     }
 }
 
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -277,3 +277,10 @@
     let cut = &current[..2];
     assert!(WithSuffix::<ReserveResponse, bool>::decode(cut).is_err());
 }
+
+/// A length that a message only claims must not be allocated.
+#[test]
+fn a_message_with_a_false_length_is_an_error() {
+    let claimed = u64::MAX.to_le_bytes();
+    assert!(WithSuffix::<ReserveRequest, RequestSuffix>::decode(&claimed).is_err());
+}
