Serve a request from tokens held here if the owner denies it

One request of each 5 s asks an owner whether the gateway may go on holding tokens. If that owner lacked tokens, the request was denied although the gateway held what it needs. Test: a_holder_serves_a_request_that_the_owner_denies, denied on the old code.

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -435,7 +435,12 @@
                 }
                 return Ok(Some(Reservation::Remote(reservation)));
             }
-            ReserveOutcome::Denied(denial) => return Err(denial),
+            ReserveOutcome::Denied(denial) => match holding {
+                Some(budget) if budget.can_reserve(cost.tokens) => {
+                    return reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await;
+                }
+                _ => return Err(denial),
+            },
             ReserveOutcome::Unavailable => node.owners.skip(owner),
         }
     }
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -284,3 +284,27 @@
     let claimed = u64::MAX.to_le_bytes();
     assert!(WithSuffix::<ReserveRequest, RequestSuffix>::decode(&claimed).is_err());
 }
+
+/// An owner that is short of tokens must not deny a request whose tokens are here.
+#[test]
+fn a_holder_serves_a_request_that_the_owner_denies() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.become_holder().await;
+        let handle = net::serve(standin::loopback(), net::Limits::default(), |_| {
+            let (denied, detail) = (DenialReason::Elsewhere, String::new());
+            let denial = ReserveResponse::Denied { denied, ready_ms: 1, detail };
+            std::future::ready(encode_response(&(denial, false)))
+        });
+        let handle = handle.await.expect("a listener");
+        let name = pair.owner.settings.name.clone();
+        pair.other.set_peers(&[Peer { name, address: handle.address(), cores: 1.0 }]);
+        // The next request is one that asks the owner whether this gateway may go on holding tokens.
+        let mut due = Holding::default();
+        due.record_answer(true, 0);
+        pair.other.peer_reservations.holdings.lock().expect("the lock").insert(TEAM.to_owned(), due);
+        pair.other.clock.advance(Duration::from_secs(6));
+        pair.note_budgets();
+        assert_matches!(pair.reserve(10).await, Ok(Some(Reservation::Local(_))));
+    });
+}
