Learn of tokens returned to the pool before requests are withheld

Once a gateway had lacked tokens, less urgent requests were denied as 'spent' by what its last settlement saw of the pool. Nothing made it settle again, so they were denied although other gateways had returned 90 % of the budget, until an urgent request was charged. Such a request now waits for one settlement, at most each 250 ms.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -91,6 +91,8 @@
     pub level: Level,
     pub is_level_lowered: bool,
     pub waiting_tokens: u64,
+    /// Whether a request waits for a settlement that tells what the pool has now.
+    pub is_refresh_due: bool,
     /// The longest time for which charges may wait for a settlement, in milliseconds.
     record_ms: u64,
     /// The number of settlements begun so far.
@@ -125,6 +127,7 @@
             level,
             is_level_lowered: false,
             waiting_tokens: 0,
+            is_refresh_due: false,
             record_ms,
             settlements_begun: 0,
             recalled_tokens: None,
@@ -307,7 +310,7 @@
             && self.rows.pool.level.is_none_or(|known| known.tokens != self.level.tokens);
         let is_overdue = closing || now.saturating_sub(self.latest_settlement.began_ms) >= self.record_ms;
         let is_due = need > 0 || is_off || level_is_new || (is_overdue && self.grant.has_unsettled_changes());
-        if !is_due {
+        if !std::mem::take(&mut self.is_refresh_due) && !is_due {
             return None;
         }
         self.is_level_lowered = false;
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -18,7 +18,7 @@
 
 /// How long the result of a settlement suffices to deny a request, in milliseconds. Short, because tokens
 /// return to the pool as other gateways settle.
-const DENIAL_REUSE_MS: u64 = 250;
+pub(crate) const DENIAL_REUSE_MS: u64 = 250;
 
 /// How long a request waits for other gateways to return idle tokens after a recall.
 const RECALL_WAIT: Duration = Duration::from_millis(40);
@@ -156,14 +156,17 @@
         let begun = {
             let mut state = self.lock();
             state.demand.record_request(now);
-            if state.is_withheld(tokens, priority, self.owners.load(Ordering::Relaxed)) {
+            let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
+            let is_withheld = self.is_withheld(&state, tokens, priority);
+            // If the pool lacked tokens, other gateways may have returned some since. Without a settlement
+            // this gateway would never learn of them.
+            if is_withheld && (is_fresh || !state.rows.pool.wanted) {
                 return Err(DenialReason::Spent);
             }
             state.mix.record(priority, tokens);
-            if state.reserve(tokens) {
+            if !is_withheld && state.reserve(tokens) {
                 return Ok(Reservation::local(self, state.generation, tokens));
             }
-            let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
             let is_conclusive = |denied: &DenialReason| match denied {
                 // Not every settlement sends a recall: the one that opens the budget, for example, has no
                 // waiting requests.
@@ -178,21 +181,26 @@
             state.settlements_begun
         };
         let _guard = WaitGuard::new(self, tokens);
-        let held = exec::timeout(timeout, self.wait_for_tokens(tokens, begun)).await;
+        let held = exec::timeout(timeout, self.wait_for_tokens(tokens, priority, begun)).await;
         held.unwrap_or_else(|| {
             let mut state = self.lock();
-            match state.reserve(tokens) {
+            match !self.is_withheld(&state, tokens, priority) && state.reserve(tokens) {
                 true => Ok(Reservation::local(self, state.generation, tokens)),
                 false => Err(state.denial_reason(tokens).unwrap_or(DenialReason::Away)),
             }
         })
     }
 
+    fn is_withheld(&self, state: &BudgetState, tokens: u64, priority: u32) -> bool {
+        state.is_withheld(tokens, priority, self.owners.load(Ordering::Relaxed))
+    }
+
     /// Waits until the tokens can be reserved, or until a settlement with a number above `begun` shows that
     /// they can't.
     async fn wait_for_tokens(
         self: &Arc<TeamBudget>,
         tokens: u64,
+        priority: u32,
         mut begun: u64,
     ) -> Result<Reservation, DenialReason> {
         let mut is_settlement_due = true;
@@ -200,7 +208,8 @@
             let listener = self.changed.listen();
             let denied = {
                 let mut state = self.lock();
-                if state.reserve(tokens) {
+                let is_withheld = self.is_withheld(&state, tokens, priority);
+                if !is_withheld && state.reserve(tokens) {
                     return Ok(Reservation::local(self, state.generation, tokens));
                 }
                 // Requests only the write that the reservation lacks, and one settlement until the next
@@ -208,15 +217,17 @@
                 if state.exceeds_note_limit(tokens) {
                     let _ = self.note_requests.try_send(());
                 }
-                let is_short = state.grant.usable() < tokens;
+                let is_short = is_withheld || state.grant.usable() < tokens;
                 if is_short && std::mem::take(&mut is_settlement_due) {
+                    state.is_refresh_due |= is_withheld;
                     let _ = self.settle_requests.try_send(());
                 }
                 let is_new = state.latest_settlement.number > begun;
                 if is_new && is_short && !state.latest_settlement.succeeded {
                     return Err(DenialReason::Away);
                 }
-                state.denial_reason(tokens).filter(|_| is_new)
+                let denied = state.denial_reason(tokens).or(is_withheld.then_some(DenialReason::Spent));
+                denied.filter(|_| is_new)
             };
             match denied {
                 Some(DenialReason::Elsewhere) => {
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -257,3 +257,30 @@
         budget.reserve(350, 0, RESERVE_TIMEOUT).await.expect("the rest is kept for this request");
     });
 }
+
+/// The pool lacked tokens once. Since then the other gateway has returned them, which this one learns only by
+/// a settlement.
+#[test]
+fn tokens_returned_to_the_pool_are_available_to_all_priorities() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
+        let (one, two) = (budget(&one), budget(&two));
+        one.reserve(100, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 100);
+        let most = two.reserve(9_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        while !one.lock().rows.pool.wanted {
+            assert_matches!(one.reserve(5_000, 0, Duration::from_millis(500)).await, Err(_));
+            net::exec::sleep(Duration::from_millis(20)).await;
+        }
+        drop(most);
+        two.close(RESERVE_TIMEOUT).await;
+        wait_for_pool(&rows, "the second gateway returns its tokens", |pool| pool.free >= 9_000).await;
+        // The result of a settlement is reused for a short time.
+        let settled_ms = one.lock().latest_settlement.began_ms;
+        while one.now() < settled_ms + crate::team_budget::DENIAL_REUSE_MS {
+            net::exec::sleep(Duration::from_millis(20)).await;
+        }
+        let reserved = one.reserve(2_000, 1, RESERVE_TIMEOUT).await;
+        assert!(reserved.is_ok(), "{reserved:?} {:?}", pool(&rows));
+    });
+}
