Divide the tokens kept for urgent requests by the gateways that settle a budget

A gateway that owns no part of a budget counted as its only owner, so it kept 3 % of the whole budget once the pool had lacked tokens. It holds the demand of 10 s, usually less, and denied all less urgent requests as 'spent' although it held their tokens. Test: a_gateway_that_owns_no_part_keeps_few_tokens_for_urgent_requests, failed on the old code; gateway unit tests: 97 passed.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -163,12 +163,13 @@
     }
 
     /// Whether the last tokens of the budget are kept for requests that are more urgent than `priority`.
-    pub(crate) fn is_withheld(&self, tokens: u64, priority: u32, owners: u64) -> bool {
+    /// `writers` is the number of gateways that settle the budget.
+    pub(crate) fn is_withheld(&self, tokens: u64, priority: u32, writers: u64) -> bool {
         let withheld = self.mix.withheld(priority, self.level.tokens);
         // Once a gateway lacks tokens that the pool does not have, only those at hand count: the others may
-        // be lost with dead gateways. Each owner then keeps its part.
+        // be lost with dead gateways. Each gateway then keeps its part.
         let (left, withheld) = match self.rows.pool.wanted {
-            true => (self.latest_settlement.pool_free + self.grant.available(), withheld / owners.max(1)),
+            true => (self.latest_settlement.pool_free + self.grant.available(), withheld / writers.max(1)),
             false => (self.unspent().saturating_sub(self.grant.in_use()), withheld),
         };
         withheld > 0 && left < tokens + withheld
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -191,8 +191,8 @@
         })
     }
 
-    fn is_withheld(&self, state: &BudgetState, tokens: u64, priority: u32) -> bool {
-        state.is_withheld(tokens, priority, self.owners.load(Ordering::Relaxed))
+    pub(crate) fn is_withheld(&self, state: &BudgetState, tokens: u64, priority: u32) -> bool {
+        state.is_withheld(tokens, priority, self.writers())
     }
 
     /// Waits until the tokens can be reserved, or until a settlement with a number above `begun` shows that
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -11,6 +11,7 @@
 use budget::ledger::Pool;
 use standin::{RowsFault, TableRows};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -258,6 +259,26 @@
     });
 }
 
+/// A gateway that owns no part of the budget holds the demand of a few seconds. If it kept as much as an owner
+/// for urgent requests, it would deny all others although it holds their tokens.
+#[test]
+fn a_gateway_that_owns_no_part_keeps_few_tokens_for_urgent_requests() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let budget = budget(&start_gateway("vm-1", &rows, 1, 10_000));
+        budget.owners.store(0, Ordering::Relaxed);
+        budget.fleet_size.store(70, Ordering::Relaxed);
+        budget.reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 1_000);
+        let mut state = budget.lock();
+        state.rows.pool.wanted = true;
+        state.latest_settlement.pool_free = 0;
+        state.grant = budget::grant::Grant::default();
+        state.grant.receive(200);
+        assert!(!budget.is_withheld(&state, 100, 1));
+        assert!(budget.is_withheld(&state, 200, 1));
+    });
+}
+
 /// The pool lacked tokens once. Since then the other gateway has returned them, which this one learns only by
 /// a settlement.
 #[test]
