--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -42,6 +42,8 @@
 /// The time constant of the average rate, in milliseconds. A heavy caller has to be seen within about a
 /// second.
 const AVERAGING_TIME_MS: f64 = 1_000.0;
+/// What an event adds to the average rate, in events per second.
+const PER_EVENT: f64 = 1_000.0 / AVERAGING_TIME_MS;
 /// How long a holder goes on without asking an owner, in milliseconds.
 const RENEWAL_MS: Millis = 5_000;
 /// How long an owner counts a rate that is not stated again, in milliseconds: holders state theirs at each
@@ -59,12 +61,21 @@
 
 impl Rate {
     fn record(&mut self, now: Millis) {
-        self.per_s = self.at(now) + 1_000.0 / AVERAGING_TIME_MS;
+        self.per_s = self.at(now) + PER_EVENT;
         self.updated = self.updated.max(now);
     }
 
     fn at(&self, now: Millis) -> f64 {
-        self.per_s * (-(now.saturating_sub(self.updated) as f64) / AVERAGING_TIME_MS).exp()
+        self.per_s * self.decay(now)
+    }
+
+    /// The rate without the last event.
+    fn before_last(&self, now: Millis) -> f64 {
+        (self.per_s - PER_EVENT).max(0.0) * self.decay(now)
+    }
+
+    fn decay(&self, now: Millis) -> f64 {
+        (-(now.saturating_sub(self.updated) as f64) / AVERAGING_TIME_MS).exp()
     }
 }
 
@@ -105,9 +116,11 @@
         std::mem::replace(&mut self.may_hold, may_hold) != may_hold
     }
 
-    /// The average rate of requests.
+    /// The average rate of requests before the last one. It is stated when a request arrives; counted with
+    /// that request, a router with few requests would state one per second or more, and many such routers
+    /// would hide the share of a heavy caller.
     pub fn requests_per_s(&self, now: Millis) -> f64 {
-        self.rate.at(now)
+        self.rate.before_last(now)
     }
 
     /// Whether the router holds tokens.
@@ -115,9 +128,10 @@
         self.may_hold
     }
 
-    /// Whether nothing is left to remember: the router holds no tokens and had no requests lately.
+    /// Whether nothing is left to remember: the router had no requests lately. Owners have forgotten its rate
+    /// by then, and it asks one at its next request.
     pub fn is_idle(&self, now: Millis) -> bool {
-        !self.may_hold && now.saturating_sub(self.rate.updated) > STATED_MS
+        now.saturating_sub(self.rate.updated) > STATED_MS
     }
 }
 
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -157,9 +157,11 @@
 
 impl<T: DeserializeOwned, V: Default + DeserializeOwned> Decode for WithSuffix<T, V> {
     fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
-        let mut rest = bytes;
-        let message = bincode::deserialize_from(&mut rest)?;
-        Ok(WithSuffix(message, bincode::deserialize_from(rest).unwrap_or_default()))
+        // Both from the slice: from a reader, bincode allocates the length that a message claims.
+        match bincode::deserialize(bytes) {
+            Ok((message, suffix)) => Ok(WithSuffix(message, suffix)),
+            Err(_) => Ok(WithSuffix(bincode::deserialize(bytes)?, V::default())),
+        }
     }
 }
 
@@ -217,9 +219,9 @@
     }
 
     /// The number of teams whose tokens this gateway holds although others own their budgets.
-    pub(crate) fn held_teams(&self) -> usize {
+    pub(crate) fn held_teams(&self, now: Millis) -> usize {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
-        holdings.values().filter(|holding| holding.holds()).count()
+        holdings.values().filter(|holding| holding.holds() && !holding.is_idle(now)).count()
     }
 
     /// Decides as an owner whether the asking gateway may hold tokens itself.
@@ -433,7 +435,12 @@
                 }
                 return Ok(Some(Reservation::Remote(reservation)));
             }
-            ReserveOutcome::Denied(denial) => return Err(denial),
+            ReserveOutcome::Denied(denial) => match holding {
+                Some(budget) if budget.can_reserve(cost.tokens) => {
+                    return reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await;
+                }
+                _ => return Err(denial),
+            },
             ReserveOutcome::Unavailable => node.owners.skip(owner),
         }
     }
