Wait for the drawn tokens in a test of restarted gateways

The test slept for 300 ms in place of waiting for the tokens that a restarted gateway draws. It waits for the tokens now, and still demands them before the first request.

--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -226,7 +226,14 @@
         recover(&second).await;
         let opened: Vec<String> = second.budgets().keys().cloned().collect();
         assert_eq!(opened, ["branch"]);
-        exec::sleep(Duration::from_millis(300)).await;
+        // The budget draws tokens as soon as it is opened.
+        let opened = budget(&second, "branch");
+        for _ in 0..200 {
+            if opened.lock().grant.available() >= 5_000 {
+                break;
+            }
+            exec::sleep(Duration::from_millis(20)).await;
+        }
         rows.set_fault(RowsFault::Down);
         budget(&second, "branch")
             .reserve(5_000, 0, RESERVE_TIMEOUT)
