Close connections whose peers accept no bytes

A server waited without limit for a peer that does not read its response, and held the response and its producer meanwhile. net::Limits gets write_stall, which fails a write that made no progress for that time, and send_buffer, which bounds the kernel's buffer of each connection. Both are off by default.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 mod probe;
 mod server;
 pub mod signal;
+mod stall;
 
 pub use body::{Body, Pipe, collect, pipe};
 pub use client::{Answer, Client, Error, Fault};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,8 @@
 //! An HTTP/1.1 server that can shut down without interrupting answers in progress.
 
+use crate::clock::Clock;
 use crate::exec;
+use crate::stall::{StallLimit, Watched};
 use async_channel::{Receiver, Sender};
 use http::{Request, Response};
 use hyper::body::{Bytes, Incoming};
@@ -8,14 +10,14 @@
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// The maximum number of connections that wait to be accepted.
@@ -32,11 +34,24 @@
     pub head_time: Duration,
     /// The maximum number of open connections.
     pub connections: usize,
+    /// A connection is closed if its peer accepts no bytes of a response for this long; `None` if it may
+    /// block forever.
+    pub write_stall: Option<Duration>,
+    /// The kernel's send buffer of a connection, in bytes; `None` lets the kernel adapt it, to several
+    /// megabytes.
+    pub send_buffer: Option<usize>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { headers: 64, buffer: 16 * 1024, head_time: Duration::from_secs(10), connections: 20_000 }
+        Limits {
+            headers: 64,
+            buffer: 16 * 1024,
+            head_time: Duration::from_secs(10),
+            connections: 20_000,
+            write_stall: None,
+            send_buffer: None,
+        }
     }
 }
 
@@ -45,6 +60,7 @@
 pub struct Handle {
     address: SocketAddr,
     open: Arc<AtomicUsize>,
+    stalled: Arc<AtomicU64>,
     stop: Sender<()>,
     is_aborted: Arc<AtomicBool>,
 }
@@ -60,6 +76,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Counts the connections that were closed because their peer accepted no bytes.
+    pub fn stalled_connections(&self) -> Arc<AtomicU64> {
+        self.stalled.clone()
+    }
+
     /// Closes the listener at once, and each connection when its current answer is complete.
     pub fn stop(&self) {
         self.stop.close();
@@ -103,9 +124,18 @@
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let is_aborted = Arc::new(AtomicBool::new(false));
     let open = Arc::new(AtomicUsize::new(0));
-    let handle = Handle { address, open: open.clone(), stop, is_aborted: is_aborted.clone() };
+    let stalled = Arc::new(AtomicU64::new(0));
+    let handle = Handle {
+        address,
+        open: open.clone(),
+        stalled: stalled.clone(),
+        stop,
+        is_aborted: is_aborted.clone(),
+    };
     let stopped = StopSignal { stopped, is_aborted };
-    exec::spawn(accept(listener, limits, service, stopped, open)).detach();
+    let clock = Clock::default();
+    let stall_limit = limits.write_stall.map(|limit| StallLimit { limit, clock, stalled });
+    exec::spawn(accept(listener, limits, stall_limit, service, stopped, open)).detach();
     Ok(handle)
 }
 
@@ -122,6 +152,7 @@
 async fn accept<S, F, B>(
     listener: TcpListener,
     limits: Limits,
+    stall_limit: Option<StallLimit>,
     service: S,
     stopped: StopSignal,
     open: Arc<AtomicUsize>,
@@ -147,10 +178,11 @@
                 log::warn!("net: connection refused, {} are open", limits.connections);
                 drop(stream);
             }
-            Some(Ok((stream, _))) => {
+            Some(Ok((stream, peer))) => {
                 open.fetch_add(1, Ordering::Relaxed);
-                let connection =
-                    serve_connection_until_stopped(stream, limits, service.clone(), stopped.clone());
+                set_options(&stream, &limits);
+                let io = Watched::new(FuturesIo::new(stream), Some(peer), stall_limit.clone());
+                let connection = serve_connection_until_stopped(io, limits, service.clone(), stopped.clone());
                 let open = open.clone();
                 exec::spawn(async move {
                     connection.await;
@@ -162,8 +194,16 @@
     }
 }
 
+/// Sets the options of an accepted socket. A connection without them works as well.
+fn set_options(stream: &TcpStream, limits: &Limits) {
+    let _ = stream.set_nodelay(true);
+    if let Some(bytes) = limits.send_buffer {
+        let _ = SockRef::from(stream).set_send_buffer_size(bytes);
+    }
+}
+
 async fn serve_connection_until_stopped<S, F, B>(
-    stream: TcpStream,
+    io: Watched<FuturesIo<TcpStream>>,
     limits: Limits,
     service: S,
     stopped: StopSignal,
@@ -173,7 +213,6 @@
     B: http_body::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let answer = service(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -183,7 +222,7 @@
         .header_read_timeout(limits.head_time)
         .max_headers(limits.headers)
         .max_buf_size(limits.buffer)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(io, service);
     let mut connection = pin!(connection);
     let ended = async {
         stopped.wait().await;
--- /dev/null
+++ b/crates/net/tests/server.rs
@@ -0,0 +1,110 @@
+//! Peers of a server that do not read their responses.
+
+use futures::{AsyncReadExt, AsyncWriteExt};
+use net::{Body, Limits, exec};
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Short, so that the tests are, and several times the interval between two checks.
+const WRITE_STALL: Duration = Duration::from_millis(1_000);
+/// How long a test waits for the server before it fails.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+const CHUNK: &[u8] = &[b'x'; 64 * 1024];
+
+/// Starts a server whose responses have no end. Returns its handle, a channel that closes when the producer of
+/// a response has ended, and the number of chunks produced.
+async fn serve(limits: Limits) -> (net::Handle, async_channel::Receiver<()>, Arc<AtomicU64>) {
+    exec::start(2);
+    let (running, ended) = async_channel::bounded::<()>(1);
+    let produced = Arc::new(AtomicU64::new(0));
+    let count = produced.clone();
+    let service = move |_| {
+        let (pipe, body) = net::pipe();
+        let (running, count) = (running.clone(), count.clone());
+        exec::spawn(async move {
+            while pipe.write(CHUNK).await {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+            running.close();
+        })
+        .detach();
+        std::future::ready(http::Response::new(body))
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = net::serve::<_, _, Body>(address, limits, service).await.expect("a free port");
+    (handle, ended, produced)
+}
+
+async fn connect(handle: &net::Handle) -> TcpStream {
+    let mut stream = TcpStream::connect(handle.address()).await.expect("a connection");
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: test\r\n\r\n").await.expect("a request");
+    stream
+}
+
+/// Guards against responses that a peer never reads: they would hold the connection and their producer for as
+/// long as the peer likes.
+#[test]
+fn a_connection_whose_peer_does_not_read_is_closed() {
+    exec::block_on(async {
+        let limits = Limits { write_stall: Some(WRITE_STALL), ..Limits::default() };
+        let (handle, ended, _) = serve(limits).await;
+        let stream = connect(&handle).await;
+        assert!(
+            exec::timeout(WAIT_LIMIT, ended.recv()).await.is_some(),
+            "the producer of the response still runs"
+        );
+        while handle.open_connections() > 0 {
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(handle.stalled_connections().load(Ordering::Relaxed), 1);
+        drop(stream);
+    });
+}
+
+/// Guards against a limit on the duration of a response: a peer that reads slowly, but reads, is served.
+#[test]
+fn a_connection_whose_peer_reads_slowly_stays_open() {
+    exec::block_on(async {
+        let limits =
+            Limits { write_stall: Some(WRITE_STALL), send_buffer: Some(64 * 1024), ..Limits::default() };
+        let (handle, ended, produced) = serve(limits).await;
+        let mut stream = connect(&handle).await;
+        let mut buffer = vec![0; 512 * 1024];
+        // Twelve reads take three times the limit.
+        for _ in 0..12 {
+            let before = produced.load(Ordering::Relaxed);
+            let mut read = 0;
+            while produced.load(Ordering::Relaxed) == before || read < buffer.len() {
+                read += stream.read(&mut buffer).await.expect("the connection is open");
+            }
+            exec::sleep(WRITE_STALL / 4).await;
+        }
+        assert!(!ended.is_closed());
+        assert_eq!(handle.stalled_connections().load(Ordering::Relaxed), 0);
+    });
+}
+
+/// Guards against kernel buffers of several megabytes for each peer that does not read.
+#[test]
+fn the_send_buffer_of_a_connection_is_bounded() {
+    exec::block_on(async {
+        let limits = Limits {
+            write_stall: Some(WRITE_STALL),
+            send_buffer: Some(64 * 1024),
+            ..Limits::default()
+        };
+        let (handle, ended, produced) = serve(limits).await;
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(16 * 1024).expect("an option");
+        socket.connect(&handle.address().into()).expect("a connection");
+        let stream = std::net::TcpStream::from(socket);
+        std::io::Write::write_all(&mut &stream, b"GET / HTTP/1.1\r\nhost: test\r\n\r\n").expect("a request");
+        assert!(exec::timeout(WAIT_LIMIT, ended.recv()).await.is_some(), "the connection is not closed");
+        // The kernel doubles the sizes. Nine chunks are in the pipe and one in the server.
+        let bytes = produced.load(Ordering::Relaxed) * CHUNK.len() as u64;
+        assert!(bytes <= 1 << 20, "{bytes} bytes were buffered");
+    });
+}
