Receive bodies in bounded time and memory; tell callers' pauses from upstreams'

A body of 4,000 bytes sent in 1-byte pieces took 2.2 KB of memory for each byte, since each piece kept a read buffer alive, and was read for ever. gateway::receive copies a body into one buffer, gives it up at the request's time limit (408 body-late), and takes the buffers of all connections from a byte budget (memory-mb); beyond it, requests are refused on their head (503 crowded). A caller's connection is closed after five seconds in which it accepts no bytes. route::ReadTracker separates the time in which a caller does not read from the silence of its upstream.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,6 +10,7 @@
 use crate::peer_reservations::{self, Denial};
 use crate::ports::{Ask, Wire};
 use crate::quarantine::{self, Check};
+use crate::receive;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::team_budget::Reservation;
@@ -28,9 +29,6 @@
 /// How many attempts that certainly did not run may each be followed by one at another upstream.
 const MAX_REFUSALS: u32 = 4;
 
-/// The largest request body that is read before a manifest is known, in bytes.
-const BODY_LIMIT: usize = 4 << 20;
-
 type Reply<W, S> = Response<AnswerBody<W, S>>;
 
 pub(crate) async fn answer<W: Wire, S: Rows>(
@@ -84,11 +82,9 @@
         log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
         refusal
     };
-    let body_limit = node.manifest().map_or(BODY_LIMIT, |manifest| manifest.body_limit);
-    let body = match net::collect(body, body_limit).await {
+    let body = match receive::body(node, &ask, &head, body, arrived).await {
         Ok(body) => body,
-        Err(reason) if reason.contains("limit") => return Err(refused(Refusal::BodyTooLarge, &reason)),
-        Err(reason) => return Err(refused(Refusal::BodyIncomplete, &reason)),
+        Err((refusal, detail)) => return Err(refused(refusal, &detail)),
     };
     node.load.record_received(body.len());
     if node.phase() == Phase::Draining {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! except `peer_reservations`: `node` and `team_budget` import it, and it imports them and `budget_state`.
 //!
 //! - `handle` admits it and decides what to do when a dispatch fails.
+//! - `receive` reads its body.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
 //! - `quarantine` inspects a dispatch that broke off, and denies requests that crash upstreams.
@@ -42,6 +43,7 @@
 mod peer_reservations;
 pub mod ports;
 mod quarantine;
+mod receive;
 mod refusal;
 mod relay;
 mod settings;
@@ -67,12 +69,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use store::rows::Rows;
 
 /// How long a caller's connection may be idle. Callers close idle connections long before.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a caller may accept no bytes of its response. Callers time out after at most a few seconds without
+/// an event, so one that is silent for longer has gone or stopped.
+const CALLER_WRITE_STALL: Duration = Duration::from_secs(5);
+/// The kernel's send buffer of a caller's connection where the VM's memory is limited, in bytes: what a link
+/// of 10 Mbit/s carries in 100 ms.
+const CALLER_SEND_BUFFER: usize = 128 * 1024;
 /// How long a stopping gateway still accepts requests: the balancer checks readiness every second, and acts
 /// on the second failed check.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
@@ -120,12 +128,16 @@
     exec::spawn(quarantine::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), requested_notes)).detach();
     exec::spawn(load::run(node.clone())).detach();
-    exec::spawn(sweep(node.clone())).detach();
-
     let limits = net::Limits { head_time: CALLER_IDLE_TIMEOUT, ..net::Limits::default() };
     let shared = node.clone();
-    let callers =
-        net::serve(listen.callers, limits, move |request| handle::answer(shared.clone(), request)).await?;
+    let caller_limits = net::Limits {
+        write_stall: Some(CALLER_WRITE_STALL),
+        send_buffer: node.settings.memory_mb.map(|_| CALLER_SEND_BUFFER),
+        ..limits
+    };
+    let answer = move |request| handle::answer(shared.clone(), request);
+    let callers = net::serve(listen.callers, caller_limits, answer).await?;
+    exec::spawn(sweep(node.clone(), callers.stalled_connections())).detach();
     let shared = node.clone();
     let readiness = net::serve(listen.readiness, limits, move |request: Request<Incoming>| {
         std::future::ready(answer_operator(&shared, &request))
@@ -193,11 +205,13 @@
 }
 
 /// Closes unused connections, drops expired reservations, updates gauges and logs totals.
-async fn sweep<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+async fn sweep<W: Wire, S: Rows>(node: Arc<Node<W, S>>, stalled_callers: Arc<AtomicU64>) {
+    let slow_readers = node.metrics.slow_callers.with_label_values(&["reading"]);
     for round in 1u64.. {
         exec::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
         node.peer_reservations.expire();
+        slow_readers.inc_by(stalled_callers.load(Ordering::Relaxed).saturating_sub(slow_readers.get()));
         if round.is_multiple_of(SWEEPS_PER_LOG_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
             log::info!("store: event=bytes {}", node.metrics.store_bytes_line());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,10 @@
     pub limits_named: IntCounter,
     /// Runs that broke because their upstream terminated.
     pub runs_lost: IntCounter,
+    /// The memory of the bodies that callers are sending, in bytes.
+    pub receiving_bytes: IntGauge,
+    /// Connections and requests of callers that were given up because of their pace, by direction.
+    pub slow_callers: IntCounterVec,
     /// The number of requests that are denied because they crash upstreams.
     pub quarantined: IntGauge,
     /// Datagrams of other gateways that were dropped, by reason.
@@ -160,6 +164,15 @@
                 &["upstream"],
             ),
             upstreams: gauge("tallypaddle_upstreams", "Upstreams listed."),
+            receiving_bytes: gauge(
+                "tallypaddle_receiving_bytes",
+                "Memory of the request bodies that callers are sending.",
+            ),
+            slow_callers: counters(
+                "tallypaddle_slow_callers_total",
+                "Callers that were given up because they sent or read too slowly.",
+                &["direction"],
+            ),
             quarantined: gauge(
                 "tallypaddle_quarantined",
                 "Requests that are denied since they end upstreams.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use crate::owners::{Owners, Peer};
 use crate::peer_reservations::PeerReservations;
 use crate::ports::{Listing, Wire};
+use crate::receive::ByteBudget;
 use crate::settings::Settings;
 use crate::store_metrics::MeteredRows;
 use crate::team_budget::{BudgetOptions, TeamBudget};
@@ -63,6 +64,8 @@
     /// The number of open requests.
     pub open_requests: AtomicU64,
     pub load: Load,
+    /// The memory for the bodies that callers are sending.
+    pub receiving: ByteBudget,
     pub hints: Arc<Hints>,
     pub owners: Owners,
     pub peer_reservations: Arc<PeerReservations>,
@@ -112,6 +115,7 @@
             failover,
             pool: Pool::new(clock.clone()),
             clock,
+            receiving: ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone()),
             metrics,
             fleet_size: Arc::new(AtomicU64::new(INITIAL_FLEET_SIZE)),
             fleet_read_ms: AtomicU64::new(0),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Answers that the gateway gives instead of an upstream.
 
 use crate::body::WholeBody;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
 use route::quarantine::DECISION_DELAY_MS;
@@ -19,6 +19,10 @@
     BodyTooLarge,
     /// The caller did not send the whole body.
     BodyIncomplete,
+    /// The caller did not send the whole body within the request's time limit.
+    BodyTimedOut,
+    /// The bodies that other callers are sending take all the memory there is for them.
+    Crowded,
     /// It is not decided yet whether the request is quarantined.
     QuarantinePending,
     /// Upstreams crashed while they ran the request, so it is not run again.
@@ -58,6 +62,8 @@
             Refusal::NoAccessKey => "no-key",
             Refusal::BodyTooLarge => "too-long",
             Refusal::BodyIncomplete => "body-broken",
+            Refusal::BodyTimedOut => "body-late",
+            Refusal::Crowded => "crowded",
             Refusal::QuarantinePending => "undecided",
             Refusal::Quarantined => "quarantined",
             Refusal::BudgetExhausted => "budget-spent",
@@ -81,9 +87,11 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccessKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Refusal::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Refusal::BudgetUnavailable(_)
             | Refusal::BudgetHeldElsewhere(_)
+            | Refusal::Crowded
             | Refusal::QuarantinePending
             | Refusal::NotConfigured
             | Refusal::ManifestChanging
@@ -103,6 +111,7 @@
             | Refusal::BudgetHeldElsewhere(millis)
             | Refusal::UpstreamsUnavailable(millis) => Some(millis),
             Refusal::QuarantinePending => Some(2 * DECISION_DELAY_MS),
+            Refusal::Crowded => Some(500),
             Refusal::NotConfigured => Some(500),
             Refusal::ManifestChanging => Some(500),
             Refusal::Stopping => Some(50),
@@ -112,6 +121,11 @@
         }
     }
 
+    /// Whether the connection is closed because a part of the request is not read.
+    fn closes_connection(self) -> bool {
+        matches!(self, Refusal::BodyTimedOut | Refusal::Crowded)
+    }
+
     /// An explanation for the caller in addition to the name.
     fn detail(self) -> Option<&'static str> {
         match self {
@@ -131,6 +145,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.closes_connection() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(millis) = self.retry_ms() {
             let seconds = format!("{:.3}", millis as f64 / 1_000.0);
             headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use http_body::Body as _;
 use hyper::body::Bytes;
 use net::exec;
-use route::{Millis, PauseKind, PauseTracker};
+use route::{Millis, PauseKind, PauseTracker, ReadTracker};
 use smol::Timer;
 use std::io;
 use std::pin::Pin;
@@ -35,12 +35,13 @@
     meter: TokenMeter,
     ready: Option<Bytes>,
     check_timer: Timer,
-    last_received: Millis,
     began: Millis,
     /// When the run that the stream now comes from sent its first answer.
     run_began: Millis,
-    longest_gap: Millis,
+    /// The longest time for which the caller waited for the upstream, in milliseconds.
+    longest_gap: f64,
     pauses: PauseTracker,
+    reading: ReadTracker,
 }
 
 enum State<W: Wire, S: Rows> {
@@ -80,7 +81,7 @@
             .with_label_values(&[&job.request.route.name])
             .observe(ms as f64 / 1_000.0);
         meter.record_events(splitter.count());
-        let pauses = PauseTracker::new(job.node.now_exact());
+        let now_exact = job.node.now_exact();
         Relay {
             job,
             state: State::Streaming(stream),
@@ -88,16 +89,25 @@
             meter,
             ready: Some(first_events),
             check_timer: Timer::interval(CHECK_INTERVAL),
-            last_received: now,
             began: now,
             run_began: now,
-            longest_gap: 0,
-            pauses,
+            longest_gap: 0.0,
+            pauses: PauseTracker::new(now_exact),
+            reading: ReadTracker::new(now_exact),
         }
     }
 
     /// Polls for the next bytes for the caller.
     pub(crate) fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        self.reading.record_asked(self.job.node.now_exact());
+        let next = self.poll_part(context);
+        if let Poll::Ready(Some(Ok(_))) = next {
+            self.reading.record_given(self.job.node.now_exact());
+        }
+        next
+    }
+
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         if let Some(bytes) = self.ready.take() {
             return Poll::Ready(Some(Ok(bytes)));
         }
@@ -133,15 +143,24 @@
         match frame {
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { return Step::Continue };
-                let now = self.job.node.now();
-                self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_received));
-                self.last_received = now;
+                // The periodic check does not run while the upstream always has more for a slow caller.
+                if self.job.node.now() >= self.job.deadline + CHECK_INTERVAL.as_millis() as Millis {
+                    return Step::Fail("the deadline passed".to_owned());
+                }
+                let now = self.job.node.now_exact();
+                self.longest_gap = self.longest_gap.max(self.reading.silence(now));
+                let is_held_back = self.reading.record_arrived(now);
+                if is_held_back {
+                    self.pauses = PauseTracker::new(now);
+                }
                 self.job.node.load.record_relayed(data.len());
                 let events = self.splitter.push(data);
                 if events.is_empty() {
                     return Step::Continue;
                 }
-                self.observe();
+                if !is_held_back {
+                    self.observe(now);
+                }
                 self.meter.record_events(self.splitter.count());
                 Step::Yield(events)
             }
@@ -151,10 +170,10 @@
     }
 
     /// Updates the estimated event pace of the upstream with the time since the last event.
-    fn observe(&mut self) {
+    fn observe(&mut self, now: f64) {
         let State::Streaming(stream) = &self.state else { return };
         let upstream = &stream.slot.upstream;
-        match self.pauses.record(self.job.node.now_exact()) {
+        match self.pauses.record(now) {
             PauseKind::Baseline(ms) => self.job.node.placer().record_baseline_pause(upstream, ms),
             PauseKind::Long(ms) => self.job.node.placer().record_pause(upstream, ms, self.job.node.now()),
             PauseKind::Normal => {}
@@ -175,11 +194,11 @@
     /// Checks periodically whether the deadline has passed or the upstream has stalled.
     fn poll_check(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         ready!(self.check_timer.poll_next_unpin(context));
-        let now = self.job.node.now();
-        if now >= self.job.deadline {
+        if self.job.node.now() >= self.job.deadline {
             return Poll::Ready(Step::Fail("the deadline passed".to_owned()));
         }
-        let stalled = now.saturating_sub(self.last_received) > STALL_FACTOR * self.job.request.route.gap_ms;
+        let silence = self.reading.silence(self.job.node.now_exact());
+        let stalled = silence > (STALL_FACTOR * self.job.request.route.gap_ms) as f64;
         if stalled
             && matches!(self.state, State::Streaming(_))
             && self.job.kind() == RouteKind::ResumableStream
@@ -237,9 +256,10 @@
         let Some(resumed) = resumed else {
             return Step::Fail("no upstream could resume the stream".to_owned());
         };
-        self.last_received = self.job.node.now();
-        self.run_began = self.last_received;
-        self.pauses = PauseTracker::new(self.job.node.now_exact());
+        self.run_began = self.job.node.now();
+        let now = self.job.node.now_exact();
+        self.reading.record_arrived(now);
+        self.pauses = PauseTracker::new(now);
         self.splitter = resumed.splitter;
         self.meter.record_events(self.splitter.count());
         self.state = State::Streaming(resumed.stream);
@@ -249,7 +269,7 @@
     fn log_end(&self, outcome: &str, detail: &str) {
         let tokens = self.meter.tokens();
         let first_ms = self.began.saturating_sub(self.job.request.arrived);
-        let (events, gap_ms) = (self.splitter.count(), self.longest_gap);
+        let (events, gap_ms) = (self.splitter.count(), self.longest_gap as Millis);
         self.job.log_end(
             outcome,
             format_args!("first-ms={first_ms} gap-ms={gap_ms} events={events} tokens={tokens} {detail}"),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,7 +12,7 @@
 
 /// The keys that the settings may contain, as listed in error messages.
 const KNOWN_KEYS: &str =
-    "name, data-centre, listen, store, store-writes-per-s, threads, cpu-share, link-mbps, record-ms, bounds";
+    "name, data-centre, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, bounds";
 /// The default time that charges may wait for settlement, in milliseconds. Notes already protect the charges,
 /// so that settlement only keeps the record up to date.
 const DEFAULT_RECORD_MS: u64 = 8_000;
@@ -38,6 +38,8 @@
     pub threads: usize,
     /// The share of each core that this VM has.
     pub cpu_share: f64,
+    /// The memory of this VM, in MB; `None` if it is not known.
+    pub memory_mb: Option<f64>,
     /// The capacity of this VM's link in each direction, in Mbit/s; `None` if it is not known.
     pub link_mbps: Option<f64>,
     /// How long charges may wait until they are recorded in the store, in milliseconds.
@@ -95,6 +97,7 @@
             let store_writes_per_s = writes.unwrap_or(DEFAULT_STORE_WRITES_PER_S);
             let threads = reader.take::<usize>(&mut root, "threads").unwrap_or(1);
             let cpu_share = reader.take::<f64>(&mut root, "cpu-share").unwrap_or(1.0);
+            let memory_mb = reader.take::<f64>(&mut root, "memory-mb");
             let link_mbps = reader.take::<f64>(&mut root, "link-mbps");
             let record_ms = reader.take::<u64>(&mut root, "record-ms").unwrap_or(DEFAULT_RECORD_MS);
             let bounds = reader.take::<Bounds>(&mut root, "bounds").unwrap_or_default();
@@ -108,6 +111,9 @@
             if !(cpu_share > 0.0 && cpu_share.is_finite()) {
                 reader.add(&["cpu-share"], "must be above 0");
             }
+            if memory_mb.is_some_and(|mb| !(mb > 0.0 && mb.is_finite())) {
+                reader.add(&["memory-mb"], "must be above 0; leave it out if the memory is not known");
+            }
             if link_mbps.is_some_and(|mbps| !(mbps > 0.0 && mbps.is_finite())) {
                 reader.add(&["link-mbps"], "must be above 0; leave it out if the link is not known");
             }
@@ -119,6 +125,7 @@
                 store_writes_per_s,
                 threads,
                 cpu_share,
+                memory_mb,
                 link_mbps,
                 record_ms,
                 bounds,
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -1,6 +1,6 @@
 //! A node whose store is in memory, and whose wire format is plain text.
 
-use crate::manifest::{Manifest, Team};
+use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::notes::{Recovery, RecoveryProgress};
 use crate::ports::{Ask, Dispatch, Listing, Malformed, ResponseCheck, Wire};
@@ -92,6 +92,7 @@
         store_writes_per_s: 600,
         threads: 1,
         cpu_share: 1.0,
+        memory_mb: None,
         link_mbps: None,
         record_ms: 200,
         bounds: Bounds::default(),
@@ -109,6 +110,22 @@
     Manifest { version, teams: teams.iter().map(team).collect(), ..Manifest::default() }
 }
 
+/// A route for paths with this prefix.
+pub(crate) fn route(prefix: &str, timeout_ms: u64) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout_ms,
+        target_ms: 100,
+        gap_ms: 400,
+        priority: 0,
+        split: vec![],
+        attempts: 1,
+        anonymous: true,
+    }
+}
+
 /// Closes the accounts that the previous note names, then the others, until the store fails.
 pub(crate) async fn recover_all(
     recovery: &mut Recovery,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quarantine;
 mod queue;
 mod read_queue;
+mod reading;
 mod repeat_window;
 mod retry_budget;
 pub mod roster;
@@ -53,6 +54,7 @@
     Choice, LoadReport, Pick, PickRequest, Pool, Reason, UpstreamSpec, UpstreamStatus, home_upstream,
 };
 pub use queue::{FairQueue, PushOutcome, QueuedRequest};
+pub use reading::ReadTracker;
 pub use repeat_window::{RepeatBound, RepeatCount, RepeatWindow};
 pub use retry_budget::RetryBudget;
 pub use signals::retry_after_ms;
