--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -147,12 +147,11 @@
 
 /// The time limit of a request: the caller's, the route's, or a default if neither is known.
 fn time_limit<W: Wire, S: Rows>(node: &Node<W, S>, ask: &Ask, path: &str) -> Duration {
-    let route_ms = node.manifest().and_then(|manifest| {
-        match manifest.lookup(&ask.host, path, ask.key.as_deref()) {
+    let route_ms =
+        node.manifest().and_then(|manifest| match manifest.lookup(&ask.host, path, ask.key.as_deref()) {
             Lookup::Allowed(route, _) => Some(route.timeout_ms),
             Lookup::NoRoute | Lookup::NoKey => None,
-        }
-    });
+        });
     let limits = [ask.wait_ms, route_ms];
     limits.into_iter().flatten().min().map_or(DEFAULT_TIME_LIMIT, Duration::from_millis)
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,8 +11,7 @@
 use yaml::{ConfigError, Reader};
 
 /// The keys that the settings may contain, as listed in error messages.
-const KNOWN_KEYS: &str =
-    "name, data-centre, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, bounds";
+const KNOWN_KEYS: &str = "name, data-centre, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, bounds";
 /// The default time that charges may wait for settlement, in milliseconds. Notes already protect the charges,
 /// so that settlement only keeps the record up to date.
 const DEFAULT_RECORD_MS: u64 = 8_000;
--- a/crates/net/tests/server.rs
+++ b/crates/net/tests/server.rs
@@ -91,13 +91,11 @@
 #[test]
 fn the_send_buffer_of_a_connection_is_bounded() {
     exec::block_on(async {
-        let limits = Limits {
-            write_stall: Some(WRITE_STALL),
-            send_buffer: Some(64 * 1024),
-            ..Limits::default()
-        };
+        let limits =
+            Limits { write_stall: Some(WRITE_STALL), send_buffer: Some(64 * 1024), ..Limits::default() };
         let (handle, ended, produced) = serve(limits).await;
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
         socket.set_recv_buffer_size(16 * 1024).expect("an option");
         socket.connect(&handle.address().into()).expect("a connection");
         let stream = std::net::TcpStream::from(socket);
