--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -121,9 +121,9 @@
         }
     }
 
-    /// Whether the connection is closed because a part of the request is not read.
-    fn closes_connection(self) -> bool {
-        matches!(self, Refusal::BodyTimedOut | Refusal::Crowded)
+    /// Whether a part of the request's body may be left unread, so that the connection has to be closed.
+    fn leaves_body_unread(self) -> bool {
+        matches!(self, Refusal::BodyTimedOut | Refusal::BodyTooLarge | Refusal::Crowded)
     }
 
     /// An explanation for the caller in addition to the name.
@@ -143,9 +143,12 @@
         }
         let mut response = Response::new(Some(Bytes::from(body.to_string())));
         *response.status_mut() = self.status();
+        if self.leaves_body_unread() {
+            response.extensions_mut().insert(net::UnreadRequest);
+        }
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if self.closes_connection() {
+        if self.leaves_body_unread() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         if let Some(millis) = self.retry_ms() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,11 +14,11 @@
 mod probe;
 mod server;
 pub mod signal;
-mod stall;
+mod watched;
 
 pub use body::{Body, Pipe, collect, pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use clock::Clock;
 pub use pool::{Failure, Lease, Pool};
 pub use probe::{ProbeResult, probe};
-pub use server::{Handle, Limits, serve};
+pub use server::{Handle, Limits, UnreadRequest, serve};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::exec;
-use crate::stall::{StallLimit, Watched};
+use crate::watched::{StallLimit, Watched};
 use async_channel::{Receiver, Sender};
 use http::{Request, Response};
 use hyper::body::{Bytes, Incoming};
@@ -55,6 +55,12 @@
     }
 }
 
+/// Marks a response to a request whose body was not read to its end, as an extension of the response. After the
+/// response, what the peer still sends is discarded for up to a second: closing the connection at once would
+/// reset it, and the peer might lose the response.
+#[derive(Clone, Copy, Debug)]
+pub struct UnreadRequest;
+
 /// Controls a running server.
 #[derive(Debug)]
 pub struct Handle {
@@ -213,9 +219,17 @@
     B: http_body::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let lingers = io.lingers();
     let service = service_fn(move |request| {
         let answer = service(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let lingers = lingers.clone();
+        async move {
+            let response = answer.await;
+            if response.extensions().get::<UnreadRequest>().is_some() {
+                lingers.store(true, Ordering::Relaxed);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
--- a/crates/net/src/stall.rs
+++ b/crates/net/src/watched.rs
@@ -1,18 +1,21 @@
-//! Closes connections whose peer accepts no bytes.
+//! The I/O of a server's connection, which is closed if its peer accepts no bytes, and is not reset if its peer
+//! still sends.
 //!
 //! A peer that does not read its response otherwise holds the connection, what is buffered for it, and
-//! whatever produces the response, for as long as it likes.
+//! whatever produces the response, for as long as it likes. And a connection that is closed while bytes of its
+//! peer are unread is reset, so that the peer may lose a response that was already sent.
 
 use crate::clock::Clock;
 use futures::Stream;
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use smol::Timer;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 /// How often a blocked write is checked.
@@ -21,6 +24,14 @@
 /// peer's acknowledgements may then still be on their way, so the write gets another interval.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(1_000);
 
+/// How long a peer may continue to send a request after the response. Most of the body is then already on its
+/// way.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER: usize = 2_048;
+/// The reads after which other connections get their turn.
+const READS_PER_TURN: usize = 16;
+
 /// Decides when a blocked write has stalled.
 #[derive(Clone, Copy, Debug)]
 struct BlockedWrite {
@@ -51,19 +62,27 @@
 }
 
 /// The I/O of a connection. A write fails if the peer accepts no bytes for the limit, which makes hyper drop
-/// the connection and the response.
+/// the connection and the response. When it is shut down, it discards what the peer still sends, if requested.
 #[derive(Debug)]
 pub(crate) struct Watched<T> {
     io: T,
     peer: Option<SocketAddr>,
     limit: Option<StallLimit>,
     blocked: Option<(BlockedWrite, Timer)>,
+    lingers: Arc<AtomicBool>,
+    /// When the connection is closed, once it was shut down.
+    lingering: Option<Timer>,
 }
 
 impl<T> Watched<T> {
     /// Watches the writes of `io`; without a limit they may block forever.
     pub(crate) fn new(io: T, peer: Option<SocketAddr>, limit: Option<StallLimit>) -> Watched<T> {
-        Watched { io, peer, limit, blocked: None }
+        Watched { io, peer, limit, blocked: None, lingers: Arc::default(), lingering: None }
+    }
+
+    /// The flag that makes the connection discard what its peer still sends when it is shut down.
+    pub(crate) fn lingers(&self) -> Arc<AtomicBool> {
+        self.lingers.clone()
     }
 
     /// Fails a pending write if the peer has stalled, and makes sure that the write is checked again.
@@ -95,6 +114,26 @@
     }
 }
 
+impl<T: Read + Unpin> Watched<T> {
+    /// Discards what the peer sends until it closes the connection or the time is over.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(timer) = &mut self.lingering else { return Poll::Ready(()) };
+        let mut bytes = [0; DISCARD_BUFFER];
+        for _ in 0..READS_PER_TURN {
+            if Pin::new(&mut *timer).poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut self.io).poll_read(context, buffer.unfilled()));
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
 impl<T: Read + Unpin> Read for Watched<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -105,7 +144,7 @@
     }
 }
 
-impl<T: Unpin + Write> Write for Watched<T> {
+impl<T: Read + Unpin + Write> Write for Watched<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -133,7 +172,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+        if self.lingering.is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(context))?;
+            if !self.lingers.load(Ordering::Relaxed) {
+                return Poll::Ready(Ok(()));
+            }
+            self.lingering = Some(Timer::after(LINGER_TIME));
+        }
+        self.poll_linger(context).map(Ok)
     }
 }
 
--- a/crates/net/tests/server.rs
+++ b/crates/net/tests/server.rs
@@ -1,4 +1,4 @@
-//! Peers of a server that do not read their responses.
+//! Peers of a server that do not read their responses, or that still send a request when it is answered.
 
 use futures::{AsyncReadExt, AsyncWriteExt};
 use net::{Body, Limits, exec};
@@ -106,3 +106,34 @@
         assert!(bytes <= 1 << 20, "{bytes} bytes were buffered");
     });
 }
+
+/// Guards against a response that is lost because the connection is reset: the peer still sends the body of
+/// the request, which the server does not read.
+#[test]
+fn a_response_to_a_request_that_was_not_read_arrives() {
+    exec::block_on(async {
+        exec::start(2);
+        let service = |_| {
+            let mut response = http::Response::new(Body::from("refused"));
+            response.headers_mut().insert("connection", "close".parse().expect("a header"));
+            response.extensions_mut().insert(net::UnreadRequest);
+            std::future::ready(response)
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handle = net::serve(address, Limits::default(), service).await.expect("a free port");
+        let mut stream = TcpStream::connect(handle.address()).await.expect("a connection");
+        let head = format!("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: {}\r\n\r\n", 8 * CHUNK.len());
+        stream.write_all(head.as_bytes()).await.expect("the head is sent");
+        for _ in 0..8 {
+            exec::sleep(Duration::from_millis(20)).await;
+            stream.write_all(CHUNK).await.expect("the connection was reset while the body was sent");
+        }
+        let mut answer = vec![];
+        stream.read_to_end(&mut answer).await.expect("the connection was reset before the answer was read");
+        assert!(answer.ends_with(b"refused"), "{}", String::from_utf8_lossy(&answer));
+        drop(stream);
+        while handle.open_connections() > 0 {
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
