Pace large bodies on a link: the decision

Change: route::pacing is a token bucket at 0.85 of the link with a queue ordered by targets. Started bodies are not interrupted, and bodies that can't be sent in time are refused when they arrive.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 mod limit;
 pub mod notice;
 mod overload;
+pub mod pacing;
 mod pauses;
 pub mod placement;
 mod pool;
