Send large bodies at the pace of the link

Cause: a gateway on a 10 Mbit/s link hands each body to its connection as a whole, so several at once fill the link's queue in front of reservations, notes and events.

Change: gateway::link holds the pacer. A request waits for its turn before it is dispatched, and chooses its upstream again if that took time. The body is then handed over in pieces through a pipe that holds one piece and keeps the Content-Length. Requests that can't be sent within half of the time left until their target are refused as link-full (503, Retry-After: when the queue will have drained). Dropping a request gives up its place. Traffic that is not paced is counted by load and deducted. Without link-mbps nothing changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,13 +3,16 @@
 use crate::event::EventSplitter;
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
 use crate::limits;
+use crate::link::Turn;
 use crate::manifest::RouteKind;
 use crate::ports::{Malformed, ResponseCheck, Wire};
+use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
+use route::pacing;
 use route::placement::Placement;
 use std::pin::pin;
 use std::time::Duration;
@@ -29,6 +32,10 @@
 /// The largest answer that is not a stream, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
+/// The share of the time left until a request's target in which its body has to be sent. The rest is left to the
+/// upstream. A full link carries as much with a short queue as with a long one.
+const LINK_SHARE_OF_TIME_LEFT: f64 = 0.5;
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 6] =
     [CONNECTION, HeaderName::from_static("keep-alive"), TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
@@ -61,9 +68,41 @@
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
+    /// Waits until the body may be sent. If that takes time, the upstream is chosen again, since others have been
+    /// dispatched meanwhile.
+    ///
+    /// # Errors
+    /// The body can't be sent in time, and the request certainly did not run.
+    pub(crate) async fn take_turn(&self, chosen: Placement) -> Result<(Placement, Option<Turn>), Refusal> {
+        let (node, bytes) = (&self.node, self.request.body.len());
+        let now = node.now_exact();
+        let due = self.request.arrived.saturating_add(self.request.route.target_ms) as f64;
+        let may_have_run = self.progress().ran > 0;
+        let latest = match may_have_run {
+            true => self.deadline as f64,
+            false => now + LINK_SHARE_OF_TIME_LEFT * (due - now).max(0.0),
+        };
+        let body = pacing::Body { bytes: bytes as u64, due, latest };
+        match node.link.take_turn(&body, self.remaining()).await {
+            Ok(None) => Ok((chosen, None)),
+            Ok(Some(turn)) => {
+                node.metrics.pacing_time.observe(turn.waited.as_secs_f64());
+                node.metrics.paced_bytes.inc_by(bytes as u64);
+                let has_waited = turn.waited >= Duration::from_millis(1);
+                let chosen = if has_waited { self.choose().unwrap_or(chosen) } else { chosen };
+                Ok((chosen, Some(turn)))
+            }
+            // This request can't be refused as not run any more, so it is sent without pacing. There are few such
+            // requests, because repeats are bounded.
+            Err(_) if may_have_run => Ok((chosen, None)),
+            Err(drained_ms) => Err(Refusal::LinkFull(drained_ms)),
+        }
+    }
+
     pub(crate) async fn attempt(
         &self,
         chosen: &Placement,
+        turn: Option<Turn>,
         splitter: &mut EventSplitter,
         after_event: Option<u64>,
         may_try_elsewhere: bool,
@@ -91,7 +130,6 @@
             .services
             .get(&self.request.service)
             .map_or(usize::MAX, |service| service.connections);
-        let request = self.build_request(&chosen.upstream, after_event);
         let Some(slot) = UpstreamSlot::take(self, chosen) else {
             return Outcome::NotSent("the upstream accepts no more requests now".to_owned());
         };
@@ -101,11 +139,23 @@
         }
         let connection_share = node.max_connections(connection_limit);
         let max_connections = node.placer().max_connections(&chosen.upstream, connection_share);
-        node.load.record_sent(self.request.body.len());
+        let bytes = self.request.body.clone();
+        node.load.record_sent(bytes.len(), if turn.is_some() { bytes.len() } else { 0 });
+        let (body, writing) =
+            turn.map_or_else(|| (bytes.clone().into(), None), |turn| turn.send(bytes.clone()));
+        let request = self.build_request(&chosen.upstream, after_event, body);
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
         // back-off.
         let is_wanted = || node.placer().admits(&chosen.upstream, node.now());
-        let sending = node.pool.send("dispatch", listing.address, max_connections, request, is_wanted);
+        let sending = async {
+            let sent = node.pool.send("dispatch", listing.address, max_connections, request, is_wanted).await;
+            // The upstream may answer before it has read all of the body. A request that is dropped before that
+            // drops the writing too.
+            if let Some(writing) = writing {
+                writing.detach();
+            }
+            sent
+        };
         let began = node.now();
         let outcome = self.wait_for_first_answer(chosen, slot, splitter, may_try_elsewhere, sending).await;
         self.record_upstream_outcome(chosen, began, &outcome);
@@ -329,7 +379,7 @@
         }
     }
 
-    fn build_request(&self, upstream: &str, after_event: Option<u64>) -> Request<net::Body> {
+    fn build_request(&self, upstream: &str, after_event: Option<u64>, body: net::Body) -> Request<net::Body> {
         let mut headers = self
             .node
             .wire
@@ -340,7 +390,7 @@
             HOST,
             http::HeaderValue::from_str(&self.request.ask.host).unwrap_or(http::HeaderValue::from_static("")),
         );
-        let mut request = Request::new(net::Body::from(self.request.body.clone()));
+        let mut request = Request::new(body);
         *request.method_mut() = self.request.head.method.clone();
         *request.uri_mut() = origin_form(&self.request.head.uri);
         *request.headers_mut() = headers;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -16,7 +16,7 @@
 use budget::ledger::Level;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use std::sync::Arc;
 use std::time::Duration;
 use store::rows::Rows;
@@ -62,6 +62,7 @@
 /// overloaded.
 fn finish_answer<W: Wire, S: Rows>(node: &Node<W, S>, id: &str, mut reply: Reply<W, S>) -> Reply<W, S> {
     node.wire.add_request_id(id, reply.headers_mut());
+    node.load.record_message(reply.body().size_hint().exact().unwrap_or(0) as usize);
     if node.phase() != Phase::Serving || node.load.should_close_connection() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -176,9 +177,16 @@
         if job.progress().sent > 0 && (!job.may_repeat() || !job.take_repeat("retry")) {
             break;
         }
+        let (chosen, turn) = match job.take_turn(chosen).await {
+            Ok(turn) => turn,
+            Err(refusal) => {
+                job.log_end(refusal.name(), format_args!("bytes={}", job.request.body.len()));
+                return refuse(refusal);
+            }
+        };
         let may_try_elsewhere = job.progress().ran + 1 < job.request.route.attempts;
         let mut splitter = EventSplitter::default();
-        let outcome = job.attempt(&chosen, &mut splitter, None, may_try_elsewhere).await;
+        let outcome = job.attempt(&chosen, turn, &mut splitter, None, may_try_elsewhere).await;
         job.record_attempt(&chosen.upstream, &outcome);
         match decide_next(&job, outcome, splitter, &mut meter) {
             Next::Answer(reply) => return reply,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! `watch` and `members` follow the store: the manifest, the upstreams and the other gateways. `snapshot`
 //! reduces what starting gateways read of the list of upstreams. `failover` makes calls to the store through
 //! another gateway where `store_health` finds it unreachable. `hints` exchanges datagrams with the other
-//! gateways, and `load` measures the load of the VM.
+//! gateways, `load` measures the load of the VM, and `link` paces large bodies on its link.
 //!
 //! [`ports`] is the interface to callers, upstreams and operators, which an adapter implements.
 
@@ -32,6 +32,7 @@
 mod hints;
 mod job;
 mod limits;
+mod link;
 mod load;
 pub mod manifest;
 mod members;
@@ -62,7 +63,7 @@
 use crate::node::{Node, Phase};
 use crate::ports::Wire;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use net::{Body, Handle, exec};
 use std::io;
 use std::net::SocketAddr;
@@ -154,12 +155,14 @@
 
 /// Answers a request of another gateway.
 async fn answer_peer<W: Wire, S: Rows>(node: Arc<Node<W, S>>, request: Request<Incoming>) -> Response<Body> {
-    match request.uri().path() {
+    let response = match request.uri().path() {
         peer_reservations::RESERVE_PATH | peer_reservations::REPORT_PATH => {
-            peer_reservations::answer(node, request).await
+            peer_reservations::answer(node.clone(), request).await
         }
         _ => node.failover.clone().answer(request).await,
-    }
+    };
+    node.load.record_message(response.body().size_hint().exact().unwrap_or(0) as usize);
+    response
 }
 
 /// Serves metrics at a separate address. If it can't be bound, the gateway runs without them, since that is
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Load {
     received: AtomicU64,
     sent: AtomicU64,
+    /// Sent bytes that were not paced, which [`crate::link`] takes.
+    unpaced: Arc<AtomicU64>,
     monitor: Mutex<OverloadMonitor>,
 }
 
@@ -29,6 +31,7 @@
         Load {
             received: AtomicU64::new(0),
             sent: AtomicU64::new(0),
+            unpaced: Arc::default(),
             monitor: Mutex::new(OverloadMonitor::new(link_bytes_per_s)),
         }
     }
@@ -42,15 +45,28 @@
         self.received.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
     }
 
-    /// Records that a message with a body of this size was sent.
-    pub(crate) fn record_sent(&self, body: usize) {
-        self.sent.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
+    /// Records that a message with a body of this size was sent, of which `paced` bytes were paced.
+    pub(crate) fn record_sent(&self, body: usize, paced: usize) {
+        let bytes = (body + OVERHEAD_BYTES) as u64;
+        self.sent.fetch_add(bytes, Ordering::Relaxed);
+        self.unpaced.fetch_add(bytes.saturating_sub(paced as u64), Ordering::Relaxed);
+    }
+
+    /// The counter of sent bytes that were not paced.
+    pub(crate) fn unpaced(&self) -> &Arc<AtomicU64> {
+        &self.unpaced
+    }
+
+    /// Records that a message which the monitor does not count was sent, such as one to another gateway.
+    pub(crate) fn record_message(&self, body: usize) {
+        self.unpaced.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
     }
 
     /// Records that a part of an answer was relayed.
     pub(crate) fn record_relayed(&self, bytes: usize) {
         self.received.fetch_add(bytes as u64, Ordering::Relaxed);
         self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.unpaced.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     /// Whether this gateway is overloaded and accepts no new callers.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     pub runs_lost: IntCounter,
     /// The number of requests that are denied because they crash upstreams.
     pub quarantined: IntGauge,
+    /// Bytes of bodies that were accepted for pacing and sent.
+    pub paced_bytes: IntCounter,
+    /// The time for which bodies waited for their turn on the link.
+    pub pacing_time: Histogram,
     /// Datagrams of other gateways that were dropped, by reason.
     pub hints_dropped: IntCounterVec,
 }
@@ -89,6 +93,12 @@
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("the name is valid");
         registry.register(Box::new(store_time.clone())).expect("the name is not registered yet");
+        let pacing_time = Histogram::with_opts(seconds(
+            "tallypaddle_pacing_seconds",
+            "Time for which a body waited for its turn on the link.",
+        ))
+        .expect("the name is valid");
+        registry.register(Box::new(pacing_time.clone())).expect("the name is not registered yet");
         Metrics {
             requests: counters(
                 "tallypaddle_requests_total",
@@ -132,6 +142,11 @@
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
             ),
+            paced_bytes: counter(
+                "tallypaddle_paced_bytes_total",
+                "Bytes of bodies whose turn on the link came.",
+            ),
+            pacing_time,
             hints_dropped: counters(
                 "tallypaddle_hints_dropped_total",
                 "Datagrams between gateways that changed nothing.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::failover::Failover;
 use crate::hints::Hints;
+use crate::link::Link;
 use crate::load::Load;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
@@ -63,6 +64,8 @@
     /// The number of open requests.
     pub open_requests: AtomicU64,
     pub load: Load,
+    /// Paces large bodies on this VM's link.
+    pub link: Link,
     pub hints: Arc<Hints>,
     pub owners: Owners,
     pub peer_reservations: Arc<PeerReservations>,
@@ -100,6 +103,8 @@
     ) -> Node<W, S> {
         let clock = Clock::default();
         let metrics = Metrics::new();
+        let load = Load::new(settings.link_mbps);
+        let link = Link::new(settings.link_mbps, clock.clone(), load.unpaced().clone());
         let failover = Failover::new(rows);
         let holder = format!("{}#{incarnation}", settings.name);
         Node {
@@ -117,7 +122,8 @@
             fleet_read_ms: AtomicU64::new(0),
             is_first: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
-            load: Load::new(settings.link_mbps),
+            link,
+            load,
             hints: Arc::default(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -41,6 +41,9 @@
     /// Every upstream of the service is backing off or at its request limit; the time until the first one
     /// accepts requests again, in milliseconds.
     UpstreamsUnavailable(u64),
+    /// The body can't be sent to an upstream in time; the time until this VM's link has sent the bodies before
+    /// it, in milliseconds.
+    LinkFull(u64),
     /// Every upstream that was tried refused the request or could not be reached.
     NotRun,
     /// The request was dispatched, and its deadline passed.
@@ -68,6 +71,7 @@
             Refusal::Stopping => "stopping",
             Refusal::NoUpstream => "no-upstream",
             Refusal::UpstreamsUnavailable(_) => "resting",
+            Refusal::LinkFull(_) => "link-full",
             Refusal::NotRun => "not-run",
             Refusal::TimedOut => "timed-out",
             Refusal::Failed => "failed",
@@ -90,6 +94,7 @@
             | Refusal::Stopping
             | Refusal::NoUpstream
             | Refusal::UpstreamsUnavailable(_)
+            | Refusal::LinkFull(_)
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
@@ -101,7 +106,8 @@
         match self {
             Refusal::BudgetUnavailable(millis)
             | Refusal::BudgetHeldElsewhere(millis)
-            | Refusal::UpstreamsUnavailable(millis) => Some(millis),
+            | Refusal::UpstreamsUnavailable(millis)
+            | Refusal::LinkFull(millis) => Some(millis),
             Refusal::QuarantinePending => Some(2 * DECISION_DELAY_MS),
             Refusal::NotConfigured => Some(500),
             Refusal::ManifestChanging => Some(500),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -276,8 +276,9 @@
             if !self.may_repeat() || !self.take_repeat("resume") {
                 return None;
             }
+            let (chosen, turn) = self.take_turn(chosen).await.ok()?;
             let after = splitter.last_id();
-            let outcome = self.attempt(&chosen, &mut splitter, after, true).await;
+            let outcome = self.attempt(&chosen, turn, &mut splitter, after, true).await;
             self.record_attempt(&chosen.upstream, &outcome);
             match outcome {
                 Outcome::Stream(_, stream, events) => return Some(Resumed { stream, splitter, events }),
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -18,6 +18,8 @@
     Whole(Option<Bytes>),
     /// The chunks written to a [`Pipe`]; an error aborts the connection.
     Piped(Pin<Box<Receiver<io::Result<Bytes>>>>),
+    /// The chunks written to a [`Pipe`], and the number of bytes that are still to come.
+    Sized(Pin<Box<Receiver<io::Result<Bytes>>>>, u64),
     /// A piped body that ends with this error once the chunks before it were flushed.
     Failing(Option<io::Error>),
 }
@@ -32,6 +34,14 @@
     (Pipe(sender), Body::Piped(Box::pin(chunks)))
 }
 
+/// Creates a pipe for a body of `length` bytes, which is sent with this `Content-Length`. Its writer waits until
+/// the connection has taken the previous chunk, so that a connection which is opened late or read slowly does
+/// not collect chunks. A body that ends early aborts the connection.
+pub fn sized_pipe(length: u64) -> (Pipe, Body) {
+    let (sender, chunks) = async_channel::bounded(1);
+    (Pipe(sender), Body::Sized(Box::pin(chunks), length))
+}
+
 impl Pipe {
     /// Writes one chunk; returns `false` if the body was dropped.
     pub async fn write(&self, bytes: impl Into<Bytes>) -> bool {
@@ -89,12 +99,19 @@
                     chunk => Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data))),
                 }
             }
+            Body::Sized(chunks, remaining) => {
+                let chunk = ready!(futures::Stream::poll_next(chunks.as_mut(), context));
+                if let Some(Ok(bytes)) = &chunk {
+                    *remaining = remaining.saturating_sub(bytes.len() as u64);
+                }
+                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+            }
             Body::Failing(error) => Poll::Ready(error.take().map(Err)),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Body::Whole(None))
+        matches!(self, Body::Whole(None) | Body::Sized(_, 0))
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
@@ -102,6 +119,7 @@
             Body::Whole(bytes) => {
                 http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
+            Body::Sized(_, remaining) => http_body::SizeHint::with_exact(*remaining),
             Body::Piped(_) | Body::Failing(_) => http_body::SizeHint::default(),
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,7 +15,7 @@
 mod server;
 pub mod signal;
 
-pub use body::{Body, Pipe, collect, pipe};
+pub use body::{Body, Pipe, collect, pipe, sized_pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use clock::Clock;
 pub use pool::{Failure, Lease, Pool};
--- a/crates/route/src/pacing.rs
+++ b/crates/route/src/pacing.rs
@@ -92,21 +92,25 @@
     remaining: f64,
     due: f64,
     latest: f64,
-    /// When its last piece was sent; `None` if it has not been started.
-    started: Option<f64>,
+    /// When its first and its last piece were sent; `None` if it has not been started.
+    started: Option<(f64, f64)>,
     /// Whether it waits for tokens. A started body doesn't while its last piece is handed to the connection.
     is_asking: bool,
 }
 
 impl Entry {
-    /// Its place in the queue. A started body is not interrupted, since its upstream can't begin before it has
-    /// all of it.
+    /// Its place in the queue. Started bodies come first, in the order in which they were started: an upstream
+    /// can't begin before it has all of a body. Only if a connection does not take a piece at once, the next body
+    /// is started meanwhile.
     fn place(&self) -> (bool, f64, u64) {
-        (self.started.is_none(), self.due, self.id.0)
+        match self.started {
+            Some((first_piece, _)) => (false, first_piece, self.id.0),
+            None => (true, self.due, self.id.0),
+        }
     }
 
     fn is_stalled(&self, now: f64) -> bool {
-        !self.is_asking && self.started.is_some_and(|at| now - at > STALL_MS)
+        !self.is_asking && self.started.is_some_and(|(_, last_piece)| now - last_piece > STALL_MS)
     }
 }
 
@@ -204,7 +208,7 @@
         self.tokens -= piece;
         let body = &mut self.bodies[index];
         body.remaining -= piece;
-        body.started = Some(now);
+        body.started = Some((started.map_or(now, |(first_piece, _)| first_piece), now));
         body.is_asking = false;
         if body.remaining <= 0.0 {
             self.bodies.swap_remove(index);
