--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::failover::Failover;
 use crate::hints::Hints;
+use crate::link::Link;
 use crate::load::Load;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
@@ -66,6 +67,8 @@
     pub load: Load,
     /// The memory for the bodies that callers are sending.
     pub receiving: ByteBudget,
+    /// Paces large bodies on this VM's link.
+    pub link: Link,
     pub hints: Arc<Hints>,
     pub owners: Owners,
     pub peer_reservations: Arc<PeerReservations>,
@@ -103,6 +106,8 @@
     ) -> Node<W, S> {
         let clock = Clock::default();
         let metrics = Metrics::new();
+        let load = Load::new(settings.link_mbps);
+        let link = Link::new(settings.link_mbps, clock.clone(), load.unpaced().clone());
         let failover = Failover::new(rows);
         let holder = format!("{}#{incarnation}", settings.name);
         Node {
@@ -121,7 +126,8 @@
             fleet_read_ms: AtomicU64::new(0),
             is_first: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
-            load: Load::new(settings.link_mbps),
+            link,
+            load,
             hints: Arc::default(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod signal;
 mod watched;
 
-pub use body::{Body, Pipe, collect, pipe};
+pub use body::{Body, Pipe, collect, pipe, sized_pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use clock::Clock;
 pub use pool::{Failure, Lease, Pool};
