Wait for states instead of times in the tests of the gateway

Cause: tests slept for the time that gateways usually take to list each other, to receive a hint, or to read a change from the store. Under load these times are too short.

Change: tests wait for metrics that show the state: gateways listed, upstreams listed, version in force, evacuations in force, hints accepted. tallypaddle_hints_accepted_total{kind} is new for this; tallypaddle_fleet_gateways is set after the peers are known, so that it implies that their hints are accepted.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -51,6 +51,19 @@
     Limit { upstream: String, started: Option<u64>, per_s: Option<f64> },
 }
 
+impl Hint {
+    /// The name of the kind in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Hint::Dispatch { .. } => "dispatch",
+            Hint::Division { .. } => "division",
+            Hint::Quarantine(_) => "quarantine",
+            Hint::Leaving { .. } => "leaving",
+            Hint::Limit { .. } => "limit",
+        }
+    }
+}
+
 /// A hint with its sequence number.
 #[derive(Debug, Deserialize, Serialize)]
 struct NumberedHint {
@@ -288,14 +301,10 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match node.hints.accept(&buffer[..length], from) {
-                Ok(Hint::Dispatch { upstream, told: hint }) => {
-                    node.placer().record_dispatch_hint(&upstream, &hint, node.now())
-                }
-                Ok(Hint::Division { service, short }) => node.apply_division(&service, &short),
-                Ok(Hint::Quarantine(notice)) => crate::quarantine::apply_notice(&node, &notice),
-                Ok(Hint::Leaving { upstream, started }) => apply_leaving(&node, &upstream, started),
-                Ok(Hint::Limit { upstream, started, per_s }) => {
-                    crate::limits::apply_hint(&node, &upstream, started, per_s);
+                Ok(hint) => {
+                    let kind = hint.kind();
+                    apply(&node, hint);
+                    node.metrics.hints_accepted.with_label_values(&[kind]).inc();
                 }
                 Err(rejection) => {
                     log::debug!("hints: event=dropped reason={} from={from}", rejection.name());
@@ -310,6 +319,20 @@
     }
 }
 
+fn apply<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, hint: Hint) {
+    match hint {
+        Hint::Dispatch { upstream, told } => {
+            node.placer().record_dispatch_hint(&upstream, &told, node.now());
+        }
+        Hint::Division { service, short } => node.apply_division(&service, &short),
+        Hint::Quarantine(notice) => crate::quarantine::apply_notice(node, &notice),
+        Hint::Leaving { upstream, started } => apply_leaving(node, &upstream, started),
+        Hint::Limit { upstream, started, per_s } => {
+            crate::limits::apply_hint(node, &upstream, started, per_s);
+        }
+    }
+}
+
 /// Records that an upstream is leaving, unless the hint refers to another start than the listed one.
 fn apply_leaving<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, started: Option<u64>) {
     let is_listed = node.listings().get(upstream).is_some_and(|listing| listing.started == started);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -209,7 +209,6 @@
     if node.fleet_size.swap(others + 1, Ordering::Relaxed) != others + 1 {
         log::info!("fleet: event=size gateways={}", others + 1);
     }
-    node.metrics.fleet_gateways.set(others as i64 + 1);
     let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
     let heartbeats = page.records.iter().filter(|record| alive(&record.name));
     let peer = |record: &Record| {
@@ -219,6 +218,7 @@
     };
     let peers: Vec<Peer> = heartbeats.filter_map(peer).collect();
     node.set_peers(&peers);
+    node.metrics.fleet_gateways.set(others as i64 + 1);
     // The first gateway by name of those alive removes those that are gone.
     let first = seen.iter().filter(|(_, seen)| is_alive(seen)).map(|(name, _)| name).min();
     let was_first = std::mem::replace(&mut members.is_first, first == Some(own));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub runs_lost: IntCounter,
     /// The number of requests that are denied because they crash upstreams.
     pub quarantined: IntGauge,
+    /// Datagrams of other gateways that were accepted, by kind.
+    pub hints_accepted: IntCounterVec,
     /// Datagrams of other gateways that were dropped, by reason.
     pub hints_dropped: IntCounterVec,
 }
@@ -132,6 +134,11 @@
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
             ),
+            hints_accepted: counters(
+                "tallypaddle_hints_accepted_total",
+                "Datagrams of other gateways that were applied, by kind.",
+                &["kind"],
+            ),
             hints_dropped: counters(
                 "tallypaddle_hints_dropped_total",
                 "Datagrams between gateways that changed nothing.",
