Ask refused callers to return one after another

Cause: all callers that were refused together were told the same Retry-After, so they returned together and most of them were refused again. They retry only once.

Change: route::returns queues them per cause and team or service, at the rate at which requests were admitted lately, from the expected end of the cause until at most four seconds later. gateway::returns applies it to budget-away, budget-elsewhere, resting, no-upstream and not-run. Callers that don't wait until the end of the cause are told its true end and get no place. Metric tallypaddle_retry_after_seconds{cause}.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,11 +12,13 @@
 use crate::quarantine::{self, Check};
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::returns::{self, Caller};
 use crate::team_budget::Reservation;
 use budget::ledger::Level;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use hyper::body::{Bytes, Incoming};
+use route::returns::Group;
 use std::sync::Arc;
 use std::time::Duration;
 use store::rows::Rows;
@@ -48,7 +50,11 @@
     };
     let id = ask.id.clone();
     let reply = match admit(&node, ask, head, body, arrived).await {
-        Ok((job, reservation)) => run(job, reservation).await,
+        Ok((job, reservation)) => {
+            let mut reply = run(job.clone(), reservation).await;
+            returns::finish(&job, &mut reply);
+            reply
+        }
         Err(refusal) => refuse(refusal),
     };
     finish_answer(&node, &id, reply)
@@ -128,15 +134,22 @@
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
         Err((denied, ready_ms, detail)) => {
-            let refusal = match denied {
+            let refusal = |ready_ms| match denied {
                 DenialReason::Spent => Refusal::BudgetExhausted,
                 DenialReason::Away => Refusal::BudgetUnavailable(ready_ms),
                 DenialReason::Elsewhere => Refusal::BudgetHeldElsewhere(ready_ms),
             };
-            let team = team.as_ref().map_or("-", |team| team.name.as_str());
-            return Err(refused(refusal, &format!("team={team} route={} {version} {detail}", route.name)));
+            let wait_ms = ask.wait_ms.unwrap_or(route.timeout_ms);
+            let waiting = Caller { team: caller, service: &service, arrived, wait_ms };
+            let ready_ms = returns::retry_after_ms(node, refusal(ready_ms), &waiting);
+            let team = caller.unwrap_or("-");
+            let detail = format!("team={team} route={} {version} {detail}", route.name);
+            return Err(refused(refusal(ready_ms), &detail));
         }
     };
+    if let (Some(team), Some(_)) = (caller, &reservation) {
+        node.returns().record_admitted(Group::Team(team), node.now());
+    }
     let admitted = Admitted { ask, head, body, manifest, route, team, service, arrived };
     Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
 }
@@ -304,10 +317,7 @@
             return None;
         }
         let wait_ms = self.node.placer().wait_ms(&self.request.service, self.node.now())?;
-        Some(Refusal::UpstreamsUnavailable(route::retry_after_ms(
-            wait_ms,
-            xxh3_64(self.request.ask.id.as_bytes()),
-        )))
+        Some(Refusal::UpstreamsUnavailable(wait_ms))
     }
 
     /// Records that a dispatch was withdrawn before it was sent. It does not count as an attempt, so the next
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! except `peer_reservations`: `node` and `team_budget` import it, and it imports them and `budget_state`.
 //!
 //! - `handle` admits it and decides what to do when a dispatch fails.
+//! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
 //! - `quarantine` inspects a dispatch that broke off, and denies requests that crash upstreams.
@@ -44,6 +45,7 @@
 mod quarantine;
 mod refusal;
 mod relay;
+mod returns;
 mod settings;
 mod settle;
 mod snapshot;
@@ -198,6 +200,7 @@
         exec::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
         node.peer_reservations.expire();
+        node.returns().expire(node.now());
         if round.is_multiple_of(SWEEPS_PER_LOG_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
             log::info!("store: event=bytes {}", node.metrics.store_bytes_line());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,10 @@
 /// interactive requests.
 const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 15.0];
 
+/// The upper bounds of the histogram of the times after which callers are asked to return, in seconds. A cause
+/// is expected to last for at most four seconds, and the queue for four more.
+const RETRY_SECONDS: [f64; 10] = [0.2, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.0, 15.0];
+
 /// The metrics of a gateway.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -22,6 +26,8 @@
     pub whole_answer_time: HistogramVec,
     /// Dispatches after the first one of a request, by service and reason.
     pub repeats: IntCounterVec,
+    /// The times after which callers of refused requests are asked to return, by cause.
+    pub retry_after: HistogramVec,
     /// Calls to the store, by step, table and outcome.
     pub store_calls: IntCounterVec,
     /// Bytes of rows read from and written to the store, by step and table.
@@ -87,6 +93,16 @@
             registry.register(Box::new(counter.clone())).expect("the name is not registered yet");
             counter
         };
+        let retry_after = HistogramVec::new(
+            HistogramOpts::new(
+                "tallypaddle_retry_after_seconds",
+                "Time after which callers of refused requests are asked to return, by cause.",
+            )
+            .buckets(RETRY_SECONDS.to_vec()),
+            &["cause"],
+        )
+        .expect("the name is valid");
+        registry.register(Box::new(retry_after.clone())).expect("the name is not registered yet");
         let store_time =
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("the name is valid");
@@ -110,6 +126,7 @@
                 "Dispatches beyond the first of a request, by service and reason.",
                 &["service", "reason"],
             ),
+            retry_after,
             data_centres_evacuated: gauge(
                 "tallypaddle_data_centres_evacuated",
                 "Data centres whose upstreams get nothing.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use net::{Clock, Pool};
 use route::placement::Placer;
 use route::quarantine::Quarantine;
+use route::returns::Returns;
 use route::{Millis, RepeatBound, RepeatWindow};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -81,6 +82,7 @@
     quarantine: Mutex<Quarantine>,
     listings: Mutex<HashMap<String, Listing>>,
     windows: Mutex<HashMap<String, RepeatWindow>>,
+    returns: Mutex<Returns>,
     budgets: Mutex<HashMap<String, Arc<TeamBudget>>>,
     phase: AtomicU8,
     /// Requests a new usage note.
@@ -127,6 +129,7 @@
             manifest_progress: Mutex::default(),
             listings: Mutex::default(),
             windows: Mutex::default(),
+            returns: Mutex::default(),
             budgets: Mutex::default(),
             phase: AtomicU8::new(Phase::Serving as u8),
             note_requests,
@@ -213,6 +216,10 @@
         self.quarantine.lock().expect("the quarantine's lock is not poisoned")
     }
 
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().expect("the returns lock is not poisoned")
+    }
+
     /// Adopts another gateway's decision on which engines of a service are reserved for short requests.
     pub(crate) fn apply_division(&self, service: &str, short: &[String]) {
         if self.placer().follow_division(service, short) {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,10 +1,11 @@
 //! Answers that the gateway gives instead of an upstream.
 
 use crate::body::WholeBody;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
 use route::quarantine::DECISION_DELAY_MS;
+use route::returns::Cause;
 
 /// Why the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -97,7 +98,7 @@
     }
 
     /// The time after which a retry may succeed, in milliseconds: how long each cause usually lasts.
-    fn retry_ms(self) -> Option<u64> {
+    pub(crate) fn retry_ms(self) -> Option<u64> {
         match self {
             Refusal::BudgetUnavailable(millis)
             | Refusal::BudgetHeldElsewhere(millis)
@@ -112,6 +113,18 @@
         }
     }
 
+    /// The cause, if it refuses many callers at once, who then have to return one after another.
+    pub(crate) fn cause(self) -> Option<Cause> {
+        match self {
+            Refusal::BudgetUnavailable(_) => Some(Cause::BudgetUnavailable),
+            Refusal::BudgetHeldElsewhere(_) => Some(Cause::BudgetHeldElsewhere),
+            Refusal::UpstreamsUnavailable(_) => Some(Cause::UpstreamsUnavailable),
+            Refusal::NoUpstream => Some(Cause::NoUpstream),
+            Refusal::NotRun => Some(Cause::NotRun),
+            _ => None,
+        }
+    }
+
     /// An explanation for the caller in addition to the name.
     fn detail(self) -> Option<&'static str> {
         match self {
@@ -122,6 +135,7 @@
         }
     }
 
+    /// The answer. Its extensions contain the refusal.
     pub(crate) fn response(self) -> Response<WholeBody> {
         let mut body = serde_json::json!({"error": self.name()});
         if let Some(detail) = self.detail() {
@@ -132,9 +146,15 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(millis) = self.retry_ms() {
-            let seconds = format!("{:.3}", millis as f64 / 1_000.0);
-            headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
+            set_retry_after(headers, millis);
         }
+        response.extensions_mut().insert(self);
         response
     }
 }
+
+/// Sets the time after which the caller is asked to return.
+pub(crate) fn set_retry_after(headers: &mut HeaderMap, millis: u64) {
+    let seconds = format!("{:.3}", millis as f64 / 1_000.0);
+    headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -36,6 +36,7 @@
 mod read_queue;
 mod repeat_window;
 mod retry_budget;
+pub mod returns;
 pub mod roster;
 mod signals;
 pub mod warmup;
