--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - `handle` admits it and decides what to do when a dispatch fails.
 //! - `receive` reads its body.
+//! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
 //! - `quarantine` inspects a dispatch that broke off, and denies requests that crash upstreams.
@@ -47,6 +48,7 @@
 mod receive;
 mod refusal;
 mod relay;
+mod returns;
 mod settings;
 mod settle;
 mod snapshot;
@@ -215,6 +217,7 @@
         node.pool.evict_expired();
         node.peer_reservations.expire();
         slow_readers.inc_by(stalled_callers.load(Ordering::Relaxed).saturating_sub(slow_readers.get()));
+        node.returns().expire(node.now());
         if round.is_multiple_of(SWEEPS_PER_LOG_LINE) {
             log::info!("store: event=calls {}", node.metrics.store_calls_line());
             log::info!("store: event=bytes {}", node.metrics.store_bytes_line());
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,6 +38,7 @@
 mod reading;
 mod repeat_window;
 mod retry_budget;
+pub mod returns;
 pub mod roster;
 mod signals;
 pub mod warmup;
