Tell 'held elsewhere' from 'spent' when tokens are kept for urgent requests

Once the pool lacked tokens, a less urgent request was answered 402 although 91 % of the budget was only reserved at another gateway: available=1200 tokens=100 pool-spent=100 level=100000. It is now answered 503 with a time to retry, as are requests whose tokens are missing. A request that counts a huge number of tokens no longer overflows the sum.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -162,17 +162,22 @@
         self.open_batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
     }
 
-    /// Whether the last tokens of the budget are kept for requests that are more urgent than `priority`.
-    /// `writers` is the number of gateways that settle the budget.
-    pub(crate) fn is_withheld(&self, tokens: u64, priority: u32, writers: u64) -> bool {
+    /// Why `tokens` can't be reserved if the last ones are kept for requests that are more urgent than
+    /// `priority`. `writers` is the number of gateways that settle the budget.
+    pub(crate) fn withheld_reason(&self, tokens: u64, priority: u32, writers: u64) -> Option<DenialReason> {
         let withheld = self.mix.withheld(priority, self.level.tokens);
+        let unspent = self.unspent().saturating_sub(self.grant.in_use());
         // Once a gateway lacks tokens that the pool does not have, only those at hand count: the others may
         // be lost with dead gateways. Each gateway then keeps its part.
-        let (left, withheld) = match self.rows.pool.wanted {
+        let (left, part) = match self.rows.pool.wanted {
             true => (self.latest_settlement.pool_free + self.grant.available(), withheld / writers.max(1)),
-            false => (self.unspent().saturating_sub(self.grant.in_use()), withheld),
+            false => (unspent, withheld),
         };
-        withheld > 0 && left < tokens + withheld
+        if part == 0 || left >= tokens.saturating_add(part) {
+            return None;
+        }
+        let is_spent = unspent < tokens.saturating_add(withheld);
+        Some(if is_spent { DenialReason::Spent } else { DenialReason::Elsewhere })
     }
 
     /// Reserves tokens if this gateway holds them and its notes allow their use.
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -157,14 +157,16 @@
             let mut state = self.lock();
             state.demand.record_request(now);
             let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
-            let is_withheld = self.is_withheld(&state, tokens, priority);
+            let withheld = self.withheld_reason(&state, tokens, priority);
             // If the pool lacked tokens, other gateways may have returned some since. Without a settlement
             // this gateway would never learn of them.
-            if is_withheld && (is_fresh || !state.rows.pool.wanted) {
-                return Err(DenialReason::Spent);
+            if let Some(denied) = withheld
+                && (is_fresh || denied == DenialReason::Spent)
+            {
+                return Err(denied);
             }
             state.mix.record(priority, tokens);
-            if !is_withheld && state.reserve(tokens) {
+            if withheld.is_none() && state.reserve(tokens) {
                 return Ok(Reservation::local(self, state.generation, tokens));
             }
             let is_conclusive = |denied: &DenialReason| match denied {
@@ -184,15 +186,16 @@
         let held = exec::timeout(timeout, self.wait_for_tokens(tokens, priority, begun)).await;
         held.unwrap_or_else(|| {
             let mut state = self.lock();
-            match !self.is_withheld(&state, tokens, priority) && state.reserve(tokens) {
+            let withheld = self.withheld_reason(&state, tokens, priority);
+            match withheld.is_none() && state.reserve(tokens) {
                 true => Ok(Reservation::local(self, state.generation, tokens)),
-                false => Err(state.denial_reason(tokens).unwrap_or(DenialReason::Away)),
+                false => Err(state.denial_reason(tokens).or(withheld).unwrap_or(DenialReason::Away)),
             }
         })
     }
 
-    pub(crate) fn is_withheld(&self, state: &BudgetState, tokens: u64, priority: u32) -> bool {
-        state.is_withheld(tokens, priority, self.writers())
+    fn withheld_reason(&self, state: &BudgetState, tokens: u64, priority: u32) -> Option<DenialReason> {
+        state.withheld_reason(tokens, priority, self.writers())
     }
 
     /// Waits until the tokens can be reserved, or until a settlement with a number above `begun` shows that
@@ -208,8 +211,8 @@
             let listener = self.changed.listen();
             let denied = {
                 let mut state = self.lock();
-                let is_withheld = self.is_withheld(&state, tokens, priority);
-                if !is_withheld && state.reserve(tokens) {
+                let withheld = self.withheld_reason(&state, tokens, priority);
+                if withheld.is_none() && state.reserve(tokens) {
                     return Ok(Reservation::local(self, state.generation, tokens));
                 }
                 // Requests only the write that the reservation lacks, and one settlement until the next
@@ -217,17 +220,19 @@
                 if state.exceeds_note_limit(tokens) {
                     let _ = self.note_requests.try_send(());
                 }
-                let is_short = is_withheld || state.grant.usable() < tokens;
+                let is_short = withheld.is_some() || state.grant.usable() < tokens;
                 if is_short && std::mem::take(&mut is_settlement_due) {
-                    state.is_refresh_due |= is_withheld;
+                    state.is_refresh_due |= withheld.is_some();
                     let _ = self.settle_requests.try_send(());
                 }
                 let is_new = state.latest_settlement.number > begun;
                 if is_new && is_short && !state.latest_settlement.succeeded {
                     return Err(DenialReason::Away);
                 }
-                let denied = state.denial_reason(tokens).or(is_withheld.then_some(DenialReason::Spent));
-                denied.filter(|_| is_new)
+                if let Some(denied) = withheld.filter(|_| is_new) {
+                    return Err(denied);
+                }
+                state.denial_reason(tokens).filter(|_| is_new)
             };
             match denied {
                 Some(DenialReason::Elsewhere) => {
