Describe holders where gateways that own no part of a budget are described

Comments still said that such a gateway draws tokens only if the owners do not answer, and that only owners write notes all the time. The test of earlier builds now decodes the suffix that is sent, and its reading by an earlier build; peer_reservations unit tests pass.

--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -123,7 +123,7 @@
         self.rate.before_last(now)
     }
 
-    /// Whether the router holds tokens.
+    /// Whether the router may hold tokens by an owner's last answer.
     pub fn holds(&self) -> bool {
         self.may_hold
     }
--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -242,8 +242,7 @@
     /// The number of available tokens that this gateway should have: its share of what is left, so that it
     /// can serve requests during a network partition or an outage of the store. Zero if the budget is nearly
     /// spent, since then every token has to be within reach of every gateway. A gateway that does not own the
-    /// budget has drawn tokens only because its owners did not answer, and holds what its own requests used
-    /// recently.
+    /// budget holds what its own requests used recently: it has a heavy caller, or the owners did not answer.
     fn target_tokens(&self, now: u64, team: &str, policy: &HoldingPolicy, owners: u64) -> u64 {
         let left = self.unspent() as f64;
         if left < self.level.tokens as f64 * NEARLY_SPENT_RATIO {
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -136,8 +136,8 @@
     }
 }
 
-/// The interval between two notes, in milliseconds. It depends on the number of owners, since only gateways
-/// that own a budget write notes all the time.
+/// The interval between two notes, in milliseconds. It depends on the number of owners, which write notes all
+/// the time. Gateways that hold tokens beside the owners write notes too and are not counted.
 fn interval_ms<W: Wire, S: Rows>(node: &Node<W, S>) -> u64 {
     let per_s = node.settings.store_writes_per_s as f64 * NOTE_WRITES_RATIO;
     MIN_INTERVAL_MS.max((node.owners.total_owners() as f64 * 1_000.0 / per_s) as u64)
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -212,19 +212,19 @@
         }
     }
 
-    /// Whether this gateway holds tokens of a team whose budget others own.
+    /// Whether an owner has permitted this gateway to hold tokens of a team whose budget others own.
     pub(crate) fn holds(&self, team: &str) -> bool {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
         holdings.get(team).is_some_and(Holding::holds)
     }
 
-    /// The number of teams whose tokens this gateway holds although others own their budgets.
+    /// The number of teams of which this gateway may hold tokens although others own their budgets.
     pub(crate) fn held_teams(&self, now: Millis) -> usize {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
         holdings.values().filter(|holding| holding.holds() && !holding.is_idle(now)).count()
     }
 
-    /// Decides as an owner whether the asking gateway may hold tokens itself.
+    /// Decides as an owner whether the gateway process `asking` may hold tokens of a team itself.
     fn may_hold(&self, team: &str, asking: &str, requests_per_s: f64, now: Millis) -> bool {
         let mut holders = self.holders.lock().expect("no thread panics while it holds the lock");
         holders.entry(team.to_owned()).or_default().record(asking, requests_per_s, now)
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -269,9 +269,16 @@
         lasts_ms: 5_000,
     };
     let earlier = bincode::serialize(&request).expect("bytes");
-    let WithSuffix(decoded, requests_per_s) =
-        WithSuffix::<ReserveRequest, f64>::decode(&earlier).expect("whole");
-    assert_eq!((decoded.number, requests_per_s), (7, 0.0));
+    let WithSuffix(decoded, suffix) =
+        WithSuffix::<ReserveRequest, RequestSuffix>::decode(&earlier).expect("whole");
+    assert_eq!((decoded.number, suffix), (7, RequestSuffix::default()));
+    let stated = RequestSuffix { requests_per_s: 4.5, priority: 3 };
+    let current = bincode::serialize(&(&request, stated)).expect("bytes");
+    let WithSuffix(decoded, suffix) =
+        WithSuffix::<ReserveRequest, RequestSuffix>::decode(&current).expect("whole");
+    assert_eq!((decoded.number, suffix), (7, stated));
+    let ignored: ReserveRequest = bincode::deserialize(&current).expect("earlier builds ignore the rest");
+    assert_eq!(ignored.number, 7);
     let current = bincode::serialize(&(ReserveResponse::Held, true)).expect("bytes");
     assert_matches!(bincode::deserialize(&current), Ok(ReserveResponse::Held));
     let cut = &current[..2];
