Let holders respond to a recall without the delay of a whole fleet

A gateway that owns no part of a budget spreads its response to a recall over 6 ms for each gateway beyond 12, since without its owners the whole fleet draws on the budget. An owner permits at most 16 holders, so their responses take 24 ms. Test: a_holder_in_a_large_fleet_responds_to_a_recall_soon.

--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -32,6 +32,8 @@
 const MIN_SHARE: f64 = 1.0 / 8.0;
 /// A holder keeps its tokens down to this part of the requests, so that it does not change back and forth.
 const MIN_KEPT_SHARE: f64 = MIN_SHARE / 2.0;
+/// The largest number of routers that hold tokens by the answers of one owner.
+pub const MAX_HOLDERS: u64 = (1.0 / MIN_KEPT_SHARE) as u64;
 /// Requests per second below which a router does not hold tokens: the settlements and notes of a holder take
 /// a few calls to the store each second.
 const MIN_REQUESTS_PER_S: f64 = 4.0;
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -212,6 +212,13 @@
         }
     }
 
+    /// As if an owner had permitted this gateway to hold tokens of a team.
+    #[cfg(test)]
+    pub(crate) fn permit_holding(&self, team: &str) {
+        self.record_request(team, 0);
+        self.record_answer(team, true, 0);
+    }
+
     /// Whether an owner has permitted this gateway to hold tokens of a team whose budget others own.
     pub(crate) fn holds(&self, team: &str) -> bool {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -282,8 +282,9 @@
     }
 
     /// Returns idle tokens because another gateway lacks `missing` tokens. In a large fleet the gateways
-    /// spread their responses over time, since each is a write to the same partition.
-    pub(crate) fn recall(self: &Arc<TeamBudget>, missing: u64) {
+    /// spread their responses over time, since each is a write to the same partition; `responders` is their
+    /// number.
+    pub(crate) fn recall(self: &Arc<TeamBudget>, missing: u64, responders: u64) {
         {
             let mut state = self.lock();
             let now = state.now();
@@ -293,7 +294,7 @@
             }
             state.recalled_tokens = Some(state.recalled_tokens.unwrap_or(0).max(missing));
         }
-        let spread = self.writers().saturating_sub(SMALL_FLEET) * RECALL_SPREAD_MS;
+        let spread = responders.saturating_sub(SMALL_FLEET) * RECALL_SPREAD_MS;
         if spread == 0 {
             let _ = self.settle_requests.try_send(());
             return;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,6 +8,8 @@
 use crate::ports::{Listing, Wire};
 use crate::snapshot::{self, Snapshot, Start, Upstream, Writer};
 use crate::table::{RECALLS, Recall, decode};
+use crate::team_budget::TeamBudget;
+use budget::holder::MAX_HOLDERS;
 use net::exec;
 use route::Millis;
 use route::placement::UpstreamInfo;
@@ -223,13 +225,22 @@
             let Some(recall) = decode::<Recall>(record).filter(|recall| recall.holder != node.holder) else {
                 continue;
             };
-            if let Some(budget) = node.budgets().get(&record.name).cloned() {
-                budget.recall(recall.missing);
+            if let Some(budget) = node.held_budget(&record.name) {
+                budget.recall(recall.missing, responders(&node, &budget));
             }
         }
     }
 }
 
+/// The number of gateways that respond to a recall as this one does. An owner permits few gateways to hold
+/// tokens beside it, so they need not spread their responses as a fleet without its owners does.
+pub(crate) fn responders<W: Wire, S: Rows>(node: &Node<W, S>, budget: &TeamBudget) -> u64 {
+    match node.peer_reservations.holds(&budget.team) {
+        true => budget.writers().min(MAX_HOLDERS),
+        false => budget.writers(),
+    }
+}
+
 /// Puts the newest valid manifest of a page into force. Returns its size in bytes, if there is one.
 fn apply_newest_manifest<W: Wire, S: Rows>(node: &Node<W, S>, mut page: Page) -> Option<usize> {
     page.records.sort_unstable_by_key(|record| Reverse(record.version));
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -7,7 +7,9 @@
 use crate::support::{PlainTextWire, manifest, node, recover_all};
 use crate::table::{BUDGETS, POOL};
 use crate::team_budget::TeamBudget;
+use crate::watch::responders;
 use assert_matches::assert_matches;
+use budget::holder::MAX_HOLDERS;
 use budget::ledger::Pool;
 use standin::{RowsFault, TableRows};
 use std::sync::Arc;
@@ -174,7 +176,7 @@
             all.unwrap_or_else(|denied| panic!("{denied:?} {} {:?}", budget.explain(10_000), budget.lock()));
         net::exec::sleep(Duration::from_millis(300)).await;
         let before = rows.commits();
-        budget.recall(1_000);
+        budget.recall(1_000, budget.writers());
         net::exec::sleep(Duration::from_millis(300)).await;
         assert_eq!(rows.commits(), before, "a gateway without idle tokens has nothing to return");
         all.charge("r-1", 10_000);
@@ -325,3 +327,19 @@
         assert_matches!(one.reserve(100, 1, RESERVE_TIMEOUT).await, Err(DenialReason::Elsewhere));
     });
 }
+
+/// A gateway with a heavy caller holds the tokens that a request waits for. If it spread its response as the
+/// whole fleet would, the request would be denied before.
+#[test]
+fn a_holder_in_a_large_fleet_responds_to_a_recall_soon() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let gateway = start_gateway("vm-1", &rows, 1, 10_000);
+        gateway.fleet_size.store(71, Ordering::Relaxed);
+        let budget = budget(&gateway);
+        budget.owners.store(0, Ordering::Relaxed);
+        assert_eq!(responders(&gateway, &budget), 71);
+        gateway.peer_reservations.permit_holding("desk");
+        assert_eq!(responders(&gateway, &budget), MAX_HOLDERS);
+    });
+}
