--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -71,20 +71,33 @@
 
 /// Samples the load periodically.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let mut previous = node.now_exact();
     loop {
         let due = node.now_exact() + SAMPLE_INTERVAL.as_secs_f64() * 1_000.0;
         exec::sleep(SAMPLE_INTERVAL).await;
-        let timer_delay_ms = (node.now_exact() - due).max(0.0);
-        let sample = LoadSample { at: node.now(), timer_delay_ms, link_bytes: node.load.take_bytes() };
-        let (change, (timer_delay_ms, link)) = {
-            let mut monitor = node.load.monitor();
-            (monitor.record(sample), monitor.averages())
+        let now = node.now_exact();
+        let sample = LoadSample {
+            at: node.now(),
+            timer_delay_ms: (now - due).max(0.0),
+            link_bytes: node.load.take_bytes(),
         };
-        let event = match change {
-            ReadinessChange::Unchanged => continue,
-            ReadinessChange::BecameUnready => "steps-back",
-            ReadinessChange::BecameReady => "returns",
+        let (was_unready, change, (late_ms, link)) = {
+            let mut monitor = node.load.monitor();
+            (monitor.is_unready(), monitor.record(sample), monitor.averages())
         };
-        log::warn!("gateway: event={event} late-ms={timer_delay_ms:.1} link={link:.2}");
+        if was_unready {
+            node.metrics.unready_time.inc_by((now - previous) / 1_000.0);
+        }
+        previous = now;
+        node.metrics.link_utilization.set(link);
+        match change {
+            ReadinessChange::Unchanged => {}
+            ReadinessChange::BecameUnready { min_unready_ms } => log::warn!(
+                "gateway: event=steps-back late-ms={late_ms:.1} link={link:.2} for-ms={min_unready_ms}"
+            ),
+            ReadinessChange::BecameReady { unready_ms } => {
+                log::warn!("gateway: event=returns late-ms={late_ms:.1} link={link:.2} after-ms={unready_ms}")
+            }
+        }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// The upper bounds of the latency histograms, in seconds. Most of them are around the target latencies of
@@ -54,6 +54,10 @@
     pub quarantined: IntGauge,
     /// Datagrams of other gateways that were dropped, by reason.
     pub hints_dropped: IntCounterVec,
+    /// The time in which this gateway took no new connections because it was overloaded, in seconds.
+    pub unready_time: Counter,
+    /// The average utilization of the link, as a share; 0 if its capacity is not known.
+    pub link_utilization: Gauge,
 }
 
 impl Metrics {
@@ -89,6 +93,16 @@
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("the name is valid");
         registry.register(Box::new(store_time.clone())).expect("the name is not registered yet");
+        let unready_time = Counter::new(
+            "tallypaddle_unready_seconds_total",
+            "Time without new connections because of overload.",
+        )
+        .expect("the name is valid");
+        registry.register(Box::new(unready_time.clone())).expect("the name is not registered yet");
+        let link_utilization =
+            Gauge::new("tallypaddle_link_utilization", "Average utilization of the link, as a share.")
+                .expect("the name is valid");
+        registry.register(Box::new(link_utilization.clone())).expect("the name is not registered yet");
         Metrics {
             requests: counters(
                 "tallypaddle_requests_total",
@@ -165,6 +179,8 @@
                 "Requests that are denied since they end upstreams.",
             ),
             fleet_gateways: gauge("tallypaddle_fleet_gateways", "Gateways that are thought to be alive."),
+            unready_time,
+            link_utilization,
             registry,
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -27,7 +27,7 @@
 mod interference;
 mod limit;
 pub mod notice;
-mod overload;
+pub mod overload;
 mod pauses;
 pub mod placement;
 mod pool;
