--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// The upper bounds of the latency histograms, in seconds. Most of them are around the target latencies of
@@ -72,6 +72,10 @@
     pub hints_accepted: IntCounterVec,
     /// Datagrams of other gateways that were dropped, by reason.
     pub hints_dropped: IntCounterVec,
+    /// The time in which this gateway took no new connections because it was overloaded, in seconds.
+    pub unready_time: Counter,
+    /// The average utilization of the link, as a share; 0 if its capacity is not known.
+    pub link_utilization: Gauge,
 }
 
 impl Metrics {
@@ -123,6 +127,16 @@
         ))
         .expect("the name is valid");
         registry.register(Box::new(pacing_time.clone())).expect("the name is not registered yet");
+        let unready_time = Counter::new(
+            "tallypaddle_unready_seconds_total",
+            "Time without new connections because of overload.",
+        )
+        .expect("the name is valid");
+        registry.register(Box::new(unready_time.clone())).expect("the name is not registered yet");
+        let link_utilization =
+            Gauge::new("tallypaddle_link_utilization", "Average utilization of the link, as a share.")
+                .expect("the name is valid");
+        registry.register(Box::new(link_utilization.clone())).expect("the name is not registered yet");
         Metrics {
             requests: counters(
                 "tallypaddle_requests_total",
@@ -223,6 +237,8 @@
                 "Requests that are denied since they end upstreams.",
             ),
             fleet_gateways: gauge("tallypaddle_fleet_gateways", "Gateways that are thought to be alive."),
+            unready_time,
+            link_utilization,
             registry,
         }
     }
