--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -76,28 +76,36 @@
         let due = node.now_exact() + SAMPLE_INTERVAL.as_secs_f64() * 1_000.0;
         exec::sleep(SAMPLE_INTERVAL).await;
         let now = node.now_exact();
-        let sample = LoadSample {
-            at: node.now(),
-            timer_delay_ms: (now - due).max(0.0),
-            link_bytes: node.load.take_bytes(),
-        };
-        let (was_unready, change, (late_ms, link)) = {
-            let mut monitor = node.load.monitor();
-            (monitor.is_unready(), monitor.record(sample), monitor.averages())
-        };
-        if was_unready {
-            node.metrics.unready_time.inc_by((now - previous) / 1_000.0);
-        }
+        let timer_delay_ms = (now - due).max(0.0);
+        let sample = LoadSample { at: node.now(), timer_delay_ms, link_bytes: node.load.take_bytes() };
+        record(&node, sample, now - previous);
         previous = now;
-        node.metrics.link_utilization.set(link);
-        match change {
-            ReadinessChange::Unchanged => {}
-            ReadinessChange::BecameUnready { min_unready_ms } => log::warn!(
+    }
+}
+
+/// Records a sample that was taken `elapsed_ms` after the previous one.
+fn record<W: Wire, S: Rows>(node: &Node<W, S>, sample: LoadSample, elapsed_ms: f64) {
+    let (was_unready, change, (late_ms, link)) = {
+        let mut monitor = node.load.monitor();
+        (monitor.is_unready(), monitor.record(sample), monitor.averages())
+    };
+    node.metrics.link_utilization.set(link);
+    if was_unready {
+        node.metrics.unready_time.inc_by(elapsed_ms / 1_000.0);
+    }
+    match change {
+        ReadinessChange::Unchanged => {}
+        ReadinessChange::BecameUnready { min_unready_ms } => {
+            log::warn!(
                 "gateway: event=steps-back late-ms={late_ms:.1} link={link:.2} for-ms={min_unready_ms}"
-            ),
-            ReadinessChange::BecameReady { unready_ms } => {
-                log::warn!("gateway: event=returns late-ms={late_ms:.1} link={link:.2} after-ms={unready_ms}")
-            }
+            );
+        }
+        ReadinessChange::BecameReady { unready_ms } => {
+            log::warn!("gateway: event=returns late-ms={late_ms:.1} link={link:.2} after-ms={unready_ms}");
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/load.rs"]
+mod tests;
