Deduct reservations and their reports from what bodies get

Cause: each request of a team makes two messages of some 700 bytes, some 11 % of a 10 Mbit/s link at 100 requests per second, which the pacer did not know of.

Change: the messages are counted where a reservation is asked for.

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -264,6 +264,8 @@
             patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
+        // The reservation, and later the report of its use.
+        (0..2).for_each(|_| node.load.record_message(0));
         match node.peer_reservations.reserve_at(owner, &request).await {
             ReserveOutcome::Held(reservation) => return Ok(Some(Reservation::Remote(reservation))),
             ReserveOutcome::Denied(denial) => return Err(denial),
