Bind the socket for hints as soon as its port is free

Cause: a_gateway_tells_the_others_that_an_upstream_is_leaving failed because a gateway had no socket for hints: 'hints: event=not-bound error="Address already in use"'. The tests took a port that was free for TCP only, and gateways of finished tests keep their UDP sockets. Neither of the test's times was too short: beside 12 busy loops the gateways listed each other within 1.6 s and the hint took at most 68 ms, in 6 runs each. A gateway that failed to bind the socket gave up for good, and exchanged no hints for as long as it ran.

Change: binding is tried again every second.

A unit test fails on a bind that gives up.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -27,6 +27,9 @@
 const VERSION: u8 = 2;
 /// The number of datagrams that are sent before other tasks get a turn: about a fifth of a millisecond.
 const SEND_BURST: usize = 16;
+/// The delay after which binding the socket is tried again. An earlier process may still have it, and without
+/// it this gateway would neither announce nor learn anything for as long as it runs.
+const BIND_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The largest number of former peers that are remembered.
 const MAX_FORMER_PEERS: usize = 4_096;
 /// The delays before each transmission of a hint that is sent more than once.
@@ -289,13 +292,7 @@
 /// Receives the hints of other gateways.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let address = node.settings.listen.peers;
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => Arc::new(socket),
-        Err(error) => {
-            log::error!("hints: event=not-bound address={address} error=\"{error}\"");
-            return;
-        }
-    };
+    let socket = Arc::new(bind(address).await);
     *node.hints.socket.lock().expect("the socket lock is not poisoned") = Some(socket.clone());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
@@ -319,6 +316,17 @@
     }
 }
 
+/// Binds a socket, as soon as its address is free.
+async fn bind(address: SocketAddr) -> UdpSocket {
+    loop {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => return socket,
+            Err(error) => log::error!("hints: event=not-bound address={address} error=\"{error}\""),
+        }
+        net::exec::sleep(BIND_RETRY_DELAY).await;
+    }
+}
+
 fn apply<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, hint: Hint) {
     match hint {
         Hint::Dispatch { upstream, told } => {
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -167,3 +167,18 @@
         }
     }
 }
+
+/// Guards against a gateway that exchanges no hints for as long as it runs, because another process had its
+/// port when it started.
+#[test]
+fn the_socket_is_bound_once_its_port_is_free() {
+    net::exec::start(2);
+    net::exec::block_on(async {
+        let other = std::net::UdpSocket::bind(address(0)).expect("a port");
+        let wanted = other.local_addr().expect("an address");
+        let mut binding = std::pin::pin!(bind(wanted));
+        assert!(smol::future::poll_once(&mut binding).await.is_none(), "the port is not free");
+        drop(other);
+        assert_eq!(binding.await.local_addr().expect("an address"), wanted);
+    });
+}
