--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -91,6 +91,8 @@
     pub level: Level,
     pub is_level_lowered: bool,
     pub waiting_tokens: u64,
+    /// Whether a request waits for a settlement that tells what the pool has now.
+    pub is_refresh_due: bool,
     /// The longest time for which charges may wait for a settlement, in milliseconds.
     record_ms: u64,
     /// The number of settlements begun so far.
@@ -125,6 +127,7 @@
             level,
             is_level_lowered: false,
             waiting_tokens: 0,
+            is_refresh_due: false,
             record_ms,
             settlements_begun: 0,
             recalled_tokens: None,
@@ -159,16 +162,22 @@
         self.open_batch.is_none() && self.grant.in_use() == 0 && self.grant.available() == 0
     }
 
-    /// Whether the last tokens of the budget are kept for requests that are more urgent than `priority`.
-    pub(crate) fn is_withheld(&self, tokens: u64, priority: u32, owners: u64) -> bool {
+    /// Why `tokens` can't be reserved if the last ones are kept for requests that are more urgent than
+    /// `priority`. `writers` is the number of gateways that settle the budget.
+    pub(crate) fn withheld_reason(&self, tokens: u64, priority: u32, writers: u64) -> Option<DenialReason> {
         let withheld = self.mix.withheld(priority, self.level.tokens);
+        let unspent = self.unspent().saturating_sub(self.grant.in_use());
         // Once a gateway lacks tokens that the pool does not have, only those at hand count: the others may
-        // be lost with dead gateways. Each owner then keeps its part.
-        let (left, withheld) = match self.rows.pool.wanted {
-            true => (self.latest_settlement.pool_free + self.grant.available(), withheld / owners.max(1)),
-            false => (self.unspent().saturating_sub(self.grant.in_use()), withheld),
+        // be lost with dead gateways. Each gateway then keeps its part.
+        let (left, part) = match self.rows.pool.wanted {
+            true => (self.latest_settlement.pool_free + self.grant.available(), withheld / writers.max(1)),
+            false => (unspent, withheld),
         };
-        withheld > 0 && left < tokens + withheld
+        if part == 0 || left >= tokens.saturating_add(part) {
+            return None;
+        }
+        let is_spent = unspent < tokens.saturating_add(withheld);
+        Some(if is_spent { DenialReason::Spent } else { DenialReason::Elsewhere })
     }
 
     /// Reserves tokens if this gateway holds them and its notes allow their use.
@@ -233,8 +242,7 @@
     /// The number of available tokens that this gateway should have: its share of what is left, so that it
     /// can serve requests during a network partition or an outage of the store. Zero if the budget is nearly
     /// spent, since then every token has to be within reach of every gateway. A gateway that does not own the
-    /// budget has drawn tokens only because its owners did not answer, and holds what its own requests used
-    /// recently.
+    /// budget holds what its own requests used recently: it has a heavy caller, or the owners did not answer.
     fn target_tokens(&self, now: u64, team: &str, policy: &HoldingPolicy, owners: u64) -> u64 {
         let left = self.unspent() as f64;
         if left < self.level.tokens as f64 * NEARLY_SPENT_RATIO {
@@ -307,7 +315,7 @@
             && self.rows.pool.level.is_none_or(|known| known.tokens != self.level.tokens);
         let is_overdue = closing || now.saturating_sub(self.latest_settlement.began_ms) >= self.record_ms;
         let is_due = need > 0 || is_off || level_is_new || (is_overdue && self.grant.has_unsettled_changes());
-        if !is_due {
+        if !std::mem::take(&mut self.is_refresh_due) && !is_due {
             return None;
         }
         self.is_level_lowered = false;
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -27,6 +27,9 @@
 const VERSION: u8 = 2;
 /// The number of datagrams that are sent before other tasks get a turn: about a fifth of a millisecond.
 const SEND_BURST: usize = 16;
+/// The delay after which binding the socket is tried again. An earlier process may still have it, and without
+/// it this gateway would neither announce nor learn anything for as long as it runs.
+const BIND_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The largest number of former peers that are remembered.
 const MAX_FORMER_PEERS: usize = 4_096;
 /// The delays before each transmission of a hint that is sent more than once.
@@ -51,6 +54,19 @@
     Limit { upstream: String, started: Option<u64>, per_s: Option<f64> },
 }
 
+impl Hint {
+    /// The name of the kind in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Hint::Dispatch { .. } => "dispatch",
+            Hint::Division { .. } => "division",
+            Hint::Quarantine(_) => "quarantine",
+            Hint::Leaving { .. } => "leaving",
+            Hint::Limit { .. } => "limit",
+        }
+    }
+}
+
 /// A hint with its sequence number.
 #[derive(Debug, Deserialize, Serialize)]
 struct NumberedHint {
@@ -276,26 +292,16 @@
 /// Receives the hints of other gateways.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     let address = node.settings.listen.peers;
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => Arc::new(socket),
-        Err(error) => {
-            log::error!("hints: event=not-bound address={address} error=\"{error}\"");
-            return;
-        }
-    };
+    let socket = Arc::new(bind(address).await);
     *node.hints.socket.lock().expect("the socket lock is not poisoned") = Some(socket.clone());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match node.hints.accept(&buffer[..length], from) {
-                Ok(Hint::Dispatch { upstream, told: hint }) => {
-                    node.placer().record_dispatch_hint(&upstream, &hint, node.now())
-                }
-                Ok(Hint::Division { service, short }) => node.apply_division(&service, &short),
-                Ok(Hint::Quarantine(notice)) => crate::quarantine::apply_notice(&node, &notice),
-                Ok(Hint::Leaving { upstream, started }) => apply_leaving(&node, &upstream, started),
-                Ok(Hint::Limit { upstream, started, per_s }) => {
-                    crate::limits::apply_hint(&node, &upstream, started, per_s);
+                Ok(hint) => {
+                    let kind = hint.kind();
+                    apply(&node, hint);
+                    node.metrics.hints_accepted.with_label_values(&[kind]).inc();
                 }
                 Err(rejection) => {
                     log::debug!("hints: event=dropped reason={} from={from}", rejection.name());
@@ -310,6 +316,31 @@
     }
 }
 
+/// Binds a socket, as soon as its address is free.
+async fn bind(address: SocketAddr) -> UdpSocket {
+    loop {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => return socket,
+            Err(error) => log::error!("hints: event=not-bound address={address} error=\"{error}\""),
+        }
+        net::exec::sleep(BIND_RETRY_DELAY).await;
+    }
+}
+
+fn apply<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, hint: Hint) {
+    match hint {
+        Hint::Dispatch { upstream, told } => {
+            node.placer().record_dispatch_hint(&upstream, &told, node.now());
+        }
+        Hint::Division { service, short } => node.apply_division(&service, &short),
+        Hint::Quarantine(notice) => crate::quarantine::apply_notice(node, &notice),
+        Hint::Leaving { upstream, started } => apply_leaving(node, &upstream, started),
+        Hint::Limit { upstream, started, per_s } => {
+            crate::limits::apply_hint(node, &upstream, started, per_s);
+        }
+    }
+}
+
 /// Records that an upstream is leaving, unless the hint refers to another start than the listed one.
 fn apply_leaving<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, started: Option<u64>) {
     let is_listed = node.listings().get(upstream).is_some_and(|listing| listing.started == started);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,14 +2,18 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// The upper bounds of the latency histograms, in seconds. Most of them are around the target latencies of
 /// interactive requests.
 const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 15.0];
 
+/// The upper bounds of the histogram of the times after which callers are asked to return, in seconds. A cause
+/// is expected to last for at most four seconds, and the queue for four more.
+const RETRY_SECONDS: [f64; 10] = [0.2, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.0, 15.0];
+
 /// The metrics of a gateway.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -22,6 +26,8 @@
     pub whole_answer_time: HistogramVec,
     /// Dispatches after the first one of a request, by service and reason.
     pub repeats: IntCounterVec,
+    /// The times after which callers of refused requests are asked to return, by cause.
+    pub retry_after: HistogramVec,
     /// Calls to the store, by step, table and outcome.
     pub store_calls: IntCounterVec,
     /// Bytes of rows read from and written to the store, by step and table.
@@ -52,10 +58,24 @@
     pub limits_named: IntCounter,
     /// Runs that broke because their upstream terminated.
     pub runs_lost: IntCounter,
+    /// The memory of the bodies that callers are sending, in bytes.
+    pub receiving_bytes: IntGauge,
+    /// Connections and requests of callers that were given up because of their pace, by direction.
+    pub slow_callers: IntCounterVec,
     /// The number of requests that are denied because they crash upstreams.
     pub quarantined: IntGauge,
+    /// Bytes of bodies that were accepted for pacing and sent.
+    pub paced_bytes: IntCounter,
+    /// The time for which bodies waited for their turn on the link.
+    pub pacing_time: Histogram,
+    /// Datagrams of other gateways that were accepted, by kind.
+    pub hints_accepted: IntCounterVec,
     /// Datagrams of other gateways that were dropped, by reason.
     pub hints_dropped: IntCounterVec,
+    /// The time in which this gateway took no new connections because it was overloaded, in seconds.
+    pub unready_time: Counter,
+    /// The average utilization of the link, as a share; 0 if its capacity is not known.
+    pub link_utilization: Gauge,
 }
 
 impl Metrics {
@@ -87,10 +107,36 @@
             registry.register(Box::new(counter.clone())).expect("the name is not registered yet");
             counter
         };
+        let retry_after = HistogramVec::new(
+            HistogramOpts::new(
+                "tallypaddle_retry_after_seconds",
+                "Time after which callers of refused requests are asked to return, by cause.",
+            )
+            .buckets(RETRY_SECONDS.to_vec()),
+            &["cause"],
+        )
+        .expect("the name is valid");
+        registry.register(Box::new(retry_after.clone())).expect("the name is not registered yet");
         let store_time =
             Histogram::with_opts(seconds("tallypaddle_store_seconds", "Time of a call to the store."))
                 .expect("the name is valid");
         registry.register(Box::new(store_time.clone())).expect("the name is not registered yet");
+        let pacing_time = Histogram::with_opts(seconds(
+            "tallypaddle_pacing_seconds",
+            "Time for which a body waited for its turn on the link.",
+        ))
+        .expect("the name is valid");
+        registry.register(Box::new(pacing_time.clone())).expect("the name is not registered yet");
+        let unready_time = Counter::new(
+            "tallypaddle_unready_seconds_total",
+            "Time without new connections because of overload.",
+        )
+        .expect("the name is valid");
+        registry.register(Box::new(unready_time.clone())).expect("the name is not registered yet");
+        let link_utilization =
+            Gauge::new("tallypaddle_link_utilization", "Average utilization of the link, as a share.")
+                .expect("the name is valid");
+        registry.register(Box::new(link_utilization.clone())).expect("the name is not registered yet");
         Metrics {
             requests: counters(
                 "tallypaddle_requests_total",
@@ -110,6 +156,7 @@
                 "Dispatches beyond the first of a request, by service and reason.",
                 &["service", "reason"],
             ),
+            retry_after,
             data_centres_evacuated: gauge(
                 "tallypaddle_data_centres_evacuated",
                 "Data centres whose upstreams get nothing.",
@@ -134,6 +181,16 @@
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
             ),
+            paced_bytes: counter(
+                "tallypaddle_paced_bytes_total",
+                "Bytes of bodies whose turn on the link came.",
+            ),
+            pacing_time,
+            hints_accepted: counters(
+                "tallypaddle_hints_accepted_total",
+                "Datagrams of other gateways that were applied, by kind.",
+                &["kind"],
+            ),
             hints_dropped: counters(
                 "tallypaddle_hints_dropped_total",
                 "Datagrams between gateways that changed nothing.",
@@ -166,11 +223,22 @@
                 &["upstream"],
             ),
             upstreams: gauge("tallypaddle_upstreams", "Upstreams listed."),
+            receiving_bytes: gauge(
+                "tallypaddle_receiving_bytes",
+                "Memory of the request bodies that callers are sending.",
+            ),
+            slow_callers: counters(
+                "tallypaddle_slow_callers_total",
+                "Callers that were given up because they sent or read too slowly.",
+                &["direction"],
+            ),
             quarantined: gauge(
                 "tallypaddle_quarantined",
                 "Requests that are denied since they end upstreams.",
             ),
             fleet_gateways: gauge("tallypaddle_fleet_gateways", "Gateways that are thought to be alive."),
+            unready_time,
+            link_utilization,
             registry,
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,10 +1,11 @@
 //! Answers that the gateway gives instead of an upstream.
 
 use crate::body::WholeBody;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::Bytes;
 use route::quarantine::DECISION_DELAY_MS;
+use route::returns::Cause;
 
 /// Why the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,6 +20,10 @@
     BodyTooLarge,
     /// The caller did not send the whole body.
     BodyIncomplete,
+    /// The caller did not send the whole body within the request's time limit.
+    BodyTimedOut,
+    /// The bodies that other callers are sending take all the memory there is for them.
+    Crowded,
     /// It is not decided yet whether the request is quarantined.
     QuarantinePending,
     /// Upstreams crashed while they ran the request, so it is not run again.
@@ -41,6 +46,9 @@
     /// Every upstream of the service is backing off or at its request limit; the time until the first one
     /// accepts requests again, in milliseconds.
     UpstreamsUnavailable(u64),
+    /// The body can't be sent to an upstream in time; the time until this VM's link has sent the bodies before
+    /// it, in milliseconds.
+    LinkFull(u64),
     /// Every upstream that was tried refused the request or could not be reached.
     NotRun,
     /// The request was dispatched, and its deadline passed.
@@ -58,6 +66,8 @@
             Refusal::NoAccessKey => "no-key",
             Refusal::BodyTooLarge => "too-long",
             Refusal::BodyIncomplete => "body-broken",
+            Refusal::BodyTimedOut => "body-late",
+            Refusal::Crowded => "crowded",
             Refusal::QuarantinePending => "undecided",
             Refusal::Quarantined => "quarantined",
             Refusal::BudgetExhausted => "budget-spent",
@@ -68,6 +78,7 @@
             Refusal::Stopping => "stopping",
             Refusal::NoUpstream => "no-upstream",
             Refusal::UpstreamsUnavailable(_) => "resting",
+            Refusal::LinkFull(_) => "link-full",
             Refusal::NotRun => "not-run",
             Refusal::TimedOut => "timed-out",
             Refusal::Failed => "failed",
@@ -81,15 +92,18 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccessKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Refusal::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Refusal::BudgetUnavailable(_)
             | Refusal::BudgetHeldElsewhere(_)
+            | Refusal::Crowded
             | Refusal::QuarantinePending
             | Refusal::NotConfigured
             | Refusal::ManifestChanging
             | Refusal::Stopping
             | Refusal::NoUpstream
             | Refusal::UpstreamsUnavailable(_)
+            | Refusal::LinkFull(_)
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
@@ -97,12 +111,14 @@
     }
 
     /// The time after which a retry may succeed, in milliseconds: how long each cause usually lasts.
-    fn retry_ms(self) -> Option<u64> {
+    pub(crate) fn retry_ms(self) -> Option<u64> {
         match self {
             Refusal::BudgetUnavailable(millis)
             | Refusal::BudgetHeldElsewhere(millis)
-            | Refusal::UpstreamsUnavailable(millis) => Some(millis),
+            | Refusal::UpstreamsUnavailable(millis)
+            | Refusal::LinkFull(millis) => Some(millis),
             Refusal::QuarantinePending => Some(2 * DECISION_DELAY_MS),
+            Refusal::Crowded => Some(500),
             Refusal::NotConfigured => Some(500),
             Refusal::ManifestChanging => Some(500),
             Refusal::Stopping => Some(50),
@@ -112,6 +128,23 @@
         }
     }
 
+    /// Whether a part of the request's body may be left unread, so that the connection has to be closed.
+    fn leaves_body_unread(self) -> bool {
+        matches!(self, Refusal::BodyTimedOut | Refusal::BodyTooLarge | Refusal::Crowded)
+    }
+
+    /// The cause, if it refuses many callers at once, who then have to return one after another.
+    pub(crate) fn cause(self) -> Option<Cause> {
+        match self {
+            Refusal::BudgetUnavailable(_) => Some(Cause::BudgetUnavailable),
+            Refusal::BudgetHeldElsewhere(_) => Some(Cause::BudgetHeldElsewhere),
+            Refusal::UpstreamsUnavailable(_) => Some(Cause::UpstreamsUnavailable),
+            Refusal::NoUpstream => Some(Cause::NoUpstream),
+            Refusal::NotRun => Some(Cause::NotRun),
+            _ => None,
+        }
+    }
+
     /// An explanation for the caller in addition to the name.
     fn detail(self) -> Option<&'static str> {
         match self {
@@ -122,6 +155,7 @@
         }
     }
 
+    /// The answer. Its extensions contain the refusal.
     pub(crate) fn response(self) -> Response<WholeBody> {
         let mut body = serde_json::json!({"error": self.name()});
         if let Some(detail) = self.detail() {
@@ -129,12 +163,24 @@
         }
         let mut response = Response::new(Some(Bytes::from(body.to_string())));
         *response.status_mut() = self.status();
+        if self.leaves_body_unread() {
+            response.extensions_mut().insert(net::UnreadRequest);
+        }
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.leaves_body_unread() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(millis) = self.retry_ms() {
-            let seconds = format!("{:.3}", millis as f64 / 1_000.0);
-            headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
+            set_retry_after(headers, millis);
         }
+        response.extensions_mut().insert(self);
         response
     }
 }
+
+/// Sets the time after which the caller is asked to return.
+pub(crate) fn set_retry_after(headers: &mut HeaderMap, millis: u64) {
+    let seconds = format!("{:.3}", millis as f64 / 1_000.0);
+    headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
+}
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -18,7 +18,7 @@
 
 /// How long the result of a settlement suffices to deny a request, in milliseconds. Short, because tokens
 /// return to the pool as other gateways settle.
-const DENIAL_REUSE_MS: u64 = 250;
+pub(crate) const DENIAL_REUSE_MS: u64 = 250;
 
 /// How long a request waits for other gateways to return idle tokens after a recall.
 const RECALL_WAIT: Duration = Duration::from_millis(40);
@@ -156,14 +156,19 @@
         let begun = {
             let mut state = self.lock();
             state.demand.record_request(now);
-            if state.is_withheld(tokens, priority, self.owners.load(Ordering::Relaxed)) {
-                return Err(DenialReason::Spent);
+            let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
+            let withheld = self.withheld_reason(&state, tokens, priority);
+            // If the pool lacked tokens, other gateways may have returned some since. Without a settlement
+            // this gateway would never learn of them.
+            if let Some(denied) = withheld
+                && (is_fresh || denied == DenialReason::Spent)
+            {
+                return Err(denied);
             }
             state.mix.record(priority, tokens);
-            if state.reserve(tokens) {
+            if withheld.is_none() && state.reserve(tokens) {
                 return Ok(Reservation::local(self, state.generation, tokens));
             }
-            let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
             let is_conclusive = |denied: &DenialReason| match denied {
                 // Not every settlement sends a recall: the one that opens the budget, for example, has no
                 // waiting requests.
@@ -178,21 +183,27 @@
             state.settlements_begun
         };
         let _guard = WaitGuard::new(self, tokens);
-        let held = exec::timeout(timeout, self.wait_for_tokens(tokens, begun)).await;
+        let held = exec::timeout(timeout, self.wait_for_tokens(tokens, priority, begun)).await;
         held.unwrap_or_else(|| {
             let mut state = self.lock();
-            match state.reserve(tokens) {
+            let withheld = self.withheld_reason(&state, tokens, priority);
+            match withheld.is_none() && state.reserve(tokens) {
                 true => Ok(Reservation::local(self, state.generation, tokens)),
-                false => Err(state.denial_reason(tokens).unwrap_or(DenialReason::Away)),
+                false => Err(state.denial_reason(tokens).or(withheld).unwrap_or(DenialReason::Away)),
             }
         })
     }
 
+    fn withheld_reason(&self, state: &BudgetState, tokens: u64, priority: u32) -> Option<DenialReason> {
+        state.withheld_reason(tokens, priority, self.writers())
+    }
+
     /// Waits until the tokens can be reserved, or until a settlement with a number above `begun` shows that
     /// they can't.
     async fn wait_for_tokens(
         self: &Arc<TeamBudget>,
         tokens: u64,
+        priority: u32,
         mut begun: u64,
     ) -> Result<Reservation, DenialReason> {
         let mut is_settlement_due = true;
@@ -200,7 +211,8 @@
             let listener = self.changed.listen();
             let denied = {
                 let mut state = self.lock();
-                if state.reserve(tokens) {
+                let withheld = self.withheld_reason(&state, tokens, priority);
+                if withheld.is_none() && state.reserve(tokens) {
                     return Ok(Reservation::local(self, state.generation, tokens));
                 }
                 // Requests only the write that the reservation lacks, and one settlement until the next
@@ -208,14 +220,18 @@
                 if state.exceeds_note_limit(tokens) {
                     let _ = self.note_requests.try_send(());
                 }
-                let is_short = state.grant.usable() < tokens;
+                let is_short = withheld.is_some() || state.grant.usable() < tokens;
                 if is_short && std::mem::take(&mut is_settlement_due) {
+                    state.is_refresh_due |= withheld.is_some();
                     let _ = self.settle_requests.try_send(());
                 }
                 let is_new = state.latest_settlement.number > begun;
                 if is_new && is_short && !state.latest_settlement.succeeded {
                     return Err(DenialReason::Away);
                 }
+                if let Some(denied) = withheld.filter(|_| is_new) {
+                    return Err(denied);
+                }
                 state.denial_reason(tokens).filter(|_| is_new)
             };
             match denied {
@@ -266,8 +282,9 @@
     }
 
     /// Returns idle tokens because another gateway lacks `missing` tokens. In a large fleet the gateways
-    /// spread their responses over time, since each is a write to the same partition.
-    pub(crate) fn recall(self: &Arc<TeamBudget>, missing: u64) {
+    /// spread their responses over time, since each is a write to the same partition; `responders` is their
+    /// number.
+    pub(crate) fn recall(self: &Arc<TeamBudget>, missing: u64, responders: u64) {
         {
             let mut state = self.lock();
             let now = state.now();
@@ -277,7 +294,7 @@
             }
             state.recalled_tokens = Some(state.recalled_tokens.unwrap_or(0).max(missing));
         }
-        let spread = self.writers().saturating_sub(SMALL_FLEET) * RECALL_SPREAD_MS;
+        let spread = responders.saturating_sub(SMALL_FLEET) * RECALL_SPREAD_MS;
         if spread == 0 {
             let _ = self.settle_requests.try_send(());
             return;
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::owners::Peer;
-use crate::support::{PlainTextWire, manifest, node};
+use crate::support::{PlainTextWire, manifest, node_with_link};
 use crate::table::{BUDGETS, POOL};
 use assert_matches::assert_matches;
 use budget::ledger::Pool;
@@ -23,9 +23,13 @@
 
 impl Pair {
     async fn start() -> Pair {
+        Pair::start_with_link(Some(10.0)).await
+    }
+
+    async fn start_with_link(link_mbps: Option<f64>) -> Pair {
         net::exec::start(2);
         let rows = TableRows::default();
-        let nodes = ["vm-1", "vm-2"].map(|name| node(name, 1, &rows));
+        let nodes = ["vm-1", "vm-2"].map(|name| node_with_link(name, 1, &rows, link_mbps));
         nodes.iter().for_each(|node| assert!(node.apply_manifest(manifest(1, &[(TEAM, TOTAL)]))));
         let [one, two] = nodes;
         let anywhere = "127.0.0.1:1".parse().expect("an address");
@@ -269,11 +273,66 @@
         lasts_ms: 5_000,
     };
     let earlier = bincode::serialize(&request).expect("bytes");
-    let WithSuffix(decoded, requests_per_s) =
-        WithSuffix::<ReserveRequest, f64>::decode(&earlier).expect("whole");
-    assert_eq!((decoded.number, requests_per_s), (7, 0.0));
+    let WithSuffix(decoded, suffix) =
+        WithSuffix::<ReserveRequest, RequestSuffix>::decode(&earlier).expect("whole");
+    assert_eq!((decoded.number, suffix), (7, RequestSuffix::default()));
+    let stated = RequestSuffix { requests_per_s: 4.5, priority: 3 };
+    let current = bincode::serialize(&(&request, stated)).expect("bytes");
+    let WithSuffix(decoded, suffix) =
+        WithSuffix::<ReserveRequest, RequestSuffix>::decode(&current).expect("whole");
+    assert_eq!((decoded.number, suffix), (7, stated));
+    let ignored: ReserveRequest = bincode::deserialize(&current).expect("earlier builds ignore the rest");
+    assert_eq!(ignored.number, 7);
     let current = bincode::serialize(&(ReserveResponse::Held, true)).expect("bytes");
     assert_matches!(bincode::deserialize(&current), Ok(ReserveResponse::Held));
     let cut = &current[..2];
     assert!(WithSuffix::<ReserveResponse, bool>::decode(cut).is_err());
 }
+
+/// A length that a message only claims must not be allocated.
+#[test]
+fn a_message_with_a_false_length_is_an_error() {
+    let claimed = u64::MAX.to_le_bytes();
+    assert!(WithSuffix::<ReserveRequest, RequestSuffix>::decode(&claimed).is_err());
+}
+
+/// An owner that is short of tokens must not deny a request whose tokens are here.
+#[test]
+fn a_holder_serves_a_request_that_the_owner_denies() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        pair.become_holder().await;
+        let handle = net::serve(standin::loopback(), net::Limits::default(), |_| {
+            let (denied, detail) = (DenialReason::Elsewhere, String::new());
+            let denial = ReserveResponse::Denied { denied, ready_ms: 1, detail };
+            std::future::ready(encode_response(&(denial, false)))
+        });
+        let handle = handle.await.expect("a listener");
+        let name = pair.owner.settings.name.clone();
+        pair.other.set_peers(&[Peer { name, address: handle.address(), cores: 1.0 }]);
+        // The next request is one that asks the owner whether this gateway may go on holding tokens.
+        let mut due = Holding::default();
+        due.record_answer(true, 0);
+        pair.other.peer_reservations.holdings.lock().expect("the lock").insert(TEAM.to_owned(), due);
+        pair.other.clock.advance(Duration::from_secs(6));
+        pair.note_budgets();
+        assert_matches!(pair.reserve(10).await, Ok(Some(Reservation::Local(_))));
+    });
+}
+
+/// Where reservations do not wait for callers' traffic, more pieces of a budget would serve nobody better.
+#[test]
+fn gateways_with_wide_links_hold_no_tokens_of_others() {
+    exec::block_on(async {
+        for link_mbps in [None, Some(1_000.0)] {
+            let pair = Pair::start_with_link(link_mbps).await;
+            for _ in 0..100 {
+                let reservation = pair.reserve(10).await.expect("tokens").expect("a budget");
+                assert_matches!(reservation, Reservation::Remote(_));
+                reservation.charge("r", 10);
+                exec::sleep(Duration::from_millis(10)).await;
+            }
+            assert!(pair.other.budgets().is_empty());
+        }
+    });
+}
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -7,10 +7,13 @@
 use crate::support::{PlainTextWire, manifest, node, recover_all};
 use crate::table::{BUDGETS, POOL};
 use crate::team_budget::TeamBudget;
+use crate::watch::responders;
 use assert_matches::assert_matches;
+use budget::holder::MAX_HOLDERS;
 use budget::ledger::Pool;
 use standin::{RowsFault, TableRows};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -173,7 +176,7 @@
             all.unwrap_or_else(|denied| panic!("{denied:?} {} {:?}", budget.explain(10_000), budget.lock()));
         net::exec::sleep(Duration::from_millis(300)).await;
         let before = rows.commits();
-        budget.recall(1_000);
+        budget.recall(1_000, budget.writers());
         net::exec::sleep(Duration::from_millis(300)).await;
         assert_eq!(rows.commits(), before, "a gateway without idle tokens has nothing to return");
         all.charge("r-1", 10_000);
@@ -257,3 +260,86 @@
         budget.reserve(350, 0, RESERVE_TIMEOUT).await.expect("the rest is kept for this request");
     });
 }
+
+/// A gateway that owns no part of the budget holds the demand of a few seconds. If it kept as much as an owner
+/// for urgent requests, it would deny all others although it holds their tokens.
+#[test]
+fn a_gateway_that_owns_no_part_keeps_few_tokens_for_urgent_requests() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let budget = budget(&start_gateway("vm-1", &rows, 1, 10_000));
+        budget.owners.store(0, Ordering::Relaxed);
+        budget.fleet_size.store(70, Ordering::Relaxed);
+        budget.reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 1_000);
+        let writers = budget.writers();
+        let mut state = budget.lock();
+        state.rows.pool.wanted = true;
+        state.latest_settlement.pool_free = 0;
+        state.grant = budget::grant::Grant::default();
+        state.grant.receive(200);
+        assert_eq!(state.withheld_reason(100, 1, writers), None);
+        assert_eq!(state.withheld_reason(200, 1, writers), Some(DenialReason::Elsewhere));
+    });
+}
+
+/// The pool lacked tokens once. Since then the other gateway has returned them, which this one learns only by
+/// a settlement.
+#[test]
+fn tokens_returned_to_the_pool_are_available_to_all_priorities() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
+        let (one, two) = (budget(&one), budget(&two));
+        one.reserve(100, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 100);
+        let most = two.reserve(9_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        while !one.lock().rows.pool.wanted {
+            assert_matches!(one.reserve(5_000, 0, Duration::from_millis(500)).await, Err(_));
+            net::exec::sleep(Duration::from_millis(20)).await;
+        }
+        drop(most);
+        two.close(RESERVE_TIMEOUT).await;
+        wait_for_pool(&rows, "the second gateway returns its tokens", |pool| pool.free >= 9_000).await;
+        // The result of a settlement is reused for a short time.
+        let settled_ms = one.lock().latest_settlement.began_ms;
+        while one.now() < settled_ms + crate::team_budget::DENIAL_REUSE_MS {
+            net::exec::sleep(Duration::from_millis(20)).await;
+        }
+        let reserved = one.reserve(2_000, 1, RESERVE_TIMEOUT).await;
+        assert!(reserved.is_ok(), "{reserved:?} {:?}", pool(&rows));
+    });
+}
+
+/// The pool lacks tokens because the other gateway has reserved them. Most of them are going to be released,
+/// so the caller may come back.
+#[test]
+fn a_budget_that_others_have_reserved_is_not_spent() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (start_gateway("vm-1", &rows, 1, 100_000), start_gateway("vm-2", &rows, 1, 100_000));
+        let (one, two) = (budget(&one), budget(&two));
+        one.reserve(100, 0, RESERVE_TIMEOUT).await.expect("tokens").charge("r-1", 100);
+        let _others = two.reserve(90_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        while !one.lock().rows.pool.wanted {
+            assert_matches!(one.reserve(50_000, 0, Duration::from_millis(500)).await, Err(_));
+            net::exec::sleep(Duration::from_millis(20)).await;
+        }
+        let _own = one.reserve(8_600, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        assert_matches!(one.reserve(100, 1, RESERVE_TIMEOUT).await, Err(DenialReason::Elsewhere));
+    });
+}
+
+/// A gateway with a heavy caller holds the tokens that a request waits for. If it spread its response as the
+/// whole fleet would, the request would be denied before.
+#[test]
+fn a_holder_in_a_large_fleet_responds_to_a_recall_soon() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let gateway = start_gateway("vm-1", &rows, 1, 10_000);
+        gateway.fleet_size.store(71, Ordering::Relaxed);
+        let budget = budget(&gateway);
+        budget.owners.store(0, Ordering::Relaxed);
+        assert_eq!(responders(&gateway, &budget), 71);
+        gateway.peer_reservations.permit_holding("desk");
+        assert_eq!(responders(&gateway, &budget), MAX_HOLDERS);
+    });
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -27,15 +27,18 @@
 mod interference;
 mod limit;
 pub mod notice;
-mod overload;
+pub mod overload;
+pub mod pacing;
 mod pauses;
 pub mod placement;
 mod pool;
 pub mod quarantine;
 mod queue;
 mod read_queue;
+mod reading;
 mod repeat_window;
 mod retry_budget;
+pub mod returns;
 pub mod roster;
 mod signals;
 pub mod warmup;
@@ -53,6 +56,7 @@
     Choice, LoadReport, Pick, PickRequest, Pool, Reason, UpstreamSpec, UpstreamStatus, home_upstream,
 };
 pub use queue::{FairQueue, PushOutcome, QueuedRequest};
+pub use reading::ReadTracker;
 pub use repeat_window::{RepeatBound, RepeatCount, RepeatWindow};
 pub use retry_budget::RetryBudget;
 pub use signals::retry_after_ms;
