--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! - `job` holds the request and what it has acquired.
 //! - `node` holds the state of the gateway.
 //! - `team_budget` and `budget_state` reserve its tokens at this gateway, `peer_reservations` at one that
-//!   `owners` selects.
+//!   `owners` selects, by `peer_messages`.
 //!
 //! Other modules run in the background. `settle`, `notes` and `closing` keep the budgets in the store.
 //! `watch` and `members` follow the store: the manifest, the upstreams and the other gateways. `snapshot`
@@ -42,6 +42,7 @@
 mod node;
 mod notes;
 mod owners;
+mod peer_messages;
 mod peer_reservations;
 pub mod ports;
 mod quarantine;
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -12,6 +12,7 @@
 use crate::budget_state::DenialReason;
 use crate::node::{Node, Phase};
 use crate::owners::Owner;
+use crate::peer_messages::{Decode, RequestSuffix, ReserveRequest, ReserveResponse, UsageReport, WithSuffix};
 use crate::ports::Wire;
 use crate::team_budget::{Reservation, TeamBudget};
 use budget::holder::{Holders, Holding, Millis, Place};
@@ -19,8 +20,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::{Body, Client, exec};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -57,54 +57,6 @@
 /// How long an owner waits for the report after the request's longest duration.
 const REPORT_GRACE: Duration = Duration::from_secs(10);
 
-/// Asks an owner to reserve tokens.
-#[derive(Debug, Deserialize, Serialize)]
-struct ReserveRequest {
-    /// The process of the asking gateway, and the number of the reservation there.
-    holder: String,
-    number: u64,
-    team: String,
-    /// The team's prepaid total, as known to the asking gateway.
-    level_version: u64,
-    level_tokens: u64,
-    tokens: u64,
-    /// How long the owner may wait for tokens.
-    patience_ms: u64,
-    /// The longest duration of the request.
-    lasts_ms: u64,
-}
-
-/// What follows a [`ReserveRequest`]; earlier builds neither send nor read it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-struct RequestSuffix {
-    /// The rate of the team's requests at the asking gateway.
-    requests_per_s: f64,
-    /// The priority of the request among those of its team, 0 being the most urgent.
-    priority: u32,
-}
-
-/// The owner's response to a [`ReserveRequest`].
-#[derive(Debug, Deserialize, Serialize)]
-enum ReserveResponse {
-    Held,
-    Denied {
-        denied: DenialReason,
-        ready_ms: u64,
-        detail: String,
-    },
-    /// The gateway is stopping, or does not know the team.
-    Unfit,
-}
-
-/// Tells the owner what a request used.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct UsageReport {
-    holder: String,
-    number: u64,
-    request: String,
-    tokens: u64,
-}
-
 /// The process that a reservation was made for, and its number there.
 type ReservationKey = (String, u64);
 
@@ -140,31 +92,6 @@
     is_reported: bool,
 }
 
-/// A message of another gateway.
-trait Decode: Sized {
-    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error>;
-}
-
-impl Decode for () {
-    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
-        bincode::deserialize(bytes)
-    }
-}
-
-/// A message followed by a value that earlier builds neither send nor read; they ignore bytes behind a
-/// message. Without it, the value is the default.
-struct WithSuffix<T, V>(T, V);
-
-impl<T: DeserializeOwned, V: Default + DeserializeOwned> Decode for WithSuffix<T, V> {
-    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
-        // Both from the slice: from a reader, bincode allocates the length that a message claims.
-        match bincode::deserialize(bytes) {
-            Ok((message, suffix)) => Ok(WithSuffix(message, suffix)),
-            Err(_) => Ok(WithSuffix(bincode::deserialize(bytes)?, V::default())),
-        }
-    }
-}
-
 /// Why tokens can't be reserved: the reason, when to retry in milliseconds, and the details for the log.
 pub(crate) type Denial = (DenialReason, u64, String);
 
