--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,13 +10,16 @@
 use crate::peer_reservations::{self, Cost, Denial};
 use crate::ports::{Ask, Wire};
 use crate::quarantine::{self, Check};
+use crate::receive;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::returns::{self, Caller};
 use crate::team_budget::Reservation;
 use budget::ledger::Level;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
+use route::returns::Group;
 use std::sync::Arc;
 use std::time::Duration;
 use store::rows::Rows;
@@ -28,9 +31,6 @@
 /// How many attempts that certainly did not run may each be followed by one at another upstream.
 const MAX_REFUSALS: u32 = 4;
 
-/// The largest request body that is read before a manifest is known, in bytes.
-const BODY_LIMIT: usize = 4 << 20;
-
 type Reply<W, S> = Response<AnswerBody<W, S>>;
 
 pub(crate) async fn answer<W: Wire, S: Rows>(
@@ -48,7 +48,11 @@
     };
     let id = ask.id.clone();
     let reply = match admit(&node, ask, head, body, arrived).await {
-        Ok((job, reservation)) => run(job, reservation).await,
+        Ok((job, reservation)) => {
+            let mut reply = run(job.clone(), reservation).await;
+            returns::finish(&job, &mut reply);
+            reply
+        }
         Err(refusal) => refuse(refusal),
     };
     finish_answer(&node, &id, reply)
@@ -62,6 +66,7 @@
 /// overloaded.
 fn finish_answer<W: Wire, S: Rows>(node: &Node<W, S>, id: &str, mut reply: Reply<W, S>) -> Reply<W, S> {
     node.wire.add_request_id(id, reply.headers_mut());
+    node.load.record_message(reply.body().size_hint().exact().unwrap_or(0) as usize);
     if node.phase() != Phase::Serving || node.load.should_close_connection() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -84,11 +89,9 @@
         log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
         refusal
     };
-    let body_limit = node.manifest().map_or(BODY_LIMIT, |manifest| manifest.body_limit);
-    let body = match net::collect(body, body_limit).await {
+    let body = match receive::body(node, &ask, &head, body, arrived).await {
         Ok(body) => body,
-        Err(reason) if reason.contains("limit") => return Err(refused(Refusal::BodyTooLarge, &reason)),
-        Err(reason) => return Err(refused(Refusal::BodyIncomplete, &reason)),
+        Err((refusal, detail)) => return Err(refused(refusal, &detail)),
     };
     node.load.record_received(body.len());
     if node.phase() == Phase::Draining {
@@ -128,15 +131,22 @@
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
         Err((denied, ready_ms, detail)) => {
-            let refusal = match denied {
+            let refusal = |ready_ms| match denied {
                 DenialReason::Spent => Refusal::BudgetExhausted,
                 DenialReason::Away => Refusal::BudgetUnavailable(ready_ms),
                 DenialReason::Elsewhere => Refusal::BudgetHeldElsewhere(ready_ms),
             };
-            let team = team.as_ref().map_or("-", |team| team.name.as_str());
-            return Err(refused(refusal, &format!("team={team} route={} {version} {detail}", route.name)));
+            let wait_ms = ask.wait_ms.unwrap_or(route.timeout_ms);
+            let waiting = Caller { team: caller, service: &service, arrived, wait_ms };
+            let ready_ms = returns::retry_after_ms(node, refusal(ready_ms), &waiting);
+            let team = caller.unwrap_or("-");
+            let detail = format!("team={team} route={} {version} {detail}", route.name);
+            return Err(refused(refusal(ready_ms), &detail));
         }
     };
+    if let (Some(team), Some(_)) = (caller, &reservation) {
+        node.returns().record_admitted(Group::Team(team), node.now());
+    }
     let admitted = Admitted { ask, head, body, manifest, route, team, service, arrived };
     Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
 }
@@ -176,9 +186,16 @@
         if job.progress().sent > 0 && (!job.may_repeat() || !job.take_repeat("retry")) {
             break;
         }
+        let (chosen, turn) = match job.take_turn(chosen).await {
+            Ok(turn) => turn,
+            Err(refusal) => {
+                job.log_end(refusal.name(), format_args!("bytes={}", job.request.body.len()));
+                return refuse(refusal);
+            }
+        };
         let may_try_elsewhere = job.progress().ran + 1 < job.request.route.attempts;
         let mut splitter = EventSplitter::default();
-        let outcome = job.attempt(&chosen, &mut splitter, None, may_try_elsewhere).await;
+        let outcome = job.attempt(&chosen, turn, &mut splitter, None, may_try_elsewhere).await;
         job.record_attempt(&chosen.upstream, &outcome);
         match decide_next(&job, outcome, splitter, &mut meter) {
             Next::Answer(reply) => return reply,
@@ -304,10 +321,7 @@
             return None;
         }
         let wait_ms = self.node.placer().wait_ms(&self.request.service, self.node.now())?;
-        Some(Refusal::UpstreamsUnavailable(route::retry_after_ms(
-            wait_ms,
-            xxh3_64(self.request.ask.id.as_bytes()),
-        )))
+        Some(Refusal::UpstreamsUnavailable(wait_ms))
     }
 
     /// Records that a dispatch was withdrawn before it was sent. It does not count as an attempt, so the next
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Load {
     received: AtomicU64,
     sent: AtomicU64,
+    /// Sent bytes that were not paced, which [`crate::link`] takes.
+    unpaced: Arc<AtomicU64>,
     monitor: Mutex<OverloadMonitor>,
 }
 
@@ -32,6 +34,7 @@
         Load {
             received: AtomicU64::new(0),
             sent: AtomicU64::new(0),
+            unpaced: Arc::default(),
             monitor: Mutex::new(OverloadMonitor::new(link_bytes_per_s)),
         }
     }
@@ -45,9 +48,21 @@
         self.received.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
     }
 
-    /// Records that a message with a body of this size was sent.
-    pub(crate) fn record_sent(&self, body: usize) {
-        self.sent.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
+    /// Records that a message with a body of this size was sent, of which `paced` bytes were paced.
+    pub(crate) fn record_sent(&self, body: usize, paced: usize) {
+        let bytes = (body + OVERHEAD_BYTES) as u64;
+        self.sent.fetch_add(bytes, Ordering::Relaxed);
+        self.unpaced.fetch_add(bytes.saturating_sub(paced as u64), Ordering::Relaxed);
+    }
+
+    /// The counter of sent bytes that were not paced.
+    pub(crate) fn unpaced(&self) -> &Arc<AtomicU64> {
+        &self.unpaced
+    }
+
+    /// Records that a message which the monitor does not count was sent, such as one to another gateway.
+    pub(crate) fn record_message(&self, body: usize) {
+        self.unpaced.fetch_add((body + OVERHEAD_BYTES) as u64, Ordering::Relaxed);
     }
 
     /// Records that a part of an answer was relayed.
@@ -55,6 +70,7 @@
         let bytes = (bytes + RELAY_OVERHEAD_BYTES) as u64;
         self.received.fetch_add(bytes, Ordering::Relaxed);
         self.sent.fetch_add(bytes, Ordering::Relaxed);
+        self.unpaced.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// Whether this gateway is overloaded and accepts no new callers.
@@ -75,20 +91,41 @@
 
 /// Samples the load periodically.
 pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let mut previous = node.now_exact();
     loop {
         let due = node.now_exact() + SAMPLE_INTERVAL.as_secs_f64() * 1_000.0;
         exec::sleep(SAMPLE_INTERVAL).await;
-        let timer_delay_ms = (node.now_exact() - due).max(0.0);
+        let now = node.now_exact();
+        let timer_delay_ms = (now - due).max(0.0);
         let sample = LoadSample { at: node.now(), timer_delay_ms, link_bytes: node.load.take_bytes() };
-        let (change, (timer_delay_ms, link)) = {
-            let mut monitor = node.load.monitor();
-            (monitor.record(sample), monitor.averages())
-        };
-        let event = match change {
-            ReadinessChange::Unchanged => continue,
-            ReadinessChange::BecameUnready => "steps-back",
-            ReadinessChange::BecameReady => "returns",
-        };
-        log::warn!("gateway: event={event} late-ms={timer_delay_ms:.1} link={link:.2}");
+        record(&node, sample, now - previous);
+        previous = now;
+    }
+}
+
+/// Records a sample that was taken `elapsed_ms` after the previous one.
+fn record<W: Wire, S: Rows>(node: &Node<W, S>, sample: LoadSample, elapsed_ms: f64) {
+    let (was_unready, change, (late_ms, link)) = {
+        let mut monitor = node.load.monitor();
+        (monitor.is_unready(), monitor.record(sample), monitor.averages())
+    };
+    node.metrics.link_utilization.set(link);
+    if was_unready {
+        node.metrics.unready_time.inc_by(elapsed_ms / 1_000.0);
+    }
+    match change {
+        ReadinessChange::Unchanged => {}
+        ReadinessChange::BecameUnready { min_unready_ms } => {
+            log::warn!(
+                "gateway: event=steps-back late-ms={late_ms:.1} link={link:.2} for-ms={min_unready_ms}"
+            );
+        }
+        ReadinessChange::BecameReady { unready_ms } => {
+            log::warn!("gateway: event=returns late-ms={late_ms:.1} link={link:.2} after-ms={unready_ms}");
+        }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/load.rs"]
+mod tests;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,12 +2,14 @@
 
 use crate::failover::Failover;
 use crate::hints::Hints;
+use crate::link::Link;
 use crate::load::Load;
 use crate::manifest::{Manifest, Team};
 use crate::metrics::Metrics;
 use crate::owners::{Owners, Peer};
 use crate::peer_reservations::PeerReservations;
 use crate::ports::{Listing, Wire};
+use crate::receive::ByteBudget;
 use crate::settings::Settings;
 use crate::store_metrics::MeteredRows;
 use crate::team_budget::{BudgetOptions, TeamBudget};
@@ -16,6 +18,7 @@
 use net::{Clock, Pool};
 use route::placement::Placer;
 use route::quarantine::Quarantine;
+use route::returns::Returns;
 use route::{Millis, RepeatBound, RepeatWindow};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -63,6 +66,10 @@
     /// The number of open requests.
     pub open_requests: AtomicU64,
     pub load: Load,
+    /// The memory for the bodies that callers are sending.
+    pub receiving: ByteBudget,
+    /// Paces large bodies on this VM's link.
+    pub link: Link,
     pub hints: Arc<Hints>,
     pub owners: Owners,
     pub peer_reservations: Arc<PeerReservations>,
@@ -81,6 +88,7 @@
     quarantine: Mutex<Quarantine>,
     listings: Mutex<HashMap<String, Listing>>,
     windows: Mutex<HashMap<String, RepeatWindow>>,
+    returns: Mutex<Returns>,
     budgets: Mutex<HashMap<String, Arc<TeamBudget>>>,
     phase: AtomicU8,
     /// Requests a new usage note.
@@ -100,6 +108,8 @@
     ) -> Node<W, S> {
         let clock = Clock::default();
         let metrics = Metrics::new();
+        let load = Load::new(settings.link_mbps);
+        let link = Link::new(settings.link_mbps, clock.clone(), load.unpaced().clone());
         let failover = Failover::new(rows);
         let holder = format!("{}#{incarnation}", settings.name);
         Node {
@@ -112,12 +122,14 @@
             failover,
             pool: Pool::new(clock.clone()),
             clock,
+            receiving: ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone()),
             metrics,
             fleet_size: Arc::new(AtomicU64::new(INITIAL_FLEET_SIZE)),
             fleet_read_ms: AtomicU64::new(0),
             is_first: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
-            load: Load::new(settings.link_mbps),
+            link,
+            load,
             hints: Arc::default(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
@@ -127,6 +139,7 @@
             manifest_progress: Mutex::default(),
             listings: Mutex::default(),
             windows: Mutex::default(),
+            returns: Mutex::default(),
             budgets: Mutex::default(),
             phase: AtomicU8::new(Phase::Serving as u8),
             note_requests,
@@ -213,6 +226,10 @@
         self.quarantine.lock().expect("the quarantine's lock is not poisoned")
     }
 
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().expect("the returns lock is not poisoned")
+    }
+
     /// Adopts another gateway's decision on which engines of a service are reserved for short requests.
     pub(crate) fn apply_division(&self, service: &str, short: &[String]) {
         if self.placer().follow_division(service, short) {
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -212,19 +212,26 @@
         }
     }
 
-    /// Whether this gateway holds tokens of a team whose budget others own.
+    /// As if an owner had permitted this gateway to hold tokens of a team.
+    #[cfg(test)]
+    pub(crate) fn permit_holding(&self, team: &str) {
+        self.record_request(team, 0);
+        self.record_answer(team, true, 0);
+    }
+
+    /// Whether an owner has permitted this gateway to hold tokens of a team whose budget others own.
     pub(crate) fn holds(&self, team: &str) -> bool {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
         holdings.get(team).is_some_and(Holding::holds)
     }
 
-    /// The number of teams whose tokens this gateway holds although others own their budgets.
+    /// The number of teams of which this gateway may hold tokens although others own their budgets.
     pub(crate) fn held_teams(&self, now: Millis) -> usize {
         let holdings = self.holdings.lock().expect("no thread panics while it holds the lock");
         holdings.values().filter(|holding| holding.holds() && !holding.is_idle(now)).count()
     }
 
-    /// Decides as an owner whether the asking gateway may hold tokens itself.
+    /// Decides as an owner whether the gateway process `asking` may hold tokens of a team itself.
     fn may_hold(&self, team: &str, asking: &str, requests_per_s: f64, now: Millis) -> bool {
         let mut holders = self.holders.lock().expect("no thread panics while it holds the lock");
         holders.entry(team.to_owned()).or_default().record(asking, requests_per_s, now)
@@ -426,8 +433,11 @@
             patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
+        // The reservation, and later the report of its use.
+        (0..2).for_each(|_| node.load.record_message(0));
         match node.peer_reservations.reserve_at(owner, &request, suffix).await {
             ReserveOutcome::Held(reservation, may_hold) => {
+                let may_hold = may_hold && node.settings.has_narrow_link();
                 node.peer_reservations.record_answer(team, may_hold, node.now());
                 if may_hold && holding.is_none() {
                     // Opens the budget, so that its first settlement draws tokens.
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -1,6 +1,6 @@
 //! A node whose store is in memory, and whose wire format is plain text.
 
-use crate::manifest::{Manifest, Team};
+use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::notes::{Recovery, RecoveryProgress};
 use crate::ports::{Ask, Dispatch, Listing, Malformed, ResponseCheck, Wire};
@@ -80,8 +80,18 @@
     fn add_request_id(&self, _: &str, _: &mut HeaderMap) {}
 }
 
-/// A node without background tasks.
+/// A node without background tasks, whose link's capacity is not known.
 pub(crate) fn node(name: &str, incarnation: u64, rows: &TableRows) -> Arc<Node<PlainTextWire, TableRows>> {
+    node_with_link(name, incarnation, rows, None)
+}
+
+/// A node without background tasks, with a link of this capacity.
+pub(crate) fn node_with_link(
+    name: &str,
+    incarnation: u64,
+    rows: &TableRows,
+    link_mbps: Option<f64>,
+) -> Arc<Node<PlainTextWire, TableRows>> {
     net::exec::start(2);
     let address = standin::loopback();
     let settings = Settings {
@@ -92,7 +102,8 @@
         store_writes_per_s: 600,
         threads: 1,
         cpu_share: 1.0,
-        link_mbps: None,
+        memory_mb: None,
+        link_mbps,
         record_ms: 200,
         bounds: Bounds::default(),
     };
@@ -109,6 +120,22 @@
     Manifest { version, teams: teams.iter().map(team).collect(), ..Manifest::default() }
 }
 
+/// A route for paths with this prefix.
+pub(crate) fn route(prefix: &str, timeout_ms: u64) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout_ms,
+        target_ms: 100,
+        gap_ms: 400,
+        priority: 0,
+        split: vec![],
+        attempts: 1,
+        anonymous: true,
+    }
+}
+
 /// Closes the accounts that the previous note names, then the others, until the store fails.
 pub(crate) async fn recover_all(
     recovery: &mut Recovery,
