Count attempts to connect to upstreams by outcome, and encode small metric families first

The record of the incident could not tell how the attempts of the gateways that were cut off ended in the second cut: their logs end before it, and the collector keeps 4 KB of a scrape, which ended within the histograms. No decision changes: the pool gets its connections from a dialer, which counts them.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::link::Turn;
 use crate::manifest::RouteKind;
 use crate::ports::{Malformed, ResponseCheck, Wire};
+use crate::reach::Dialer;
 use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
@@ -148,7 +149,11 @@
         // back-off.
         let is_wanted = || node.placer().admits(&chosen.upstream, node.now());
         let sending = async {
-            let sent = node.pool.send("dispatch", listing.address, max_connections, request, is_wanted).await;
+            let dialer = Dialer { metrics: &node.metrics };
+            let sent = node
+                .pool
+                .send("dispatch", listing.address, max_connections, &dialer, request, is_wanted)
+                .await;
             // The upstream may answer before it has read all of the body. A request that is dropped before that
             // drops the writing too.
             if let Some(writing) = writing {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
+//! - `reach` opens its connection.
 //! - `quarantine` inspects a dispatch that broke off, and denies requests that crash upstreams.
 //! - `job` holds the request and what it has acquired.
 //! - `node` holds the state of the gateway.
@@ -46,6 +47,7 @@
 mod peer_reservations;
 pub mod ports;
 mod quarantine;
+mod reach;
 mod receive;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway: counters, gauges and histograms.
 
 use prometheus::core::Collector;
+use prometheus::proto::MetricFamily;
 use prometheus::{
     Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -40,6 +41,8 @@
     pub budget_tokens: IntGaugeVec,
     /// The number of teams whose tokens this gateway holds although others own their budgets.
     pub budgets_held: IntGauge,
+    /// Attempts to connect to upstreams, by outcome.
+    pub connection_attempts: IntCounterVec,
     /// Open requests of this gateway, by upstream.
     pub upstream_open_requests: IntGaugeVec,
     /// The number of listed upstreams.
@@ -217,6 +220,11 @@
                 "tallypaddle_budgets_held",
                 "Teams whose tokens are held here though other gateways own their budgets.",
             ),
+            connection_attempts: counters(
+                "tallypaddle_connection_attempts_total",
+                "Attempts to connect to upstreams, by outcome.",
+                &["outcome"],
+            ),
             upstream_open_requests: gauges(
                 "tallypaddle_upstream_open_requests",
                 "Requests of this gateway at an upstream.",
@@ -262,16 +270,24 @@
         format_counters(&self.store_bytes, &["step", "table"])
     }
 
-    /// Encodes all metrics in the text format of Prometheus.
+    /// Encodes all metrics in the text format of Prometheus. The families with the fewest samples come first:
+    /// some collectors keep only the beginning, and the totals should be in it.
     pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut families = self.registry.gather();
+        families.sort_by_key(sample_count);
         let mut text = vec![];
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
             log::error!("metrics: event=not-encoded error={error}");
         }
         text
     }
 }
 
+/// The number of lines that a family takes in the text format.
+fn sample_count(family: &MetricFamily) -> usize {
+    family.get_metric().iter().map(|metric| 1 + metric.get_histogram().get_bucket().len()).sum()
+}
+
 /// Formats counters as one line, each preceded by the values of these labels.
 fn format_counters(counters: &IntCounterVec, labels: &[&str]) -> String {
     let count = |metric: &prometheus::proto::Metric| {
--- /dev/null
+++ b/crates/net/src/dial.rs
@@ -0,0 +1,61 @@
+//! Opens TCP connections to upstreams.
+
+use crate::exec;
+use smol::net::TcpStream;
+use socket2::{SockRef, TcpKeepalive};
+use std::future::Future;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The time limit of a connection attempt: several round trips within a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time after which a connection with unacknowledged bytes counts as broken (`TCP_USER_TIMEOUT`).
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The idle time before the first TCP keepalive probe, and the interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Opens the connections of a [`Pool`](crate::Pool).
+pub trait Dial: Send + Sync {
+    /// Opens a connection to `peer`.
+    ///
+    /// # Errors
+    /// Fails if no connection could be opened. Nothing was sent then.
+    fn dial(&self, peer: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> + Send;
+}
+
+/// Opens connections directly.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Direct;
+
+impl Dial for Direct {
+    async fn dial(&self, peer: SocketAddr) -> io::Result<TcpStream> {
+        connect(peer).await
+    }
+}
+
+/// Connects to `peer` directly.
+///
+/// # Errors
+/// Fails with [`ErrorKind::TimedOut`] if the peer does not answer within half a second.
+pub async fn connect(peer: SocketAddr) -> io::Result<TcpStream> {
+    let stream = exec::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok_or_else(|| {
+        let reason = format!("no connection within {} ms", CONNECT_TIMEOUT.as_millis());
+        io::Error::new(ErrorKind::TimedOut, reason)
+    })??;
+    if let Err(error) = configure_socket(&stream) {
+        log::warn!("net: event=socket-option peer={peer} error={error}");
+    }
+    Ok(stream)
+}
+
+/// Sets the socket options that detect a dead peer early: no delay of small writes, keepalive probes, and a
+/// time limit on unacknowledged bytes.
+fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let probes =
+        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod client;
 mod clock;
+mod dial;
 pub mod exec;
 mod pool;
 mod probe;
@@ -19,6 +20,7 @@
 pub use body::{Body, Pipe, collect, pipe, sized_pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use clock::Clock;
+pub use dial::{Dial, Direct, connect};
 pub use pool::{Failure, Lease, Pool};
 pub use probe::{ProbeResult, probe};
 pub use server::{Handle, Limits, UnreadRequest, serve};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -6,25 +6,18 @@
 use crate::body::Body;
 use crate::client::{Error, Fault};
 use crate::clock::Clock;
+use crate::dial::Dial;
 use crate::exec;
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// The time limit of a connection attempt: several round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The time after which a connection with unacknowledged bytes counts as broken (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The idle time before the first TCP keepalive probe, and the interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The time that an idle connection is kept if the peer names none.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 /// An idle connection is closed this long before the peer would close it.
@@ -76,7 +69,7 @@
 
     /// Sends `request` to `peer` and waits for the head of the answer.
     ///
-    /// A new connection is opened only if fewer than `max_connections` are open. The caller returns the
+    /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. The caller returns the
     /// connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
     /// As soon as a connection is available, `is_wanted` is called: the reason to send the request may no
@@ -89,13 +82,14 @@
         step: &'static str,
         peer: SocketAddr,
         max_connections: usize,
+        dialer: &impl Dial,
         request: Request<Body>,
         is_wanted: impl FnOnce() -> bool,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         let (mut sender, reused) = match self.take(peer) {
             Some(sender) => (sender, true),
             None => {
-                let opened = self.open(step, peer, max_connections).await;
+                let opened = self.open(step, peer, max_connections, dialer).await;
                 (opened.map_err(|error| Failure { error, reused: false, is_withdrawn: false })?, false)
             }
         };
@@ -161,17 +155,12 @@
         step: &'static str,
         peer: SocketAddr,
         max_connections: usize,
+        dialer: &impl Dial,
     ) -> Result<SendRequest<Body>, Error> {
         let unsent = |reason: String| Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
         let count = OpenConnection::new(&self.0, peer, max_connections)
             .ok_or_else(|| unsent(format!("{max_connections} connections are in use")))?;
-        let stream = exec::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
-            .await
-            .ok_or_else(|| unsent(format!("no connection within {} ms", CONNECT_TIMEOUT.as_millis())))?
-            .map_err(|error| unsent(error.to_string()))?;
-        if let Err(error) = configure_socket(&stream) {
-            log::warn!("net: event=socket-option peer={peer} error={error}");
-        }
+        let stream = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER)
             .handshake(FuturesIo::new(stream))
@@ -187,17 +176,6 @@
     }
 }
 
-/// Sets the socket options that detect a dead peer early: no delay of small writes, keepalive probes, and a
-/// time limit on unacknowledged bytes.
-pub(crate) fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
-
 /// Counts an open connection until it is dropped.
 struct OpenConnection {
     pool: Arc<Shared>,
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Pooled connections, aborted servers and connection probes.
 
 use http::{Request, Response};
-use net::{Body, Clock, Fault, Limits, Pool, ProbeResult, exec};
+use net::{Body, Clock, Direct, Fault, Limits, Pool, ProbeResult, exec};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -65,7 +65,7 @@
         let (server, _) = serve().await;
         let (clock, peer) = (Clock::default(), server.address());
         let pool = Pool::new(clock.clone());
-        let (answer, lease) = pool.send("ask", peer, 1, request(), || true).await.expect("an answer");
+        let (answer, lease) = pool.send("ask", peer, 1, &Direct, request(), || true).await.expect("an answer");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         exec::sleep(Duration::from_millis(50)).await;
@@ -83,12 +83,12 @@
         let (server, count) = serve().await;
         let (pool, peer) = (Pool::default(), server.address());
         let failure =
-            pool.send("ask", peer, 1, request(), || false).await.expect_err("the request is withdrawn");
+            pool.send("ask", peer, 1, &Direct, request(), || false).await.expect_err("the request is withdrawn");
         assert!(failure.is_withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_connections(peer)), (0, 1));
         // The connection returns to the pool only after its task has run.
         wait_until(|| pool.has_room(peer, 1)).await;
-        assert!(pool.send("ask", peer, 1, request(), || true).await.is_ok());
+        assert!(pool.send("ask", peer, 1, &Direct, request(), || true).await.is_ok());
         assert_eq!(count.load(Ordering::Relaxed), 1);
     });
 }
@@ -100,7 +100,7 @@
         let address = server.address();
         assert_eq!(net::probe(address, PROBE_TIMEOUT).await, ProbeResult::Listens);
         let pool = Pool::default();
-        let (_, lease) = pool.send("ask", address, 1, request(), || true).await.expect("an answer");
+        let (_, lease) = pool.send("ask", address, 1, &Direct, request(), || true).await.expect("an answer");
         lease.keep();
         server.abort();
         exec::sleep(Duration::from_millis(50)).await;
