--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -65,7 +65,8 @@
         let (server, _) = serve().await;
         let (clock, peer) = (Clock::default(), server.address());
         let pool = Pool::new(clock.clone());
-        let (answer, lease) = pool.send("ask", peer, 1, &Direct, request(), || true).await.expect("an answer");
+        let (answer, lease) =
+            pool.send("ask", peer, 1, &Direct, request(), || true).await.expect("an answer");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         exec::sleep(Duration::from_millis(50)).await;
@@ -82,8 +83,10 @@
     exec::block_on(async {
         let (server, count) = serve().await;
         let (pool, peer) = (Pool::default(), server.address());
-        let failure =
-            pool.send("ask", peer, 1, &Direct, request(), || false).await.expect_err("the request is withdrawn");
+        let failure = pool
+            .send("ask", peer, 1, &Direct, request(), || false)
+            .await
+            .expect_err("the request is withdrawn");
         assert!(failure.is_withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_connections(peer)), (0, 1));
         // The connection returns to the pool only after its task has run.
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -4,6 +4,7 @@
 use async_channel::Sender;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,6 +13,8 @@
 
 /// The number of bytes read at once.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// The most connections that wait to be accepted.
+const MAX_BACKLOG: i32 = 1_024;
 /// The interval at which a task that waits for another rule checks it.
 const RULE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -33,6 +36,29 @@
     BlockBack,
     /// Each connection is closed after this many bytes from the target.
     CloseAfter(usize),
+    /// Open connections go on, and new ones are refused.
+    RefuseNew,
+    /// All bytes are held back until the rule changes, and new connections are neither accepted nor refused.
+    Hang,
+}
+
+/// How the port of a proxy treats connection attempts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Port {
+    Open,
+    Closed,
+    /// Its queue of connections is full.
+    Full,
+}
+
+impl Rule {
+    fn port(self) -> Port {
+        match self {
+            Rule::Down | Rule::RefuseNew => Port::Closed,
+            Rule::Hang => Port::Full,
+            _ => Port::Open,
+        }
+    }
 }
 
 /// The network link of a VM. All connections share its rate for bytes towards the VM.
@@ -139,23 +165,50 @@
     }
 }
 
-/// Accepts connections. While the rule is [`Rule::Down`], the port is closed.
-async fn accept(mut listener: TcpListener, address: SocketAddr, target: SocketAddr, shared: &Shared) {
+/// Accepts connections as the rule allows.
+async fn accept(listener: TcpListener, address: SocketAddr, target: SocketAddr, shared: &Shared) {
+    let mut listener = Some(listener);
     loop {
-        let accepting = async {
-            while let Ok((stream, _)) = listener.accept().await {
-                net::exec::spawn(relay(stream, target, shared.clone())).detach();
+        match shared.rule().port() {
+            Port::Open => {
+                let listener = match listener.take() {
+                    Some(listener) => listener,
+                    None => retry(|| bind(address, MAX_BACKLOG)).await,
+                };
+                let accepting = async {
+                    while let Ok((stream, _)) = listener.accept().await {
+                        net::exec::spawn(relay(stream, target, shared.clone())).detach();
+                    }
+                };
+                smol::future::or(accepting, shared.wait_for_rule(|rule| rule.port() != Port::Open)).await;
             }
-        };
-        smol::future::or(accepting, shared.wait_for_rule(|rule| rule == Rule::Down)).await;
-        drop(listener);
-        shared.wait_for_rule(|rule| rule != Rule::Down).await;
-        listener = loop {
-            match TcpListener::bind(address).await {
-                Ok(listener) => break listener,
-                Err(_) => net::exec::sleep(RULE_POLL_INTERVAL).await,
+            Port::Closed => shared.wait_for_rule(|rule| rule.port() != Port::Closed).await,
+            Port::Full => {
+                let full = retry(|| bind(address, 0)).await;
+                // One connection fills a queue of length 0.
+                let filler = TcpStream::connect(address).await;
+                shared.wait_for_rule(|rule| rule.port() != Port::Full).await;
+                drop((filler, full));
             }
-        };
+        }
+    }
+}
+
+fn bind(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog)?;
+    TcpListener::try_from(std::net::TcpListener::from(socket))
+}
+
+/// Repeats an operation until it succeeds.
+async fn retry<T>(mut operation: impl FnMut() -> io::Result<T>) -> T {
+    loop {
+        match operation() {
+            Ok(done) => return done,
+            Err(_) => net::exec::sleep(RULE_POLL_INTERVAL).await,
+        }
     }
 }
 
@@ -212,5 +265,8 @@
 }
 
 fn is_blocked(rule: Rule, direction: Direction) -> bool {
-    matches!((rule, direction), (Rule::BlockForward, Direction::Forward) | (Rule::BlockBack, Direction::Back))
+    matches!(
+        (rule, direction),
+        (Rule::BlockForward, Direction::Forward) | (Rule::BlockBack, Direction::Back) | (Rule::Hang, _)
+    )
 }
