Reach upstreams through other gateways where a gateway's own path is broken

Cause: a failed connection attempt was always blamed on the upstream. The cut gateways ejected all 21 upstreams, the other four none; nothing in a gateway could conclude that its own path was broken, and nothing could have served its callers, who stay with their connections.

Change: if a direct attempt fails or takes 150 ms, another gateway is asked to connect to the same upstream and to pass on the bytes (HTTP Upgrade). The comparison is the evidence: if others reach three upstreams that this gateway does not, its own path counts as broken and all new connections are relayed, until a direct attempt succeeds (one every 300 ms). While nothing arrives from any upstream for half a second, the path is checked, since hanging connections give no other sign. A gateway that reaches nothing either way is not ready, refuses at once and closes its callers' connections. Failures that were recorded on the broken path are forgotten. Placement, repeats, limits and charges stay with the gateway that took the request, so no bound over the fleet changes. An answer without a length is not accepted through a relay, whose end would look like the answer's.

Why it works: the relays are outside the partition, and a request that failed to connect was not sent, so trying another way repeats nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use route::pacing;
@@ -149,7 +150,7 @@
         // back-off.
         let is_wanted = || node.placer().admits(&chosen.upstream, node.now());
         let sending = async {
-            let dialer = Dialer { metrics: &node.metrics };
+            let dialer = Dialer { node, upstream: &chosen.upstream };
             let sent = node
                 .pool
                 .send("dispatch", listing.address, max_connections, &dialer, request, is_wanted)
@@ -238,7 +239,12 @@
                 });
             }
         };
+        self.node.reach.record_answer(self.node.now());
         let (head, body) = response.into_parts();
+        if lease.is_relayed() && !body.is_end_stream() && !is_framed(&head) {
+            let reason = "an answer that ends with its connection may be cut off by the relay";
+            return ReadOutcome::Other(Outcome::NoValidAnswer(reason.to_owned()));
+        }
         let check = self.node.wire.check_response(&head, &self.request.ask.id);
         if check != ResponseCheck::WrongUpstream {
             self.apply_upstream_state(slot, &head, check);
@@ -448,6 +454,11 @@
     Other(Outcome<W, S>),
 }
 
+/// Whether the head of an answer tells where its body ends.
+fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// The path and query of a URI: the form in which a request to an origin server names its target.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned().unwrap_or(http::uri::PathAndQuery::from_static("/"));
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -62,12 +62,13 @@
     refusal.response().map(AnswerBody::Whole)
 }
 
-/// Adds the request's identifier to an answer, and closes the connection if the gateway is stopping or
+/// Adds the request's identifier to an answer, and closes the connection if the gateway is stopping, isolated or
 /// overloaded.
 fn finish_answer<W: Wire, S: Rows>(node: &Node<W, S>, id: &str, mut reply: Reply<W, S>) -> Reply<W, S> {
     node.wire.add_request_id(id, reply.headers_mut());
     node.load.record_message(reply.body().size_hint().exact().unwrap_or(0) as usize);
-    if node.phase() != Phase::Serving || node.load.should_close_connection() {
+    let leaves = node.phase() != Phase::Serving || node.reach.is_isolated();
+    if leaves || node.load.should_close_connection() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reply
@@ -97,6 +98,9 @@
     if node.phase() == Phase::Draining {
         return Err(refused(Refusal::Stopping, ""));
     }
+    if node.reach.is_isolated() {
+        return Err(refused(Refusal::Isolated, ""));
+    }
     // The manifest is read once, so that the whole request is handled under one version.
     let Some(manifest) = node.manifest() else {
         return Err(refused(Refusal::NotConfigured, ""));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -109,7 +109,7 @@
     node: Arc<Node<W, S>>,
     callers: Handle,
     readiness: Handle,
-    /// Serves other gateways, which reserve tokens here and make calls to the store through this gateway;
+    /// Serves other gateways, which reserve tokens here and reach the store and upstreams through this gateway;
     /// `None` if its address could not be bound.
     _peers: Option<Handle>,
     /// Serves metrics until it is dropped; `None` if its address could not be bound, or if the readiness
@@ -134,6 +134,7 @@
     exec::spawn(quarantine::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), requested_notes)).detach();
     exec::spawn(load::run(node.clone())).detach();
+    exec::spawn(reach::run(node.clone())).detach();
     let limits = net::Limits { head_time: CALLER_IDLE_TIMEOUT, ..net::Limits::default() };
     let shared = node.clone();
     let caller_limits = net::Limits {
@@ -150,7 +151,8 @@
     })
     .await?;
     let shared = node.clone();
-    let serving = net::serve(listen.peers, limits, move |request| answer_peer(shared.clone(), request));
+    let peer_limits = net::Limits { allows_upgrades: true, ..limits };
+    let serving = net::serve(listen.peers, peer_limits, move |request| answer_peer(shared.clone(), request));
     let peers = serving
         .await
         .inspect_err(|error| {
@@ -176,6 +178,7 @@
         peer_reservations::RESERVE_PATH | peer_reservations::REPORT_PATH => {
             peer_reservations::answer(node.clone(), request).await
         }
+        reach::TUNNEL_PATH => reach::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
     };
     node.load.record_message(response.body().size_hint().exact().unwrap_or(0) as usize);
@@ -241,6 +244,7 @@
             }
         }
         node.metrics.budgets_held.set(node.peer_reservations.held_teams(node.now()) as i64);
+        node.metrics.tunnels.set(node.reach.open_tunnels() as i64);
         node.metrics.set_open_requests(node.placer().open_requests());
     }
 }
@@ -293,7 +297,8 @@
         node.set_phase(Phase::Draining);
         self.callers.stop();
         let drain_limit = node.settings.grace_period().saturating_sub(SETTLE_RESERVE);
-        while self.callers.open_connections() > 0 && began.elapsed() < drain_limit {
+        let has_work = || self.callers.open_connections() + node.reach.open_tunnels() > 0;
+        while has_work() && began.elapsed() < drain_limit {
             exec::sleep(DRAIN_POLL_INTERVAL).await;
         }
         log::info!("gateway: event=drained open={}", node.open_requests.load(Ordering::Relaxed));
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -6,8 +6,10 @@
 use crate::node::{Node, Phase};
 use crate::owners::Peer;
 use crate::ports::Wire;
+use crate::settings::Settings;
 use crate::table::{decode, encode};
 use net::exec;
+use route::reach::Distance;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -42,6 +44,11 @@
     /// The number of processor cores of its VM.
     #[serde(default = "whole_core")]
     cores: f64,
+    /// Where its VM is; empty in heartbeats of earlier versions.
+    #[serde(default)]
+    data_centre: String,
+    #[serde(default)]
+    region: String,
     /// How long the process has run, in milliseconds. It makes each heartbeat differ from the one before: a
     /// row that did not change would not show that the process still runs.
     up_ms: u64,
@@ -137,7 +144,9 @@
     let quarantine = node.quarantine_version.load(Ordering::Relaxed);
     let (holder, peers, cores) = (node.holder.clone(), node.settings.listen.peers, node.settings.cores());
     let sent = node.now();
-    let heartbeat = Heartbeat { holder, peers, cores, up_ms: sent, kept_for_short, quarantine };
+    let (data_centre, region) = (node.settings.data_centre.clone(), node.settings.region.clone());
+    let heartbeat =
+        Heartbeat { holder, peers, cores, data_centre, region, up_ms: sent, kept_for_short, quarantine };
     let change = Change {
         puts: vec![(Key::new(TABLE, &node.settings.name), encode(&heartbeat))],
         ..Change::default()
@@ -212,9 +221,11 @@
     let alive = |name: &str| name != own && seen.get(name).is_some_and(is_alive);
     let heartbeats = page.records.iter().filter(|record| alive(&record.name));
     let peer = |record: &Record| {
-        let Heartbeat { peers: address, cores, quarantine, .. } = decode(record)?;
-        crate::quarantine::observe_version(node, quarantine);
-        Some(Peer { name: record.name.clone(), address, cores })
+        let heartbeat: Heartbeat = decode(record)?;
+        crate::quarantine::observe_version(node, heartbeat.quarantine);
+        let distance = distance(&node.settings, &heartbeat);
+        let Heartbeat { peers: address, cores, .. } = heartbeat;
+        Some(Peer { name: record.name.clone(), address, cores, distance })
     };
     let peers: Vec<Peer> = heartbeats.filter_map(peer).collect();
     node.set_peers(&peers);
@@ -243,6 +254,15 @@
     gone
 }
 
+/// How far the sender of a heartbeat is.
+fn distance(own: &Settings, heartbeat: &Heartbeat) -> Distance {
+    match heartbeat {
+        _ if heartbeat.data_centre == own.data_centre => Distance::DataCentre,
+        _ if heartbeat.region == own.region => Distance::Region,
+        _ => Distance::Far,
+    }
+}
+
 /// Deletes the heartbeat row of a gateway that is gone. Its accounts are not closed. It may be running on the
 /// other side of a network partition, and may use what it holds until it settles. Closing them would free
 /// nothing, and its tokens could never be used again.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
     Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use route::reach::Status;
 
 /// The upper bounds of the latency histograms, in seconds. Most of them are around the target latencies of
 /// interactive requests.
@@ -43,6 +44,10 @@
     pub budgets_held: IntGauge,
     /// Attempts to connect to upstreams, by outcome.
     pub connection_attempts: IntCounterVec,
+    /// How this gateway reaches the upstreams.
+    pub reach: IntGauge,
+    /// Tunnels to upstreams that this gateway serves for others.
+    pub tunnels: IntGauge,
     /// Open requests of this gateway, by upstream.
     pub upstream_open_requests: IntGaugeVec,
     /// The number of listed upstreams.
@@ -225,6 +230,11 @@
                 "Attempts to connect to upstreams, by outcome.",
                 &["outcome"],
             ),
+            reach: gauge(
+                "tallypaddle_upstreams_reach",
+                "How the upstreams are reached: 0 directly, 1 through other gateways, 2 not at all.",
+            ),
+            tunnels: gauge("tallypaddle_tunnels", "Tunnels to upstreams that are served for other gateways."),
             upstream_open_requests: gauges(
                 "tallypaddle_upstream_open_requests",
                 "Requests of this gateway at an upstream.",
@@ -260,6 +270,15 @@
         }
     }
 
+    /// Sets how this gateway reaches the upstreams.
+    pub(crate) fn set_reach(&self, status: Status) {
+        self.reach.set(match status {
+            Status::Direct => 0,
+            Status::Relayed => 1,
+            Status::Isolated => 2,
+        });
+    }
+
     /// The counts of calls to the store, formatted as one line.
     pub(crate) fn store_calls_line(&self) -> String {
         format_counters(&self.store_calls, &["step", "table", "outcome"])
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,6 +9,7 @@
 use crate::owners::{Owners, Peer};
 use crate::peer_reservations::PeerReservations;
 use crate::ports::{Listing, Wire};
+use crate::reach::Reach;
 use crate::receive::ByteBudget;
 use crate::settings::Settings;
 use crate::store_metrics::MeteredRows;
@@ -54,6 +55,7 @@
     /// The same store without metrics.
     pub failover: Failover<S>,
     pub pool: Pool,
+    pub reach: Reach,
     pub metrics: Metrics,
     /// The number of gateways that are alive, this one included.
     pub fleet_size: Arc<AtomicU64>,
@@ -121,6 +123,7 @@
             rows: MeteredRows::new(failover.clone(), &metrics),
             failover,
             pool: Pool::new(clock.clone()),
+            reach: Reach::default(),
             clock,
             receiving: ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone()),
             metrics,
@@ -275,6 +278,7 @@
         let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
         self.failover.set_peers(&addresses);
         self.hints.set_peers(addresses);
+        self.reach.set_peers(peers);
         self.owners.set_peers(peers);
         for (team, budget) in self.budgets().iter() {
             let owners = self.owners.owner_count(team).unwrap_or(self.fleet_size());
@@ -328,9 +332,12 @@
     }
 
     /// Whether the balancer may send callers to this gateway: it is not stopping, it knows a manifest and
-    /// upstreams, and its VM is not overloaded.
+    /// upstreams, reaches some of them, and its VM is not overloaded.
     pub(crate) fn is_ready(&self) -> bool {
         let is_configured = self.manifest().is_some() && !self.listings().is_empty();
-        self.phase() == Phase::Serving && is_configured && !self.load.is_shedding()
+        self.phase() == Phase::Serving
+            && is_configured
+            && !self.load.is_shedding()
+            && !self.reach.is_isolated()
     }
 }
--- a/crates/gateway/src/owners.rs
+++ b/crates/gateway/src/owners.rs
@@ -7,6 +7,7 @@
 //! tokens at its owners. Ownership is only a preference: tokens are safe wherever they are drawn, so it does
 //! no harm if gateways have different views of the fleet.
 
+use route::reach::Distance;
 use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -37,6 +38,7 @@
     pub address: SocketAddr,
     /// The number of processor cores of its VM.
     pub cores: f64,
+    pub distance: Distance,
 }
 
 /// Where to reserve tokens of a team.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,30 +1,338 @@
-//! How this gateway reaches the upstreams.
+//! Connects to upstreams, through other gateways where this one can't.
+//!
+//! The decisions are in [`route::reach`]. A connection through another gateway, the relay, is a tunnel: the relay
+//! passes on bytes and knows nothing of the requests, so that a request is placed, repeated and charged by the
+//! gateway that its caller reached.
 
-use crate::metrics::Metrics;
-use net::Dial;
-use smol::net::TcpStream;
+use crate::node::{Node, Phase};
+use crate::owners::Peer;
+use crate::ports::Wire;
+use futures::future::{Either, select};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::upgrade::Upgraded;
+use net::{Body, Dial, Transport, TunnelError, Way, exec};
+use rand::seq::SliceRandom;
+use route::reach::{Attempt, Change, Plan, Relays, SilenceMonitor, Status};
+use smallvec::SmallVec;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use store::rows::Rows;
 
-/// Opens connections to upstreams, and counts the attempts by outcome.
-pub(crate) struct Dialer<'a> {
-    pub metrics: &'a Metrics,
+/// The path of requests for tunnels.
+pub(crate) const TUNNEL_PATH: &str = "/tunnel";
+/// The time after which relays are asked beside a direct attempt: several round trips between data centres, and
+/// the delay of a process on a busy VM.
+const RELAY_DELAY: Duration = Duration::from_millis(150);
+/// How long a relay may take to connect to an upstream.
+const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a relay may take to answer.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
+/// The most relays that have to find an upstream unreachable. A single one may have lost its own path and not
+/// know it yet.
+const MAX_UNREACHABLE: usize = 2;
+/// The most tunnels that a gateway serves. Each takes two descriptors and 32 KB of buffers.
+const MAX_TUNNELS: usize = 256;
+/// The interval at which silence is checked for.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval at which upstreams are tried directly while the gateway's own path to them is broken.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// The number of upstreams that are tried to check the gateway's own path.
+const CHECKED_UPSTREAMS: usize = 4;
+
+/// This gateway's reach, and its part as a relay.
+#[derive(Debug, Default)]
+pub(crate) struct Reach {
+    state: Mutex<route::reach::Reach>,
+    relays: Mutex<Relays>,
+    /// When an upstream last answered, in milliseconds since the process started.
+    heard: AtomicU64,
+    /// The tunnels that this gateway serves.
+    tunnels: Arc<AtomicUsize>,
+}
+
+impl Reach {
+    fn state(&self) -> MutexGuard<'_, route::reach::Reach> {
+        self.state.lock().expect("no thread panics while it holds the state")
+    }
+
+    fn relays(&self) -> MutexGuard<'_, Relays> {
+        self.relays.lock().expect("no thread panics while it holds the relays")
+    }
+
+    /// Sets the other gateways that are alive.
+    pub(crate) fn set_peers(&self, peers: &[Peer]) {
+        self.relays().set(peers.iter().map(|peer| (peer.address, peer.distance)).collect());
+    }
+
+    /// Records that bytes arrived from an upstream.
+    pub(crate) fn record_answer(&self, now: u64) {
+        self.heard.store(now, Ordering::Relaxed);
+    }
+
+    /// Whether this gateway reaches no upstream, directly or through others.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.state().status() == Status::Isolated
+    }
+
+    /// The number of tunnels that this gateway serves.
+    pub(crate) fn open_tunnels(&self) -> usize {
+        self.tunnels.load(Ordering::Relaxed)
+    }
+}
+
+/// Opens connections to one upstream.
+pub(crate) struct Dialer<'a, W: Wire, S: Rows> {
+    pub node: &'a Arc<Node<W, S>>,
+    pub upstream: &'a str,
+}
+
+impl<W: Wire, S: Rows> Dial for Dialer<'_, W, S> {
+    fn way(&self) -> Way {
+        match self.plan() {
+            Plan::RelayFirst => Way::Relayed,
+            Plan::DirectFirst | Plan::DirectOnly => Way::Direct,
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr) -> io::Result<Transport> {
+        match self.plan() {
+            Plan::DirectFirst => self.dial_directly_first(address).await,
+            Plan::DirectOnly => self.dial_directly(address).await,
+            Plan::RelayFirst => match self.open_tunnel().await {
+                Ok(tunnel) => Ok(Transport::Relayed(tunnel)),
+                Err(_) => self.dial_directly(address).await.inspect_err(|_| self.record(Attempt::Failed)),
+            },
+        }
+    }
+}
+
+impl<W: Wire, S: Rows> Dialer<'_, W, S> {
+    fn plan(&self) -> Plan {
+        self.node.reach.state().plan(self.upstream, self.node.now())
+    }
+
+    async fn dial_directly(&self, address: SocketAddr) -> io::Result<Transport> {
+        let connected = net::connect(address).await;
+        self.count(match connected.as_ref().map_err(io::Error::kind) {
+            Ok(_) => "opened",
+            Err(ErrorKind::ConnectionRefused) => "refused",
+            Err(ErrorKind::TimedOut) => "timed-out",
+            Err(_) => "failed",
+        });
+        if connected.is_ok() {
+            self.record(Attempt::Direct);
+        }
+        connected.map(Transport::Direct)
+    }
+
+    /// Connects directly, and through a relay if that fails or takes long. Uses the connection that is
+    /// established first.
+    async fn dial_directly_first(&self, address: SocketAddr) -> io::Result<Transport> {
+        let mut direct = pin!(self.dial_directly(address));
+        let tunnel = match exec::timeout(RELAY_DELAY, direct.as_mut()).await {
+            Some(Ok(transport)) => return Ok(transport),
+            Some(Err(error)) => self.open_tunnel().await.map_err(|_| error),
+            None => match select(direct, pin!(self.open_tunnel())).await {
+                Either::Left((Ok(transport), _)) => return Ok(transport),
+                Either::Left((Err(error), tunnel)) => tunnel.await.map_err(|_| error),
+                Either::Right((Ok(tunnel), _)) => Ok(tunnel),
+                Either::Right((Err(_), direct)) => match direct.await {
+                    Ok(transport) => return Ok(transport),
+                    Err(error) => Err(error),
+                },
+            },
+        };
+        self.record(if tunnel.is_ok() { Attempt::Relayed } else { Attempt::Failed });
+        tunnel.map(Transport::Relayed)
+    }
+}
+
+impl<W: Wire, S: Rows> Dialer<'_, W, S> {
+    /// Opens a tunnel through one of the other gateways, which are asked one after another.
+    async fn open_tunnel(&self) -> Result<Upgraded, Unreached> {
+        let reach = &self.node.reach;
+        let mut unreachable = 0;
+        let relays = reach.relays().select(rand::random(), self.node.now());
+        for relay in relays {
+            match net::open_tunnel(relay, TUNNEL_PATH, self.upstream, RELAY_TIMEOUT).await {
+                Ok(tunnel) => {
+                    self.count("relayed");
+                    return Ok(tunnel);
+                }
+                Err(error @ TunnelError::TargetUnreachable(_)) => {
+                    log::debug!("upstream: event=not-relayed upstream={} {error}", self.upstream);
+                    unreachable += 1;
+                    if unreachable >= MAX_UNREACHABLE {
+                        break;
+                    }
+                }
+                Err(error @ (TunnelError::Declined(_) | TunnelError::NoAnswer(..))) => {
+                    log::debug!("upstream: event=not-relayed upstream={} {error}", self.upstream);
+                    reach.relays().back_off(relay, self.node.now());
+                }
+            }
+        }
+        Err(Unreached)
+    }
+
+    fn count(&self, outcome: &str) {
+        self.node.metrics.connection_attempts.with_label_values(&[outcome]).inc();
+    }
+
+    fn record(&self, attempt: Attempt) {
+        let node = self.node;
+        let listed = node.listings().len();
+        let change = {
+            let mut state = node.reach.state();
+            state.set_upstreams(listed);
+            state.record(self.upstream, attempt, node.reach.heard.load(Ordering::Relaxed), node.now())
+        };
+        match change {
+            Change::None => {}
+            Change::Status(status) => apply_status(node, status),
+            Change::MaybeIsolated => exec::spawn(confirm_isolation(node.clone())).detach(),
+        }
+    }
+}
+
+/// No other gateway connected to an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Unreached;
+
+/// Applies a new status. Failures that were recorded before tell nothing about the upstreams: they were due to the
+/// gateway's own path, or to upstreams that were tried on a path that has changed.
+fn apply_status<W: Wire, S: Rows>(node: &Node<W, S>, status: Status) {
+    node.placer().forget_failures();
+    node.metrics.set_reach(status);
+    match status {
+        Status::Direct => log::warn!("gateway: event=upstreams-reached"),
+        Status::Relayed => log::warn!("gateway: event=upstreams-lost relayed=true"),
+        Status::Isolated => log::warn!("gateway: event=upstreams-lost relayed=false"),
+    }
+}
+
+/// Tries further upstreams, first one of each service. If none is reached, the gateway is isolated.
+async fn confirm_isolation<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    for (upstream, address) in sample_upstreams(&node) {
+        let dialer = Dialer { node: &node, upstream: &upstream };
+        if dialer.dial_directly_first(address).await.is_ok() {
+            return;
+        }
+    }
+    let is_new = node.reach.state().confirm_isolated();
+    if is_new {
+        apply_status(&node, Status::Isolated);
+    }
+}
+
+/// Some upstreams with their addresses, of as many services as possible.
+fn sample_upstreams<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+) -> SmallVec<[(String, SocketAddr); CHECKED_UPSTREAMS]> {
+    let listings = node.listings();
+    let mut shuffled: Vec<_> = listings.iter().filter(|(_, listing)| !listing.leaving).collect();
+    shuffled.shuffle(&mut rand::thread_rng());
+    let mut services: SmallVec<[&str; CHECKED_UPSTREAMS]> = SmallVec::new();
+    let (mut first, mut others) = (vec![], vec![]);
+    for (name, listing) in shuffled {
+        let is_first = !services.contains(&listing.service.as_str());
+        if is_first {
+            services.push(&listing.service);
+        }
+        let group = if is_first { &mut first } else { &mut others };
+        group.push((name.clone(), listing.address));
+    }
+    first.into_iter().chain(others).take(CHECKED_UPSTREAMS).collect()
+}
+
+/// Checks the gateway's path to the upstreams when none answers any more, and until it is whole again.
+pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    exec::spawn(watch_silence(node.clone())).detach();
+    loop {
+        exec::sleep(PROBE_INTERVAL).await;
+        let status = node.reach.state().status();
+        if status == Status::Direct {
+            continue;
+        }
+        let Some((upstream, address)) = sample_upstreams(&node).into_iter().next() else { continue };
+        let dialer = Dialer { node: &node, upstream: &upstream };
+        // The connection is closed at once.
+        let _ = match status {
+            Status::Isolated => dialer.dial_directly_first(address).await,
+            Status::Direct | Status::Relayed => dialer.dial_directly(address).await,
+        };
+    }
+}
+
+async fn watch_silence<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let mut monitor = SilenceMonitor::default();
+    loop {
+        exec::sleep(SILENCE_INTERVAL).await;
+        let is_waiting =
+            node.reach.state().status() == Status::Direct && node.placer().open_requests().next().is_some();
+        let heard = node.reach.heard.load(Ordering::Relaxed);
+        if monitor.is_check_due(is_waiting, heard, node.now()) {
+            exec::spawn(check_path(node.clone())).detach();
+        }
+    }
+}
+
+/// Connects to some upstreams, which tells whether they can be reached directly.
+async fn check_path<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    let checks = sample_upstreams(&node).into_iter().map(async |(upstream, address)| {
+        let _ = Dialer { node: &node, upstream: &upstream }.dial_directly_first(address).await;
+    });
+    futures::future::join_all(checks).await;
+}
+
+/// Answers another gateway's request for a tunnel to an upstream.
+pub(crate) async fn answer<W: Wire, S: Rows>(
+    node: Arc<Node<W, S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let slot = TunnelSlot::take(&node.reach.tunnels);
+    let target = net::tunnel_target(&request).and_then(|name| Some(node.listings().get(name)?.address));
+    let is_able = node.phase() == Phase::Serving
+        && node.reach.state().status() == Status::Direct
+        && !node.load.is_shedding()
+        && slot.number <= MAX_TUNNELS;
+    let Some(address) = target.filter(|_| is_able) else { return refuse(StatusCode::SERVICE_UNAVAILABLE) };
+    match exec::timeout(RELAY_CONNECT_TIMEOUT, net::connect(address)).await {
+        Some(Ok(stream)) => {
+            let shared = node.clone();
+            let on_bytes = move |bytes| shared.load.record_relayed(bytes);
+            net::accept_tunnel(request, stream, on_bytes, slot)
+        }
+        Some(Err(_)) | None => refuse(StatusCode::BAD_GATEWAY),
+    }
+}
+
+fn refuse(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Counts a tunnel until it is dropped.
+struct TunnelSlot {
+    open: Arc<AtomicUsize>,
+    /// The number of open tunnels, this one included.
+    number: usize,
 }
 
-impl Dial for Dialer<'_> {
-    async fn dial(&self, peer: SocketAddr) -> io::Result<TcpStream> {
-        let connected = net::connect(peer).await;
-        self.metrics.connection_attempts.with_label_values(&[outcome(&connected)]).inc();
-        connected
+impl TunnelSlot {
+    fn take(open: &Arc<AtomicUsize>) -> TunnelSlot {
+        TunnelSlot { number: open.fetch_add(1, Ordering::Relaxed) + 1, open: open.clone() }
     }
 }
 
-/// The outcome of a connection attempt as a label.
-fn outcome(connected: &io::Result<TcpStream>) -> &'static str {
-    match connected.as_ref().map_err(io::Error::kind) {
-        Ok(_) => "opened",
-        Err(ErrorKind::ConnectionRefused) => "refused",
-        Err(ErrorKind::TimedOut) => "timed-out",
-        Err(_) => "failed",
+impl Drop for TunnelSlot {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -41,6 +41,8 @@
     ManifestChanging,
     /// This gateway is stopping.
     Stopping,
+    /// This gateway reaches no upstream.
+    Isolated,
     /// No upstream can serve the request now.
     NoUpstream,
     /// Every upstream of the service is backing off or at its request limit; the time until the first one
@@ -76,6 +78,7 @@
             Refusal::NotConfigured => "not-configured",
             Refusal::ManifestChanging => "changing",
             Refusal::Stopping => "stopping",
+            Refusal::Isolated => "isolated",
             Refusal::NoUpstream => "no-upstream",
             Refusal::UpstreamsUnavailable(_) => "resting",
             Refusal::LinkFull(_) => "link-full",
@@ -101,6 +104,7 @@
             | Refusal::NotConfigured
             | Refusal::ManifestChanging
             | Refusal::Stopping
+            | Refusal::Isolated
             | Refusal::NoUpstream
             | Refusal::UpstreamsUnavailable(_)
             | Refusal::LinkFull(_)
@@ -122,6 +126,7 @@
             Refusal::NotConfigured => Some(500),
             Refusal::ManifestChanging => Some(500),
             Refusal::Stopping => Some(50),
+            Refusal::Isolated => Some(300),
             Refusal::NoUpstream => Some(500),
             Refusal::NotRun => Some(200),
             _ => None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -147,6 +147,7 @@
                 if self.job.node.now() >= self.job.deadline + CHECK_INTERVAL.as_millis() as Millis {
                     return Step::Fail("the deadline passed".to_owned());
                 }
+                self.job.node.reach.record_answer(self.job.node.now());
                 let now = self.job.node.now_exact();
                 self.longest_gap = self.longest_gap.max(self.reading.silence(now));
                 let is_held_back = self.reading.record_arrived(now);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,7 +11,7 @@
 use yaml::{ConfigError, Reader};
 
 /// The keys that the settings may contain, as listed in error messages.
-const KNOWN_KEYS: &str = "name, data-centre, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, bounds";
+const KNOWN_KEYS: &str = "name, data-centre, region, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, bounds";
 /// The default time that charges may wait for settlement, in milliseconds. Notes already protect the charges,
 /// so that settlement only keeps the record up to date.
 const DEFAULT_RECORD_MS: u64 = 8_000;
@@ -31,6 +31,8 @@
     pub name: String,
     /// The data centre of this VM.
     pub data_centre: String,
+    /// The region of this VM; empty if there is only one.
+    pub region: String,
     /// The addresses that the gateway listens on.
     pub listen: Listen,
     /// The address of the platform's store.
@@ -94,6 +96,7 @@
         let read = yaml::read(text, |reader, mut root| {
             let name = reader.require::<String>(&mut root, "name");
             let data_centre = reader.require::<String>(&mut root, "data-centre");
+            let region = reader.take::<String>(&mut root, "region").unwrap_or_default();
             let listen = reader.require::<Listen>(&mut root, "listen");
             let store = reader.require::<SocketAddr>(&mut root, "store");
             let writes = reader.take::<u64>(&mut root, "store-writes-per-s");
@@ -123,6 +126,7 @@
             Some(Settings {
                 name: name?,
                 data_centre: data_centre?,
+                region,
                 listen: listen?,
                 store: store?,
                 store_writes_per_s,
--- a/crates/gateway/tests/unit/owners.rs
+++ b/crates/gateway/tests/unit/owners.rs
@@ -5,7 +5,12 @@
 const CORES: f64 = 0.25;
 
 fn peer(index: u16, cores: f64) -> Peer {
-    Peer { name: format!("vm-{index}"), address: SocketAddr::from(([127, 0, 0, 1], index)), cores }
+    Peer {
+        name: format!("vm-{index}"),
+        address: SocketAddr::from(([127, 0, 0, 1], index)),
+        cores,
+        distance: Distance::Region,
+    }
 }
 
 fn fleet(size: u16) -> Vec<Peer> {
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -7,6 +7,7 @@
 use assert_matches::assert_matches;
 use budget::ledger::Pool;
 use net::Handle;
+use route::reach::Distance;
 use standin::{RowsFault, TableRows};
 
 const TEAM: &str = "desk";
@@ -35,7 +36,12 @@
         nodes.iter().for_each(|node| assert!(node.apply_manifest(manifest(1, &[(TEAM, TOTAL)]))));
         let [one, two] = nodes;
         let anywhere = "127.0.0.1:1".parse().expect("an address");
-        let peer = |name: &str, address| Peer { name: name.to_owned(), address, cores: 1.0 };
+        let peer = |name: &str, address| Peer {
+            name: name.to_owned(),
+            address,
+            cores: 1.0,
+            distance: Distance::Region,
+        };
         one.set_peers(&[peer("vm-2", anywhere)]);
         let (owner, other) = if one.owners.owner_of(TEAM) == Owner::Local { (one, two) } else { (two, one) };
         let shared = owner.clone();
@@ -311,7 +317,12 @@
         });
         let handle = handle.await.expect("a listener");
         let name = pair.owner.settings.name.clone();
-        pair.other.set_peers(&[Peer { name, address: handle.address(), cores: 1.0 }]);
+        pair.other.set_peers(&[Peer {
+            name,
+            address: handle.address(),
+            cores: 1.0,
+            distance: Distance::Region,
+        }]);
         // The next request is one that asks the owner whether this gateway may go on holding tokens.
         let mut due = Holding::default();
         due.record_answer(true, 0);
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -97,6 +97,7 @@
     let settings = Settings {
         name: name.to_owned(),
         data_centre: "here".to_owned(),
+        region: String::new(),
         listen: Listen { callers: address, readiness: address, peers: address, metrics: address },
         store: address,
         store_writes_per_s: 600,
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -1,6 +1,7 @@
 //! Opens TCP connections to upstreams.
 
 use crate::exec;
+use hyper::upgrade::Upgraded;
 use smol::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 use std::future::Future;
@@ -15,13 +16,34 @@
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How a connection reaches its peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Directly.
+    Direct,
+    /// Through another process.
+    Relayed,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub enum Transport {
+    /// A TCP connection to the peer.
+    Direct(TcpStream),
+    /// A tunnel to the peer.
+    Relayed(Upgraded),
+}
+
 /// Opens the connections of a [`Pool`](crate::Pool).
 pub trait Dial: Send + Sync {
+    /// The way of the idle connections that may be used. Those of the other way are closed.
+    fn way(&self) -> Way;
+
     /// Opens a connection to `peer`.
     ///
     /// # Errors
     /// Fails if no connection could be opened. Nothing was sent then.
-    fn dial(&self, peer: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> + Send;
+    fn dial(&self, peer: SocketAddr) -> impl Future<Output = io::Result<Transport>> + Send;
 }
 
 /// Opens connections directly.
@@ -29,8 +51,12 @@
 pub struct Direct;
 
 impl Dial for Direct {
-    async fn dial(&self, peer: SocketAddr) -> io::Result<TcpStream> {
-        connect(peer).await
+    fn way(&self) -> Way {
+        Way::Direct
+    }
+
+    async fn dial(&self, peer: SocketAddr) -> io::Result<Transport> {
+        connect(peer).await.map(Transport::Direct)
     }
 }
 
@@ -51,7 +77,7 @@
 
 /// Sets the socket options that detect a dead peer early: no delay of small writes, keepalive probes, and a
 /// time limit on unacknowledged bytes.
-fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,12 +15,14 @@
 mod probe;
 mod server;
 pub mod signal;
+mod tunnel;
 mod watched;
 
 pub use body::{Body, Pipe, collect, pipe, sized_pipe};
 pub use client::{Answer, Client, Error, Fault};
 pub use clock::Clock;
-pub use dial::{Dial, Direct, connect};
+pub use dial::{Dial, Direct, Transport, Way, connect};
 pub use pool::{Failure, Lease, Pool};
 pub use probe::{ProbeResult, probe};
 pub use server::{Handle, Limits, UnreadRequest, serve};
+pub use tunnel::{TunnelError, accept_tunnel, open_tunnel, tunnel_target};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -6,15 +6,17 @@
 use crate::body::Body;
 use crate::client::{Error, Fault};
 use crate::clock::Clock;
-use crate::dial::Dial;
+use crate::dial::{Dial, Transport, Way};
 use crate::exec;
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -25,10 +27,23 @@
 /// The maximum buffer size of a connection, in bytes.
 const MAX_BUFFER: usize = 16 * 1024;
 
+/// The time for which a tunnel may be used for further requests. A relay that stops opens no new tunnels, and its
+/// open ones end before it does.
+const TUNNEL_REUSE_TIME: Duration = Duration::from_secs(2);
+
+/// An open connection.
+#[derive(Debug)]
+struct Line {
+    sender: SendRequest<Body>,
+    way: Way,
+    opened: Duration,
+    count: Arc<OpenConnection>,
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Body>,
+    line: Line,
     /// The time at which it expires, by the pool's clock.
     until: Duration,
 }
@@ -86,8 +101,8 @@
         request: Request<Body>,
         is_wanted: impl FnOnce() -> bool,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
-        let (mut sender, reused) = match self.take(peer) {
-            Some(sender) => (sender, true),
+        let (mut line, reused) = match self.take(peer, dialer.way()) {
+            Some(line) => (line, true),
             None => {
                 let opened = self.open(step, peer, max_connections, dialer).await;
                 (opened.map_err(|error| Failure { error, reused: false, is_withdrawn: false })?, false)
@@ -95,12 +110,12 @@
         };
         if !is_wanted() {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
-            Lease { pool: self.0.clone(), peer, sender: Some(sender), until }.keep();
+            Lease { pool: self.0.clone(), peer, line: Some(line), until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
             return Err(Failure { error, reused, is_withdrawn: true });
         }
-        let answer = sender.try_send_request(request).await.map_err(|mut failure| {
+        let answer = line.sender.try_send_request(request).await.map_err(|mut failure| {
             let fault = match failure.take_message() {
                 Some(_) => Fault::Unsent,
                 None => Fault::Unknown,
@@ -113,7 +128,7 @@
             }
         })?;
         let until = self.0.clock.now() + idle_time(answer.headers());
-        let lease = Lease { pool: self.0.clone(), peer, sender: Some(sender), until };
+        let lease = Lease { pool: self.0.clone(), peer, line: Some(line), until };
         Ok((answer, lease))
     }
 
@@ -133,21 +148,24 @@
         let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
         for peer in peers.values_mut() {
-            peer.idle.retain(|idle| idle.until > now && idle.sender.is_ready());
+            peer.idle.retain(|idle| idle.until > now && idle.line.sender.is_ready());
         }
         peers.retain(|_, peer| peer.open > 0 || !peer.idle.is_empty());
     }
 
-    fn take(&self, peer: SocketAddr) -> Option<SendRequest<Body>> {
+    /// Takes an idle connection of this way, and closes those of the other one.
+    fn take(&self, peer: SocketAddr, way: Way) -> Option<Line> {
         let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
-        let idle = &mut peers.get_mut(&peer)?.idle;
-        while let Some(kept) = idle.pop() {
-            if kept.until > now && kept.sender.is_ready() {
-                return Some(kept.sender);
-            }
-        }
-        None
+        let entry = peers.get_mut(&peer)?;
+        let other_way: Vec<Idle> = entry.idle.extract_if(.., |idle| idle.line.way != way).collect();
+        let taken = std::iter::from_fn(|| entry.idle.pop())
+            .find(|idle| idle.until > now && idle.line.sender.is_ready())
+            .map(|idle| idle.line);
+        drop(peers);
+        // The connections end later, but no longer count.
+        other_way.iter().for_each(|idle| idle.line.count.end());
+        taken
     }
 
     async fn open(
@@ -156,46 +174,60 @@
         peer: SocketAddr,
         max_connections: usize,
         dialer: &impl Dial,
-    ) -> Result<SendRequest<Body>, Error> {
+    ) -> Result<Line, Error> {
         let unsent = |reason: String| Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
         let count = OpenConnection::new(&self.0, peer, max_connections)
             .ok_or_else(|| unsent(format!("{max_connections} connections are in use")))?;
-        let stream = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_BUFFER)
-            .handshake(FuturesIo::new(stream))
-            .await
-            .map_err(|error| unsent(error.to_string()))?;
-        exec::spawn(async move {
-            let _count = count;
-            // Whoever waits for an answer gets the error as well. If nobody does, the connection was idle.
-            let _ = connection.await;
-        })
-        .detach();
-        Ok(sender)
+        let transport = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
+        let (way, sender) = match transport {
+            Transport::Direct(stream) => (Way::Direct, handshake(FuturesIo::new(stream), &count).await),
+            Transport::Relayed(tunnel) => (Way::Relayed, handshake(tunnel, &count).await),
+        };
+        let sender = sender.map_err(|error| unsent(error.to_string()))?;
+        Ok(Line { sender, way, opened: self.0.clock.now(), count })
     }
 }
 
-/// Counts an open connection until it is dropped.
+/// Begins HTTP on an open connection, which counts until it ends.
+async fn handshake(
+    io: impl Read + Send + Unpin + Write + 'static,
+    count: &Arc<OpenConnection>,
+) -> hyper::Result<SendRequest<Body>> {
+    let (sender, connection) = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await?;
+    let count = count.clone();
+    exec::spawn(async move {
+        // Whoever waits for an answer gets the error as well. If nobody does, the connection was idle.
+        let _ = connection.await;
+        count.end();
+    })
+    .detach();
+    Ok(sender)
+}
+
+/// Counts an open connection until it ends or is dropped.
+#[derive(Debug)]
 struct OpenConnection {
     pool: Arc<Shared>,
     peer: SocketAddr,
+    has_ended: AtomicBool,
 }
 
 impl OpenConnection {
-    fn new(pool: &Arc<Shared>, peer: SocketAddr, max_connections: usize) -> Option<OpenConnection> {
+    fn new(pool: &Arc<Shared>, peer: SocketAddr, max_connections: usize) -> Option<Arc<OpenConnection>> {
         let mut peers = pool.peers.lock().expect("the pool's lock");
         let entry = peers.entry(peer).or_default();
         if entry.open >= max_connections {
             return None;
         }
         entry.open += 1;
-        Some(OpenConnection { pool: pool.clone(), peer })
+        Some(Arc::new(OpenConnection { pool: pool.clone(), peer, has_ended: AtomicBool::new(false) }))
     }
-}
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
+    /// Stops counting the connection.
+    fn end(&self) {
+        if self.has_ended.swap(true, Ordering::Relaxed) {
+            return;
+        }
         let mut peers = self.pool.peers.lock().expect("the pool's lock");
         if let Some(entry) = peers.get_mut(&self.peer) {
             entry.open = entry.open.saturating_sub(1);
@@ -203,43 +235,57 @@
     }
 }
 
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 /// A connection while one request uses it. Dropping it closes the connection instead of returning it to
 /// the pool.
 #[derive(Debug)]
 pub struct Lease {
     pool: Arc<Shared>,
     peer: SocketAddr,
-    sender: Option<SendRequest<Body>>,
+    line: Option<Line>,
     until: Duration,
 }
 
 impl Lease {
     /// Closes the connection instead of keeping it.
     pub fn close(mut self) {
-        self.sender = None;
+        self.line = None;
+    }
+
+    /// Whether the connection leads through another process.
+    pub fn is_relayed(&self) -> bool {
+        self.line.as_ref().is_some_and(|line| line.way == Way::Relayed)
     }
 
     /// Returns the connection to the pool as soon as it is ready for another request. Call this after reading
     /// the complete answer.
     pub fn keep(mut self) {
-        let Some(mut sender) = self.sender.take() else { return };
+        let Some(mut line) = self.line.take() else { return };
+        if line.way == Way::Relayed {
+            self.until = self.until.min(line.opened + TUNNEL_REUSE_TIME);
+        }
         if self.until <= self.pool.clock.now() {
             return;
         }
-        if sender.is_ready() {
-            return self.put(sender);
+        if line.sender.is_ready() {
+            return self.put(line);
         }
         exec::spawn(async move {
-            if sender.ready().await.is_ok() {
-                self.put(sender);
+            if line.sender.ready().await.is_ok() {
+                self.put(line);
             }
         })
         .detach();
     }
 
-    fn put(&self, sender: SendRequest<Body>) {
+    fn put(&self, line: Line) {
         let mut peers = self.pool.peers.lock().expect("the pool's lock");
-        peers.entry(self.peer).or_default().idle.push(Idle { sender, until: self.until });
+        peers.entry(self.peer).or_default().idle.push(Idle { line, until: self.until });
     }
 }
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -6,7 +6,7 @@
 use async_channel::{Receiver, Sender};
 use http::{Request, Response};
 use hyper::body::{Bytes, Incoming};
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{self, Connection, UpgradeableConnection};
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -15,7 +15,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -37,6 +37,8 @@
     /// A connection is closed if its peer accepts no bytes of a response for this long; `None` if it may
     /// block forever.
     pub write_stall: Option<Duration>,
+    /// Whether a request may turn its connection into a tunnel.
+    pub allows_upgrades: bool,
     /// The kernel's send buffer of a connection, in bytes; `None` lets the kernel adapt it, to several
     /// megabytes.
     pub send_buffer: Option<usize>,
@@ -50,11 +52,15 @@
             head_time: Duration::from_secs(10),
             connections: 20_000,
             write_stall: None,
+            allows_upgrades: false,
             send_buffer: None,
         }
     }
 }
 
+/// The I/O of a server's connection.
+pub(crate) type ServerIo = Watched<FuturesIo<TcpStream>>;
+
 /// Marks a response to a request whose body was not read to its end, as an extension of the response. After the
 /// response, what the peer still sends is discarded for up to a second: closing the connection at once would
 /// reset it, and the peer might lose the response.
@@ -209,7 +215,7 @@
 }
 
 async fn serve_connection_until_stopped<S, F, B>(
-    io: Watched<FuturesIo<TcpStream>>,
+    io: ServerIo,
     limits: Limits,
     service: S,
     stopped: StopSignal,
@@ -237,6 +243,21 @@
         .max_headers(limits.headers)
         .max_buf_size(limits.buffer)
         .serve_connection(io, service);
+    match limits.allows_upgrades {
+        true => {
+            run_until_stopped(connection.with_upgrades(), UpgradeableConnection::graceful_shutdown, stopped)
+                .await
+        }
+        false => run_until_stopped(connection, Connection::graceful_shutdown, stopped).await,
+    }
+}
+
+/// Runs a connection until it ends, and shuts it down if the server is stopped before.
+async fn run_until_stopped<C: Future>(
+    connection: C,
+    shut_down: impl FnOnce(Pin<&mut C>),
+    stopped: StopSignal,
+) {
     let mut connection = pin!(connection);
     let ended = async {
         stopped.wait().await;
@@ -251,7 +272,7 @@
     )
     .await;
     if !complete && !stopped.is_aborted.load(Ordering::Relaxed) {
-        connection.as_mut().graceful_shutdown();
+        shut_down(connection.as_mut());
         let _ = connection.await;
     }
 }
--- a/crates/net/src/watched.rs
+++ b/crates/net/src/watched.rs
@@ -80,6 +80,11 @@
         Watched { io, peer, limit, blocked: None, lingers: Arc::default(), lingering: None }
     }
 
+    /// The I/O without the checks.
+    pub(crate) fn into_inner(self) -> T {
+        self.io
+    }
+
     /// The flag that makes the connection discard what its peer still sends when it is shut down.
     pub(crate) fn lingers(&self) -> Arc<AtomicBool> {
         self.lingers.clone()
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -53,11 +53,16 @@
         if self.on_probation {
             self.probation_successes += 1;
             if self.probation_successes >= PROBATION_SUCCESSES {
-                *self = Health { gap_ms: self.gap_ms, ..Health::default() };
+                self.forget_failures();
             }
         }
     }
 
+    /// Discards all failures and ejections.
+    pub(crate) fn forget_failures(&mut self) {
+        *self = Health { gap_ms: self.gap_ms, ..Health::default() };
+    }
+
     /// Records a failure. Returns whether the upstream should be ejected now.
     pub(crate) fn record_failure(&mut self, now: Millis) -> bool {
         self.failures += 1;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -34,6 +34,7 @@
 mod pool;
 pub mod quarantine;
 mod queue;
+pub mod reach;
 mod read_queue;
 mod reading;
 mod repeat_window;
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -717,6 +717,14 @@
         true
     }
 
+    /// Discards the failures and ejections of all upstreams, because they were not the upstreams' own.
+    pub fn forget_failures(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.health.forget_failures();
+            upstream.failures = 0.0;
+        }
+    }
+
     /// The learned model of each service's engines, with their usual pace in milliseconds.
     pub fn models(&self) -> impl Iterator<Item = (&str, &Model, f64)> {
         self.services.iter().filter(|(_, service)| service.load.is_known()).map(|(name, service)| {
