Don't hold runs against their requests that a gateway's own broken path cut off

What callers saw: none yet, but every gateway denies a request with 400 once three upstreams seem to have ended under it.

Change: the gateway asks another one whether it can connect, which tells a terminated process from a broken path. Where none can be asked and the own path is known to be broken, nothing is concluded.

The tests of requests that do crash their upstreams pass.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -9,6 +9,7 @@
 use crate::job::{Admitted, Job};
 use crate::node::Node;
 use crate::ports::Wire;
+use crate::reach;
 use net::{ProbeResult, exec};
 use route::Millis;
 use route::notice::{FollowUp, Notice};
@@ -155,18 +156,18 @@
 }
 
 /// Tries to connect to the upstream's address: a terminated process refuses, while a broken connection alone
-/// proves nothing.
+/// proves nothing. If another gateway is connected, it is only the path from this one that is broken.
 async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, lost: LostRun) {
     let Some(address) = node.listings().get(&lost.upstream).map(|listing| listing.address) else { return };
     exec::sleep(PROBE_DELAY).await;
-    let reach = net::probe(address, PROBE_TIMEOUT).await;
+    let probed = net::probe(address, PROBE_TIMEOUT).await;
     let LostRun { upstream, request, fingerprint, begun_ms } = &lost;
     let is_leaving = node.placer().is_leaving(upstream);
     log::warn!(
         "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={is_leaving}",
-        reach.name()
+        probed.name()
     );
-    if reach != ProbeResult::Refuses {
+    if probed != ProbeResult::Refuses || reach::is_reached_by_others(&node, upstream).await {
         return;
     }
     node.metrics.runs_lost.inc();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -177,7 +177,7 @@
                 }
             }
         }
-        Err(Unreached)
+        Err(if unreachable > 0 { Unreached::Confirmed } else { Unreached::Unknown })
     }
 
     fn count(&self, outcome: &str) {
@@ -200,9 +200,24 @@
     }
 }
 
-/// No other gateway connected to an upstream.
-#[derive(Clone, Copy, Debug)]
-struct Unreached;
+/// Whether another gateway connects to an upstream. While this gateway's own path is broken and none can be asked, it
+/// is assumed that one would.
+pub(crate) async fn is_reached_by_others<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, upstream: &str) -> bool {
+    match (Dialer { node, upstream }).open_tunnel().await {
+        Ok(_) => true,
+        Err(Unreached::Confirmed) => false,
+        Err(Unreached::Unknown) => node.reach.state().status() != Status::Direct,
+    }
+}
+
+/// Why no other gateway connected to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Unreached {
+    /// Others tried in vain.
+    Confirmed,
+    /// None tried.
+    Unknown,
+}
 
 /// Applies a new status. Failures that were recorded before tell nothing about the upstreams: they were due to the
 /// gateway's own path, or to upstreams that were tried on a path that has changed.
