Let upstreams fall silent for a second

Streams that can be resumed were taken away from it after three target gaps (1.2 s) of silence, all of them at once, and run again elsewhere.

Change: a stream is resumed after half of the time for which its caller waits for an event, and never before 1.5 s. A gateway counts as isolated only if upstreams can't be reached for longer than that. TCP_USER_TIMEOUT (2.5 s) also decides when keepalive probes give up, so their number is no longer set, and a test holds the connection's limits between the silence that is normal and the 3 s within which a partition has to be noticed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use http_body::Body as _;
 use hyper::body::Bytes;
 use net::exec;
+use route::silence::stall_ms;
 use route::{Millis, PauseKind, PauseTracker, ReadTracker};
 use smol::Timer;
 use std::io;
@@ -21,9 +22,6 @@
 
 /// How often a stream is checked for a stall and for its deadline.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// A resumable stream is resumed elsewhere after silence of this multiple of the route's target gap between
-/// events.
-const STALL_FACTOR: u64 = 3;
 /// Runs of one stream beyond those that the route allows: upstreams whose stream broke no longer run it.
 const EXTRA_RUNS: u32 = 1;
 
@@ -199,7 +197,8 @@
             return Poll::Ready(Step::Fail("the deadline passed".to_owned()));
         }
         let silence = self.reading.silence(self.job.node.now_exact());
-        let stalled = silence > (STALL_FACTOR * self.job.request.route.gap_ms) as f64;
+        let route = &self.job.request.route;
+        let stalled = silence > stall_ms(route.target_ms, route.gap_ms) as f64;
         if stalled
             && matches!(self.state, State::Streaming(_))
             && self.job.kind() == RouteKind::ResumableStream
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -11,7 +11,9 @@
 
 /// The time limit of a connection attempt: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The time after which a connection with unacknowledged bytes counts as broken (`TCP_USER_TIMEOUT`).
+/// The time after which a connection counts as broken whose peer acknowledges neither bytes nor keepalive probes
+/// (`TCP_USER_TIMEOUT`). On Linux it takes the place of the number of probes. It is longer than the silence that is
+/// expected of a sound peer.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -81,7 +83,6 @@
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2);
+    let probes = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -111,3 +111,26 @@
         assert_eq!(pool.open_connections(address), 0, "the pooled connection is closed");
     });
 }
+
+/// How long a sound peer may be silent, and how long a broken connection may go unnoticed.
+const SILENCE: Duration = Duration::from_millis(1_500);
+const NOTICED: Duration = Duration::from_secs(3);
+
+/// On Linux `TCP_USER_TIMEOUT` decides when keepalive probes give up, whatever their number.
+#[test]
+fn a_connection_outlasts_a_silent_second_but_not_a_partition() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let stream = net::connect(server.address()).await.expect("a connection");
+        let socket = socket2::SockRef::from(&stream);
+        let limit = socket.tcp_user_timeout().expect("an option").expect("a limit");
+        let (idle, interval) = (
+            socket.tcp_keepalive_time().expect("an option"),
+            socket.tcp_keepalive_interval().expect("an option"),
+        );
+        assert!(limit > SILENCE, "bytes may be unacknowledged for {limit:?}");
+        // A probe at or after the limit ends the connection.
+        let last_probe = (0..).map(|probes| idle + interval * probes).find(|at| *at >= limit);
+        assert!(last_probe.is_some_and(|at| at <= NOTICED), "an idle connection ends after {last_probe:?}");
+    });
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod returns;
 pub mod roster;
 mod signals;
+pub mod silence;
 pub mod warmup;
 
 pub use assignment::{Owners, assign_slots};
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -6,6 +6,7 @@
 //! to ask.
 
 use crate::Millis;
+use crate::silence::TOLERANCE_MS;
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -132,8 +133,10 @@
                     self.failing_since = now;
                 }
                 insert(&mut self.failed_in_row, upstream);
-                let is_suspect =
-                    self.failed_in_row.len() >= self.required() && self.status != Status::Isolated;
+                let outlasts_silence = now.saturating_sub(self.failing_since) >= TOLERANCE_MS;
+                let is_suspect = self.failed_in_row.len() >= self.required()
+                    && outlasts_silence
+                    && self.status != Status::Isolated;
                 if is_suspect { Change::MaybeIsolated } else { Change::None }
             }
         }
@@ -214,35 +217,3 @@
         self.backoff.insert(gateway, now + RELAY_BACKOFF_MS);
     }
 }
-
-/// How long requests may wait for upstreams while none answers, in milliseconds, before the path is checked. An
-/// upstream may fall silent for about a second, which the check tells apart.
-const SILENCE_MS: Millis = 500;
-/// The shortest time between two checks, in milliseconds.
-const CHECK_INTERVAL_MS: Millis = 1_000;
-
-/// Notices that no upstream answers any more. Connections that a partition has left without a reset give no other
-/// sign.
-#[derive(Clone, Debug, Default)]
-pub struct SilenceMonitor {
-    waiting_since: Option<Millis>,
-    checked: Option<Millis>,
-}
-
-impl SilenceMonitor {
-    /// Whether the path to the upstreams has to be checked now. `is_waiting` says whether requests are waiting for
-    /// upstreams, `heard` is when an upstream last answered.
-    pub fn is_check_due(&mut self, is_waiting: bool, heard: Millis, now: Millis) -> bool {
-        if !is_waiting {
-            self.waiting_since = None;
-            return false;
-        }
-        let since = (*self.waiting_since.get_or_insert(now)).max(heard);
-        let is_recent = self.checked.is_some_and(|checked| now.saturating_sub(checked) < CHECK_INTERVAL_MS);
-        let is_due = now.saturating_sub(since) >= SILENCE_MS && !is_recent;
-        if is_due {
-            self.checked = Some(now);
-        }
-        is_due
-    }
-}
