--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -102,7 +102,15 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
-        Proxy::start_with_link(target, None).await
+        Proxy::start_with(target, None, None).await
+    }
+
+    /// Starts a second path to the target of `other`. While it passes bytes, it follows the rules of `other`.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub async fn start_beside(other: &Proxy, target: SocketAddr) -> io::Result<Proxy> {
+        Proxy::start_with(target, None, Some(other.rule.clone())).await
     }
 
     /// Starts a proxy in front of `target` for a client VM: bytes from the target are transmitted over
@@ -111,12 +119,20 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub async fn start_with_link(target: SocketAddr, link: Option<Arc<Link>>) -> io::Result<Proxy> {
+        Proxy::start_with(target, link, None).await
+    }
+
+    async fn start_with(
+        target: SocketAddr,
+        link: Option<Arc<Link>>,
+        base: Option<Arc<Mutex<Rule>>>,
+    ) -> io::Result<Proxy> {
         let listener = TcpListener::bind(loopback()).await?;
         let address = listener.local_addr()?;
         let rule = Arc::new(Mutex::new(Rule::Pass));
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let passed = Arc::new(AtomicU64::new(0));
-        let shared = Shared { rule: rule.clone(), passed: passed.clone(), link };
+        let shared = Shared { rule: rule.clone(), base, passed: passed.clone(), link };
         net::exec::spawn(async move {
             let accepting = accept(listener, address, target, &shared);
             smol::future::or(accepting, async {
@@ -148,13 +164,19 @@
 #[derive(Clone)]
 struct Shared {
     rule: Arc<Mutex<Rule>>,
+    /// The rule that holds while the own one is [`Rule::Pass`].
+    base: Option<Arc<Mutex<Rule>>>,
     passed: Arc<AtomicU64>,
     link: Option<Arc<Link>>,
 }
 
 impl Shared {
     fn rule(&self) -> Rule {
-        *self.rule.lock().expect("the rule's lock")
+        let own = *self.rule.lock().expect("the rule's lock");
+        match &self.base {
+            Some(base) if own == Rule::Pass => *base.lock().expect("the rule's lock"),
+            _ => own,
+        }
     }
 
     /// Waits until the rule satisfies `predicate`.
