--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,8 +19,9 @@
 //! Other modules run in the background. `settle`, `notes` and `closing` keep the budgets in the store.
 //! `watch` and `members` follow the store: the manifest, the upstreams and the other gateways. `snapshot`
 //! reduces what starting gateways read of the list of upstreams. `failover` makes calls to the store through
-//! another gateway where `store_health` finds it unreachable. `hints` exchanges datagrams with the other
-//! gateways, `load` measures the load of the VM, and `link` paces large bodies on its link.
+//! another gateway where `store_health` finds it unreachable, and `tunnel` connects to upstreams for gateways
+//! that can't. `hints` exchanges datagrams with the other gateways, `load` measures the load of the VM, and
+//! `link` paces large bodies on its link.
 //!
 //! [`ports`] is the interface to callers, upstreams and operators, which an adapter implements.
 
@@ -60,6 +61,7 @@
 mod store_metrics;
 mod table;
 mod team_budget;
+mod tunnel;
 mod watch;
 
 #[cfg(test)]
@@ -179,7 +181,7 @@
         peer_reservations::RESERVE_PATH | peer_reservations::REPORT_PATH => {
             peer_reservations::answer(node.clone(), request).await
         }
-        reach::TUNNEL_PATH => reach::answer(node.clone(), request).await,
+        tunnel::TUNNEL_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
     };
     node.load.record_message(response.body().size_hint().exact().unwrap_or(0) as usize);
@@ -245,7 +247,7 @@
             }
         }
         node.metrics.budgets_held.set(node.peer_reservations.held_teams(node.now()) as i64);
-        node.metrics.tunnels.set(node.reach.open_tunnels() as i64);
+        node.metrics.tunnels.set(node.tunnels.load(Ordering::Relaxed) as i64);
         node.metrics.set_open_requests(node.placer().open_requests());
     }
 }
@@ -298,7 +300,7 @@
         node.set_phase(Phase::Draining);
         self.callers.stop();
         let drain_limit = node.settings.grace_period().saturating_sub(SETTLE_RESERVE);
-        let has_work = || self.callers.open_connections() + node.reach.open_tunnels() > 0;
+        let has_work = || self.callers.open_connections() + node.tunnels.load(Ordering::Relaxed) > 0;
         while has_work() && began.elapsed() < drain_limit {
             exec::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,7 +23,7 @@
 use route::{Millis, RepeatBound, RepeatWindow};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 use store::rows::{Progress, Rows};
@@ -56,6 +56,8 @@
     pub failover: Failover<S>,
     pub pool: Pool,
     pub reach: Reach,
+    /// The number of tunnels that this gateway serves.
+    pub tunnels: Arc<AtomicUsize>,
     pub metrics: Metrics,
     /// The number of gateways that are alive, this one included.
     pub fleet_size: Arc<AtomicU64>,
@@ -126,6 +128,7 @@
             failover,
             pool: Pool::new(clock.clone()),
             reach: Reach::default(),
+            tunnels: Arc::default(),
             clock,
             receiving: ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone()),
             metrics,
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -4,14 +4,13 @@
 //! passes on bytes and knows nothing of the requests, so that a request is placed, repeated and charged by the
 //! gateway that its caller reached.
 
-use crate::node::{Node, Phase};
+use crate::node::Node;
 use crate::owners::Peer;
 use crate::ports::Wire;
+use crate::tunnel::TUNNEL_PATH;
 use futures::future::{Either, select};
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use hyper::upgrade::Upgraded;
-use net::{Body, Dial, Transport, TunnelError, Way, exec};
+use net::{Dial, Transport, TunnelError, Way, exec};
 use rand::seq::SliceRandom;
 use route::reach::{Attempt, Change, Plan, Relays, Status};
 use route::silence::SilenceMonitor;
@@ -19,25 +18,19 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
 
-/// The path of requests for tunnels.
-pub(crate) const TUNNEL_PATH: &str = "/tunnel";
 /// The time after which relays are asked beside a direct attempt: several round trips between data centres, and
 /// the delay of a process on a busy VM.
 const RELAY_DELAY: Duration = Duration::from_millis(150);
-/// How long a relay may take to connect to an upstream.
-const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a relay may take to answer.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The most relays that have to find an upstream unreachable. A single one may have lost its own path and not
 /// know it yet.
 const MAX_UNREACHABLE: usize = 2;
-/// The most tunnels that a gateway serves. Each takes two descriptors and 32 KB of buffers.
-const MAX_TUNNELS: usize = 256;
 /// The interval at which silence is checked for.
 const SILENCE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which upstreams are tried directly while the gateway's own path to them is broken.
@@ -45,15 +38,13 @@
 /// The number of upstreams that are tried to check the gateway's own path.
 const CHECKED_UPSTREAMS: usize = 4;
 
-/// This gateway's reach, and its part as a relay.
+/// How this gateway reaches the upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Reach {
     state: Mutex<route::reach::Reach>,
     relays: Mutex<Relays>,
     /// When an upstream last answered, in milliseconds since the process started.
     heard: AtomicU64,
-    /// The tunnels that this gateway serves.
-    tunnels: Arc<AtomicUsize>,
 }
 
 impl Reach {
@@ -80,9 +71,9 @@
         self.state().status() == Status::Isolated
     }
 
-    /// The number of tunnels that this gateway serves.
-    pub(crate) fn open_tunnels(&self) -> usize {
-        self.tunnels.load(Ordering::Relaxed)
+    /// Whether this gateway reaches upstreams directly.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.state().status() == Status::Direct
     }
 }
 
@@ -162,6 +153,7 @@
         for relay in relays {
             match net::open_tunnel(relay, TUNNEL_PATH, self.upstream, RELAY_TIMEOUT).await {
                 Ok(tunnel) => {
+                    log::info!("upstream: event=relayed upstream={} relay={relay}", self.upstream);
                     self.count("relayed");
                     return Ok(tunnel);
                 }
@@ -289,8 +281,7 @@
     let mut monitor = SilenceMonitor::default();
     loop {
         exec::sleep(SILENCE_INTERVAL).await;
-        let is_waiting =
-            node.reach.state().status() == Status::Direct && node.placer().open_requests().next().is_some();
+        let is_waiting = node.reach.is_direct() && node.placer().open_requests().next().is_some();
         let heard = node.reach.heard.load(Ordering::Relaxed);
         if monitor.is_check_due(is_waiting, heard, node.now()) {
             exec::spawn(check_path(node.clone())).detach();
@@ -305,50 +296,3 @@
     });
     futures::future::join_all(checks).await;
 }
-
-/// Answers another gateway's request for a tunnel to an upstream.
-pub(crate) async fn answer<W: Wire, S: Rows>(
-    node: Arc<Node<W, S>>,
-    request: Request<Incoming>,
-) -> Response<Body> {
-    let slot = TunnelSlot::take(&node.reach.tunnels);
-    let target = net::tunnel_target(&request).and_then(|name| Some(node.listings().get(name)?.address));
-    let is_able = node.phase() == Phase::Serving
-        && node.reach.state().status() == Status::Direct
-        && !node.load.is_shedding()
-        && slot.number <= MAX_TUNNELS;
-    let Some(address) = target.filter(|_| is_able) else { return refuse(StatusCode::SERVICE_UNAVAILABLE) };
-    match exec::timeout(RELAY_CONNECT_TIMEOUT, net::connect(address)).await {
-        Some(Ok(stream)) => {
-            let shared = node.clone();
-            let on_bytes = move |bytes| shared.load.record_relayed(bytes);
-            net::accept_tunnel(request, stream, on_bytes, slot)
-        }
-        Some(Err(_)) | None => refuse(StatusCode::BAD_GATEWAY),
-    }
-}
-
-fn refuse(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Body::empty());
-    *response.status_mut() = status;
-    response
-}
-
-/// Counts a tunnel until it is dropped.
-struct TunnelSlot {
-    open: Arc<AtomicUsize>,
-    /// The number of open tunnels, this one included.
-    number: usize,
-}
-
-impl TunnelSlot {
-    fn take(open: &Arc<AtomicUsize>) -> TunnelSlot {
-        TunnelSlot { number: open.fetch_add(1, Ordering::Relaxed) + 1, open: open.clone() }
-    }
-}
-
-impl Drop for TunnelSlot {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
