--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -96,17 +96,18 @@
     pub(crate) async fn choose_or_wait(&self) -> Option<Placement> {
         let patience_ms = (self.request.route.target_ms as f64 * PLACE_WAIT_SHARE) as Millis;
         let until = self.request.arrived.saturating_add(patience_ms).min(self.deadline);
-        loop {
+        let mut chosen = self.choose();
+        while chosen.is_none() {
             let freed = self.node.place_freed.listen();
-            if let Some(chosen) = self.choose() {
-                return Some(chosen);
-            }
+            // A place may have been freed before.
+            chosen = self.choose();
             let now = self.node.now();
-            if now >= until || !self.waits_for_place(now) {
-                return None;
+            if chosen.is_some() || now >= until || !self.waits_for_place(now) {
+                break;
             }
             exec::timeout(Duration::from_millis(until - now), freed).await;
         }
+        chosen
     }
 
     /// Whether the upstreams of the service are brittle, and this gateway's places at them are taken.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -142,9 +142,7 @@
         self.record(if tunnel.is_ok() { Attempt::Relayed } else { Attempt::Failed });
         tunnel.map(Transport::Relayed)
     }
-}
 
-impl<W: Wire, S: Rows> Dialer<'_, W, S> {
     /// Opens a tunnel through one of the other gateways, which are asked one after another.
     async fn open_tunnel(&self) -> Result<Upgraded, Unreached> {
         let reach = &self.node.reach;
@@ -246,16 +244,15 @@
     let mut shuffled: Vec<_> = listings.iter().filter(|(_, listing)| !listing.leaving).collect();
     shuffled.shuffle(&mut rand::thread_rng());
     let mut services: SmallVec<[&str; CHECKED_UPSTREAMS]> = SmallVec::new();
-    let (mut first, mut others) = (vec![], vec![]);
-    for (name, listing) in shuffled {
+    let (first, others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(|(_, listing)| {
         let is_first = !services.contains(&listing.service.as_str());
         if is_first {
             services.push(&listing.service);
         }
-        let group = if is_first { &mut first } else { &mut others };
-        group.push((name.clone(), listing.address));
-    }
-    first.into_iter().chain(others).take(CHECKED_UPSTREAMS).collect()
+        is_first
+    });
+    let sample = first.into_iter().chain(others).take(CHECKED_UPSTREAMS);
+    sample.map(|(name, listing)| (name.clone(), listing.address)).collect()
 }
 
 /// Checks the gateway's path to the upstreams when none answers any more, and until it is whole again.
