A test of the store's failover counts the bytes on the link instead of the time

It failed once beside load, at 2.86 s where 2.81 s were allowed. The failure that it guards against is a second copy of an answer on the same link; the time only stands for it, and grows with a starved processor, on which the simulated link idles between chunks. That part is by reading, not by a run. The link counts its bytes now: just one copy may pass, where before one of a third would have gone unnoticed.

--- a/crates/gateway/tests/unit/failover.rs
+++ b/crates/gateway/tests/unit/failover.rs
@@ -318,13 +318,9 @@
         store.set(Behaviour::OverLink);
         let began = Instant::now();
         let answer = failover.list("things", "").await;
-        let alone = Duration::from_secs_f64(LARGE_BYTES as f64 / LINK_BYTES_PER_S);
         assert!(answer.is_ok(), "{answer:?} after {:?}", began.elapsed());
-        assert!(
-            began.elapsed() < alone.mul_f64(1.3),
-            "{:?}, without other traffic it takes {alone:?}",
-            began.elapsed()
-        );
+        let copies = store.link.bytes() as f64 / LARGE_BYTES as f64;
+        assert!((1.0..1.05).contains(&copies), "{copies} copies of the answer passed the link");
         assert_eq!(by_other.bytes_passed(), 0, "bytes that arrived a second time");
         assert!(!failover.lock().is_unreachable(), "the store counts as unreachable");
     });
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -67,16 +67,24 @@
     bytes_per_s: f64,
     /// When the link has transmitted all bytes that were handed to it so far.
     free_at: Mutex<Instant>,
+    /// The bytes that were handed to it so far.
+    bytes: AtomicU64,
 }
 
 impl Link {
     /// Creates a link with this rate.
     pub fn new(bytes_per_s: f64) -> Link {
-        Link { bytes_per_s, free_at: Mutex::new(Instant::now()) }
+        Link { bytes_per_s, free_at: Mutex::new(Instant::now()), bytes: AtomicU64::new(0) }
+    }
+
+    /// The number of bytes that were handed to the link.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
     }
 
     /// Waits until the link has transmitted `bytes`, after all bytes that were handed to it before.
     pub async fn transmit(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
         let duration = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
         let until = {
             let mut free_at = self.free_at.lock().expect("the link's lock");
