Check only once at a time whether a gateway is isolated

Found while reading: each failed attempt of the check counted as one more failure and started another check.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -18,7 +18,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
@@ -45,6 +45,8 @@
     relays: Mutex<Relays>,
     /// When an upstream last answered, in milliseconds since the process started.
     heard: AtomicU64,
+    /// Whether it is being checked whether this gateway is isolated.
+    is_confirming: AtomicBool,
 }
 
 impl Reach {
@@ -222,20 +224,28 @@
     }
 }
 
-/// Tries further upstreams, first one of each service. If none is reached, the gateway is isolated.
+/// Tries further upstreams, at least one of each service. If none is reached, the gateway is isolated.
 async fn confirm_isolation<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
-    for (upstream, address) in sample_upstreams(&node) {
-        let dialer = Dialer { node: &node, upstream: &upstream };
-        if dialer.dial_directly_first(address).await.is_ok() {
-            return;
-        }
+    // The attempts of a check would each cause another one.
+    if node.reach.is_confirming.swap(true, Ordering::Relaxed) {
+        return;
     }
-    let is_new = node.reach.state().confirm_isolated();
+    let is_reached = check_path(&node).await;
+    let is_new = !is_reached && node.reach.state().confirm_isolated();
+    node.reach.is_confirming.store(false, Ordering::Relaxed);
     if is_new {
         apply_status(&node, Status::Isolated);
     }
 }
 
+/// Connects to some upstreams, which tells whether they can be reached directly. Returns whether any was reached.
+async fn check_path<W: Wire, S: Rows>(node: &Arc<Node<W, S>>) -> bool {
+    let checks = sample_upstreams(node).into_iter().map(async |(upstream, address)| {
+        Dialer { node, upstream: &upstream }.dial_directly_first(address).await.is_ok()
+    });
+    futures::future::join_all(checks).await.contains(&true)
+}
+
 /// Some upstreams with their addresses, of as many services as possible.
 fn sample_upstreams<W: Wire, S: Rows>(
     node: &Node<W, S>,
@@ -281,15 +291,8 @@
         let is_waiting = node.reach.is_direct() && node.placer().open_requests().next().is_some();
         let heard = node.reach.heard.load(Ordering::Relaxed);
         if monitor.is_check_due(is_waiting, heard, node.now()) {
-            exec::spawn(check_path(node.clone())).detach();
+            let node = node.clone();
+            exec::spawn(async move { check_path(&node).await }).detach();
         }
     }
 }
-
-/// Connects to some upstreams, which tells whether they can be reached directly.
-async fn check_path<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
-    let checks = sample_upstreams(&node).into_iter().map(async |(upstream, address)| {
-        let _ = Dialer { node: &node, upstream: &upstream }.dial_directly_first(address).await;
-    });
-    futures::future::join_all(checks).await;
-}
