Log how the answer of a stream is framed, and how many bytes follow its last event

The record of the incident has short answers that the gateway logged as complete. Its log did not tell whether their heads named a length, nor whether they ended inside an event, so it could not distinguish the hypotheses. No logic changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::brittle;
 use crate::event::EventSplitter;
+use crate::framing::Framing;
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
 use crate::limits;
 use crate::link::Turn;
@@ -48,6 +49,7 @@
     pub body: Incoming,
     pub lease: net::Lease,
     pub slot: UpstreamSlot<W, S>,
+    pub framing: Framing,
 }
 
 /// The outcome of an attempt.
@@ -204,8 +206,8 @@
             }
         };
         match outcome {
-            ReadOutcome::Stream(head, body, lease, bytes) => {
-                Outcome::Stream(head, Box::new(OpenStream { body, lease, slot }), bytes)
+            ReadOutcome::Stream(head, framing, body, lease, bytes) => {
+                Outcome::Stream(head, Box::new(OpenStream { body, lease, slot, framing }), bytes)
             }
             ReadOutcome::Other(outcome) => outcome,
         }
@@ -242,7 +244,8 @@
         };
         self.node.reach.record_answer(self.node.now());
         let (head, body) = response.into_parts();
-        if lease.is_relayed() && !body.is_end_stream() && !is_framed(&head) {
+        let is_closed = Framing::of(&head) == Framing::Closed;
+        if lease.is_relayed() && !body.is_end_stream() && is_closed {
             let reason = "an answer that ends with its connection may be cut off by the relay";
             return ReadOutcome::Other(Outcome::NoValidAnswer(reason.to_owned()));
         }
@@ -375,6 +378,7 @@
         slot: &mut UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
     ) -> ReadOutcome<W, S> {
+        let framing = Framing::of(&head);
         loop {
             match body.frame().await {
                 Some(Ok(frame)) => {
@@ -383,7 +387,7 @@
                     if !events.is_empty() {
                         slot.mark_prompt_read();
                         strip_hop_by_hop(&mut head.headers);
-                        return ReadOutcome::Stream(head, body, lease, events);
+                        return ReadOutcome::Stream(head, framing, body, lease, events);
                     }
                 }
                 Some(Err(error)) => {
@@ -460,15 +464,10 @@
 }
 
 enum ReadOutcome<W: Wire, S: Rows> {
-    Stream(response::Parts, Incoming, net::Lease, Bytes),
+    Stream(response::Parts, Framing, Incoming, net::Lease, Bytes),
     Other(Outcome<W, S>),
 }
 
-/// Whether the head of an answer tells where its body ends.
-fn is_framed(head: &response::Parts) -> bool {
-    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// The path and query of a URI: the form in which a request to an origin server names its target.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned().unwrap_or(http::uri::PathAndQuery::from_static("/"));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -71,6 +71,11 @@
         Bytes::from(std::mem::take(&mut self.partial))
     }
 
+    /// The number of bytes after the last complete event.
+    pub(crate) fn partial_length(&self) -> usize {
+        self.partial.len()
+    }
+
     /// The identifier of the last complete event.
     pub(crate) fn last_id(&self) -> Option<u64> {
         self.last_id
--- /dev/null
+++ b/crates/gateway/src/framing.rs
@@ -0,0 +1,36 @@
+//! How the head of an answer says where its body ends.
+
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response;
+
+/// How the end of an answer's body is recognized.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Framing {
+    /// The body comes in chunks, the last of which is marked.
+    Chunked,
+    /// The body ends with its connection, so that its end can't be told from a connection that was closed early.
+    Closed,
+    /// The head names the length.
+    Sized,
+}
+
+impl Framing {
+    pub(crate) fn of(head: &response::Parts) -> Framing {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Framing::Chunked;
+        }
+        match head.headers.contains_key(CONTENT_LENGTH) {
+            true => Framing::Sized,
+            false => Framing::Closed,
+        }
+    }
+
+    /// The name used in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Framing::Chunked => "chunked",
+            Framing::Closed => "closed",
+            Framing::Sized => "sized",
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod denials;
 mod event;
 mod failover;
+mod framing;
 mod handle;
 mod hints;
 mod job;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{OpenStream, Outcome};
 use crate::event::EventSplitter;
+use crate::framing::Framing;
 use crate::job::{Job, TokenMeter};
 use crate::manifest::RouteKind;
 use crate::ports::Wire;
@@ -31,6 +32,8 @@
     state: State<W, S>,
     splitter: EventSplitter,
     meter: TokenMeter,
+    /// The framing of the answer that the stream now comes from.
+    framing: Framing,
     ready: Option<Bytes>,
     check_timer: Timer,
     began: Millis,
@@ -82,6 +85,7 @@
         let now_exact = job.node.now_exact();
         Relay {
             job,
+            framing: stream.framing,
             state: State::Streaming(stream),
             splitter,
             meter,
@@ -180,13 +184,13 @@
     }
 
     fn complete(&mut self) -> Step {
-        let partial = self.splitter.take_partial();
         if let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) {
             self.job.node.placer().record_success(&stream.slot.upstream, None);
             self.job.record_survival();
             stream.lease.keep();
         }
         self.log_end("complete", "");
+        let partial = self.splitter.take_partial();
         if partial.is_empty() { Step::Done } else { Step::Yield(partial) }
     }
 
@@ -262,6 +266,7 @@
         self.pauses = PauseTracker::new(now);
         self.splitter = resumed.splitter;
         self.meter.record_events(self.splitter.count());
+        self.framing = resumed.stream.framing;
         self.state = State::Streaming(resumed.stream);
         Step::Yield(resumed.events)
     }
@@ -270,9 +275,12 @@
         let tokens = self.meter.tokens();
         let first_ms = self.began.saturating_sub(self.job.request.arrived);
         let (events, gap_ms) = (self.splitter.count(), self.longest_gap as Millis);
+        let (framing, partial) = (self.framing.name(), self.splitter.partial_length());
         self.job.log_end(
             outcome,
-            format_args!("first-ms={first_ms} gap-ms={gap_ms} events={events} tokens={tokens} {detail}"),
+            format_args!(
+                "first-ms={first_ms} gap-ms={gap_ms} events={events} tokens={tokens} framing={framing} partial={partial} {detail}"
+            ),
         );
     }
 }
