--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,11 +2,13 @@
 
 use crate::loopback;
 use async_channel::Sender;
+use futures::future::{Either, select};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +19,12 @@
 const MAX_BACKLOG: i32 = 1_024;
 /// The interval at which a task that waits for another rule checks it.
 const RULE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The delay of a reset after the last bytes.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+/// The ends of a request line.
+const REQUEST_ENDS: [&[u8]; 2] = [b" HTTP/1.1\r\n", b" HTTP/1.0\r\n"];
+/// The beginnings of a status line.
+const STATUS_STARTS: [&[u8]; 2] = [b"HTTP/1.0 ", b"HTTP/1.1 "];
 
 /// How the proxy treats connections and their bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -36,6 +44,13 @@
     BlockBack,
     /// Each connection is closed after this many bytes from the target.
     CloseAfter(usize),
+    /// Like [`Rule::CloseAfter`], but each connection is reset.
+    ResetAfter(usize),
+    /// Requests reach the target as HTTP/1.0, so that answers of unknown length come without chunks and end with
+    /// their connections.
+    Http10,
+    /// Like [`Rule::Http10`], but the answers claim to be HTTP/1.1.
+    Unframed,
     /// Open connections go on, and new ones are refused.
     RefuseNew,
     /// All bytes are held back until the rule changes, and new connections are neither accepted nor refused.
@@ -250,11 +265,20 @@
         return;
     };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let forward = pump(client.clone(), server.clone(), &shared, Direction::Forward);
-    let back = pump(server, client, &shared, Direction::Back);
+    let forward = pin!(pump(client.clone(), server.clone(), &shared, Direction::Forward));
+    let back = pin!(pump(server, client, &shared, Direction::Back));
     let closed = shared.wait_for_rule(|rule| matches!(rule, Rule::Cut | Rule::Down));
     let transfer = async {
-        futures::future::join(forward, back).await;
+        match select(back, forward).await {
+            // Dropping both connections resets that of the client.
+            Either::Left((End::Reset, _)) => {}
+            Either::Left((End::Closed, forward)) => {
+                forward.await;
+            }
+            Either::Right((_, back)) => {
+                back.await;
+            }
+        }
     };
     smol::future::or(transfer, closed).await;
 }
@@ -265,7 +289,15 @@
     Back,
 }
 
-async fn pump(mut from: TcpStream, mut to: TcpStream, shared: &Shared, direction: Direction) {
+/// How a direction of a connection ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Closed,
+    /// The receiver's connection is to be reset.
+    Reset,
+}
+
+async fn pump(mut from: TcpStream, mut to: TcpStream, shared: &Shared, direction: Direction) -> End {
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut passed = 0;
     while let Ok(count @ 1..) = from.read(&mut chunk).await {
@@ -279,19 +311,39 @@
         if let (Some(link), Direction::Back) = (&shared.link, direction) {
             link.transmit(count).await;
         }
+        match (shared.rule(), direction) {
+            (Rule::Http10 | Rule::Unframed, Direction::Forward) => replace(&mut chunk[..count], REQUEST_ENDS),
+            (Rule::Unframed, Direction::Back) if passed == 0 => replace(&mut chunk[..count], STATUS_STARTS),
+            _ => {}
+        }
         let mut is_last = false;
-        if let (Rule::CloseAfter(limit), Direction::Back) = (shared.rule(), direction) {
+        let rule = shared.rule();
+        if let (Rule::CloseAfter(limit) | Rule::ResetAfter(limit), Direction::Back) = (rule, direction) {
             is_last = passed + count >= limit;
             count = count.min(limit.saturating_sub(passed));
         }
         passed += count;
         shared.passed.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&chunk[..count]).await.is_err() || is_last {
+            if let (true, Rule::ResetAfter(_)) = (is_last, rule) {
+                // A reset discards what the receiver has not read yet.
+                net::exec::sleep(RESET_DELAY).await;
+                let _ = SockRef::from(&to).set_linger(Some(Duration::ZERO));
+                return End::Reset;
+            }
             break;
         }
     }
     let _ = to.shutdown(std::net::Shutdown::Both);
     let _ = from.shutdown(std::net::Shutdown::Both);
+    End::Closed
+}
+
+/// Replaces the first occurrence of `old` by `new`, which is as long.
+fn replace(chunk: &mut [u8], [old, new]: [&[u8]; 2]) {
+    if let Some(start) = chunk.windows(old.len()).position(|window| window == old) {
+        chunk[start..start + old.len()].copy_from_slice(new);
+    }
 }
 
 fn is_blocked(rule: Rule, direction: Direction) -> bool {
