A stream that ends inside an event has been broken off

Callers got streams that their upstreams had broken off as complete answers: chunked, with the end marked, and a part of an event at their end.

Cause: the end of an upstream's connection was taken for the end of the answer. That is right for an answer in chunks or with a length, whose early end is an error of the HTTP library. An answer with neither ends with its connection, however it ends; the relay passed on the rest of the bytes, even a part of an event, and ended its own answer in order.

Resets are errors, as the test of them shows.

A stream whose bytes end inside an event is now broken off, however it is framed: it is resumed if its route allows that, and aborted otherwise; before its first event it is tried elsewhere or answered 502. Answers whose head names another media type than that of events are read whole.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::ports::{Malformed, ResponseCheck, Wire};
 use crate::reach::Dialer;
 use crate::refusal::Refusal;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body::Body as _;
@@ -33,6 +33,8 @@
 /// The time after a request's deadline at which the gateway gives up, in milliseconds: the upstream's own
 /// final answer may still arrive.
 const DEADLINE_SLACK_MS: u64 = 60;
+/// The media type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
 /// The largest answer that is not a stream, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
@@ -268,7 +270,9 @@
                     head.status.as_u16()
                 )))
             }
-            ResponseCheck::Valid if self.kind().is_stream() && head.status == StatusCode::OK => {
+            ResponseCheck::Valid
+                if self.kind().is_stream() && head.status == StatusCode::OK && is_event_stream(&head) =>
+            {
                 self.read_events(head, body, lease, slot, splitter).await
             }
             ResponseCheck::Valid => ReadOutcome::Other(self.read_whole(head, body, lease, slot).await),
@@ -395,10 +399,14 @@
                         "could not read the stream: {error}"
                     )));
                 }
+                None if splitter.is_inside_event() => {
+                    let reason = "the stream ended inside an event".to_owned();
+                    return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
+                }
                 None => {
                     lease.keep();
                     strip_hop_by_hop(&mut head.headers);
-                    return ReadOutcome::Other(Outcome::Complete(head, splitter.take_partial()));
+                    return ReadOutcome::Other(Outcome::Complete(head, Bytes::new()));
                 }
             }
         }
@@ -468,6 +476,12 @@
     Other(Outcome<W, S>),
 }
 
+/// Whether an answer consists of events, as that to a request for a stream does unless its head says otherwise.
+fn is_event_stream(head: &response::Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    media_type.is_none_or(|text| text.trim_ascii_start().to_ascii_lowercase().starts_with(EVENT_STREAM))
+}
+
 /// The path and query of a URI: the form in which a request to an origin server names its target.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned().unwrap_or(http::uri::PathAndQuery::from_static("/"));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -66,9 +66,9 @@
         self.partial.clear();
     }
 
-    /// Takes the bytes after the last complete event.
-    pub(crate) fn take_partial(&mut self) -> Bytes {
-        Bytes::from(std::mem::take(&mut self.partial))
+    /// Whether the bytes so far end inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
     }
 
     /// The number of bytes after the last complete event.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -168,6 +168,7 @@
                 Step::Yield(events)
             }
             Some(Err(error)) => self.start_resume(&format!("could not read the stream: {error}")),
+            None if self.splitter.is_inside_event() => self.start_resume("the stream ended inside an event"),
             None => self.complete(),
         }
     }
@@ -190,8 +191,7 @@
             stream.lease.keep();
         }
         self.log_end("complete", "");
-        let partial = self.splitter.take_partial();
-        if partial.is_empty() { Step::Done } else { Step::Yield(partial) }
+        Step::Done
     }
 
     /// Checks periodically whether the deadline has passed or the upstream has stalled.
--- a/crates/gateway/tests/unit/event.rs
+++ b/crates/gateway/tests/unit/event.rs
@@ -27,5 +27,5 @@
     let out = push(&mut splitter, "id: 1\ndata: a\n\nid: 2\ndata: torn\n\nid: 3\ndata: c\n\n");
     assert_eq!(out, "id: 2\ndata: torn\n\nid: 3\ndata: c\n\n");
     assert_eq!(splitter.count(), 3);
-    assert!(splitter.take_partial().is_empty());
+    assert!(!splitter.is_inside_event());
 }
