Frame answers to callers by their own connection, not by the upstream's version

An answer of an upstream that speaks HTTP/1.0 was passed on with that version, so the gateway's own answer had no chunks and ended with its connection: one that was broken off looked complete to the caller although the gateway logged it as broken. Found by the test of resets, whose stand-in spoke HTTP/1.0 at first. The test failed before (no transfer-encoding, and a truncated stream that counts as complete), and passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
-use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, Request, StatusCode, Uri, Version};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
@@ -364,7 +364,7 @@
             Ok(bytes) => {
                 lease.keep();
                 slot.mark_prompt_read();
-                strip_hop_by_hop(&mut head.headers);
+                detach(&mut head);
                 match head.status.is_server_error() {
                     true => Outcome::ServerError(head, bytes),
                     false => Outcome::Complete(head, bytes),
@@ -390,7 +390,7 @@
                     let events = splitter.push(data);
                     if !events.is_empty() {
                         slot.mark_prompt_read();
-                        strip_hop_by_hop(&mut head.headers);
+                        detach(&mut head);
                         return ReadOutcome::Stream(head, framing, body, lease, events);
                     }
                 }
@@ -405,7 +405,7 @@
                 }
                 None => {
                     lease.keep();
-                    strip_hop_by_hop(&mut head.headers);
+                    detach(&mut head);
                     return ReadOutcome::Other(Outcome::Complete(head, Bytes::new()));
                 }
             }
@@ -488,6 +488,13 @@
     Uri::from(path)
 }
 
+/// Removes from the head of an answer what applies only to the upstream's connection: the hop-by-hop headers, and the
+/// version of the protocol, which decides how the body is framed for the caller.
+fn detach(head: &mut response::Parts) {
+    strip_hop_by_hop(&mut head.headers);
+    head.version = Version::HTTP_11;
+}
+
 /// Removes the hop-by-hop headers, including those that `Connection` names.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
