A resumption that has no event left completes its stream

A stream that broke between its last event and its end was resumed at another upstream, whose empty answer did not count: the stream was resumed again and again, and aborted in the end although the caller had all of it. Found while reading what follows a broken stream. The test failed before (no complete answer), and passes now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::ports::Wire;
 use async_channel::Receiver;
 use futures::{Stream, StreamExt};
+use http::StatusCode;
 use http_body::Body as _;
 use hyper::body::Bytes;
 use net::exec;
@@ -51,11 +52,12 @@
     Ended,
 }
 
-/// A stream resumed at another upstream, with the splitter that read its first events.
-struct Resumed<W: Wire, S: Rows> {
-    stream: Box<OpenStream<W, S>>,
-    splitter: EventSplitter,
-    events: Bytes,
+/// How a stream was resumed at another upstream.
+enum Resumed<W: Wire, S: Rows> {
+    /// It goes on with these events. The splitter has read them.
+    Continued { stream: Box<OpenStream<W, S>>, splitter: EventSplitter, events: Bytes },
+    /// No event was left.
+    Complete(EventSplitter),
 }
 
 /// What to do after polling the stream.
@@ -260,15 +262,23 @@
         let Some(resumed) = resumed else {
             return Step::Fail("no upstream could resume the stream".to_owned());
         };
+        let (stream, splitter, events) = match resumed {
+            Resumed::Continued { stream, splitter, events } => (stream, splitter, events),
+            Resumed::Complete(splitter) => {
+                self.splitter = splitter;
+                self.log_end("complete", "");
+                return Step::Done;
+            }
+        };
         self.run_began = self.job.node.now();
         let now = self.job.node.now_exact();
         self.reading.record_arrived(now);
         self.pauses = PauseTracker::new(now);
-        self.splitter = resumed.splitter;
+        self.splitter = splitter;
         self.meter.record_events(self.splitter.count());
-        self.framing = resumed.stream.framing;
-        self.state = State::Streaming(resumed.stream);
-        Step::Yield(resumed.events)
+        self.framing = stream.framing;
+        self.state = State::Streaming(stream);
+        Step::Yield(events)
     }
 
     fn log_end(&self, outcome: &str, detail: &str) {
@@ -309,7 +319,12 @@
             let outcome = self.attempt(&chosen, turn, &mut splitter, after, true).await;
             self.record_attempt(&chosen.upstream, &outcome);
             match outcome {
-                Outcome::Stream(_, stream, events) => return Some(Resumed { stream, splitter, events }),
+                Outcome::Stream(_, stream, events) => {
+                    return Some(Resumed::Continued { stream, splitter, events });
+                }
+                Outcome::Complete(head, bytes) if head.status == StatusCode::OK && bytes.is_empty() => {
+                    return Some(Resumed::Complete(splitter));
+                }
                 Outcome::TimedOut => return None,
                 _ => splitter.discard_partial(),
             }
