A closed connection ends a stream only if its upstream still listens

A process that crashes closes its connections in order, and it writes whole events, so a stream without length and chunks then ends between two events and looks complete. The gateway now probes the upstream's address once such a stream has ended, as it does after a run that broke off: if it refuses connections at this gateway and at others, and the upstream did not announce that it leaves, the stream is broken off. A stream that is closed before an event is broken in any case. Not covered: an upstream that closes a connection between two events and goes on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -403,6 +403,10 @@
                     let reason = "the stream ended inside an event".to_owned();
                     return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
                 }
+                None if framing == Framing::Closed => {
+                    let reason = "the connection was closed before an event".to_owned();
+                    return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
+                }
                 None => {
                     lease.keep();
                     detach(&mut head);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -177,6 +177,15 @@
     handle_follow_up(&node, follow_up);
 }
 
+/// Whether an upstream's process has terminated without notice.
+pub(crate) async fn has_crashed<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, upstream: &str) -> bool {
+    let Some(address) = node.listings().get(upstream).map(|listing| listing.address) else { return false };
+    exec::sleep(PROBE_DELAY).await;
+    net::probe(address, PROBE_TIMEOUT).await == ProbeResult::Refuses
+        && !node.placer().is_leaving(upstream)
+        && !reach::is_reached_by_others(node, upstream).await
+}
+
 /// Tells the other gateways what they need to know, and schedules the decision on a suspect if it is due.
 fn handle_follow_up<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, follow_up: FollowUp) {
     if let Some(notice) = follow_up.notice {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::job::{Job, TokenMeter};
 use crate::manifest::RouteKind;
 use crate::ports::Wire;
+use crate::quarantine;
 use async_channel::Receiver;
 use futures::{Stream, StreamExt};
 use http::StatusCode;
@@ -48,6 +49,9 @@
 
 enum State<W: Wire, S: Rows> {
     Streaming(Box<OpenStream<W, S>>),
+    /// The connection that the stream came from was closed after a whole event. The answer is complete unless the
+    /// upstream has crashed, which the channel tells.
+    Closed(Box<OpenStream<W, S>>, Pin<Box<Receiver<bool>>>),
     Resuming(Pin<Box<Receiver<Resumed<W, S>>>>),
     Ended,
 }
@@ -121,6 +125,10 @@
                     Poll::Ready(frame) => self.handle_frame(frame),
                     Poll::Pending => ready!(self.poll_check(context)),
                 },
+                State::Closed(_, receiver) => match receiver.as_mut().poll_next(context) {
+                    Poll::Ready(has_crashed) => self.finish_closed(has_crashed.unwrap_or(false)),
+                    Poll::Pending => return Poll::Pending,
+                },
                 State::Resuming(receiver) => match receiver.as_mut().poll_next(context) {
                     Poll::Ready(resumed) => self.finish_resume(resumed),
                     Poll::Pending => ready!(self.poll_check(context)),
@@ -171,10 +179,36 @@
             }
             Some(Err(error)) => self.start_resume(&format!("could not read the stream: {error}")),
             None if self.splitter.is_inside_event() => self.start_resume("the stream ended inside an event"),
+            None if self.framing == Framing::Closed => self.inspect_closed(),
             None => self.complete(),
         }
     }
 
+    /// Checks whether the upstream of a closed connection has crashed, since a crash may end a stream like its own end.
+    fn inspect_closed(&mut self) -> Step {
+        let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) else {
+            return Step::Continue;
+        };
+        let (sender, receiver) = async_channel::bounded(1);
+        let (job, upstream) = (self.job.clone(), stream.slot.upstream.clone());
+        exec::spawn(async move {
+            let _ = sender.send(quarantine::has_crashed(&job.node, &upstream).await).await;
+        })
+        .detach();
+        self.state = State::Closed(stream, Box::pin(receiver));
+        Step::Continue
+    }
+
+    fn finish_closed(&mut self, has_crashed: bool) -> Step {
+        if let State::Closed(stream, _) = std::mem::replace(&mut self.state, State::Ended) {
+            self.state = State::Streaming(stream);
+        }
+        match has_crashed {
+            true => self.start_resume("the upstream crashed"),
+            false => self.complete(),
+        }
+    }
+
     /// Updates the estimated event pace of the upstream with the time since the last event.
     fn observe(&mut self, now: f64) {
         let State::Streaming(stream) = &self.state else { return };
