Events may end with carriage returns

The media type of event streams allows lines that end with CR LF. The test fails without the change.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -2,8 +2,8 @@
 
 use hyper::body::Bytes;
 
-/// The end of an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// The ends of an event: the end of its last line, and an empty line.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
 /// The name of the field that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -89,15 +89,17 @@
 
 /// The length of the first event, including its end.
 fn find_first_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(EVENT_END.len()).position(|window| window == EVENT_END).map(|index| index + EVENT_END.len())
+    (0..bytes.len()).find_map(|start| end_at(bytes, start))
 }
 
 /// The position after the last complete event.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(EVENT_END.len())
-        .rposition(|window| window == EVENT_END)
-        .map(|index| index + EVENT_END.len())
+    (0..bytes.len()).rev().find_map(|start| end_at(bytes, start))
+}
+
+/// The position after the end of an event whose last line ends at `start`.
+fn end_at(bytes: &[u8], start: usize) -> Option<usize> {
+    EVENT_ENDS.iter().find(|end| bytes[start..].starts_with(end)).map(|end| start + end.len())
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/gateway/tests/unit/event.rs
+++ b/crates/gateway/tests/unit/event.rs
@@ -29,3 +29,13 @@
     assert_eq!(splitter.count(), 3);
     assert!(!splitter.is_inside_event());
 }
+
+#[test]
+fn lines_may_end_with_a_carriage_return() {
+    let mut splitter = EventSplitter::default();
+    let parts = ["id: 1\r\ndata: a\r\n", "\r\nid: 2\r\ndata: b\r\n\r", "\nid: 3\r\n"];
+    let out: Vec<String> = parts.iter().map(|part| push(&mut splitter, part)).collect();
+    assert_eq!(out, ["", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n"]);
+    assert_eq!((splitter.count(), splitter.last_id()), (2, Some(2)));
+    assert!(splitter.is_inside_event());
+}
