Read the software version of upstreams and what a caller resumes, and log both

Without them the log can't tell where a stream began, nor who took it up. No choice depends on them yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::limits;
 use crate::link::Turn;
 use crate::manifest::RouteKind;
-use crate::ports::{Malformed, ResponseCheck, Wire};
+use crate::ports::{Malformed, ResponseCheck, Resumption, Wire};
 use crate::reach::Dialer;
 use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -119,9 +119,10 @@
             return Outcome::NotRun("the upstream is no longer listed".to_owned());
         };
         log::info!(
-            "request: id={} event=dispatch upstream={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?}",
+            "request: id={} event=dispatch upstream={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={}",
             self.request.ask.id,
             chosen.upstream,
+            listing.version,
             chosen.cost,
             chosen.first_ms,
             chosen.uncached,
@@ -130,6 +131,7 @@
             chosen.open,
             chosen.candidates,
             after_event,
+            self.request.ask.resumption.as_ref().map_or("-", Resumption::name),
         );
         let connection_limit = self
             .request
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -25,6 +25,22 @@
     pub wait_ms: Option<u64>,
     /// The prompt, if the request is for an inference engine.
     pub prompt: Option<Prompt>,
+    /// Present if the caller takes up a stream whose beginning it has.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that its caller takes up after its connection broke.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Resumption {
+    /// The identifier of the attempt that brought the stream's first event, if the caller names it.
+    pub attempt: Option<String>,
+}
+
+impl Resumption {
+    /// The attempt as it appears in logs.
+    pub(crate) fn name(&self) -> &str {
+        self.attempt.as_deref().unwrap_or("unnamed")
+    }
 }
 
 /// The work that a request gives to an inference engine.
@@ -94,6 +110,8 @@
     pub address: SocketAddr,
     /// The data centre that it runs in.
     pub data_centre: String,
+    /// The version of its software. Versions have no order, and what two of them write doesn't fit together.
+    pub version: String,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts no new requests because it is about to leave.
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -29,8 +29,8 @@
 
 /// The table of snapshots.
 const TABLE: &str = "snapshots";
-/// The partition of the snapshot of the list of upstreams.
-const PART: &str = "upstreams";
+/// The partition of the snapshot of the list of upstreams. Builds with another format use another one.
+const PART: &str = "upstreams-2";
 /// The key of the row that describes the snapshot.
 const HEAD: &str = "head";
 /// The key of the row of the gateway that is about to write a snapshot.
@@ -82,9 +82,10 @@
     name: String,
     /// The version of its row.
     version: u64,
-    /// The indexes of its service and its data centre in [`Contents::names`].
+    /// The indexes of its service, its data centre and its software version in [`Contents::names`].
     service: usize,
     data_centre: usize,
+    software: usize,
     address: SocketAddr,
     slots: u32,
     leaving: bool,
@@ -95,7 +96,7 @@
 /// The contents of a snapshot.
 #[derive(Debug, Default, Deserialize, Serialize)]
 struct Contents {
-    /// The names of services and data centres, to which entries refer by index.
+    /// The names of services, data centres and software versions, to which entries refer by index.
     names: Vec<String>,
     entries: Vec<Entry>,
 }
@@ -112,10 +113,21 @@
     fn add(&mut self, name: &str, version: u64, listing: &Listing) {
         let (service, data_centre) =
             (self.name_index(&listing.service), self.name_index(&listing.data_centre));
+        let software = self.name_index(&listing.version);
         let Listing { address, slots, leaving, started, warmup_ms, .. } = *listing;
         let name = name.to_owned();
-        let entry =
-            Entry { name, version, service, data_centre, address, slots, leaving, started, warmup_ms };
+        let entry = Entry {
+            name,
+            version,
+            service,
+            data_centre,
+            software,
+            address,
+            slots,
+            leaving,
+            started,
+            warmup_ms,
+        };
         self.entries.push(entry);
     }
 
@@ -123,11 +135,18 @@
     fn upstreams(self) -> Option<Vec<Upstream>> {
         let Contents { names, entries } = self;
         let upstream = |entry: Entry| {
-            let Entry { name, version, address, slots, leaving, started, warmup_ms, .. } = entry;
-            let service = names.get(entry.service)?.clone();
-            let data_centre = names.get(entry.data_centre)?.clone();
-            let listing = Listing { service, address, data_centre, slots, leaving, started, warmup_ms };
-            Some(Upstream { name, version, listing })
+            let named = |index: usize| names.get(index).cloned();
+            let listing = Listing {
+                service: named(entry.service)?,
+                address: entry.address,
+                data_centre: named(entry.data_centre)?,
+                version: named(entry.software)?,
+                slots: entry.slots,
+                leaving: entry.leaving,
+                started: entry.started,
+                warmup_ms: entry.warmup_ms,
+            };
+            Some(Upstream { name: entry.name, version: entry.version, listing })
         };
         entries.into_iter().map(upstream).collect()
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -536,8 +536,9 @@
     let is_warming_up = known.is_some_and(|known| warmup_ms <= known.warmup_ms);
     if !(is_same && is_warming_up) {
         log::info!(
-            "upstream: event=listed upstream={name} service={} address={} leaving={} warmup-ms={warmup_ms} row-version={version}",
+            "upstream: event=listed upstream={name} service={} software={} address={} leaving={} warmup-ms={warmup_ms} row-version={version}",
             listing.service,
+            listing.version,
             listing.address,
             listing.leaving
         );
--- a/crates/gateway/tests/unit/snapshot.rs
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -185,6 +185,7 @@
                 8_424,
             )),
             data_centre: format!("zone-{zone}"),
+            version: "v1".to_owned(),
             slots: 48,
             leaving: index % 10 == 0,
             started: Some(1_796_287_260_000 + scatter(index) % 10_000),
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -42,6 +42,7 @@
                 .and_then(|word| word.parse().ok())
                 .ok_or(Malformed { step: "listing", reason: text.to_string() })?,
             data_centre: "here".to_owned(),
+            version: "v1".to_owned(),
             warmup_ms: words.iter().find_map(|word| word.strip_prefix("warmup=")?.parse().ok()).unwrap_or(0),
             slots: 4,
             leaving: words.contains(&"leaving"),
