--- a/crates/emulator/src/restart.rs
+++ b/crates/emulator/src/restart.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use route::placement::{PlacementRequest, Placer, UpstreamInfo};
 use route::roster::{Roster, SPAN_MS};
+use route::version::Version;
 use route::warmup::Warmup;
 use std::collections::{HashMap, VecDeque};
 
@@ -70,7 +71,12 @@
     let warmup = Warmup { per_s: LIMIT_PER_S, duration_ms: WARMUP_MS };
     placer.set_warmups(HashMap::from([(SERVICE.to_owned(), warmup)]));
     for upstream in 0..scenario.upstreams {
-        let info = UpstreamInfo { service: SERVICE.to_owned(), data_centre: "here".to_owned(), slots: 48 };
+        let info = UpstreamInfo {
+            service: SERVICE.to_owned(),
+            data_centre: "here".to_owned(),
+            slots: 48,
+            version: Version::default(),
+        };
         placer.set(&upstream_name(upstream), info, false);
         if scenario.method == LimitMethod::Ring {
             placer.warm_up(&upstream_name(upstream), SPAN_MS + WARMUP_MS, 0);
@@ -146,7 +152,8 @@
 
 /// Dispatches a request by the gateway's own choice.
 fn choose_by_ring(placer: &mut Placer, now: u64) -> Option<usize> {
-    let chosen = placer.choose(&PlacementRequest { service: SERVICE, prompt: None, avoid: &[] }, now)?;
+    let chosen = placer
+        .choose(&PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None }, now)?;
     let ticket = placer.begin(&chosen, None, now);
     placer.end(&chosen.upstream, ticket, now);
     chosen.upstream["engine-".len()..].parse().ok()
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -10,6 +10,7 @@
 use route::placement::{
     DispatchHint, DispatchId, Placement, PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo,
 };
+use route::version::Version;
 use route::{HintFilter, Millis, PauseKind, PauseTracker};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -191,8 +192,12 @@
             let mut placer = Placer::new(&data_centre(index)).with_gateway(&format!("router-{index}"));
             for (engine, name) in names.iter().enumerate() {
                 let slots = scenario.engine.slots as u32;
-                let info =
-                    UpstreamInfo { service: SERVICE.to_owned(), data_centre: data_centre(engine), slots };
+                let info = UpstreamInfo {
+                    service: SERVICE.to_owned(),
+                    data_centre: data_centre(engine),
+                    slots,
+                    version: Version::default(),
+                };
                 placer.set(name, info, false);
             }
             placer
@@ -290,7 +295,8 @@
         if !self.quarantine.admits_harmful(router, self.now) {
             return;
         }
-        let placement_request = PlacementRequest { service: SERVICE, prompt: None, avoid: &[] };
+        let placement_request =
+            PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None };
         let Some(placement) = self.routers[router].choose(&placement_request, self.now as Millis) else {
             return;
         };
@@ -344,7 +350,12 @@
         let data_centre = format!("dc-{}", engine % self.scenario.data_centres);
         for router in &mut self.routers {
             router.forget(&self.names[engine]);
-            let info = UpstreamInfo { service: SERVICE.to_owned(), data_centre: data_centre.clone(), slots };
+            let info = UpstreamInfo {
+                service: SERVICE.to_owned(),
+                data_centre: data_centre.clone(),
+                slots,
+                version: Version::default(),
+            };
             router.set(&self.names[engine], info, false);
         }
     }
@@ -398,7 +409,8 @@
             target_ms: kind.target_ms,
             gap_ms: kind.gap_ms,
         };
-        let placement_request = PlacementRequest { service: SERVICE, prompt: Some(prompt), avoid: &[] };
+        let placement_request =
+            PlacementRequest { service: SERVICE, prompt: Some(prompt), avoid: &[], version: None };
         let now = self.now as Millis;
         let placer = &mut self.routers[router];
         let Some(placement) = placer.choose(&placement_request, now) else { return };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,12 +12,13 @@
 use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
-use http::{HeaderMap, HeaderName, Request, StatusCode, Uri, Version};
+use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use route::pacing;
 use route::placement::Placement;
+use route::version::Version;
 use std::pin::pin;
 use std::time::Duration;
 use store::rows::Rows;
@@ -52,6 +53,8 @@
     pub lease: net::Lease,
     pub slot: UpstreamSlot<W, S>,
     pub framing: Framing,
+    /// The software version of the upstream.
+    pub version: Version,
 }
 
 /// The outcome of an attempt.
@@ -148,6 +151,9 @@
         }
         let connection_share = node.max_connections(connection_limit);
         let max_connections = node.placer().max_connections(&chosen.upstream, connection_share);
+        // A stream that has to go on at one version may need an upstream that is left to other gateways.
+        let max_connections = max_connections.max(usize::from(self.progress().version.is_some()));
+        let version = Version::of(&listing.version);
         let bytes = self.request.body.clone();
         node.load.record_sent(bytes.len(), if turn.is_some() { bytes.len() } else { 0 });
         let (body, writing) =
@@ -170,7 +176,8 @@
             sent
         };
         let began = node.now();
-        let outcome = self.wait_for_first_answer(chosen, slot, splitter, may_try_elsewhere, sending).await;
+        let outcome =
+            self.wait_for_first_answer(chosen, version, slot, splitter, may_try_elsewhere, sending).await;
         self.record_upstream_outcome(chosen, began, &outcome);
         if let Outcome::ConnectionBroken(_) = outcome {
             self.inspect(&chosen.upstream, None).wait().await;
@@ -181,6 +188,7 @@
     async fn wait_for_first_answer(
         &self,
         chosen: &Placement,
+        version: Version,
         slot: UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
         may_try_elsewhere: bool,
@@ -211,7 +219,7 @@
         };
         match outcome {
             ReadOutcome::Stream(head, framing, body, lease, bytes) => {
-                Outcome::Stream(head, Box::new(OpenStream { body, lease, slot, framing }), bytes)
+                Outcome::Stream(head, Box::new(OpenStream { body, lease, slot, framing, version }), bytes)
             }
             ReadOutcome::Other(outcome) => outcome,
         }
@@ -498,7 +506,7 @@
 /// version of the protocol, which decides how the body is framed for the caller.
 fn detach(head: &mut response::Parts) {
     strip_hop_by_hop(&mut head.headers);
-    head.version = Version::HTTP_11;
+    head.version = http::Version::HTTP_11;
 }
 
 /// Removes the hop-by-hop headers, including those that `Connection` names.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,8 +7,9 @@
 use crate::job::{Admitted, Job, TokenMeter};
 use crate::manifest::Lookup;
 use crate::node::{Node, Phase};
+use crate::origins;
 use crate::peer_reservations::{self, Cost, Denial};
-use crate::ports::{Ask, Wire};
+use crate::ports::{Ask, Resumption, Wire};
 use crate::quarantine::{self, Check};
 use crate::receive;
 use crate::refusal::Refusal;
@@ -116,7 +117,10 @@
         Lookup::NoRoute => return Err(refused(Refusal::NoRoute, &version)),
         Lookup::NoKey => return Err(refused(Refusal::NoAccessKey, &version)),
     };
-    let Some(service) = route.select_service(&ask.id).map(str::to_owned) else {
+    // A split route selects the service of a stream by the attempt that began it.
+    let resumption = ask.resumption.as_ref().filter(|_| route.kind.is_stream());
+    let first_attempt = resumption.and_then(|resumption| resumption.attempt.as_deref()).unwrap_or(&ask.id);
+    let Some(service) = route.select_service(first_attempt).map(str::to_owned) else {
         return Err(refused(Refusal::NoUpstream, &version));
     };
     let caller = team.as_ref().map(|team| team.name.as_str());
@@ -131,6 +135,20 @@
         let detail = format!("team={team} route={} {version} fingerprint={fingerprint}", route.name);
         return Err(refused(refusal, &detail));
     }
+    let located = match resumption {
+        Some(resumption) => {
+            origins::locate(node, &service, caller.unwrap_or_default(), resumption).await.map(Some)
+        }
+        None => Ok(None),
+    };
+    let software = match located {
+        Ok(software) => software,
+        Err(refusal) => {
+            let resumes = resumption.map_or("-", Resumption::name);
+            let detail = format!("team={} route={} resumes={resumes}", caller.unwrap_or("-"), route.name);
+            return Err(refused(refusal, &detail));
+        }
+    };
     node.with_retry_window(&service, |window, now| window.record_request(now));
     let reservation = match reserve(node, &manifest, &route, &service, team.as_deref(), &ask).await {
         Ok(reservation) => reservation,
@@ -151,7 +169,7 @@
     if let (Some(team), Some(_)) = (caller, &reservation) {
         node.returns().record_admitted(Group::Team(team), node.now());
     }
-    let admitted = Admitted { ask, head, body, manifest, route, team, service, arrived };
+    let admitted = Admitted { ask, head, body, manifest, route, team, service, version: software, arrived };
     Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
 }
 
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -8,6 +8,7 @@
 //! unknown sender is dropped and counted.
 
 use crate::node::Node;
+use crate::origins::Told;
 use crate::ports::Wire;
 use bincode::Options;
 use route::notice::{Notice, NoticeLimiter, Recipients, coordinators};
@@ -23,6 +24,8 @@
 
 /// The largest datagram, in bytes. It is not fragmented on any link.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// The number of streams whose origins fit into a datagram.
+const ORIGINS_PER_DATAGRAM: usize = 64;
 /// The first byte of each datagram. Gateways of other versions use other formats.
 const VERSION: u8 = 2;
 /// The number of datagrams that are sent before other tasks get a turn: about a fifth of a millisecond.
@@ -57,6 +60,8 @@
     Brittle { service: String, tolerated_per_s: f64 },
     /// A brittle upstream rejected a request for want of room.
     Full { upstream: String },
+    /// The software versions that began streams.
+    Origins(Vec<Told>),
 }
 
 impl Hint {
@@ -70,6 +75,7 @@
             Hint::Limit { .. } => "limit",
             Hint::Brittle { .. } => "brittle",
             Hint::Full { .. } => "full",
+            Hint::Origins(_) => "origins",
         }
     }
 }
@@ -209,6 +215,18 @@
         self.send_to(Hint::Full { upstream: upstream.to_owned() }, Arc::new(gateways));
     }
 
+    /// Tells another gateway which software versions began streams.
+    pub(crate) fn announce_origins(&self, gateway: SocketAddr, told: &[Told]) {
+        for part in told.chunks(ORIGINS_PER_DATAGRAM) {
+            self.send_to(Hint::Origins(part.to_vec()), Arc::new(vec![gateway]));
+        }
+    }
+
+    /// The addresses of the other gateways.
+    pub(crate) fn peers(&self) -> Arc<Vec<SocketAddr>> {
+        self.peers.lock().expect("the peers lock is not poisoned").clone()
+    }
+
     /// Sends a hint after each of [`SEND_DELAYS`], since datagrams can be lost.
     fn send_repeatedly(self: &Arc<Hints>, hint: Hint, recipients: Recipients) {
         let hints = self.clone();
@@ -223,7 +241,7 @@
 
     /// The addresses of the recipients.
     fn recipients(&self, recipients: Recipients) -> Arc<Vec<SocketAddr>> {
-        let peers = self.peers.lock().expect("the peers lock is not poisoned").clone();
+        let peers = self.peers();
         match recipients {
             Recipients::All => peers,
             Recipients::Coordinators(fingerprint) => {
@@ -361,6 +379,7 @@
         Hint::Limit { upstream, started, per_s } => {
             crate::limits::apply_hint(node, &upstream, started, per_s);
         }
+        Hint::Origins(told) => node.origins.apply(&told, node.now()),
         Hint::Full { upstream } => node.placer().record_rejection_hint(&upstream, node.now()),
         Hint::Brittle { service, tolerated_per_s } => {
             crate::brittle::apply_hint(node, &service, tolerated_per_s)
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,6 +9,7 @@
 use net::exec;
 use route::Millis;
 use route::placement::{self, DispatchId, Placement, PlacementRequest};
+use route::version::Version;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
@@ -41,6 +42,8 @@
     pub ran: u32,
     /// Upstreams that must not be tried again.
     pub excluded: Vec<String>,
+    /// The only software version at which the request may run: the one that began its stream.
+    pub version: Option<Version>,
 }
 
 pub(crate) struct Admitted {
@@ -51,6 +54,8 @@
     pub route: Arc<Route>,
     pub team: Option<Arc<Team>>,
     pub service: String,
+    /// The version that began the stream, if the caller takes one up.
+    pub version: Option<Version>,
     /// When the request arrived.
     pub arrived: Millis,
 }
@@ -59,7 +64,8 @@
     pub(crate) fn new(node: Arc<Node<W, S>>, request: Admitted) -> Job<W, S> {
         let timeout_ms = request.ask.wait_ms.unwrap_or(u64::MAX).min(request.route.timeout_ms);
         let deadline = request.arrived.saturating_add(timeout_ms);
-        Job { deadline, _open: OpenGuard::new(&node), node, request, progress: Mutex::default() }
+        let progress = Progress { version: request.version, ..Progress::default() };
+        Job { deadline, _open: OpenGuard::new(&node), node, request, progress: Mutex::new(progress) }
     }
 
     pub(crate) fn progress(&self) -> MutexGuard<'_, Progress> {
@@ -87,6 +93,7 @@
             service: &self.request.service,
             prompt: self.prompt(),
             avoid: &progress.excluded,
+            version: progress.version,
         };
         self.node.placer().choose(&request, self.node.now())
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - `handle` admits it and decides what to do when a dispatch fails.
 //! - `receive` reads its body.
+//! - `origins` finds the software version at which a stream that its caller takes up has to go on.
 //! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
@@ -45,6 +46,7 @@
 mod metrics;
 mod node;
 mod notes;
+mod origins;
 mod owners;
 mod peer_messages;
 mod peer_reservations;
@@ -182,6 +184,7 @@
         peer_reservations::RESERVE_PATH | peer_reservations::REPORT_PATH => {
             peer_reservations::answer(node.clone(), request).await
         }
+        origins::PATH => origins::answer(node.clone(), request).await,
         tunnel::TUNNEL_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
     };
@@ -226,6 +229,8 @@
         exec::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
         node.peer_reservations.expire();
+        node.origins.expire(node.stream_lifetime(), node.now());
+        node.metrics.origins.set(node.origins.stream_count() as i64);
         slow_readers.inc_by(stalled_callers.load(Ordering::Relaxed).saturating_sub(slow_readers.get()));
         node.returns().expire(node.now());
         if round.is_multiple_of(SWEEPS_PER_LOG_LINE) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     pub retry_after: HistogramVec,
     /// Calls to the store, by step, table and outcome.
     pub store_calls: IntCounterVec,
+    /// Streams that callers take up, by outcome.
+    pub resumptions: IntCounterVec,
+    /// The number of streams whose origin is known.
+    pub origins: IntGauge,
     /// Bytes of rows read from and written to the store, by step and table.
     pub store_bytes: IntCounterVec,
     /// The time of a call to the store.
@@ -167,6 +171,15 @@
                 &["service", "reason"],
             ),
             retry_after,
+            resumptions: counters(
+                "tallypaddle_resumptions_total",
+                "Streams that callers take up, by whether the software version that began them is known.",
+                &["outcome"],
+            ),
+            origins: gauge(
+                "tallypaddle_origins",
+                "Streams of which this gateway knows the software version that began them.",
+            ),
             data_centres_evacuated: gauge(
                 "tallypaddle_data_centres_evacuated",
                 "Data centres whose upstreams get nothing.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,8 +4,9 @@
 use crate::hints::Hints;
 use crate::link::Link;
 use crate::load::Load;
-use crate::manifest::{Manifest, Team};
+use crate::manifest::{Manifest, RouteKind, Team};
 use crate::metrics::Metrics;
+use crate::origins::Origins;
 use crate::owners::{Owners, Peer};
 use crate::peer_reservations::PeerReservations;
 use crate::ports::{Listing, Wire};
@@ -32,6 +33,9 @@
 /// gateway could use up all that the fleet shares.
 const INITIAL_FLEET_SIZE: u64 = 8;
 
+/// The time within which a caller takes a stream up after its connection broke, in milliseconds.
+const RETURN_TIME_MS: Millis = 10_000;
+
 /// The phases of a gateway's life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -76,6 +80,9 @@
     pub link: Link,
     pub hints: Arc<Hints>,
     pub owners: Owners,
+    pub origins: Arc<Origins>,
+    /// The longest time that a stream and its resumptions take under the manifest in force, in milliseconds.
+    stream_lifetime: AtomicU64,
     pub peer_reservations: Arc<PeerReservations>,
     /// Notified when a request at an upstream has ended.
     pub place_freed: Event,
@@ -139,6 +146,8 @@
             link,
             load,
             hints: Arc::default(),
+            origins: Arc::default(),
+            stream_lifetime: AtomicU64::new(RETURN_TIME_MS),
             place_freed: Event::new(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
@@ -210,6 +219,10 @@
             *current = Some(next.clone());
         }
         self.metrics.manifest_version.set(next.version as i64);
+        let routes = next.routes.values().flatten();
+        let longest = routes.filter(|route| route.kind == RouteKind::ResumableStream);
+        let longest = longest.map(|route| route.timeout_ms).max().unwrap_or(0);
+        self.stream_lifetime.store(longest.saturating_add(RETURN_TIME_MS), Ordering::Relaxed);
         let warmups =
             next.services.iter().filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
         let connections = next.services.iter().map(|(name, service)| (name.clone(), service.connections));
@@ -227,6 +240,11 @@
         true
     }
 
+    /// The longest time that a stream and its resumptions take, in milliseconds.
+    pub(crate) fn stream_lifetime(&self) -> Millis {
+        self.stream_lifetime.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn placer(&self) -> MutexGuard<'_, Placer> {
         self.placer.lock().expect("the placer lock is not poisoned")
     }
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,290 @@
+//! Where streams began. A gateway that begins a stream tells a few others at which software version, and one that is
+//! asked to take a stream up asks them.
+//!
+//! [`route::origin`] decides whom to tell and to ask, and whether the answers suffice.
+
+use crate::hints::Hints;
+use crate::job::Job;
+use crate::node::Node;
+use crate::ports::{Resumption, Wire};
+use crate::refusal::Refusal;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use net::{Body, Client, exec};
+use route::Millis;
+use route::origin::{self, ASKED, FLUSH_MS, Knowledge, Origin, Stream, Telling, keepers, resolve};
+use route::version::{Seen, Version, Versions};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use store::rows::Rows;
+
+/// The path of questions between gateways.
+pub(crate) const PATH: &str = "/origin";
+/// How long the gateways that are asked may take to answer: round trips between data centres, and the delay of a
+/// process on a busy VM.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// The number of unused connections to a gateway that are kept, and for how long.
+const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
+/// The largest message, in bytes.
+const MESSAGE_LIMIT: usize = 4 << 10;
+
+/// The software version that began a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Told {
+    pub stream: Stream,
+    pub version: Version,
+}
+
+/// Asks what another gateway knows of a stream.
+#[derive(Debug, Deserialize, Serialize)]
+struct Question {
+    service: String,
+    /// `None` if the caller did not name it.
+    stream: Option<Stream>,
+}
+
+/// An open stream that this gateway began.
+#[derive(Clone, Debug)]
+struct Open {
+    service: String,
+    version: Version,
+}
+
+/// What this gateway knows of the software versions of upstreams, and of the streams that they began.
+#[derive(Debug)]
+pub(crate) struct Origins {
+    client: Client,
+    versions: Mutex<Versions>,
+    streams: Mutex<origin::Origins>,
+    open: Mutex<HashMap<Stream, Open>>,
+    outbox: Mutex<Outbox>,
+}
+
+/// What other gateways have to be told.
+#[derive(Debug, Default)]
+struct Outbox {
+    telling: Telling,
+    pending: HashMap<SocketAddr, Vec<Told>>,
+}
+
+impl Default for Origins {
+    fn default() -> Origins {
+        Origins {
+            client: Client::with_idle_limits(IDLE_CONNECTIONS.0, IDLE_CONNECTIONS.1),
+            versions: Mutex::default(),
+            streams: Mutex::default(),
+            open: Mutex::default(),
+            outbox: Mutex::default(),
+        }
+    }
+}
+
+impl Origins {
+    pub(crate) fn versions(&self) -> MutexGuard<'_, Versions> {
+        self.versions.lock().expect("no thread panics while it holds the lock")
+    }
+
+    fn streams(&self) -> MutexGuard<'_, origin::Origins> {
+        self.streams.lock().expect("no thread panics while it holds the lock")
+    }
+
+    fn open(&self) -> MutexGuard<'_, HashMap<Stream, Open>> {
+        self.open.lock().expect("no thread panics while it holds the lock")
+    }
+
+    fn outbox(&self) -> MutexGuard<'_, Outbox> {
+        self.outbox.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// The number of streams whose origin is known.
+    pub(crate) fn stream_count(&self) -> usize {
+        self.streams().len()
+    }
+
+    /// Forgets what no stream needs any more.
+    pub(crate) fn expire(&self, lifetime: Millis, now: Millis) {
+        self.versions().expire(lifetime, now);
+        self.streams().expire(lifetime, now);
+    }
+
+    /// Records what another gateway told.
+    pub(crate) fn apply(&self, told: &[Told], now: Millis) {
+        let mut streams = self.streams();
+        told.iter().for_each(|Told { stream, version }| streams.record(*stream, *version, now));
+    }
+
+    fn knowledge(&self, service: &str, stream: Option<Stream>, lifetime: Millis, now: Millis) -> Knowledge {
+        Knowledge {
+            version: stream.and_then(|stream| self.streams().get(stream, lifetime, now)),
+            seen: self.versions().seen(service, lifetime, now),
+        }
+    }
+
+    /// Queues the origin of a stream for its keepers.
+    fn tell(self: &Arc<Self>, hints: &Arc<Hints>, told: Told, now: Millis) {
+        let peers = hints.peers();
+        let mut outbox = self.outbox();
+        let count = outbox.telling.record(peers.len(), now);
+        let is_scheduled = !outbox.pending.is_empty();
+        for keeper in keepers(told.stream, peers.iter().map(|peer| (*peer, key(*peer))), count) {
+            outbox.pending.entry(keeper).or_default().push(told);
+        }
+        if is_scheduled || outbox.pending.is_empty() {
+            return;
+        }
+        let (origins, hints) = (self.clone(), hints.clone());
+        exec::spawn(async move {
+            exec::sleep(Duration::from_millis(FLUSH_MS)).await;
+            let pending = std::mem::take(&mut origins.outbox().pending);
+            pending.into_iter().for_each(|(keeper, told)| hints.announce_origins(keeper, &told));
+        })
+        .detach();
+    }
+
+    async fn ask(&self, peer: SocketAddr, question: Vec<u8>) -> Option<Knowledge> {
+        let request = Request::post(format!("http://{peer}{PATH}")).body(Body::from(question)).ok()?;
+        let answer = self.client.exchange("origin", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
+        bincode::deserialize(answer.body()).ok()
+    }
+}
+
+/// The bytes by which all gateways know a gateway.
+fn key(gateway: SocketAddr) -> [u8; 18] {
+    let mut key = [0; 18];
+    let address = match gateway.ip() {
+        std::net::IpAddr::V4(address) => address.to_ipv6_mapped(),
+        std::net::IpAddr::V6(address) => address,
+    };
+    key[..16].copy_from_slice(&address.octets());
+    key[16..].copy_from_slice(&gateway.port().to_be_bytes());
+    key
+}
+
+/// An open stream, until it is dropped.
+pub(crate) struct Begun {
+    origins: Arc<Origins>,
+    stream: Stream,
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        self.origins.open().remove(&self.stream);
+    }
+}
+
+impl<W: Wire, S: Rows> Job<W, S> {
+    /// The stream over all attempts of its caller.
+    fn stream(&self) -> Stream {
+        let ask = &self.request.ask;
+        let first = ask.resumption.as_ref().and_then(|resumption| resumption.attempt.as_deref());
+        let team = self.request.team.as_ref().map_or("", |team| team.name.as_str());
+        Stream::of(&self.request.service, team, first.unwrap_or(&ask.id))
+    }
+
+    /// Records that upstreams of this software version began the stream, and tells others where they may not know
+    /// it. From now on the stream may go on at that version only.
+    pub(crate) fn begin_stream(&self, version: Version) -> Begun {
+        let (node, stream, service) = (&self.node, self.stream(), &self.request.service);
+        self.progress().version = Some(version);
+        node.origins.streams().record(stream, version, node.now());
+        node.origins.open().insert(stream, Open { service: service.clone(), version });
+        let seen = node.origins.versions().seen(service, node.stream_lifetime(), node.now());
+        if !matches!(seen, Seen::Sole(_)) {
+            node.origins.tell(&node.hints, Told { stream, version }, node.now());
+        }
+        Begun { origins: node.origins.clone(), stream }
+    }
+}
+
+/// Records that an upstream is listed. If its version is new beside others, the origins of the open streams of its
+/// service are told.
+pub(crate) fn add_upstream<W: Wire, S: Rows>(node: &Node<W, S>, service: &str, version: Version) {
+    if !node.origins.versions().add(service, version) {
+        return;
+    }
+    log::info!("upstream: event=versions service={service}");
+    let open = node.origins.open().clone();
+    for (stream, Open { version, .. }) in open.into_iter().filter(|(_, open)| open.service == service) {
+        node.origins.tell(&node.hints, Told { stream, version }, node.now());
+    }
+}
+
+/// Records that an upstream is no longer listed.
+pub(crate) fn remove_upstream<W: Wire, S: Rows>(node: &Node<W, S>, service: &str, version: Version) {
+    node.origins.versions().remove(service, version, node.now());
+}
+
+/// Finds the software version at which a stream that its caller takes up has to go on.
+///
+/// # Errors
+/// The stream is refused if the version is not known, or if no upstream of it is listed.
+pub(crate) async fn locate<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    service: &str,
+    team: &str,
+    resumption: &Resumption,
+) -> Result<Version, Refusal> {
+    let stream = resumption.attempt.as_deref().map(|attempt| Stream::of(service, team, attempt));
+    let located = match find_origin(node, service, stream).await {
+        Origin::Unknown => Err(Refusal::VersionUnknown),
+        Origin::At(version) if !node.origins.versions().is_listed(service, version) => {
+            Err(Refusal::VersionGone)
+        }
+        Origin::At(version) => Ok(version),
+    };
+    let outcome = located.err().map_or("located", Refusal::name);
+    node.metrics.resumptions.with_label_values(&[outcome]).inc();
+    located
+}
+
+async fn find_origin<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    service: &str,
+    stream: Option<Stream>,
+) -> Origin {
+    let origins = &node.origins;
+    let own = origins.knowledge(service, stream, node.stream_lifetime(), node.now());
+    if let Some(version) = own.version {
+        return Origin::At(version);
+    }
+    let peers = node.hints.peers();
+    // Without a stream, any gateways can tell which versions there are.
+    let ranked_by = stream.unwrap_or_else(|| Stream::of(service, "", &node.holder));
+    let asked = keepers(ranked_by, peers.iter().map(|peer| (*peer, key(*peer))), ASKED);
+    let question = Question { service: service.to_owned(), stream };
+    let question = bincode::serialize(&question).expect("a question serializes to bincode");
+    let mut answers: FuturesUnordered<_> =
+        asked.into_iter().map(|peer| origins.ask(peer, question.clone())).collect();
+    let mut others: Vec<Knowledge> = vec![];
+    let collecting = async {
+        while let Some(answer) = answers.next().await {
+            others.extend(answer);
+            if others.last().is_some_and(|known| known.version.is_some()) {
+                break;
+            }
+        }
+    };
+    exec::timeout(ASK_TIMEOUT, collecting).await;
+    let is_certain = peers.is_empty() || origins.versions().is_current(node.now());
+    resolve(own, is_certain, &others)
+}
+
+/// Answers what this gateway knows of a stream.
+pub(crate) async fn answer<W: Wire, S: Rows>(
+    node: Arc<Node<W, S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let bytes = net::collect(request.into_body(), MESSAGE_LIMIT).await.unwrap_or_default();
+    let Ok(Question { service, stream }) = bincode::deserialize(&bytes) else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return response;
+    };
+    let known = node.origins.knowledge(&service, stream, node.stream_lifetime(), node.now());
+    Response::new(Body::from(bincode::serialize(&known).expect("knowledge serializes to bincode")))
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -43,6 +43,10 @@
     Stopping,
     /// This gateway reaches no upstream.
     Isolated,
+    /// It is not known which software version began the stream that the caller takes up.
+    VersionUnknown,
+    /// No upstream has the software version that began the stream that the caller takes up.
+    VersionGone,
     /// No upstream can serve the request now.
     NoUpstream,
     /// Every upstream of the service is backing off or at its request limit; the time until the first one
@@ -79,6 +83,8 @@
             Refusal::ManifestChanging => "changing",
             Refusal::Stopping => "stopping",
             Refusal::Isolated => "isolated",
+            Refusal::VersionUnknown => "version-unknown",
+            Refusal::VersionGone => "version-gone",
             Refusal::NoUpstream => "no-upstream",
             Refusal::UpstreamsUnavailable(_) => "resting",
             Refusal::LinkFull(_) => "link-full",
@@ -105,6 +111,8 @@
             | Refusal::ManifestChanging
             | Refusal::Stopping
             | Refusal::Isolated
+            | Refusal::VersionUnknown
+            | Refusal::VersionGone
             | Refusal::NoUpstream
             | Refusal::UpstreamsUnavailable(_)
             | Refusal::LinkFull(_)
@@ -127,6 +135,8 @@
             Refusal::ManifestChanging => Some(500),
             Refusal::Stopping => Some(50),
             Refusal::Isolated => Some(300),
+            Refusal::VersionUnknown => Some(200),
+            Refusal::VersionGone => Some(500),
             Refusal::NoUpstream => Some(500),
             Refusal::NotRun => Some(200),
             _ => None,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -19,6 +19,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use net::exec;
+use route::version::Version;
 use serde::{Deserialize, Serialize};
 use std::io::Read;
 use std::net::SocketAddr;
@@ -99,6 +100,8 @@
     /// The names of services, data centres and software versions, to which entries refer by index.
     names: Vec<String>,
     entries: Vec<Entry>,
+    /// The software versions of upstreams that have lately left the list, each with the index of its service.
+    former: Vec<(usize, Version)>,
 }
 
 impl Contents {
@@ -131,9 +134,27 @@
         self.entries.push(entry);
     }
 
+    fn add_former<'a>(&mut self, former: impl Iterator<Item = (&'a str, Version)>) {
+        for (service, version) in former {
+            let service = self.name_index(service);
+            self.former.push((service, version));
+        }
+        self.former.sort_unstable();
+    }
+
+    /// The software versions that upstreams have or lately had, with their services; `None` if an entry refers to a name
+    /// that does not exist.
+    fn versions(&self) -> Option<Vec<(&str, Version)>> {
+        let name = |index: usize| self.names.get(index).map(String::as_str);
+        let listed =
+            self.entries.iter().map(|entry| Some((name(entry.service)?, Version::of(name(entry.software)?))));
+        let former = self.former.iter().map(|(service, version)| Some((name(*service)?, *version)));
+        listed.chain(former).collect()
+    }
+
     /// The upstreams; `None` if an entry refers to a name that does not exist.
     fn upstreams(self) -> Option<Vec<Upstream>> {
-        let Contents { names, entries } = self;
+        let Contents { names, entries, .. } = self;
         let upstream = |entry: Entry| {
             let named = |index: usize| names.get(index).cloned();
             let listing = Listing {
@@ -186,6 +207,7 @@
     while node.now() < until {
         let Ok(page) = node.rows.list(TABLE, PART).await else { return Start::Read };
         node.set_store_clock(page.now_ms);
+        learn_past(node, &page);
         if let Some(snapshot) = read(&page) {
             return Start::FromSnapshot(snapshot);
         }
@@ -221,13 +243,30 @@
     matches!(node.rows.commit(&change).await, Ok(Commit::Applied(_)))
 }
 
+/// Learns which software versions upstreams had before this gateway started. An old snapshot tells this as well: a
+/// version that is no longer listed may have left at any time since. Without a snapshot, the fleet has just begun.
+fn learn_past<W: Wire, S: Rows>(node: &Node<W, S>, page: &Page) {
+    let Some(head) = page.records.iter().find(|record| record.name == HEAD) else {
+        return node.origins.versions().learn_past([], node.now());
+    };
+    let contents = decode(head).and_then(|head| read_contents(page, &head));
+    if let Some(past) = contents.as_ref().and_then(Contents::versions) {
+        node.origins.versions().learn_past(past, node.now());
+    }
+}
+
 /// Decodes the snapshot, if it is fresh and complete.
 fn read(page: &Page) -> Option<Snapshot> {
-    let row = |name: &str| page.records.iter().find(|record| record.name == name);
-    let head: Head = decode(row(HEAD)?)?;
+    let head: Head = decode(page.records.iter().find(|record| record.name == HEAD)?)?;
     if page.now_ms > head.written_ms + MAX_AGE_MS {
         return None;
     }
+    Some(Snapshot { version: head.version, upstreams: read_contents(page, &head)?.upstreams()? })
+}
+
+/// Decodes the contents of the snapshot that `head` describes, if they are complete.
+fn read_contents(page: &Page, head: &Head) -> Option<Contents> {
+    let row = |name: &str| page.records.iter().find(|record| record.name == name);
     let mut bytes = vec![];
     for index in 0..head.chunks {
         bytes.extend_from_slice(row(&chunk_key(index))?.value.as_deref()?);
@@ -236,8 +275,7 @@
         log::warn!("upstream: event=no-snapshot reason=\"its rows are of different ones\"");
         return None;
     }
-    let contents = decompress(&bytes)?;
-    Some(Snapshot { version: head.version, upstreams: contents.upstreams()? })
+    decompress(&bytes)
 }
 
 fn chunk_key(index: usize) -> String {
@@ -302,6 +340,7 @@
         self.has_burst = false;
         let mut contents = Contents::default();
         upstreams.for_each(|(name, version, listing)| contents.add(name, version, listing));
+        contents.add_former(node.origins.versions().former(node.stream_lifetime(), node.now()));
         contents.entries.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         let bytes = match compress(&contents) {
             Ok(bytes) => bytes,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,6 +5,7 @@
 //! known already, so a row is applied only if its version is newer.
 
 use crate::node::Node;
+use crate::origins;
 use crate::ports::{Listing, Wire};
 use crate::snapshot::{self, Snapshot, Start, Upstream, Writer};
 use crate::table::{RECALLS, Recall, decode};
@@ -13,6 +14,7 @@
 use net::exec;
 use route::Millis;
 use route::placement::UpstreamInfo;
+use route::version::Version;
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -388,6 +390,9 @@
             }
             Step::Restart(_) | Step::Failed => {}
         }
+        if follower.after.is_some() && follower.lost_at.is_none() {
+            node.origins.versions().confirm(node.now());
+        }
         resolve_vanished(&node, &mut list);
         if let Some((count, first)) = list.malformed.take() {
             log::warn!("upstream: event=unfit entries={count} {first}");
@@ -512,7 +517,10 @@
             log::warn!("upstream: event=late-entry upstream={name} started={started} newest={newest}",);
             return;
         }
-        if started > std::mem::replace(newest, started) && node.listings().remove(name).is_some() {
+        let has_restarted = started > std::mem::replace(newest, started);
+        let former = if has_restarted { node.listings().remove(name) } else { None };
+        if let Some(former) = former {
+            origins::remove_upstream(node, &former.service, Version::of(&former.version));
             // What was measured before the restart no longer holds.
             node.placer().forget(name);
             log::info!("upstream: event=started-again upstream={name} started={started}");
@@ -547,7 +555,16 @@
         service: listing.service.clone(),
         data_centre: listing.data_centre.clone(),
         slots: listing.slots,
+        version: Version::of(&listing.version),
     };
+    let is_same_version =
+        known.is_some_and(|known| (&known.service, &known.version) == (&listing.service, &listing.version));
+    if !is_same_version {
+        origins::add_upstream(node, &listing.service, info.version);
+        if let Some(known) = known {
+            origins::remove_upstream(node, &known.service, Version::of(&known.version));
+        }
+    }
     let mut placer = node.placer();
     placer.set(name, info, listing.leaving);
     placer.warm_up(name, warmup_ms, node.now());
@@ -612,8 +629,10 @@
 }
 
 fn remove<W: Wire, S: Rows>(node: &Node<W, S>, list: &UpstreamRows, name: &str) {
-    if node.listings().remove(name).is_some() {
+    let removed = node.listings().remove(name);
+    if let Some(listing) = removed {
         node.placer().remove(name);
+        origins::remove_upstream(node, &listing.service, Version::of(&listing.version));
         let version = list.versions.get(name).copied().unwrap_or(0);
         log::info!("upstream: event=gone upstream={name} row-version={version}");
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 mod interference;
 mod limit;
 pub mod notice;
+pub mod origin;
 pub mod overload;
 pub mod pacing;
 mod pauses;
@@ -44,6 +45,7 @@
 pub mod roster;
 mod signals;
 pub mod silence;
+pub mod version;
 pub mod warmup;
 
 pub use assignment::{Owners, assign_slots};
--- /dev/null
+++ b/crates/route/src/origin.rs
@@ -0,0 +1,198 @@
+//! Which software version began a stream, so that any gateway can take the stream up.
+//!
+//! A gateway that begins a stream tells a few others, its keepers, which rendezvous hashing selects by the stream.
+//! A gateway that is asked to take the stream up asks the keepers. Nothing is agreed on and nothing is repaired: if
+//! no keeper remembers a stream, it is not taken up.
+//!
+//! While a service has a single version, nothing is told, since each gateway knows then where streams began.
+
+use crate::Millis;
+use crate::version::{Seen, Version};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::cmp::Reverse;
+use std::collections::{HashMap, VecDeque};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The number of gateways that are asked where a stream began.
+pub const ASKED: usize = 5;
+/// The interval at which what there is to tell is sent, in milliseconds.
+pub const FLUSH_MS: Millis = 200;
+/// The largest number of streams that a gateway remembers.
+const MAX_STREAMS: usize = 1 << 16;
+/// The bytes per second that a gateway may spend on telling others, with the headers of IP and UDP.
+const TELLING_BYTES_PER_S: f64 = 2_400.0;
+/// The bytes of a datagram without its streams, with the headers of IP and UDP.
+const DATAGRAM_BYTES: f64 = 40.0;
+/// The bytes of a stream in a datagram.
+const STREAM_BYTES: f64 = 14.0;
+/// The time constant of the rate at which streams begin, in milliseconds.
+const RATE_TIME_MS: f64 = 5_000.0;
+
+/// The shortest time over which that rate is observed, in milliseconds.
+const MIN_OBSERVED_MS: Millis = 250;
+
+/// A stream over all attempts of its caller, as a digest.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Stream(u64);
+
+impl Stream {
+    /// The stream whose first event came to `attempt`. Attempts of other teams have other streams, even if their
+    /// names are the same.
+    pub fn of(service: &str, team: &str, attempt: &str) -> Stream {
+        let seed = xxh3_64_with_seed(team.as_bytes(), xxh3_64(service.as_bytes()));
+        Stream(xxh3_64_with_seed(attempt.as_bytes(), seed))
+    }
+}
+
+/// The versions that began streams, as far as this gateway began them or was told.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    versions: HashMap<Stream, (Version, Millis)>,
+    order: VecDeque<(Millis, Stream)>,
+}
+
+impl Origins {
+    /// Records which version began a stream. If the stream is known already, its time starts again.
+    pub fn record(&mut self, stream: Stream, version: Version, now: Millis) {
+        self.versions.insert(stream, (version, now));
+        self.order.push_back((now, stream));
+        while self.order.len() > MAX_STREAMS {
+            self.remove_oldest();
+        }
+    }
+
+    /// The version that began a stream, if it was recorded within `lifetime`.
+    pub fn get(&self, stream: Stream, lifetime: Millis, now: Millis) -> Option<Version> {
+        let (version, at) = self.versions.get(&stream)?;
+        (now.saturating_sub(*at) <= lifetime).then_some(*version)
+    }
+
+    /// Forgets the streams that were recorded more than `lifetime` ago.
+    pub fn expire(&mut self, lifetime: Millis, now: Millis) {
+        while self.order.front().is_some_and(|(at, _)| now.saturating_sub(*at) > lifetime) {
+            self.remove_oldest();
+        }
+    }
+
+    /// The number of streams.
+    pub fn len(&self) -> usize {
+        self.versions.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some((at, stream)) = self.order.pop_front() else { return };
+        if self.versions.get(&stream).is_some_and(|(_, recorded)| *recorded == at) {
+            self.versions.remove(&stream);
+        }
+    }
+}
+
+/// The first `count` keepers of a stream: each gateway gets the same ones from the same list. Each gateway comes
+/// with the name by which all know it.
+pub fn keepers<G, N: AsRef<[u8]>>(
+    stream: Stream,
+    gateways: impl IntoIterator<Item = (G, N)>,
+    count: usize,
+) -> SmallVec<[G; ASKED]> {
+    let mut first: SmallVec<[(Reverse<u64>, G); ASKED]> = SmallVec::new();
+    for (gateway, name) in gateways {
+        let weight = Reverse(xxh3_64_with_seed(name.as_ref(), stream.0));
+        let place = first.iter().position(|(other, _)| weight < *other).unwrap_or(first.len());
+        if place < count {
+            first.truncate(count.saturating_sub(1).max(place));
+            first.insert(place, (weight, gateway));
+        }
+    }
+    first.into_iter().map(|(_, gateway)| gateway).collect()
+}
+
+/// Decides how many keepers are told of a stream, by the rate at which streams begin at this gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Telling {
+    /// The average rate, which counts the time before the first stream as time without streams.
+    per_ms: f64,
+    at: Millis,
+    since: Option<Millis>,
+}
+
+impl Telling {
+    /// Records a stream that began. Returns the number of keepers to tell, out of `others` gateways.
+    pub fn record(&mut self, others: usize, now: Millis) -> usize {
+        self.since.get_or_insert(now);
+        let elapsed = now.saturating_sub(self.at) as f64;
+        self.per_ms = self.per_ms * (-elapsed / RATE_TIME_MS).exp() + 1.0 / RATE_TIME_MS;
+        self.at = now;
+        self.keepers(others)
+    }
+
+    /// The streams that begin in a second.
+    fn per_s(&self) -> f64 {
+        let observed = self.at.saturating_sub(self.since.unwrap_or(self.at)).max(MIN_OBSERVED_MS) as f64;
+        self.per_ms * 1_000.0 / (1.0 - (-observed / RATE_TIME_MS).exp())
+    }
+
+    /// As many keepers as the bytes allow, and at least one.
+    fn keepers(&self, others: usize) -> usize {
+        let per_s = self.per_s();
+        let bytes_per_s = |keepers: usize| {
+            let streams_per_s = per_s * keepers as f64;
+            let datagrams_per_s = streams_per_s.min(others as f64 * 1_000.0 / FLUSH_MS as f64);
+            datagrams_per_s * DATAGRAM_BYTES + streams_per_s * STREAM_BYTES
+        };
+        let most = others.min(ASKED);
+        (2..=most)
+            .take_while(|keepers| bytes_per_s(*keepers) <= TELLING_BYTES_PER_S)
+            .last()
+            .unwrap_or(most.min(1))
+    }
+}
+
+/// What a gateway knows of a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Knowledge {
+    /// The version that began the stream, if it is recorded.
+    pub version: Option<Version>,
+    /// The versions of the stream's service.
+    pub seen: Seen,
+}
+
+/// Whether a stream can be taken up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// At upstreams of this version.
+    At(Version),
+    /// It is not known which version began it.
+    Unknown,
+}
+
+/// Decides where a stream began. `own` is what this gateway knows, `is_certain` whether that needs no confirmation:
+/// its list is current, or there are no other gateways. `others` is what the gateways know that were asked and
+/// answered.
+///
+/// A recorded version decides. Without one, the stream began at the only version that this gateway or those that
+/// answered have seen. A gateway whose list is not current may have missed another version, so its word needs that
+/// of another one.
+pub fn resolve(own: Knowledge, is_certain: bool, others: &[Knowledge]) -> Origin {
+    let all = || std::iter::once(&own).chain(others);
+    if let Some(version) = all().find_map(|known| known.version) {
+        return Origin::At(version);
+    }
+    let mut soles = all().filter_map(|known| match known.seen {
+        Seen::Sole(version) => Some(version),
+        Seen::Several | Seen::Unknown => None,
+    });
+    let Some(sole) = soles.next() else { return Origin::Unknown };
+    let is_contradicted = all().any(|known| known.seen == Seen::Several) || soles.any(|other| other != sole);
+    let is_confirmed = is_certain && own.seen == Seen::Sole(sole)
+        || others.iter().any(|known| known.seen == Seen::Sole(sole));
+    match is_confirmed && !is_contradicted {
+        true => Origin::At(sole),
+        false => Origin::Unknown,
+    }
+}
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -22,6 +22,7 @@
 use crate::read_queue::ReadQueue;
 use crate::roster::Roster;
 use crate::signals::Signals;
+use crate::version::Version;
 use crate::warmup::{Warmup, WarmupTracker};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -70,6 +71,8 @@
     pub data_centre: String,
     /// The number of requests that the upstream works on at once.
     pub slots: u32,
+    /// The version of its software.
+    pub version: Version,
 }
 
 /// A prompt, and the targets for its stream.
@@ -96,6 +99,8 @@
     pub prompt: Option<Prompt<'a>>,
     /// Upstreams that must not be chosen again.
     pub avoid: &'a [String],
+    /// The only software version at which the request may run, if it takes up a stream.
+    pub version: Option<Version>,
 }
 
 /// The chosen upstream, and the estimates that decided.
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -132,6 +132,20 @@
         now: Millis,
     ) -> Option<Candidates<'_>> {
         let connecting = self.connecting_gateways(request.service);
+        let candidates = self.candidates_among(request, service, connecting, now);
+        // A stream can't go on at the upstreams that other gateways connect to less often.
+        candidates
+            .or_else(|| request.version.and_then(|_| self.candidates_among(request, service, None, now)))
+    }
+
+    /// The upstreams to consider out of those that this gateway connects to, if `connecting` gateways connect to each.
+    fn candidates_among(
+        &self,
+        request: &PlacementRequest<'_>,
+        service: &Service,
+        connecting: Option<usize>,
+        now: Millis,
+    ) -> Option<Candidates<'_>> {
         // If all upstreams may have restarted, those that are not known to have done so are not limited:
         // otherwise none would accept the request.
         [WarmupState::Uncertain, WarmupState::WarmingUp].into_iter().find_map(|limited_from| {
@@ -178,6 +192,7 @@
     ) -> Option<&Upstream> {
         let upstream = self.upstreams.get(name)?;
         let is_serving = !upstream.leaving
+            && request.version.is_none_or(|version| upstream.info.version == version)
             && !self.is_evacuated(upstream)
             && self.signals.admits(name, now)
             && self.has_capacity(name, upstream, limited_from, now)
--- a/crates/route/tests/brittle.rs
+++ b/crates/route/tests/brittle.rs
@@ -79,9 +79,10 @@
         for gateway in (first..fleet).chain(0..first) {
             let placer = &mut placers[gateway];
             let (mut avoid, mut rejected) = (vec![], vec![]);
-            while let Some(chosen) =
-                placer.choose(&PlacementRequest { service: "narrator", prompt: None, avoid: &avoid }, now)
-            {
+            while let Some(chosen) = placer.choose(
+                &PlacementRequest { service: "narrator", prompt: None, avoid: &avoid, version: None },
+                now,
+            ) {
                 let index = (0..UPSTREAMS).find(|index| upstream(*index) == chosen.upstream).expect("listed");
                 let id = placer.begin(&chosen, None, now);
                 if runs.iter().filter(|run| run.upstream == index).count() < room {
--- a/crates/route/tests/connections.rs
+++ b/crates/route/tests/connections.rs
@@ -2,6 +2,7 @@
 
 use route::equal_share;
 use route::placement::{PlacementRequest, Placer, UpstreamInfo};
+use route::version::Version;
 use std::collections::HashMap;
 
 const ACCEPTED: usize = 360;
@@ -20,7 +21,12 @@
 fn gateway(index: usize, gateways: usize, is_listed: impl Fn(usize) -> bool) -> Placer {
     let mut placer = Placer::new("here").with_gateway(&vm(index));
     for index in 0..UPSTREAMS {
-        let info = UpstreamInfo { service: "narrator".into(), data_centre: "here".into(), slots: 32 };
+        let info = UpstreamInfo {
+            service: "narrator".into(),
+            data_centre: "here".into(),
+            slots: 32,
+            version: Version::default(),
+        };
         placer.set(&upstream(index), info, false);
     }
     placer.set_connection_limits(HashMap::from([("narrator".to_owned(), ACCEPTED)]));
@@ -58,7 +64,7 @@
 
 #[test]
 fn a_gateway_chooses_only_upstreams_that_it_may_connect_to() {
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[] };
+    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
     for gateways in [87, 1_400] {
         for index in (0..gateways).step_by(10) {
             let mut placer = gateway(index, gateways, |_| true);
@@ -76,10 +82,15 @@
 /// have none.
 #[test]
 fn a_gateway_has_an_upstream_even_if_the_connections_do_not_suffice() {
-    let request = PlacementRequest { service: "tiles", prompt: None, avoid: &[] };
+    let request = PlacementRequest { service: "tiles", prompt: None, avoid: &[], version: None };
     for index in 0..1_400 {
         let mut placer = gateway(index, 1_400, |_| true);
-        let info = UpstreamInfo { service: "tiles".into(), data_centre: "here".into(), slots: 6 };
+        let info = UpstreamInfo {
+            service: "tiles".into(),
+            data_centre: "here".into(),
+            slots: 6,
+            version: Version::default(),
+        };
         placer.set("tiles-1", info, false);
         placer.set_connection_limits(HashMap::from([("tiles".to_owned(), 100)]));
         assert!(placer.choose(&request, 0).is_some(), "gateway {index}");
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use route::Millis;
 use route::placement::{PlacementRequest, Placer, UpstreamInfo};
+use route::version::Version;
 use std::collections::BTreeMap;
 
 pub(crate) const UPSTREAMS: usize = 3;
@@ -48,7 +49,12 @@
 }
 
 pub(crate) fn upstream_info() -> UpstreamInfo {
-    UpstreamInfo { service: "narrator".to_owned(), data_centre: "here".to_owned(), slots: 48 }
+    UpstreamInfo {
+        service: "narrator".to_owned(),
+        data_centre: "here".to_owned(),
+        slots: 48,
+        version: Version::default(),
+    }
 }
 
 impl Gateway {
@@ -69,7 +75,7 @@
 /// Sends as many requests as a gateway may. Returns the number that each upstream received.
 pub(crate) fn send(placer: &mut Placer, now: Millis) -> [u32; UPSTREAMS] {
     let mut sent = [0; UPSTREAMS];
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[] };
+    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
     while let Some(chosen) = placer.choose(&request, now) {
         let index: usize = chosen.upstream["engine-".len()..].parse().expect("a number");
         sent[index] += 1;
--- a/crates/route/tests/herd.rs
+++ b/crates/route/tests/herd.rs
@@ -3,6 +3,7 @@
 
 use route::Millis;
 use route::placement::{DispatchHint, Placement, PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo};
+use route::version::Version;
 use std::collections::HashMap;
 
 const GATEWAYS: usize = 300;
@@ -13,7 +14,8 @@
 /// How often a gateway reads the list of gateways, in milliseconds.
 const READ_INTERVAL: Millis = 60_000;
 
-const CALL: PlacementRequest<'static> = PlacementRequest { service: "engines", prompt: None, avoid: &[] };
+const CALL: PlacementRequest<'static> =
+    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None };
 
 fn data_centre(index: usize) -> String {
     format!("dc-{}", index % DATA_CENTRES)
@@ -28,7 +30,12 @@
     let name = |index: usize| format!("vm-{index}");
     let mut placer = Placer::new(&data_centre(index)).with_gateway(&name(index));
     for index in 0..upstreams {
-        let info = UpstreamInfo { service: "engines".to_owned(), data_centre: data_centre(index), slots: 32 };
+        let info = UpstreamInfo {
+            service: "engines".to_owned(),
+            data_centre: data_centre(index),
+            slots: 32,
+            version: Version::default(),
+        };
         placer.set(&upstream(index), info, false);
     }
     let names: Vec<String> = (0..gateways).map(name).collect();
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -50,7 +50,9 @@
 }
 
 fn can_dispatch(placer: &Placer, now: Millis) -> bool {
-    placer.choose(&PlacementRequest { service: "narrator", prompt: None, avoid: &[] }, now).is_some()
+    placer
+        .choose(&PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None }, now)
+        .is_some()
 }
 
 #[test]
@@ -219,7 +221,12 @@
 #[test]
 fn dispatches_just_before_a_limit_count_toward_it() {
     let mut placer = fleet_member(0, 1, unlimited_placer());
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[upstream(1), upstream(2)] };
+    let request = PlacementRequest {
+        service: "narrator",
+        prompt: None,
+        avoid: &[upstream(1), upstream(2)],
+        version: None,
+    };
     for _ in 0..4 {
         let chosen = placer.choose(&request, 5_000).expect("an upstream");
         placer.begin(&chosen, None, 5_000);
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -3,6 +3,7 @@
 use route::placement::{
     DispatchHint, DispatchId, Placement, PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo,
 };
+use route::version::Version;
 use route::{RepeatBound, RepeatWindow};
 
 const PARTS: [PromptPart; 3] = [
@@ -17,14 +18,20 @@
     let mut placer = Placer::new("here");
     for index in 0..count {
         let data_centre = if index % 2 == 0 { "here" } else { "there" };
-        let info = UpstreamInfo { service: "engines".into(), data_centre: data_centre.into(), slots: 8 };
+        let info = UpstreamInfo {
+            service: "engines".into(),
+            data_centre: data_centre.into(),
+            slots: 8,
+            version: Version::default(),
+        };
         placer.set(&format!("e-{index}"), info, false);
     }
     placer
 }
 
 /// A call to a plain service.
-const CALL: PlacementRequest<'static> = PlacementRequest { service: "engines", prompt: None, avoid: &[] };
+const CALL: PlacementRequest<'static> =
+    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None };
 
 fn choose(placer: &Placer, now: u64) -> Placement {
     placer.choose(&PlacementRequest { prompt: Some(PROMPT), ..CALL }, now).expect("an upstream")
@@ -87,7 +94,12 @@
     let tried = PlacementRequest { avoid: &avoid, ..CALL };
     assert_eq!(placer.choose(&CALL, 0).map(|chosen| chosen.upstream), Some("e-0".to_owned()));
     assert_eq!(placer.choose(&tried, 0).map(|chosen| chosen.upstream), Some("e-2".to_owned()));
-    let info = UpstreamInfo { service: "engines".into(), data_centre: "here".into(), slots: 8 };
+    let info = UpstreamInfo {
+        service: "engines".into(),
+        data_centre: "here".into(),
+        slots: 8,
+        version: Version::default(),
+    };
     placer.set("e-0", info, true);
     assert_eq!(placer.choose(&CALL, 0).map(|chosen| chosen.candidates), Some(2));
     for _ in 0..3 {
@@ -104,7 +116,12 @@
 #[test]
 fn a_leaving_signal_outlasts_the_list_entry_but_not_the_instance() {
     let mut placer = placer_with(2);
-    let info = || UpstreamInfo { service: "engines".into(), data_centre: "here".into(), slots: 8 };
+    let info = || UpstreamInfo {
+        service: "engines".into(),
+        data_centre: "here".into(),
+        slots: 8,
+        version: Version::default(),
+    };
     let chosen = |placer: &Placer| placer.choose(&CALL, 0).map(|chosen| chosen.upstream);
     assert_eq!(chosen(&placer).as_deref(), Some("e-0"));
     assert!(placer.mark_leaving("e-0", 0));
--- /dev/null
+++ b/crates/route/tests/versions.rs
@@ -0,0 +1,170 @@
+//! Which software versions serve, which one began a stream, and whom a gateway tells and asks.
+
+use route::origin::{ASKED, Knowledge, Origin, Origins, Stream, Telling, keepers, resolve};
+use route::version::{Seen, Version, Versions};
+use std::collections::HashMap;
+
+/// The longest time that a stream and its resumptions take.
+const LIFETIME: u64 = 25_000;
+/// The gateways and the streams that begin in a second at the target.
+const GATEWAYS: u32 = 1_400;
+const STREAMS_PER_S: u32 = 62_000;
+
+fn version(name: &str) -> Version {
+    Version::of(name)
+}
+
+fn stream(index: u32) -> Stream {
+    Stream::of("engines", "desk", &index.to_string())
+}
+
+/// Versions of a gateway that has followed the list from the beginning.
+fn versions(listed: &[&str]) -> Versions {
+    let mut versions = Versions::default();
+    versions.learn_past([], 0);
+    listed.iter().for_each(|name| {
+        versions.add("engines", version(name));
+    });
+    versions.confirm(0);
+    versions
+}
+
+#[test]
+fn a_version_counts_for_as_long_as_streams_that_it_began_may_be_taken_up() {
+    let mut versions = versions(&["v1", "v1"]);
+    let seen = |versions: &Versions, now| versions.seen("engines", LIFETIME, now);
+    assert_eq!(seen(&versions, 0), Seen::Sole(version("v1")));
+    assert!(versions.add("engines", version("v2")), "it is new beside the other one");
+    assert!(!versions.add("engines", version("v2")));
+    assert_eq!(seen(&versions, 10), Seen::Several);
+    versions.remove("engines", version("v1"), 1_000);
+    assert!(versions.is_listed("engines", version("v1")));
+    versions.remove("engines", version("v1"), 2_000);
+    assert!(!versions.is_listed("engines", version("v1")));
+    assert_eq!(seen(&versions, 2_000 + LIFETIME), Seen::Several, "a stream of v1 may still be taken up");
+    versions.expire(LIFETIME, 2_001 + LIFETIME);
+    assert_eq!(seen(&versions, 2_001 + LIFETIME), Seen::Sole(version("v2")));
+    assert_eq!(versions.seen("tiles", LIFETIME, 0), Seen::Unknown);
+}
+
+#[test]
+fn a_gateway_that_started_does_not_know_which_versions_served_before() {
+    let mut fresh = Versions::default();
+    fresh.add("engines", version("v2"));
+    fresh.confirm(100);
+    assert_eq!(fresh.seen("engines", LIFETIME, 200), Seen::Unknown);
+    assert_eq!(fresh.seen("engines", LIFETIME, 100 + LIFETIME), Seen::Sole(version("v2")));
+    let mut informed = Versions::default();
+    informed.learn_past([("engines", version("v1")), ("engines", version("v2"))], 0);
+    informed.add("engines", version("v2"));
+    informed.confirm(100);
+    assert_eq!(informed.seen("engines", LIFETIME, 200), Seen::Several, "v1 may just have left");
+    assert_eq!(informed.former(LIFETIME, 200).collect::<Vec<_>>(), [("engines", version("v1"))]);
+    assert_eq!(informed.seen("engines", LIFETIME, 1 + LIFETIME), Seen::Sole(version("v2")));
+}
+
+#[test]
+fn a_version_that_is_listed_again_at_once_is_not_new() {
+    let mut versions = versions(&["v1"]);
+    versions.remove("engines", version("v1"), 10);
+    assert!(!versions.add("engines", version("v1")));
+    assert_eq!(versions.seen("engines", LIFETIME, 20), Seen::Sole(version("v1")));
+}
+
+#[test]
+fn origins_are_forgotten_in_time_and_bounded() {
+    let mut origins = Origins::default();
+    origins.record(stream(1), version("v1"), 0);
+    origins.record(stream(1), version("v1"), 5_000);
+    assert_eq!(origins.get(stream(1), LIFETIME, 5_000 + LIFETIME), Some(version("v1")));
+    assert_eq!(origins.get(stream(1), LIFETIME, 5_001 + LIFETIME), None);
+    origins.expire(LIFETIME, 1 + LIFETIME);
+    assert_eq!(origins.len(), 1, "it was recorded again");
+    origins.expire(LIFETIME, 5_001 + LIFETIME);
+    assert!(origins.is_empty());
+    (0..200_000).for_each(|index| origins.record(stream(index), version("v1"), 0));
+    assert!(origins.len() < 100_000);
+    assert_eq!(origins.get(stream(199_999), LIFETIME, 0), Some(version("v1")));
+}
+
+#[test]
+fn attempts_of_other_teams_and_services_are_other_streams() {
+    let ids = [("engines", "desk"), ("engines", "lab"), ("tiles", "desk"), ("desk", "engines")];
+    let streams = ids.map(|(service, team)| Stream::of(service, team, "a-1"));
+    for (index, one) in streams.iter().enumerate() {
+        assert!(streams[index + 1..].iter().all(|other| one != other));
+    }
+}
+
+#[test]
+fn what_gateways_know_decides_whether_a_stream_is_taken_up() {
+    let known = |version: Option<&str>, seen| Knowledge { version: version.map(Version::of), seen };
+    let sole = known(None, Seen::Sole(version("v1")));
+    let other = known(None, Seen::Sole(version("v2")));
+    let several = known(None, Seen::Several);
+    let fresh = known(None, Seen::Unknown);
+    let began = known(Some("v2"), Seen::Several);
+    let cases = [
+        ("its own list is current", resolve(sole, true, &[])),
+        ("its own list is not current", resolve(sole, false, &[])),
+        ("another one confirms it", resolve(sole, false, &[fresh, sole])),
+        ("another one knows better", resolve(sole, true, &[several])),
+        ("another one has another version", resolve(sole, true, &[other])),
+        ("another one was told", resolve(sole, true, &[sole, began])),
+        ("nobody was told", resolve(several, true, &[several, several])),
+        ("it has just started", resolve(fresh, true, &[])),
+        ("it has just started, another one has not", resolve(fresh, true, &[fresh, sole])),
+    ];
+    insta::assert_debug_snapshot!(cases.map(|(name, origin)| match origin {
+        Origin::At(version) if version == Version::of("v1") => (name, "v1"),
+        Origin::At(_) => (name, "v2"),
+        Origin::Unknown => (name, "unknown"),
+    }));
+}
+
+/// Of each stream, the gateway that began it and the one that takes it up are missing from the lists of the others.
+#[test]
+fn gateways_that_tell_and_ask_agree_on_the_keepers() {
+    let names = || (0..40u32).map(|gateway| (gateway, gateway.to_be_bytes()));
+    for index in 0..500 {
+        let (began, asks) = (index % 40, (index * 7 + 3) % 40);
+        let told = keepers(stream(index), names().filter(|(gateway, _)| *gateway != began), 1);
+        let asked = keepers(stream(index), names().filter(|(gateway, _)| *gateway != asks), ASKED);
+        assert!(told[0] == asks || asked.contains(&told[0]), "stream {index}: {told:?} {asked:?}");
+        assert_eq!(asked.len(), ASKED);
+    }
+}
+
+#[test]
+fn telling_fits_the_bytes_of_a_gateway_at_the_target() {
+    const SECONDS: u32 = 20;
+    /// A datagram with one stream: the headers of IP and UDP, and what the gateway sends.
+    const DATAGRAM: usize = 54;
+    const LIMIT_PER_S: usize = 4_000;
+    let names: Vec<(u32, [u8; 4])> = (1..GATEWAYS).map(|gateway| (gateway, gateway.to_be_bytes())).collect();
+    let per_s = STREAMS_PER_S / GATEWAYS;
+    let (mut telling, mut heard, mut sent) = (Telling::default(), HashMap::<u32, usize>::new(), 0);
+    for index in 0..per_s * SECONDS {
+        let count = telling.record(names.len(), u64::from(index * 1_000 / per_s));
+        assert!(count >= 1, "somebody has to outlive this gateway");
+        for keeper in keepers(stream(index), names.iter().copied(), count) {
+            *heard.entry(keeper).or_default() += 1;
+            sent += 1;
+        }
+    }
+    let bytes_per_s = sent * DATAGRAM / SECONDS as usize;
+    println!("{bytes_per_s} bytes a second, {} keepers", heard.len());
+    assert!(bytes_per_s < LIMIT_PER_S, "{bytes_per_s} bytes a second");
+    // All gateways send alike, so each hears as much as it sends, spread over the fleet.
+    let busiest = heard.values().max().copied().unwrap_or(0);
+    assert!(busiest < 10, "one gateway keeps {busiest} of {sent} streams");
+}
+
+#[test]
+fn a_small_fleet_tells_all_of_its_gateways() {
+    let mut telling = Telling::default();
+    // Twelve streams a second at each of six gateways.
+    let counts: Vec<usize> = (0..400).map(|index| telling.record(5, index * 80)).collect();
+    assert_eq!(counts.last(), Some(&5));
+    assert_eq!(Telling::default().record(0, 0), 0, "there is nobody");
+}
--- a/examples/bench/placement.rs
+++ b/examples/bench/placement.rs
@@ -1,6 +1,7 @@
 //! The processor time of a gateway's choice of an upstream, by the number of upstreams.
 
 use route::placement::{PlacementRequest, Placer, Prompt, PromptPart, UpstreamInfo};
+use route::version::Version;
 use std::hint::black_box;
 use std::time::Instant;
 
@@ -35,7 +36,7 @@
         ];
         let prompt = Prompt { parts: &parts, input: 11_992, events: 32, target_ms: 800, gap_ms: 800 };
         let prompt = has_prompt.then_some(prompt);
-        let request = PlacementRequest { service: "engines", prompt, avoid: &[] };
+        let request = PlacementRequest { service: "engines", prompt, avoid: &[], version: None };
         let chosen = black_box(placer.choose(&request, round)).expect("an upstream");
         let dispatch = placer.begin(&chosen, prompt.as_ref(), round);
         placer.record_first_answer(&chosen.upstream, dispatch, round + 300);
@@ -50,7 +51,12 @@
     let data_centre = |index: usize| format!("dc-{}", index % DATA_CENTRES);
     let mut placer = Placer::new(&data_centre(0)).with_gateway("vm-0");
     for index in 0..upstreams {
-        let info = UpstreamInfo { service: "engines".to_owned(), data_centre: data_centre(index), slots: 32 };
+        let info = UpstreamInfo {
+            service: "engines".to_owned(),
+            data_centre: data_centre(index),
+            slots: 32,
+            version: Version::default(),
+        };
         placer.set(&format!("engine-{index:05}"), info, false);
     }
     let gateways: Vec<String> =
