--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -16,12 +16,13 @@
 
 impl Framing {
     pub(crate) fn of(head: &response::Parts) -> Framing {
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Framing::Chunked;
-        }
-        match head.headers.contains_key(CONTENT_LENGTH) {
-            true => Framing::Sized,
-            false => Framing::Closed,
+        let codings = head.headers.get_all(TRANSFER_ENCODING).iter().filter_map(|value| value.to_str().ok());
+        let last_coding = codings.flat_map(|value| value.split(',')).last();
+        match last_coding {
+            Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
+            Some(_) => Framing::Closed,
+            None if head.headers.contains_key(CONTENT_LENGTH) => Framing::Sized,
+            None => Framing::Closed,
         }
     }
 
@@ -34,3 +35,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/framing.rs"]
+mod tests;
