Origins of streams count in whatever order their datagrams arrive

A datagram that arrived after a later one of the same gateway was dropped, so its streams could not be taken up once that gateway was gone.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -293,10 +293,12 @@
         let mut last_received = self.last_received.lock().expect("the numbers lock is not poisoned");
         let last = last_received.peers.get_mut(&from).ok_or(Rejection::UnknownSender)?;
         let NumberedHint { number, hint } = decode(bytes)?;
-        if number <= *last {
+        // Each tells of streams of its own, so an earlier one is as good as a later one.
+        let is_ordered = !matches!(hint, Hint::Origins(_));
+        if is_ordered && number <= *last {
             return Err(Rejection::Stale);
         }
-        *last = number;
+        *last = number.max(*last);
         Ok(hint)
     }
 }
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -182,3 +182,15 @@
         assert_eq!(binding.await.local_addr().expect("an address"), wanted);
     });
 }
+
+#[test]
+fn the_origins_of_streams_count_in_whatever_order_they_arrive() {
+    let hints = hints();
+    let origins = |number: u64, id: &str| {
+        let stream = route::origin::Stream::of("engines", "desk", id);
+        let told = vec![Told { stream, version: route::version::Version::of("v1") }];
+        encode(&NumberedHint { number, hint: Hint::Origins(told) })
+    };
+    assert!(hints.accept(&origins(6, "s-2"), address(1)).is_ok());
+    assert!(hints.accept(&origins(5, "s-1"), address(1)).is_ok(), "it tells of another stream");
+}
