A stream that its caller took up stays open when its earlier answer ends

The earlier answer removed the stream from those that are told once another version is listed, since both had the same key. Found by the review; the test failed before (503 version-unknown), and passes now.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
@@ -53,6 +54,8 @@
 struct Open {
     service: String,
     version: Version,
+    /// Tells apart the answers of one stream, of which the last one counts.
+    number: u64,
 }
 
 /// What this gateway knows of the software versions of upstreams, and of the streams that they began.
@@ -63,6 +66,7 @@
     streams: Mutex<origin::Origins>,
     open: Mutex<HashMap<Stream, Open>>,
     outbox: Mutex<Outbox>,
+    next_number: AtomicU64,
 }
 
 /// What other gateways have to be told.
@@ -80,6 +84,7 @@
             streams: Mutex::default(),
             open: Mutex::default(),
             outbox: Mutex::default(),
+            next_number: AtomicU64::new(0),
         }
     }
 }
@@ -169,11 +174,15 @@
 pub(crate) struct Begun {
     origins: Arc<Origins>,
     stream: Stream,
+    number: u64,
 }
 
 impl Drop for Begun {
     fn drop(&mut self) {
-        self.origins.open().remove(&self.stream);
+        let mut open = self.origins.open();
+        if open.get(&self.stream).is_some_and(|last| last.number == self.number) {
+            open.remove(&self.stream);
+        }
     }
 }
 
@@ -192,12 +201,13 @@
         let (node, stream, service) = (&self.node, self.stream(), &self.request.service);
         self.progress().version = Some(version);
         node.origins.streams().record(stream, version, node.now());
-        node.origins.open().insert(stream, Open { service: service.clone(), version });
+        let number = node.origins.next_number.fetch_add(1, Ordering::Relaxed);
+        node.origins.open().insert(stream, Open { service: service.clone(), version, number });
         let seen = node.origins.versions().seen(service, node.stream_lifetime(), node.now());
         if !matches!(seen, Seen::Sole(_)) {
             node.origins.tell(&node.hints, Told { stream, version }, node.now());
         }
-        Begun { origins: node.origins.clone(), stream }
+        Begun { origins: node.origins.clone(), stream, number }
     }
 }
 
