A gateway that stops tells others where the streams it knows of began

Streams that began while one version served are not told. If their gateway stopped and another version was listed before their callers came back, they were refused. A gateway that is killed at such a moment still takes this knowledge with it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -311,6 +311,7 @@
             exec::sleep(DRAIN_POLL_INTERVAL).await;
         }
         log::info!("gateway: event=drained open={}", node.open_requests.load(Ordering::Relaxed));
+        node.origins.hand_over(&node.hints, node.now());
         let budgets: Vec<_> = node.budgets().values().cloned().collect();
         let remaining = || (node.settings.grace_period() - EXIT_RESERVE).saturating_sub(began.elapsed());
         let limit = remaining();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -130,27 +130,46 @@
         }
     }
 
-    /// Queues the origin of a stream for its keepers.
+    /// Tells the keepers of a stream where it began, with what else there is to tell soon.
     fn tell(self: &Arc<Self>, hints: &Arc<Hints>, told: Told, now: Millis) {
-        let peers = hints.peers();
-        let mut outbox = self.outbox();
-        let count = outbox.telling.record(peers.len(), now);
-        let is_scheduled = !outbox.pending.is_empty();
-        for keeper in keepers(told.stream, peers.iter().map(|peer| (*peer, key(*peer))), count) {
-            outbox.pending.entry(keeper).or_default().push(told);
-        }
-        if is_scheduled || outbox.pending.is_empty() {
+        if !self.queue(hints, told, now) {
             return;
         }
         let (origins, hints) = (self.clone(), hints.clone());
         exec::spawn(async move {
             exec::sleep(Duration::from_millis(FLUSH_MS)).await;
-            let pending = std::mem::take(&mut origins.outbox().pending);
-            pending.into_iter().for_each(|(keeper, told)| hints.announce_origins(keeper, &told));
+            origins.flush(&hints);
         })
         .detach();
     }
 
+    /// Queues the origin of a stream for its keepers. Returns whether the queue was empty before.
+    fn queue(&self, hints: &Hints, told: Told, now: Millis) -> bool {
+        let peers = hints.peers();
+        let mut outbox = self.outbox();
+        let count = outbox.telling.record(peers.len(), now);
+        let was_empty = outbox.pending.is_empty();
+        for keeper in keepers(told.stream, peers.iter().map(|peer| (*peer, key(*peer))), count) {
+            outbox.pending.entry(keeper).or_default().push(told);
+        }
+        was_empty && !outbox.pending.is_empty()
+    }
+
+    fn flush(&self, hints: &Hints) {
+        let pending = std::mem::take(&mut self.outbox().pending);
+        pending.into_iter().for_each(|(keeper, told)| hints.announce_origins(keeper, &told));
+    }
+
+    /// Tells others of all streams that this gateway knows of, because it stops.
+    pub(crate) fn hand_over(&self, hints: &Hints, now: Millis) {
+        let known: Vec<Told> =
+            self.streams().iter().map(|(stream, version)| Told { stream, version }).collect();
+        known.into_iter().for_each(|told| {
+            self.queue(hints, told, now);
+        });
+        self.flush(hints);
+    }
+
     async fn ask(&self, peer: SocketAddr, question: Vec<u8>) -> Option<Knowledge> {
         let request = Request::post(format!("http://{peer}{PATH}")).body(Body::from(question)).ok()?;
         let answer = self.client.exchange("origin", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// All streams with the versions that began them.
+    pub fn iter(&self) -> impl Iterator<Item = (Stream, Version)> {
+        self.versions.iter().map(|(stream, (version, _))| (*stream, *version))
+    }
+
     /// The number of streams.
     pub fn len(&self) -> usize {
         self.versions.len()
