Old lists of upstreams do not tell which version began a stream

Gateways that were cut off from the store together confirmed each other's old lists, so a stream that had begun at a version they did not know of could go on at another one. And a gateway that had no list for some time took the versions before and after that time for all there were.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -299,8 +299,7 @@
         }
     };
     exec::timeout(ASK_TIMEOUT, collecting).await;
-    let is_certain = peers.is_empty() || origins.versions().is_current(node.now());
-    resolve(own, is_certain, &others)
+    resolve(own, &others)
 }
 
 /// Answers what this gateway knows of a stream.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -378,8 +378,16 @@
         let found = step(&node, &node.rows, node.wire.upstreams_table(), &mut follower, wait_ms).await;
         list.regained_at = follower.regained_at;
         match found {
-            Step::Full(page) => apply_list(&node, &mut list, &page),
+            Step::Full(page) => {
+                apply_list(&node, &mut list, &page);
+                node.origins.versions().confirm(node.now());
+            }
             Step::Changes(page) => {
+                // A row that was deleted before it was seen has had any version.
+                let has_missed = page
+                    .records
+                    .iter()
+                    .any(|record| record.value.is_none() && !list.versions.contains_key(&record.name));
                 page.records.iter().for_each(|record| apply_row(&node, &mut list, record));
                 let is_burst = list.burst.record(page.records.len(), node.now());
                 match is_burst {
@@ -387,12 +395,13 @@
                     true => skip_burst(&node, &mut list, &mut follower).await,
                     false => {}
                 }
+                match has_missed {
+                    true => node.origins.versions().confirm(node.now()),
+                    false => node.origins.versions().confirm_changes(node.now()),
+                }
             }
             Step::Restart(_) | Step::Failed => {}
         }
-        if follower.after.is_some() && follower.lost_at.is_none() {
-            node.origins.versions().confirm(node.now());
-        }
         resolve_vanished(&node, &mut list);
         if let Some((count, first)) = list.malformed.take() {
             log::warn!("upstream: event=unfit entries={count} {first}");
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -176,14 +176,12 @@
     Unknown,
 }
 
-/// Decides where a stream began. `own` is what this gateway knows, `is_certain` whether that needs no confirmation:
-/// its list is current, or there are no other gateways. `others` is what the gateways know that were asked and
+/// Decides where a stream began. `own` is what this gateway knows, and `others` what those know that were asked and
 /// answered.
 ///
-/// A recorded version decides. Without one, the stream began at the only version that this gateway or those that
-/// answered have seen. A gateway whose list is not current may have missed another version, so its word needs that
-/// of another one.
-pub fn resolve(own: Knowledge, is_certain: bool, others: &[Knowledge]) -> Origin {
+/// A recorded version decides. Without one, the stream began at the only version that any of them has seen, unless
+/// one of them has seen another.
+pub fn resolve(own: Knowledge, others: &[Knowledge]) -> Origin {
     let all = || std::iter::once(&own).chain(others);
     if let Some(version) = all().find_map(|known| known.version) {
         return Origin::At(version);
@@ -194,10 +192,8 @@
     });
     let Some(sole) = soles.next() else { return Origin::Unknown };
     let is_contradicted = all().any(|known| known.seen == Seen::Several) || soles.any(|other| other != sole);
-    let is_confirmed = is_certain && own.seen == Seen::Sole(sole)
-        || others.iter().any(|known| known.seen == Seen::Sole(sole));
-    match is_confirmed && !is_contradicted {
-        true => Origin::At(sole),
-        false => Origin::Unknown,
+    match is_contradicted {
+        true => Origin::Unknown,
+        false => Origin::At(sole),
     }
 }
--- a/crates/route/src/version.rs
+++ b/crates/route/src/version.rs
@@ -26,7 +26,7 @@
 /// The versions of a service that a gateway has seen for as long as a stream may last.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Seen {
-    /// It has followed the list for too short a time, or knows no upstream.
+    /// It has followed the list for too short a time, its list is not current, or it knows no upstream.
     Unknown,
     /// Only this one.
     Sole(Version),
@@ -56,8 +56,18 @@
 }
 
 impl Versions {
-    /// Records that the list is known as of `now`.
+    /// Records that the list is known as of `now`. If it was not for some time, versions may have come and gone
+    /// unseen.
     pub fn confirm(&mut self, now: Millis) {
+        if self.confirmed.is_some() && !self.is_current(now) {
+            self.since = Some(now);
+            self.knows_past = false;
+        }
+        self.confirm_changes(now);
+    }
+
+    /// Records that the list is known as of `now`, with all versions that were listed since the last time.
+    pub fn confirm_changes(&mut self, now: Millis) {
         self.since.get_or_insert(now);
         self.confirmed = Some(now);
     }
@@ -87,7 +97,7 @@
     }
 
     /// Whether the list was confirmed a short time ago.
-    pub fn is_current(&self, now: Millis) -> bool {
+    fn is_current(&self, now: Millis) -> bool {
         self.confirmed.is_some_and(|at| now.saturating_sub(at) <= CURRENT_MS)
     }
 
@@ -120,7 +130,9 @@
         let mut versions = service.listed.keys().chain(former.map(|(version, _)| version));
         match (versions.next(), versions.next()) {
             (Some(_), Some(_)) => Seen::Several,
-            (Some(version), None) if self.covers(lifetime, now) => Seen::Sole(*version),
+            (Some(version), None) if self.is_current(now) && self.covers(lifetime, now) => {
+                Seen::Sole(*version)
+            }
             _ => Seen::Unknown,
         }
     }
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -41,8 +41,10 @@
     assert!(versions.is_listed("engines", version("v1")));
     versions.remove("engines", version("v1"), 2_000);
     assert!(!versions.is_listed("engines", version("v1")));
+    versions.confirm_changes(2_000 + LIFETIME);
     assert_eq!(seen(&versions, 2_000 + LIFETIME), Seen::Several, "a stream of v1 may still be taken up");
     versions.expire(LIFETIME, 2_001 + LIFETIME);
+    versions.confirm_changes(2_001 + LIFETIME);
     assert_eq!(seen(&versions, 2_001 + LIFETIME), Seen::Sole(version("v2")));
     assert_eq!(versions.seen("tiles", LIFETIME, 0), Seen::Unknown);
 }
@@ -53,6 +55,7 @@
     fresh.add("engines", version("v2"));
     fresh.confirm(100);
     assert_eq!(fresh.seen("engines", LIFETIME, 200), Seen::Unknown);
+    (100..100 + LIFETIME).step_by(1_000).for_each(|now| fresh.confirm(now));
     assert_eq!(fresh.seen("engines", LIFETIME, 100 + LIFETIME), Seen::Sole(version("v2")));
     let mut informed = Versions::default();
     informed.learn_past([("engines", version("v1")), ("engines", version("v2"))], 0);
@@ -60,6 +63,7 @@
     informed.confirm(100);
     assert_eq!(informed.seen("engines", LIFETIME, 200), Seen::Several, "v1 may just have left");
     assert_eq!(informed.former(LIFETIME, 200).collect::<Vec<_>>(), [("engines", version("v1"))]);
+    (100..1 + LIFETIME).step_by(1_000).for_each(|now| informed.confirm(now));
     assert_eq!(informed.seen("engines", LIFETIME, 1 + LIFETIME), Seen::Sole(version("v2")));
 }
 
@@ -105,15 +109,15 @@
     let fresh = known(None, Seen::Unknown);
     let began = known(Some("v2"), Seen::Several);
     let cases = [
-        ("its own list is current", resolve(sole, true, &[])),
-        ("its own list is not current", resolve(sole, false, &[])),
-        ("another one confirms it", resolve(sole, false, &[fresh, sole])),
-        ("another one knows better", resolve(sole, true, &[several])),
-        ("another one has another version", resolve(sole, true, &[other])),
-        ("another one was told", resolve(sole, true, &[sole, began])),
-        ("nobody was told", resolve(several, true, &[several, several])),
-        ("it has just started", resolve(fresh, true, &[])),
-        ("it has just started, another one has not", resolve(fresh, true, &[fresh, sole])),
+        ("its own list is current", resolve(sole, &[])),
+        ("others do not know", resolve(sole, &[fresh, fresh])),
+        ("another one confirms it", resolve(sole, &[fresh, sole])),
+        ("another one knows better", resolve(sole, &[several])),
+        ("another one has another version", resolve(sole, &[other])),
+        ("another one was told", resolve(sole, &[sole, began])),
+        ("nobody was told", resolve(several, &[several, several])),
+        ("it has just started", resolve(fresh, &[])),
+        ("it has just started, another one has not", resolve(fresh, &[fresh, sole])),
     ];
     insta::assert_debug_snapshot!(cases.map(|(name, origin)| match origin {
         Origin::At(version) if version == Version::of("v1") => (name, "v1"),
@@ -168,3 +172,24 @@
     assert_eq!(counts.last(), Some(&5));
     assert_eq!(Telling::default().record(0, 0), 0, "there is nobody");
 }
+
+/// Two gateways that the store has not reached for long have the same old list.
+#[test]
+fn gateways_whose_lists_are_old_do_not_confirm_each_other() {
+    let cut_off = versions(&["v1"]);
+    let now = 60_000;
+    let known = Knowledge { version: None, seen: cut_off.seen("engines", LIFETIME, now) };
+    assert_eq!(resolve(known, &[known, known]), Origin::Unknown);
+}
+
+#[test]
+fn a_gateway_that_lost_the_list_for_a_time_does_not_know_which_versions_served_meanwhile() {
+    let mut versions = versions(&["v1"]);
+    // The list is out of reach for a minute. Upstreams of v2 come and go, and the list that is read then has v1 only.
+    let back = 60_000;
+    versions.confirm(back);
+    let seen = versions.seen("engines", LIFETIME, back);
+    assert_eq!(seen, Seen::Unknown, "v2 may have left a moment ago");
+    let own = Knowledge { version: None, seen };
+    assert_eq!(resolve(own, &[]), Origin::Unknown);
+}
