--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,6 @@
 use crate::framing::Framing;
 use crate::job::{Job, TokenMeter};
 use crate::manifest::RouteKind;
-use crate::origins::Begun;
 use crate::ports::Wire;
 use crate::quarantine;
 use async_channel::Receiver;
@@ -35,7 +34,6 @@
     state: State<W, S>,
     splitter: EventSplitter,
     meter: TokenMeter,
-    _begun: Option<Begun>,
     /// The framing of the answer that the stream now comes from.
     framing: Framing,
     ready: Option<Bytes>,
@@ -91,11 +89,11 @@
             .observe(ms as f64 / 1_000.0);
         meter.record_events(splitter.count());
         let now_exact = job.node.now_exact();
-        let is_resumable = job.kind() == RouteKind::ResumableStream;
-        let begun = is_resumable.then(|| job.begin_stream(stream.version));
+        if job.kind() == RouteKind::ResumableStream {
+            job.begin_stream(stream.version);
+        }
         Relay {
             job,
-            _begun: begun,
             framing: stream.framing,
             state: State::Streaming(stream),
             splitter,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,7 +5,6 @@
 //! known already, so a row is applied only if its version is newer.
 
 use crate::node::Node;
-use crate::origins;
 use crate::ports::{Listing, Wire};
 use crate::snapshot::{self, Snapshot, Start, Upstream, Writer};
 use crate::table::{RECALLS, Recall, decode};
@@ -529,7 +528,7 @@
         let has_restarted = started > std::mem::replace(newest, started);
         let former = if has_restarted { node.listings().remove(name) } else { None };
         if let Some(former) = former {
-            origins::remove_upstream(node, &former.service, Version::of(&former.version));
+            node.origins.versions().remove(&former.service, Version::of(&former.version), node.now());
             // What was measured before the restart no longer holds.
             node.placer().forget(name);
             log::info!("upstream: event=started-again upstream={name} started={started}");
@@ -569,9 +568,10 @@
     let is_same_version =
         known.is_some_and(|known| (&known.service, &known.version) == (&listing.service, &listing.version));
     if !is_same_version {
-        origins::add_upstream(node, &listing.service, info.version);
+        let mut versions = node.origins.versions();
+        versions.add(&listing.service, info.version);
         if let Some(known) = known {
-            origins::remove_upstream(node, &known.service, Version::of(&known.version));
+            versions.remove(&known.service, Version::of(&known.version), node.now());
         }
     }
     let mut placer = node.placer();
@@ -641,7 +641,7 @@
     let removed = node.listings().remove(name);
     if let Some(listing) = removed {
         node.placer().remove(name);
-        origins::remove_upstream(node, &listing.service, Version::of(&listing.version));
+        node.origins.versions().remove(&listing.service, Version::of(&listing.version), node.now());
         let version = list.versions.get(name).copied().unwrap_or(0);
         log::info!("upstream: event=gone upstream={name} row-version={version}");
     }
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -3,8 +3,6 @@
 //! A gateway that begins a stream tells a few others, its keepers, which rendezvous hashing selects by the stream.
 //! A gateway that is asked to take the stream up asks the keepers. Nothing is agreed on and nothing is repaired: if
 //! no keeper remembers a stream, it is not taken up.
-//!
-//! While a service has a single version, nothing is told, since each gateway knows then where streams began.
 
 use crate::Millis;
 use crate::version::{Seen, Version};
--- a/crates/route/src/version.rs
+++ b/crates/route/src/version.rs
@@ -101,15 +101,11 @@
         self.confirmed.is_some_and(|at| now.saturating_sub(at) <= CURRENT_MS)
     }
 
-    /// Records that an upstream is listed. Returns whether it is the first one of its version, and others of its
-    /// service are or were listed.
-    pub fn add(&mut self, service: &str, version: Version) -> bool {
+    /// Records that an upstream is listed.
+    pub fn add(&mut self, service: &str, version: Version) {
         let service = self.service(service);
-        let count = service.listed.entry(version).or_default();
-        *count += 1;
-        let is_first = *count == 1;
+        *service.listed.entry(version).or_default() += 1;
         service.former.remove(&version);
-        is_first && (service.listed.len() > 1 || !service.former.is_empty())
     }
 
     /// Records that an upstream is no longer listed.
