Check the software version of an upstream again when a stream is dispatched

While a request waits for its turn on the link, its upstream may be listed with another version under the same name, or the last one of the version may go.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,6 +142,10 @@
             .services
             .get(&self.request.service)
             .map_or(usize::MAX, |service| service.connections);
+        let version = Version::of(&listing.version);
+        if self.progress().version.is_some_and(|began| began != version) {
+            return Outcome::NotSent("the upstream has another software version now".to_owned());
+        }
         let Some(slot) = UpstreamSlot::take(self, chosen) else {
             return Outcome::NotSent("the upstream accepts no more requests now".to_owned());
         };
@@ -153,7 +157,6 @@
         let max_connections = node.placer().max_connections(&chosen.upstream, connection_share);
         // A stream that has to go on at one version may need an upstream that is left to other gateways.
         let max_connections = max_connections.max(usize::from(self.progress().version.is_some()));
-        let version = Version::of(&listing.version);
         let bytes = self.request.body.clone();
         node.load.record_sent(bytes.len(), if turn.is_some() { bytes.len() } else { 0 });
         let (body, writing) =
