An upstream that leaves may leave a stream unfinished too

A stream without framing whose upstream had terminated counted as complete if that upstream had said that it leaves, or was no longer listed. Upstreams that leave terminate at a set time, whatever they are working on. The address that the stream came from is probed now, whatever the list says. A stream that ended just before its upstream did looks the same, and is aborted if it may not be resumed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::limits;
 use crate::link::Turn;
 use crate::manifest::RouteKind;
-use crate::ports::{Malformed, ResponseCheck, Resumption, Wire};
+use crate::ports::{Listing, Malformed, ResponseCheck, Resumption, Wire};
 use crate::reach::Dialer;
 use crate::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -19,6 +19,7 @@
 use route::pacing;
 use route::placement::Placement;
 use route::version::Version;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 use store::rows::Rows;
@@ -55,6 +56,8 @@
     pub framing: Framing,
     /// The software version of the upstream.
     pub version: Version,
+    /// The address of the upstream, which may no longer be listed.
+    pub address: SocketAddr,
 }
 
 /// The outcome of an attempt.
@@ -180,7 +183,7 @@
         };
         let began = node.now();
         let outcome =
-            self.wait_for_first_answer(chosen, version, slot, splitter, may_try_elsewhere, sending).await;
+            self.wait_for_first_answer(chosen, &listing, slot, splitter, may_try_elsewhere, sending).await;
         self.record_upstream_outcome(chosen, began, &outcome);
         if let Outcome::ConnectionBroken(_) = outcome {
             self.inspect(&chosen.upstream, None).wait().await;
@@ -191,7 +194,7 @@
     async fn wait_for_first_answer(
         &self,
         chosen: &Placement,
-        version: Version,
+        listing: &Listing,
         slot: UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
         may_try_elsewhere: bool,
@@ -222,7 +225,12 @@
         };
         match outcome {
             ReadOutcome::Stream(head, framing, body, lease, bytes) => {
-                Outcome::Stream(head, Box::new(OpenStream { body, lease, slot, framing, version }), bytes)
+                let (version, address) = (Version::of(&listing.version), listing.address);
+                Outcome::Stream(
+                    head,
+                    Box::new(OpenStream { body, lease, slot, framing, version, address }),
+                    bytes,
+                )
             }
             ReadOutcome::Other(outcome) => outcome,
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -15,6 +15,7 @@
 use route::notice::{FollowUp, Notice};
 use route::quarantine::{DECISION_DELAY_MS, DENIAL_DURATION_MS, Fingerprint, Stage, Upstreams, Verdict};
 use sha2::{Digest, Sha256};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -177,12 +178,14 @@
     handle_follow_up(&node, follow_up);
 }
 
-/// Whether an upstream's process has terminated without notice.
-pub(crate) async fn has_crashed<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, upstream: &str) -> bool {
-    let Some(address) = node.listings().get(upstream).map(|listing| listing.address) else { return false };
+/// Whether the process of an upstream at `address` has terminated, with or without notice.
+pub(crate) async fn has_terminated<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    upstream: &str,
+    address: SocketAddr,
+) -> bool {
     exec::sleep(PROBE_DELAY).await;
     net::probe(address, PROBE_TIMEOUT).await == ProbeResult::Refuses
-        && !node.placer().is_leaving(upstream)
         && !reach::is_reached_by_others(node, upstream).await
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -50,7 +50,7 @@
 enum State<W: Wire, S: Rows> {
     Streaming(Box<OpenStream<W, S>>),
     /// The connection that the stream came from was closed after a whole event. The answer is complete unless the
-    /// upstream has crashed, which the channel tells.
+    /// upstream has terminated, which the channel tells.
     Closed(Box<OpenStream<W, S>>, Pin<Box<Receiver<bool>>>),
     Resuming(Pin<Box<Receiver<Resumed<W, S>>>>),
     Ended,
@@ -129,7 +129,7 @@
                     Poll::Pending => ready!(self.poll_check(context)),
                 },
                 State::Closed(_, receiver) => match receiver.as_mut().poll_next(context) {
-                    Poll::Ready(has_crashed) => self.finish_closed(has_crashed.unwrap_or(false)),
+                    Poll::Ready(has_terminated) => self.finish_closed(has_terminated.unwrap_or(false)),
                     Poll::Pending => return Poll::Pending,
                 },
                 State::Resuming(receiver) => match receiver.as_mut().poll_next(context) {
@@ -187,27 +187,27 @@
         }
     }
 
-    /// Checks whether the upstream of a closed connection has crashed, since a crash may end a stream like its own end.
+    /// Checks whether the upstream of a closed connection has terminated, which ends a stream like its own end does.
     fn inspect_closed(&mut self) -> Step {
         let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) else {
             return Step::Continue;
         };
         let (sender, receiver) = async_channel::bounded(1);
-        let (job, upstream) = (self.job.clone(), stream.slot.upstream.clone());
+        let (job, upstream, address) = (self.job.clone(), stream.slot.upstream.clone(), stream.address);
         exec::spawn(async move {
-            let _ = sender.send(quarantine::has_crashed(&job.node, &upstream).await).await;
+            let _ = sender.send(quarantine::has_terminated(&job.node, &upstream, address).await).await;
         })
         .detach();
         self.state = State::Closed(stream, Box::pin(receiver));
         Step::Continue
     }
 
-    fn finish_closed(&mut self, has_crashed: bool) -> Step {
+    fn finish_closed(&mut self, has_terminated: bool) -> Step {
         if let State::Closed(stream, _) = std::mem::replace(&mut self.state, State::Ended) {
             self.state = State::Streaming(stream);
         }
-        match has_crashed {
-            true => self.start_resume("the upstream crashed"),
+        match has_terminated {
+            true => self.start_resume("the upstream terminated"),
             false => self.complete(),
         }
     }
