A stream of which no event is left ends, also where answers are not framed

An unframed answer that is closed before an event counted as broken, so a caller that had all events of a stream got 502 whenever it took the stream up, and a stream that broke after its last event was aborted. Since such an answer may as well have been broken off, a second upstream is asked, and only if there is none, one answer suffices.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -64,6 +64,8 @@
 pub(crate) enum Outcome<W: Wire, S: Rows> {
     /// The upstream sent a complete answer.
     Complete(response::Parts, Bytes),
+    /// The upstream closed its connection before the first event of a stream: no event was left, or it broke off.
+    Empty(response::Parts),
     /// The upstream began a stream; the bytes are its first events.
     Stream(response::Parts, Box<OpenStream<W, S>>, Bytes),
     /// The request was not sent, because the upstream no longer accepts requests.
@@ -425,8 +427,8 @@
                     return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
                 }
                 None if framing == Framing::Closed => {
-                    let reason = "the connection was closed before an event".to_owned();
-                    return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
+                    detach(&mut head);
+                    return ReadOutcome::Other(Outcome::Empty(head));
                 }
                 None => {
                     lease.keep();
@@ -473,7 +475,7 @@
                 placer.record_error(&chosen.upstream);
                 false
             }
-            Outcome::NotSent(_) => false,
+            Outcome::Empty(_) | Outcome::NotSent(_) => false,
             // The upstream itself announced that it accepts no requests, so there is no need to eject it on a
             // guess.
             Outcome::NotRun(_) if !placer.admits(&chosen.upstream, now) => false,
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -29,6 +29,9 @@
 /// The share of a route's target latency for which a request may wait for budget tokens. A later refusal
 /// misses the target.
 const BUDGET_WAIT_SHARE: f64 = 0.22;
+/// The number of upstreams that have to close their connection before an event, if there are so many, until no event
+/// counts as left.
+pub(crate) const EMPTY_ANSWERS: u32 = 2;
 /// How many attempts that certainly did not run may each be followed by one at another upstream.
 const MAX_REFUSALS: u32 = 4;
 
@@ -250,7 +253,7 @@
     meter: &mut Option<TokenMeter>,
 ) -> Next<W, S> {
     let progress = job.progress();
-    let (ran, refusals) = (progress.ran, progress.sent - progress.ran);
+    let (ran, refusals, empty) = (progress.ran, progress.sent - progress.ran, progress.empty);
     drop(progress);
     let may_run_again = job.kind().is_repeatable() && ran < job.request.route.attempts;
     match outcome {
@@ -259,6 +262,20 @@
             let relay = Relay::new(job.clone(), stream, splitter, bytes, meter);
             Next::Answer(Response::from_parts(head, AnswerBody::Stream(Box::new(relay))))
         }
+        // The caller may have all events. One upstream that closes its connection may have broken off, two hardly.
+        Outcome::Empty(head) if job.request.ask.resumption.is_some() => {
+            let reply = whole_answer(head, Bytes::new());
+            if empty < EMPTY_ANSWERS && may_run_again {
+                return Next::TryElsewhere(reply);
+            }
+            job.log_end("complete", "no event was left");
+            Next::Answer(reply)
+        }
+        Outcome::Empty(_) if may_run_again => Next::TryElsewhere(refuse(Refusal::Failed)),
+        Outcome::Empty(_) => {
+            job.log_end("failed", "the connection was closed before an event");
+            Next::Answer(refuse(Refusal::Failed))
+        }
         Outcome::Complete(head, bytes) => {
             observe_first_answer(job);
             job.log_end("complete", format_args!("status={}", head.status.as_u16()));
@@ -366,6 +383,7 @@
                 return;
             }
             Outcome::NotRun(reason) => (false, Some(reason.clone())),
+            Outcome::Empty(_) => (true, Some("the connection was closed before an event".to_owned())),
             Outcome::ConnectionBroken(reason) | Outcome::NoValidAnswer(reason) => {
                 (true, Some(reason.clone()))
             }
@@ -374,6 +392,7 @@
         let mut progress = self.progress();
         progress.sent += 1;
         progress.ran += u32::from(ran);
+        progress.empty += u32::from(matches!(outcome, Outcome::Empty(_)));
         if let Some(reason) = reason {
             progress.excluded.push(upstream.to_owned());
             drop(progress);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -42,6 +42,8 @@
     pub ran: u32,
     /// Upstreams that must not be tried again.
     pub excluded: Vec<String>,
+    /// The number of upstreams that closed their connection before an event.
+    pub empty: u32,
     /// The only software version at which the request may run: the one that began its stream.
     pub version: Option<Version>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{OpenStream, Outcome};
 use crate::event::EventSplitter;
 use crate::framing::Framing;
+use crate::handle::EMPTY_ANSWERS;
 use crate::job::{Job, TokenMeter};
 use crate::manifest::RouteKind;
 use crate::ports::Wire;
@@ -343,13 +344,17 @@
 impl<W: Wire, S: Rows> Job<W, S> {
     /// Resumes a broken stream at another upstream; `None` if none could continue it.
     async fn resume(&self, mut splitter: EventSplitter) -> Option<Resumed<W, S>> {
+        let empty_before = self.progress().empty;
+        let empty = || self.progress().empty - empty_before;
         loop {
             if self.remaining().is_zero() || self.progress().ran >= self.request.route.attempts + EXTRA_RUNS {
                 return None;
             }
-            let chosen = self.choose()?;
+            let none_left = empty() > 0;
+            let complete = |splitter| none_left.then_some(Resumed::Complete(splitter));
+            let Some(chosen) = self.choose() else { return complete(splitter) };
             if !self.may_repeat() || !self.take_repeat("resume") {
-                return None;
+                return complete(splitter);
             }
             let (chosen, turn) = self.take_turn(chosen).await.ok()?;
             let after = splitter.last_id();
@@ -362,6 +367,9 @@
                 Outcome::Complete(head, bytes) if head.status == StatusCode::OK && bytes.is_empty() => {
                     return Some(Resumed::Complete(splitter));
                 }
+                Outcome::Empty(_) if empty() >= EMPTY_ANSWERS => {
+                    return Some(Resumed::Complete(splitter));
+                }
                 Outcome::TimedOut => return None,
                 _ => splitter.discard_partial(),
             }
