--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,6 +4,8 @@
 
 /// The ends of an event: the end of its last line, and an empty line.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+/// The beginning of a comment line, which keeps a connection alive.
+const COMMENT: &[u8] = b":";
 /// The name of the field that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -66,9 +68,10 @@
         self.partial.clear();
     }
 
-    /// Whether the bytes so far end inside an event.
+    /// Whether the bytes so far end inside an event. Empty lines and comments are no part of one.
     pub(crate) fn is_inside_event(&self) -> bool {
-        !self.partial.is_empty()
+        let mut lines = self.partial.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.any(|line| !line.is_empty() && !line.starts_with(COMMENT))
     }
 
     /// The number of bytes after the last complete event.
--- a/crates/gateway/tests/unit/event.rs
+++ b/crates/gateway/tests/unit/event.rs
@@ -39,3 +39,15 @@
     assert_eq!((splitter.count(), splitter.last_id()), (2, Some(2)));
     assert!(splitter.is_inside_event());
 }
+
+#[test]
+fn empty_lines_and_comments_after_an_event_are_no_part_of_the_next_one() {
+    for rest in ["\n", "\r\n", ": alive\n", "\n: alive"] {
+        let mut splitter = EventSplitter::default();
+        push(&mut splitter, "id: 1\ndata: a\n\n");
+        push(&mut splitter, rest);
+        assert!(!splitter.is_inside_event(), "{rest:?}");
+        push(&mut splitter, "\nid: 2");
+        assert!(splitter.is_inside_event(), "{rest:?}");
+    }
+}
