Router: frame relayed answers by the caller's connection, not by the upstream's version

Cause: relay() built the answer to the caller from the head of the upstream's answer, with its version. The answer of a service that speaks HTTP/1.0 was so passed on as HTTP/1.0: without chunks, and without the length, which relay() removes. It ended with its connection, and a caller took an answer that was broken off for a complete one, although the router had seen the error and aborted the body. The answers of forwarded requests take the same path; other routers answer with HTTP/1.1, so it does not happen there.

The copy now has version HTTP/1.1, and the server frames it by the connection of its caller.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use http_body_util::BodyDataStream;
 use hyper::body::{Bytes, Incoming};
 use net::{Body, exec};
@@ -119,12 +119,16 @@
 }
 
 /// Relays an answer as it arrives. If its body fails or `ended` completes first, the relayed body is aborted.
+///
+/// The copy is framed by the connection that it is sent over: an answer to a caller that kept the version of an
+/// upstream's HTTP/1.0 would have no chunks, and seem complete when it is aborted.
 pub(crate) fn relay(
     answer: Response<Incoming>,
     ended: impl Future<Output = ()> + Send + 'static,
 ) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
     strip_connection_headers(&mut head.headers);
+    head.version = Version::HTTP_11;
     let (pipe, copy) = net::pipe();
     exec::spawn(async move {
         let copying = async {
