Upstream: a 200 answer that is no whole completion is broken, with an unknown outcome

Cause: the answer to a run that is not streamed was read to its end and taken for whole. One that names no length ends with its connection, so that a connection that was closed early passed for its end. An answer in which no usage is found is charged at the reservation, and a complete answer is recorded for its idempotency key.

The answer must now be a JSON object with a list of choices. Anything else is an error with an unknown outcome, like a connection that broke: the run is cancelled, its usage is charged or written off, and the request is run elsewhere if it may be repeated and refused otherwise.

The refusal of a run is told by its status, whatever is left of its body.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -75,6 +75,8 @@
     Break(usize),
     /// Like [`Fault::Break`], but streams can't be resumed.
     BreakPermanently(usize),
+    /// Answers that are not streamed name no length, and end in order after this many bytes. The run itself ends.
+    Truncate(usize),
 }
 
 /// What an engine executed, for audits.
@@ -542,9 +544,13 @@
                 } else {
                     ("text_completion", json!({"index": 0, "text": content, "finish_reason": "length"}))
                 };
-                return json_response(&json!({
+                let answer = json!({
                     "id": id, "object": object, "created": 0, "model": model, "choices": [choice], "usage": usage
-                }));
+                });
+                return match state.fault {
+                    Fault::Truncate(length) => truncated_response(&answer, length),
+                    _ => json_response(&answer),
+                };
             }
             run.changed.listen()
         };
@@ -552,6 +558,18 @@
     }
 }
 
+/// A response without a length that ends in order after `length` bytes.
+fn truncated_response(value: &Value, length: usize) -> Response<Body> {
+    let mut bytes = value.to_string().into_bytes();
+    bytes.truncate(length);
+    let (pipe, body) = net::pipe();
+    net::exec::spawn(async move {
+        pipe.write(bytes).await;
+    })
+    .detach();
+    Response::new(body)
+}
+
 fn resume(state: &Arc<Mutex<State>>, id: &str, query: &str) -> Response<Body> {
     let offset = query.strip_prefix("offset=").and_then(|text| text.parse().ok()).unwrap_or(0);
     let gone = {
--- a/crates/upstream/src/http_adapter.rs
+++ b/crates/upstream/src/http_adapter.rs
@@ -5,7 +5,8 @@
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use net::{Body, Client};
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,6 +96,20 @@
     media.is_some_and(|media| media.starts_with(EVENT_STREAM))
 }
 
+/// What the answer to a run must contain.
+#[derive(Deserialize)]
+struct Completion {
+    #[serde(rename = "choices")]
+    _choices: Vec<IgnoredAny>,
+}
+
+/// Checks that an answer is a whole completion. One without a length ends with its connection, so that only its form
+/// tells whether it was cut off.
+fn check_completion(bytes: &[u8]) -> Result<(), String> {
+    let completion = serde_json::from_slice::<Completion>(bytes);
+    completion.map(drop).map_err(|error| format!("not a whole completion: {error}"))
+}
+
 impl Engine for Http {
     async fn start(&self, peer: SocketAddr, call: &Call) -> Result<Reply, Error> {
         let mut request = build("start", peer, Method::POST, &call.path, Body::from(call.body.clone()))?;
@@ -112,6 +127,7 @@
             200 if is_stream(&answer) => Ok(Reply::Stream(Events::new(peer, answer.into_body()))),
             200 => {
                 let bytes = net::collect(answer.into_body(), MAX_ANSWER_BYTES).await.map_err(unknown)?;
+                check_completion(&bytes).map_err(unknown)?;
                 Ok(Reply::Whole(bytes))
             }
             // Engines return a 4xx or a 503 only before they start any work.
--- a/tests/testsuite/framing.rs
+++ b/tests/testsuite/framing.rs
@@ -1,9 +1,9 @@
-//! Upstreams whose connections break in the middle of an answer: a truncated answer never reaches its caller as a complete
-//! one.
+//! Upstreams whose answers name no length, or whose connections break in the middle of an answer: a truncated answer
+//! never reaches its caller as a complete one, and is neither charged nor recorded as one.
 
-use crate::support::{program, run};
-use harness::{Fleet, Plan};
-use standin::{Proxy, Rule};
+use crate::support::{consumed, executions, open_runs, program, run, stop_all};
+use harness::{ChatRequest, Fleet, Plan};
+use standin::{Fault, Proxy, Rule};
 
 /// A fleet with proxies that change how the answers of its upstreams are framed, and others in front of them that close
 /// the connections.
@@ -55,3 +55,64 @@
         assert!(!cut.complete, "the answer must be aborted: {cut:?}");
     });
 }
+
+#[test]
+fn a_truncated_answer_is_neither_delivered_nor_charged_nor_recorded_as_complete() {
+    run(async {
+        let mut site = FramedFleet::start(Rule::Unframed).await;
+        site.fleet.engines.iter().for_each(|engine| engine.set_fault(Fault::Truncate(120)));
+        let request = ChatRequest::new("hail-flag", "Hail on NE-12?", 5).with_key("flag");
+        let answer = site.fleet.caller(0).send_chat(&request).await;
+        assert_eq!(
+            (answer.status, answer.code.as_str(), answer.execution.as_str()),
+            (502, "upstream_failed", "ran")
+        );
+        site.fleet.engines.iter().for_each(|engine| engine.set_fault(Fault::None));
+        for router in 0..3 {
+            let again = site.fleet.caller(router).send_chat(&request).await;
+            assert_ne!(again.status, 200, "{again:?}");
+        }
+        assert_eq!(executions(&site.fleet, &request.prompt), 1, "it runs once (I3)");
+        let used = consumed(&site.fleet);
+        stop_all(&mut site.fleet).await;
+        assert_eq!(
+            harness::audit(&site.fleet)["storm-desk/main"].spent,
+            used,
+            "what the engine consumed is charged"
+        );
+    });
+}
+
+#[test]
+fn a_request_whose_answer_was_truncated_is_run_elsewhere_if_it_may_be_repeated() {
+    run(async {
+        let mut site = FramedFleet::start(Rule::Unframed).await;
+        site.fleet.engines[0].set_fault(Fault::Truncate(120));
+        for index in 0..12 {
+            let request = ChatRequest::new("narrator", &format!("Cell {index}"), 2);
+            let answer = site.fleet.caller(0).send_chat(&request).await;
+            let is_refused = answer.code == "upstream_failed" && answer.execution == "ran";
+            assert!(answer.is_complete_for(&request) || is_refused, "{answer:?}");
+        }
+        assert_eq!(open_runs(&site.fleet), 0);
+        stop_all(&mut site.fleet).await;
+    });
+}
+
+#[test]
+fn a_stream_that_is_closed_in_order_is_resumed() {
+    run(async {
+        let site = FramedFleet::start(Rule::Unframed).await;
+        let request = ChatRequest::new("narrator", "Describe the storm.", 40).streamed();
+        let whole = site.fleet.caller(0).send_chat(&request).await;
+        assert!(whole.is_complete_for(&request), "{whole:?}");
+        site.set_rule(Rule::CloseAfter(3_000));
+        let request = ChatRequest::new("narrator", "Describe the hail.", 40).streamed();
+        let answer = site.fleet.caller(0).send_chat(&request).await;
+        assert!(answer.is_complete_for(&request), "{answer:?}");
+        assert_eq!(executions(&site.fleet, &request.prompt), 1);
+        let record =
+            site.fleet.get(0, &format!("/v1/requests/{}", answer.request_id)).await.expect("a record");
+        assert!(record.contains("taken up again"), "{record}");
+    });
+}
