Net: reset the connection of a caller of HTTP/1.0 whose answer breaks off

Cause: an answer of unknown length to a request of HTTP/1.0 has no chunks and ends with its connection. If its body failed, or the server was aborted, the connection was dropped, which closes it in order: the caller took the part that it had for the whole answer. hyper returns such errors without a shutdown, so the socket is still open when the connection ends.

The server now sets SO_LINGER to 0 before it drops a connection that ended with an error or by an abort, if its last answer had neither a length nor chunks. An answer whose connection is closed because its caller accepts no bytes is covered by the same path; no test shows that case. HTTP/1.1 is as before: there the missing last chunk tells, and a reset could discard what the peer has not read. The kernel of a process that is killed still closes its sockets in order.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -4,7 +4,8 @@
 use crate::exec;
 use crate::watched::{StallLimit, Watched};
 use async_channel::{Receiver, Sender};
-use http::{Request, Response};
+use http::header::CONTENT_LENGTH;
+use http::{Request, Response, Version};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1::{self, Connection, UpgradeableConnection};
 use hyper::service::service_fn;
@@ -193,11 +194,15 @@
             Some(Ok((stream, peer))) => {
                 open.fetch_add(1, Ordering::Relaxed);
                 set_options(&stream, &limits);
-                let io = Watched::new(FuturesIo::new(stream), Some(peer), stall_limit.clone());
+                let io = Watched::new(FuturesIo::new(stream.clone()), Some(peer), stall_limit.clone());
                 let connection = serve_connection_until_stopped(io, limits, service.clone(), stopped.clone());
                 let open = open.clone();
                 exec::spawn(async move {
-                    connection.await;
+                    if connection.await == Close::Reset {
+                        // The error of a socket that is closed already does not matter.
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    }
+                    drop(stream);
                     open.fetch_sub(1, Ordering::Relaxed);
                 })
                 .detach();
@@ -214,23 +219,43 @@
     }
 }
 
+/// How a connection is to be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Close {
+    InOrder,
+    /// The peer would otherwise take a response that was broken off for a complete one.
+    Reset,
+}
+
+/// Whether a response to a request of this version ends with its connection, since it has neither a length nor chunks.
+fn ends_with_connection<B: http_body::Body>(version: Version, response: &Response<B>) -> bool {
+    let has_length =
+        response.headers().contains_key(CONTENT_LENGTH) || response.body().size_hint().exact().is_some();
+    version == Version::HTTP_10 && !has_length
+}
+
 async fn serve_connection_until_stopped<S, F, B>(
     io: ServerIo,
     limits: Limits,
     service: S,
     stopped: StopSignal,
-) where
+) -> Close
+where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: http_body::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let lingers = io.lingers();
-    let service = service_fn(move |request| {
+    let is_unframed = Arc::new(AtomicBool::new(false));
+    let is_response_unframed = is_unframed.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
         let answer = service(request);
-        let lingers = lingers.clone();
+        let (lingers, is_unframed) = (lingers.clone(), is_response_unframed.clone());
         async move {
             let response = answer.await;
+            is_unframed.store(ends_with_connection(version, &response), Ordering::Relaxed);
             if response.extensions().get::<UnreadRequest>().is_some() {
                 lingers.store(true, Ordering::Relaxed);
             }
@@ -243,36 +268,36 @@
         .max_headers(limits.headers)
         .max_buf_size(limits.buffer)
         .serve_connection(io, service);
-    match limits.allows_upgrades {
+    let result = match limits.allows_upgrades {
         true => {
             run_until_stopped(connection.with_upgrades(), UpgradeableConnection::graceful_shutdown, stopped)
                 .await
         }
         false => run_until_stopped(connection, Connection::graceful_shutdown, stopped).await,
+    };
+    match result {
+        Some(Ok(())) => Close::InOrder,
+        Some(Err(_)) | None if is_unframed.load(Ordering::Relaxed) => Close::Reset,
+        Some(Err(_)) | None => Close::InOrder,
     }
 }
 
-/// Runs a connection until it ends, and shuts it down if the server is stopped before.
+/// Runs a connection until it ends, and shuts it down if the server is stopped before. Returns `None` if the server
+/// is aborted before.
 async fn run_until_stopped<C: Future>(
     connection: C,
     shut_down: impl FnOnce(Pin<&mut C>),
     stopped: StopSignal,
-) {
+) -> Option<C::Output> {
     let mut connection = pin!(connection);
     let ended = async {
         stopped.wait().await;
-        false
+        None
     };
-    let complete = smol::future::or(
-        async {
-            let _ = connection.as_mut().await;
-            true
-        },
-        ended,
-    )
-    .await;
-    if !complete && !stopped.is_aborted.load(Ordering::Relaxed) {
-        shut_down(connection.as_mut());
-        let _ = connection.await;
+    let result = smol::future::or(async { Some(connection.as_mut().await) }, ended).await;
+    if result.is_some() || stopped.is_aborted.load(Ordering::Relaxed) {
+        return result;
     }
+    shut_down(connection.as_mut());
+    Some(connection.await)
 }
--- a/crates/net/tests/server.rs
+++ b/crates/net/tests/server.rs
@@ -1,8 +1,10 @@
-//! Peers of a server that do not read their responses, or that still send a request when it is answered.
+//! Peers of a server that do not read their responses, that still send a request when it is answered, or that speak
+//! HTTP/1.0, so that they can't tell a response that was broken off from a complete one unless the connection is reset.
 
 use futures::{AsyncReadExt, AsyncWriteExt};
 use net::{Body, Limits, exec};
 use smol::net::TcpStream;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -137,3 +139,96 @@
         }
     });
 }
+
+/// How a response of a server under test ends.
+#[derive(Clone, Copy, Debug)]
+enum ResponseEnd {
+    Complete,
+    /// The body fails.
+    Failed,
+    /// The body never ends, and the server is aborted.
+    Aborted,
+}
+
+/// Requests `version` of a response that ends in this way, and returns the bytes that were received and how the
+/// connection ended.
+async fn read_response(version: &str, end: ResponseEnd) -> (String, io::Result<()>) {
+    exec::start(2);
+    let service = move |_| {
+        let (pipe, body) = net::pipe();
+        exec::spawn(async move {
+            pipe.write("part").await;
+            match end {
+                ResponseEnd::Complete => {}
+                ResponseEnd::Failed => pipe.abort("aborted by the test").await,
+                ResponseEnd::Aborted => pipe.closed().await,
+            }
+        })
+        .detach();
+        std::future::ready(http::Response::new(body))
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = net::serve::<_, _, Body>(address, Limits::default(), service).await.expect("a free port");
+    let mut stream = TcpStream::connect(handle.address()).await.expect("a connection");
+    let head = format!("GET / HTTP/{version}\r\nhost: test\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a request");
+    let mut received = vec![];
+    let result = loop {
+        let mut chunk = [0; 512];
+        match stream.read(&mut chunk).await {
+            Ok(0) => break Ok(()),
+            Ok(count) => received.extend_from_slice(&chunk[..count]),
+            Err(error) => break Err(error),
+        }
+        let has_body = received.windows(4).any(|window| window == b"part");
+        if matches!(end, ResponseEnd::Aborted) && has_body {
+            handle.abort();
+        }
+    };
+    (String::from_utf8(received).expect("UTF-8"), result)
+}
+
+/// Guards against a response that ends with its connection and seems complete although its body failed.
+#[test]
+fn a_failed_response_to_an_http_1_0_request_resets_the_connection() {
+    exec::block_on(async {
+        let (text, result) = read_response("1.0", ResponseEnd::Failed).await;
+        assert!(text.ends_with("\r\n\r\npart"), "{text}");
+        assert_eq!(result.map_err(|error| error.kind()), Err(io::ErrorKind::ConnectionReset));
+    });
+}
+
+/// Guards against a response that seems complete although its server was aborted.
+#[test]
+fn an_aborted_server_resets_connections_with_open_responses_to_http_1_0_requests() {
+    exec::block_on(async {
+        let (text, result) = read_response("1.0", ResponseEnd::Aborted).await;
+        assert!(text.ends_with("\r\n\r\npart"), "{text}");
+        assert_eq!(result.map_err(|error| error.kind()), Err(io::ErrorKind::ConnectionReset));
+    });
+}
+
+#[test]
+fn a_complete_response_to_an_http_1_0_request_closes_the_connection_in_order() {
+    exec::block_on(async {
+        let (text, result) = read_response("1.0", ResponseEnd::Complete).await;
+        assert!(text.ends_with("\r\n\r\npart"), "{text}");
+        assert!(!text.contains("transfer-encoding"), "{text}");
+        result.expect("an end in order");
+    });
+}
+
+/// The chunks tell a peer that speaks HTTP/1.1 that the response is not complete. It is not reset, since that could
+/// discard what the peer has not read yet.
+#[test]
+fn a_failed_response_to_an_http_1_1_request_ends_without_its_last_chunk() {
+    exec::block_on(async {
+        for end in [ResponseEnd::Failed, ResponseEnd::Aborted] {
+            let (text, result) = read_response("1.1", end).await;
+            assert!(text.ends_with("\r\n\r\n4\r\npart\r\n"), "{end:?}: {text}");
+            result.expect("an end in order");
+        }
+        let (text, _) = read_response("1.1", ResponseEnd::Complete).await;
+        assert!(text.ends_with("4\r\npart\r\n0\r\n\r\n"), "{text}");
+    });
+}
