--- a/crates/gateway/tests/unit/failover.rs
+++ b/crates/gateway/tests/unit/failover.rs
@@ -4,7 +4,7 @@
 use crate::store_health::{HELPER_BACKOFF, MAX_FAILED_HELPERS, MAX_REFUSALS};
 use net::{Handle, Limits};
 use standin::{Link, Proxy, TableRows};
-use store::rows::Key;
+use store::rows::{Key, Record};
 
 /// How the store behaves towards a gateway.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -325,3 +325,30 @@
         assert!(!failover.lock().is_unreachable(), "the store counts as unreachable");
     });
 }
+
+/// An answer of unknown length ends with its connection, so that only the decoding tells whether it was cut off.
+#[test]
+fn a_message_between_gateways_that_is_cut_off_is_an_error() {
+    fn check<T: DeserializeOwned + Serialize>(value: T) {
+        let whole = bincode::serialize(&Answer::Done(value)).expect("bytes");
+        for length in 0..whole.len() {
+            assert!(
+                bincode::deserialize::<Answer<T>>(&whole[..length]).is_err(),
+                "{length} of {}",
+                whole.len()
+            );
+        }
+        bincode::deserialize::<Answer<T>>(&whole).expect("the whole message");
+    }
+    let record = |name: &str| Record {
+        table: "things".to_owned(),
+        name: name.to_owned(),
+        version: 3,
+        value: Some(b"value".to_vec()),
+    };
+    let page = Page { records: vec![record("one"), record("two")], version: 4, now_ms: 5 };
+    check(page.clone());
+    check(Feed::Changes(page.clone()));
+    check(Commit::Conflict(page.records));
+    check(Commit::Applied(4));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod platform;
 mod proxy;
+mod raw;
 mod rows;
 mod service;
 mod text;
@@ -19,6 +20,7 @@
 pub use engine::{Engine, EngineConfig, EngineRecord, Fault};
 pub use platform::{Counts, Mode, Platform, Rates};
 pub use proxy::{Link, Proxy, Rule};
+pub use raw::serve_raw;
 pub use rows::{RowsFault, TableRows};
 pub use service::Service;
 pub use text::{answer, prompt_tokens, token};
--- a/crates/upstream/tests/endings.rs
+++ b/crates/upstream/tests/endings.rs
@@ -2,9 +2,7 @@
 //! cut off at any byte by connections that are closed in order.
 
 use assert_matches::assert_matches;
-use futures::{AsyncReadExt, AsyncWriteExt};
 use net::{Client, exec};
-use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::time::Duration;
 use upstream::{Call, CancelOutcome, Engine, Error, Event, Fault, Http, Reply};
@@ -18,20 +16,11 @@
 );
 const STREAM: &str = "data: {\"choices\":[{\"delta\":{\"content\":\"hail\"}}]}\n\ndata: [DONE]\n\n";
 
-/// Starts an engine that answers each request with `body`, and closes the connection.
+/// Starts an engine that answers with `body`, and closes the connection.
 async fn serve(status: u16, media: &'static str, body: &str) -> SocketAddr {
     exec::start(2);
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
     let answer = format!("HTTP/1.1 {status} Status\r\ncontent-type: {media}\r\n\r\n{body}");
-    exec::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let _ = stream.read(&mut [0; 1_024]).await;
-            let _ = stream.write_all(answer.as_bytes()).await;
-        }
-    })
-    .detach();
-    address
+    standin::serve_raw(answer).await.expect("a free port")
 }
 
 fn engine() -> Http {
--- a/tests/testsuite/framing.rs
+++ b/tests/testsuite/framing.rs
@@ -4,6 +4,11 @@
 use crate::support::{consumed, executions, open_runs, program, run, stop_all};
 use harness::{ChatRequest, Fleet, Plan};
 use standin::{Fault, Proxy, Rule};
+use std::time::Duration;
+use store::{Role, Table, Tx, Vm, VmList};
+
+/// How long a test waits for an answer before it fails.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
 /// A fleet with proxies that change how the answers of its upstreams are framed, and others in front of them that close
 /// the connections.
@@ -116,3 +121,52 @@
         assert!(record.contains("taken up again"), "{record}");
     });
 }
+
+/// A platform that gives this answer to each call, without a length, and closes the connection in order.
+async fn raw_platform(body: &str) -> store::Http {
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{body}");
+    let address = standin::serve_raw(answer).await.expect("a listener");
+    store::Http::new(net::Client::new(), address, WAIT_LIMIT)
+}
+
+#[test]
+fn an_answer_of_the_platform_that_is_cut_off_is_an_error() {
+    run(async {
+        let row = r#"{"version":3,"value":"{}"}"#;
+        let read = format!("[{row},null,{row}]");
+        for length in 0..read.len() {
+            let cut = raw_platform(&read[..length]).await.read(&["a".to_owned()]).await;
+            assert!(cut.is_err(), "{length} bytes: {cut:?}");
+        }
+        assert_eq!(
+            raw_platform(&read).await.read(&["a".to_owned()]).await.map(|rows| rows.len()).ok(),
+            Some(3)
+        );
+        let scanned = format!(r#"{{"a":{row},"b":{row}}}"#);
+        for length in 0..scanned.len() {
+            let cut = raw_platform(&scanned[..length]).await.scan("a").await;
+            assert!(cut.is_err(), "{length} bytes: {cut:?}");
+        }
+        assert_eq!(raw_platform(&scanned).await.scan("a").await.map(|rows| rows.len()).ok(), Some(2));
+        let outcome = r#""applied""#;
+        for length in 0..outcome.len() {
+            let cut = raw_platform(&outcome[..length]).await.commit(&Tx::default()).await;
+            assert!(cut.is_err(), "{length} bytes: {cut:?}");
+        }
+        assert!(raw_platform(outcome).await.commit(&Tx::default()).await.is_ok());
+        let address = standin::loopback();
+        let vm = Vm {
+            name: "vm-1".to_owned(),
+            role: Role::Router,
+            data_centre: "dc-0".to_owned(),
+            address,
+            leaving: false,
+        };
+        let listed = serde_json::to_string(&[vm.clone(), vm]).expect("JSON");
+        for length in 0..listed.len() {
+            let cut = raw_platform(&listed[..length]).await.list().await;
+            assert!(cut.is_err(), "{length} bytes: {cut:?}");
+        }
+        assert_eq!(raw_platform(&listed).await.list().await.map(|vms| vms.len()).ok(), Some(2));
+    });
+}
