Gateway: an owner's answer that ends with its connection is no answer

Cause: whether a gateway may hold tokens follows the message in an owner's answer, and is optional because earlier builds do not send it. An answer without a length that lost its last byte was so read as "held, and may not hold": the gateway would stop holding the team's tokens.

Answers between gateways about reservations must now have a length or chunks.

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -10,6 +10,7 @@
 //! the [`ReserveResponse`] whether it may hold tokens. Earlier builds ignore both.
 
 use crate::budget_state::DenialReason;
+use crate::framing::Framing;
 use crate::node::{Node, Phase};
 use crate::owners::Owner;
 use crate::peer_messages::{Decode, RequestSuffix, ReserveRequest, ReserveResponse, UsageReport, WithSuffix};
@@ -214,7 +215,12 @@
         let request = Request::post(format!("http://{peer}{path}")).body(Body::from(bytes));
         let request = request.map_err(|reason| error(net::Fault::Unsent, reason.to_string()))?;
         let answer = self.client.exchange(step, request, MESSAGE_LIMIT, limit).await?;
-        T::decode(answer.body()).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
+        let (head, bytes) = answer.into_parts();
+        if Framing::of(&head) == Framing::Closed {
+            let reason = "an answer that ends with its connection may have lost what follows the message";
+            return Err(error(net::Fault::Unknown, reason.to_owned()));
+        }
+        T::decode(&bytes).map_err(|reason| error(net::Fault::Unknown, reason.to_string()))
     }
 
     /// Reports the use of a request in the background.
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -349,3 +349,33 @@
         }
     });
 }
+
+/// What a gateway understands of an owner's answer with this head and body, after which the connection is closed in
+/// order.
+async fn send_to_raw_owner<T: Decode>(head: &str, body: &[u8]) -> Result<T, net::Error> {
+    let answer = [format!("HTTP/1.1 {head}\r\n\r\n").as_bytes(), body].concat();
+    let owner = standin::serve_raw(answer).await.expect("a listener");
+    PeerReservations::new("vm-9#1").send("reserve", owner, RESERVE_PATH, &(), RESERVE_TIMEOUT).await
+}
+
+/// Without a length, an answer that lost its suffix could not be told from one of an earlier build.
+#[test]
+fn an_answer_that_may_be_cut_off_is_an_error() {
+    net::exec::start(2);
+    exec::block_on(async {
+        let whole = bincode::serialize(&(ReserveResponse::Held, true)).expect("bytes");
+        let head = format!("200 OK\r\ncontent-length: {}", whole.len());
+        let answer = send_to_raw_owner::<WithSuffix<ReserveResponse, bool>>(&head, &whole).await;
+        assert!(matches!(answer, Ok(WithSuffix(ReserveResponse::Held, true))));
+        for length in 0..=whole.len() {
+            for head in ["200 OK", &head] {
+                if head != "200 OK" && length == whole.len() {
+                    continue;
+                }
+                let answer = send_to_raw_owner::<WithSuffix<ReserveResponse, bool>>(head, &whole[..length]);
+                let fault = answer.await.map(|_| ()).map_err(|error| error.fault);
+                assert_eq!(fault, Err(net::Fault::Unknown), "{length} bytes after {head}");
+            }
+        }
+    });
+}
