Gateway: a refused report of use has not been accepted

Cause: the answer to a report is empty, and send() did not look at the status. A 400 without a body, which an owner answers when it can't read a report, was so taken for accepted: it was neither sent again nor logged, and the owner charges the worst case in the end. Found while looking for answers with a wrong meaning; framing plays no part. No budget is overspent by it.

An answer whose status is not 200 is now an error with an unknown outcome, so the report is sent again and its loss is logged (event=not-reported).

--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -216,6 +216,9 @@
         let request = request.map_err(|reason| error(net::Fault::Unsent, reason.to_string()))?;
         let answer = self.client.exchange(step, request, MESSAGE_LIMIT, limit).await?;
         let (head, bytes) = answer.into_parts();
+        if head.status != StatusCode::OK {
+            return Err(error(net::Fault::Unknown, format!("status {}", head.status.as_u16())));
+        }
         if Framing::of(&head) == Framing::Closed {
             let reason = "an answer that ends with its connection may have lost what follows the message";
             return Err(error(net::Fault::Unknown, reason.to_owned()));
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -379,3 +379,14 @@
         }
     });
 }
+
+/// The answer to a report is empty, so that only its status tells whether the owner has understood the report.
+#[test]
+fn a_refused_report_is_not_taken_for_accepted() {
+    net::exec::start(2);
+    exec::block_on(async {
+        assert_matches!(send_to_raw_owner::<()>("200 OK\r\ncontent-length: 0", b"").await, Ok(()));
+        let refused = send_to_raw_owner::<()>("400 Bad Request\r\ncontent-length: 0", b"").await;
+        assert_matches!(refused, Err(net::Error { fault: net::Fault::Unknown, .. }));
+    });
+}
