Count charges that only a dead process's note shows as its earlier use

notes::tests::a_restarted_gateway_opens_the_budgets_that_its_previous_process_used failed now and then beside load: the restarted gateway held 1,250 of the 5,000 tokens that the test asks for, for as long as it waited.

Cause: the restarted gateway sizes its share of a budget by what the processes before it used. close_accounts took that from the account's row as it was before it was closed. A charge that was noted and not settled yet counted as 0, although closing the account records it as spent. With a use of 0 the share is that of a gateway without requests: 0.75 x 80,000 x 500 / (20,000 + 8 x 500) = 1,250. The test passed most of the time because the first settlement of a budget does not know the pool yet and draws 9,375; the second one returns the excess. If the settlement task had already taken the first request when the earlier use was set, the second one followed at once, before the test looked.

Ruled out: a lost settlement request (the pool had 78,750 free, and settlements went on), and the other process's share of the pool.

--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -36,8 +36,8 @@
     pub limit: u64,
 }
 
-/// Closes the accounts of a team whose holders are gone. Returns the tokens that these have spent according
-/// to their rows; `None` if they have no account.
+/// Closes the accounts of a team whose holders are gone. Returns the tokens that these have spent, including
+/// charges that only their notes show; `None` if they have no account.
 ///
 /// # Errors
 /// Fails if the store does. A further call closes the accounts that are left.
@@ -55,14 +55,21 @@
             continue;
         }
         let Some(account) = decode::<Account>(record) else { continue };
-        spent = Some(spent.unwrap_or(0) + account.lines.get(team).map_or(0, |line| line.spent));
-        if !account.closed {
-            close_account(rows, team, &record.name, page.records.clone(), exposure, writers).await?;
-        }
+        let spent_by_holder = match account.closed {
+            true => spent_tokens(&account, team),
+            false => close_account(rows, team, &record.name, page.records.clone(), exposure, writers).await?,
+        };
+        spent = Some(spent.unwrap_or(0) + spent_by_holder);
     }
     Ok(spent)
 }
 
+/// The tokens of a team's budget that an account has spent.
+fn spent_tokens(account: &Account, team: &str) -> u64 {
+    account.lines.get(team).map_or(0, |line| line.spent)
+}
+
+/// Closes one account. Returns the tokens that it has spent.
 async fn close_account<S: Rows>(
     rows: &S,
     team: &str,
@@ -70,28 +77,29 @@
     mut records: Vec<Record>,
     exposure: &impl Exposure,
     writers: u64,
-) -> Result<(), Error> {
+) -> Result<u64, Error> {
+    let mut spent = 0;
     for round in 0..ATTEMPTS {
         let find = |name: &str| records.iter().find(|record| record.name == name);
-        let (Some(pool_row), Some(account_row)) = (find(POOL), find(name)) else { return Ok(()) };
-        let (Some(pool), Some(mut account)) = (decode::<Pool>(pool_row), decode::<Account>(account_row))
-        else {
-            return Ok(());
-        };
+        let Some(account_row) = find(name) else { return Ok(spent) };
+        let Some(mut account) = decode::<Account>(account_row) else { return Ok(spent) };
+        spent = spent_tokens(&account, team);
         if account.closed {
-            return Ok(());
+            return Ok(spent);
         }
+        let Some(pool_row) = find(POOL) else { return Ok(spent) };
+        let Some(pool) = decode::<Pool>(pool_row) else { return Ok(spent) };
         let mut pools = BTreeMap::from([(team.to_owned(), pool)]);
         let exposed = |_: &str, line: &Line| exposure.exposed(team, name, line);
         let released = match ledger::close_account_with_exposure(&mut account, &mut pools, exposed) {
             Ok(released) => released.values().sum::<u64>(),
             Err(error) => {
                 log::error!("budget: event=not-closed team={team} account={name} error=\"{error}\"");
-                return Ok(());
+                return Ok(spent);
             }
         };
         let left: u64 = account.lines.values().map(Line::held).sum();
-        let spent: u64 = account.lines.values().map(|line| line.spent).sum();
+        let spent = spent_tokens(&account, team);
         let pool_key = Key::new(BUDGETS, POOL);
         let account_key = Key::new(BUDGETS, name);
         let change = Change {
@@ -109,7 +117,7 @@
                 log::info!(
                     "budget: event=closed team={team} account={name} released={released} lost={left} spent={spent} {noted} version={version}"
                 );
-                return Ok(());
+                return Ok(spent);
             }
             Commit::Conflict(current) => records = current,
         }
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -325,3 +325,24 @@
         assert_matches!(denied, Some(DenialReason::Spent), "what is written off never returns");
     });
 }
+
+/// A charge that was noted but not settled did not count as earlier use. The new process then held the share
+/// of a gateway without requests, although it is expected to get those of the dead one.
+#[test]
+fn charges_that_a_dead_process_noted_count_as_earlier_use() {
+    net::exec::block_on(async {
+        let live = TableRows::default();
+        let first = start_gateway("vm-1", 1, &live);
+        let used = budget(&first, "branch").reserve(20_000, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        // The process dies before it settles the charge, and after it noted it.
+        let rows = live.snapshot();
+        used.charge("r-1", 20_000);
+        write_note(&first, &mut Some(0)).await.expect("the note is written");
+        rows.put(NOTES, "vm-1", NOTE, live.get(NOTES, "vm-1", NOTE).expect("the note"));
+        assert_eq!(account(&rows, "branch").lines["branch"].spent, 0);
+
+        let second = start_gateway("vm-1", 2, &rows);
+        recover(&second).await;
+        assert_eq!(budget(&second, "branch").lock().earlier_use, 20_000);
+    });
+}
