Send a recall again with the write that follows a conflict

settle::tests::a_budget_that_others_have_reserved_is_not_spent failed beside load with Elsewhere after 3 s (settle.rs:321): the gateway that waited for tokens got none although the other one held 37,400 idle ones.

Cause: settle::attempt recorded a recall as sent before it committed the write with it. If that write conflicted, the next attempt left the recall out, since there was a recent one; it was due again a second later. The log of a failed run shows the rest: the first recall came before the other gateway had begun to follow recalls (a finding that stays open), and the second one, a second later, met the other gateway's settlement, which has the same interval: 71494 vm-1 commit need=0 applied=false 71499 vm-2 commit need=27500 recall=true applied=false 71503 vm-2 commit need=27500 recall=false applied=true

A recall is recorded once its write took effect, or may have.

The new test failed before. cargo test -p gateway: all pass.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -102,7 +102,7 @@
     /// Tokens that earlier processes of this VM used and settled.
     pub earlier_use: u64,
     /// When any gateway last sent a recall, as far as this one knows, as told by [`BudgetState::now`].
-    pub last_recall_ms: Option<u64>,
+    last_recall_ms: Option<u64>,
     pub rows: BudgetRows,
     pub open_batch: Option<Batch>,
     pub latest_settlement: SettlementResult,
@@ -142,13 +142,9 @@
         }
     }
 
-    /// Whether to send a recall to the other gateways now. If so, records its time.
-    pub(crate) fn try_start_recall(&mut self, now: u64, writers: u64) -> bool {
-        let is_due = !self.has_recent_recall(now, writers);
-        if is_due {
-            self.last_recall_ms = Some(now);
-        }
-        is_due
+    /// Records that a gateway sent a recall at this time.
+    pub(crate) fn record_recall(&mut self, now: u64) {
+        self.last_recall_ms = self.last_recall_ms.max(Some(now));
     }
 
     /// Whether the last known recall is too recent for another one.
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -179,15 +179,19 @@
     };
     let missing = batch.entries.get(&budget.team).map_or(0, |entry| entry.need);
     let now = budget.now();
-    if missing > 0
+    let is_recall_due = missing > 0
         && pool.wanted
         && pool.outstanding > 0
-        && budget.lock().try_start_recall(now, budget.writers())
-    {
+        && !budget.lock().has_recent_recall(now, budget.writers());
+    if is_recall_due {
         let recall = Recall { holder: budget.holder.clone(), missing };
         change.puts.push((Key::new(RECALLS, &budget.team), encode(&recall)));
     }
-    match rows.commit(&change).await? {
+    let result = rows.commit(&change).await;
+    if is_recall_due && may_have_taken_effect(&result) {
+        budget.lock().record_recall(now);
+    }
+    match result? {
         Commit::Applied(version) => {
             let mut state = budget.lock();
             state.rows = BudgetRows {
@@ -207,6 +211,14 @@
     }
 }
 
+fn may_have_taken_effect(result: &Result<Commit, Error>) -> bool {
+    match result {
+        Ok(Commit::Applied(_)) => true,
+        Ok(Commit::Conflict(_)) => false,
+        Err(error) => error.fault == Fault::Unknown,
+    }
+}
+
 impl TeamBudget {
     /// The name of this process's account row in a generation of the account.
     pub(crate) fn account_name(&self, generation: u64) -> String {
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -288,7 +288,7 @@
         {
             let mut state = self.lock();
             let now = state.now();
-            state.last_recall_ms = Some(now);
+            state.record_recall(now);
             if state.grant.available() == 0 {
                 return;
             }
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -1,11 +1,11 @@
 //! Settlements with lost or late writes, and with conflicts between gateways.
 
-use super::retry_delay;
+use super::{AttemptOutcome, attempt, retry_delay};
 use crate::budget_state::DenialReason;
 use crate::node::Node;
 use crate::notes::Recovery;
 use crate::support::{PlainTextWire, manifest, node, recover_all};
-use crate::table::{BUDGETS, POOL};
+use crate::table::{BUDGETS, POOL, RECALLS};
 use crate::team_budget::TeamBudget;
 use crate::watch::responders;
 use assert_matches::assert_matches;
@@ -328,6 +328,32 @@
     });
 }
 
+/// A recall counted as sent although the write with it had conflicted, and was sent again a second later: at the
+/// time of the next settlement of the other gateway, with which it conflicted again.
+#[test]
+fn a_recall_is_sent_although_the_first_write_with_it_conflicts() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let (one, two) = (start_gateway("vm-1", &rows, 1, 10_000), start_gateway("vm-2", &rows, 1, 10_000));
+        drop(budget(&one).reserve(1_000, 0, RESERVE_TIMEOUT).await.expect("tokens"));
+        let budget = budget(&two);
+        while !budget.lock().latest_settlement.succeeded {
+            net::exec::sleep(Duration::from_millis(1)).await;
+        }
+        let batch = {
+            let mut state = budget.lock();
+            state.waiting_tokens = 10_000;
+            let now = state.now();
+            state.next_batch("desk", now, false, 2).expect("a batch that needs tokens")
+        };
+        assert!(rows.get(RECALLS, "desk", "desk").is_none());
+        rows.set_conflicts(1);
+        while let Ok(AttemptOutcome::Retry) = attempt(&budget, &rows, &batch).await {}
+        assert!(pool(&rows).wanted, "the pool lacks tokens");
+        assert!(rows.get(RECALLS, "desk", "desk").is_some(), "no recall was sent");
+    });
+}
+
 /// A gateway with a heavy caller holds the tokens that a request waits for. If it spread its response as the
 /// whole fleet would, the request would be denied before.
 #[test]
