Give no address of a stand-in to two of them, in one process or in two

Cause: the stand-ins of all suites listened on 127.0.0.1 at ports that the system assigned, so a port that one suite gave up could go to another one while gateways still called it.

Ruled out as the usual way: gateways in a test's own process that outlive their test. The logs of the run that failed are gone, so which process called then is not known.

Each process's stand-ins have an IP address of their own, which it claims as long as it runs, and no port is given out twice.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! });
 //! ```
 
+mod address;
 mod engine;
 mod platform;
 mod proxy;
@@ -16,14 +17,10 @@
 mod service;
 mod text;
 
+pub use address::loopback;
 pub use engine::{Engine, EngineConfig, EngineRecord, Fault};
 pub use platform::{Counts, Mode, Platform, Rates};
 pub use proxy::{Link, Proxy, Rule};
 pub use rows::{RowsFault, TableRows};
 pub use service::Service;
 pub use text::{answer, prompt_tokens, token};
-
-/// A loopback address with port 0, so that the system assigns a free port.
-pub fn loopback() -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], 0))
-}
