Restore the exposure limit when a batch may name another keeper

With the promise of its keepers never to close its account, a router uses more of a budget than it exposed. The limit stayed lifted until the next batch was settled. That batch names a keeper that promised nothing; once it took effect, this keeper could close the account and return tokens that the router had reserved meanwhile, so that they are spent twice (I1, I6).

The model check has the promise now: each batch names another keeper, and one that promised does not close the account. Opening an entry restores the limit; the router may ask again, and then asks the new keeper too.

In the router, seen by reading and not covered by the model, which has one budget: - The keeper closes the whole account, also budgets that its batch does not settle. Naming a keeper restores the limits of all budgets. - A keeper could be named while earlier ones were being asked. The limit is lifted only if none was added, before another one can be.

--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -106,12 +106,18 @@
         }
     }
 
-    /// Lifts the exposure limit until the next settlement. This is safe once every router that may close this
-    /// account has promised not to.
+    /// Lifts the exposure limit until the open batch is settled or the next one is opened. This is safe once
+    /// every router that may close this account has promised not to; the next batch may name another one.
     pub fn lift_exposure_limit(&mut self) {
         self.exposure_limit_lifted = true;
     }
 
+    /// Restores the exposure limit, since a batch names a router that may close this account and has not
+    /// promised not to.
+    pub fn restore_exposure_limit(&mut self) {
+        self.exposure_limit_lifted = false;
+    }
+
     /// Tokens that can be reserved now: those available, within the exposure limit.
     pub fn usable(&self) -> u64 {
         self.available.min(self.remaining_exposure())
@@ -220,6 +226,7 @@
         let excess =
             if self.available > target.saturating_mul(2) && need == 0 { self.available - target } else { 0 };
         self.available -= excess;
+        self.restore_exposure_limit();
         let exposed = self.in_use() + need + headroom;
         let entry = Entry {
             exposed,
--- a/crates/budget/tests/model/grants.rs
+++ b/crates/budget/tests/model/grants.rs
@@ -32,6 +32,7 @@
     crashes: u8,
     loans: u8,
     closures: u8,
+    promises: u8,
 }
 
 /// A bug injected into the protocol.
@@ -54,6 +55,8 @@
     CrashedGrantReturned,
     /// A router lends and reserves more than its exposure limit.
     NoExposureLimit,
+    /// A router lifts its exposure limit although its keepers may close its account.
+    NoPromise,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -103,6 +106,9 @@
     routers: Vec<Router>,
     in_flight: Vec<Transaction>,
     loans: Vec<Loan>,
+    /// The keepers that promised never to close an account: router, incarnation and keeper.
+    promises: BTreeSet<(usize, u8, String)>,
+    promised: u8,
     credit_added: bool,
     submitted: u8,
     attempts: u8,
@@ -182,11 +188,31 @@
         router.batch = Some(Batch {
             sequence: router.sequence,
             entries: [(BUDGET.to_owned(), entry)].into(),
-            keeper: String::new(),
+            // Each batch names another keeper, if any of them may promise not to close the account.
+            keeper: if self.bounds.promises > 0 { format!("k{}", router.sequence) } else { String::new() },
         });
         Some(next)
     }
 
+    /// All possible keepers of a router's account promise never to close it, and the router lifts its exposure
+    /// limit.
+    fn promise(&self, state: &State, index: usize) -> Option<State> {
+        let account = self.account(state, index);
+        if account.closed {
+            return None;
+        }
+        let mut next = state.clone();
+        next.promised += 1;
+        let router = &mut next.routers[index];
+        let keepers = [Some(account.keeper), router.batch.as_ref().map(|batch| batch.keeper.clone())];
+        if self.bug != Bug::NoPromise {
+            let incarnation = router.incarnation;
+            next.promises.extend(keepers.into_iter().flatten().map(|keeper| (index, incarnation, keeper)));
+        }
+        router.grant.lift_exposure_limit();
+        Some(next)
+    }
+
     /// Reads the rows and sends the transaction. An earlier one may still be in flight.
     fn attempt(&self, state: &State, index: usize) -> Option<State> {
         let router = &state.routers[index];
@@ -292,6 +318,9 @@
     fn close_account(&self, state: &State, index: usize, incarnation: u8) -> Option<State> {
         let mut next = state.clone();
         let account = next.accounts.get_mut(&(index, incarnation)).filter(|account| !account.closed)?;
+        if state.promises.contains(&(index, incarnation, account.keeper.clone())) {
+            return None;
+        }
         let mut pools: BTreeMap<String, Pool> = [(BUDGET.to_owned(), state.pool.clone())].into();
         close_account(account, &mut pools).ok()?;
         next.pool = pools.remove(BUDGET)?;
@@ -380,7 +409,9 @@
         if !state.credit_added {
             next.push(State { credit_added: true, ..state.clone() });
         }
-        for index in 0..ROUTERS {
+        // A promise concerns one router, and a second one multiplies the states.
+        let routers = if bounds.promises > 0 { 1 } else { ROUTERS };
+        for index in 0..routers {
             let router = &state.routers[index];
             if state.submitted < bounds.submissions {
                 next.extend(self.submit(state, index, true));
@@ -396,6 +427,9 @@
                 next.extend(self.attempt(state, index));
             }
             next.extend(self.read_back(state, index));
+            if state.promised < bounds.promises {
+                next.extend(self.promise(state, index));
+            }
             if state.crashes < bounds.crashes {
                 next.push(self.crash(state, index));
             }
@@ -452,16 +486,22 @@
 // Bounds for CI. Each of them combines some of the events.
 
 const LOST_ANSWERS: Bounds =
-    Bounds { submissions: 1, attempts: 4, losses: 1, crashes: 0, loans: 0, closures: 0 };
+    Bounds { submissions: 1, attempts: 4, losses: 1, crashes: 0, loans: 0, closures: 0, promises: 0 };
 const RETRY_ELSEWHERE: Bounds =
-    Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 0, loans: 0, closures: 0 };
-const CRASH: Bounds = Bounds { submissions: 1, attempts: 3, losses: 1, crashes: 1, loans: 0, closures: 0 };
-const LOAN: Bounds = Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 1, loans: 1, closures: 0 };
-const CLOSURE: Bounds = Bounds { submissions: 2, attempts: 2, losses: 0, crashes: 1, loans: 0, closures: 1 };
+    Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 0, loans: 0, closures: 0, promises: 0 };
+const CRASH: Bounds =
+    Bounds { submissions: 1, attempts: 3, losses: 1, crashes: 1, loans: 0, closures: 0, promises: 0 };
+const LOAN: Bounds =
+    Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 1, loans: 1, closures: 0, promises: 0 };
+const CLOSURE: Bounds =
+    Bounds { submissions: 2, attempts: 2, losses: 0, crashes: 1, loans: 0, closures: 1, promises: 0 };
 const CLOSURE_DURING_LOAN: Bounds =
-    Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 0, loans: 1, closures: 1 };
+    Bounds { submissions: 1, attempts: 2, losses: 0, crashes: 0, loans: 1, closures: 1, promises: 0 };
+const PROMISE: Bounds =
+    Bounds { submissions: 2, attempts: 3, losses: 0, crashes: 1, loans: 0, closures: 1, promises: 1 };
 /// Used only by the ignored test.
-const LARGE: Bounds = Bounds { submissions: 2, attempts: 4, losses: 1, crashes: 1, loans: 0, closures: 0 };
+const LARGE: Bounds =
+    Bounds { submissions: 2, attempts: 4, losses: 1, crashes: 1, loans: 0, closures: 0, promises: 0 };
 
 fn model(bug: Bug, bounds: Bounds) -> Grants {
     Grants { bounds, bug }
@@ -503,6 +543,19 @@
     check(CLOSURE_DURING_LOAN, 1_000);
 }
 
+/// The limit stayed lifted while a later batch, which names a keeper that promised nothing, was settled.
+#[test]
+fn invariants_hold_when_keepers_promise_not_to_close_an_account() {
+    check(PROMISE, 1_000);
+}
+
+#[test]
+fn lifting_the_exposure_limit_without_a_promise_violates_i1_or_i6() {
+    let found = search(&model(Bug::NoPromise, PROMISE));
+    let violated = found.counterexample.map(|(invariant, _)| invariant);
+    assert!(matches!(violated, Some("I1" | "I6")), "{violated:?} after {} states", found.states);
+}
+
 #[test]
 fn exceeding_the_exposure_limit_violates_i1_or_i6() {
     let found = search(&model(Bug::NoExposureLimit, CLOSURE));
@@ -540,7 +593,8 @@
 
 #[test]
 fn charging_without_checking_the_key_violates_i2() {
-    let bounds = Bounds { submissions: 2, attempts: 4, losses: 0, crashes: 0, loans: 0, closures: 0 };
+    let bounds =
+        Bounds { submissions: 2, attempts: 4, losses: 0, crashes: 0, loans: 0, closures: 0, promises: 0 };
     assert_violates(&model(Bug::NoKeyCheck, bounds), "I2");
 }
 
--- a/crates/router/src/grants.rs
+++ b/crates/router/src/grants.rs
@@ -278,7 +278,16 @@
         });
     }
 
-    /// Lifts the exposure limit of a budget until the next settlement.
+    /// Restores the exposure limits of all budgets, also of those that the batch which names a new keeper does
+    /// not settle: the keeper closes the whole account.
+    pub(crate) fn restore_exposure_limits(&self) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().expect("no thread panics while it holds the lock");
+            shard.values_mut().for_each(|state| state.grant.restore_exposure_limit());
+        }
+    }
+
+    /// Lifts the exposure limit of a budget until the open batch is settled or the next one is opened.
     pub(crate) fn lift_exposure_limit(&self, budget: &str) {
         self.with(budget, |state| {
             state.grant.lift_exposure_limit();
--- a/crates/router/src/keep.rs
+++ b/crates/router/src/keep.rs
@@ -96,9 +96,10 @@
         }
     }
 
-    /// Asks all possible keepers to promise never to close this router's account. Returns whether all did.
-    pub(crate) async fn request_promises<W: Ports>(&self, node: &Node<W>) -> bool {
-        let keepers: Vec<String> = self.lock().keepers.iter().cloned().collect();
+    /// Asks all possible keepers to promise never to close this router's account. Returns whether all did, and
+    /// none was added meanwhile; then `lift` is called before another one is added.
+    pub(crate) async fn request_promises<W: Ports>(&self, node: &Node<W>, lift: impl FnOnce()) -> bool {
+        let keepers = self.lock().keepers.clone();
         for keeper in keepers.iter().filter(|keeper| !keeper.is_empty()) {
             let Some(address) = address_of(node, keeper) else { return false };
             let holder = node.holder.clone();
@@ -108,7 +109,14 @@
             }
             self.lock().promising_keeper = Some(keeper.clone());
         }
-        log::info!("budget: {} promised not to close the account", keepers.join(", "));
+        let state = self.lock();
+        if !state.keepers.is_subset(&keepers) {
+            return false;
+        }
+        lift();
+        drop(state);
+        let names: Vec<&str> = keepers.iter().map(String::as_str).collect();
+        log::info!("budget: {} promised not to close the account", names.join(", "));
         true
     }
 
--- a/crates/router/src/reserve.rs
+++ b/crates/router/src/reserve.rs
@@ -40,7 +40,11 @@
         let missing = shortage.missing;
         if missing == 0 {
             // The grant has the tokens, but the platform has not yet recorded them as exposed.
-            if node.account_keeping.request_promises(node).await || may_exceed_exposure(node, budget) {
+            let lift = || node.grants.lift_exposure_limit(budget);
+            if node.account_keeping.request_promises(node, lift).await {
+                continue;
+            }
+            if may_exceed_exposure(node, budget) {
                 node.grants.lift_exposure_limit(budget);
             } else if node.clock.now() >= deadline {
                 return Err(unavailable(node, budget, tokens));
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -93,6 +93,7 @@
     }
     let sequence = node.next_batch();
     let batch = Batch { sequence, entries, keeper: node.account_keeping.choose_keeper(node) };
+    node.grants.restore_exposure_limits();
     let mut pause = BACKOFF_MS.0;
     loop {
         match attempt(node, &batch).await {
