Relays say how the upstream ended, so that unframed answers pass through them

A gateway that is cut off from the upstreams refused each answer with neither a length nor chunks as not valid, although it was ready; one that may run only once was lost.

Cause: a tunnel carried plain bytes, and a relay that ends or is killed closes it in order, as the upstream at the end of such an answer does. Ruled out: to accept such answers as they are.

The bytes of the upstream now come in frames of a kind, a length of two bytes and at most 16 KB, and a last frame says that the upstream closed in order. The end of the tunnel without it, an unknown kind, and a length of none or too much are errors of the connection.

The protocol is 'tcp-tunnel/2' in a second Upgrade header. A relay of an earlier build reads the first one only, and the present refusal stays for it; a gateway of an earlier build asks without the second one and gets plain bytes. No round trip is added. A new rule of the stand-in proxy, PlainTunnels, removes the name on the way.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -247,7 +247,7 @@
         self.node.reach.record_answer(self.node.now());
         let (head, body) = response.into_parts();
         let is_closed = Framing::of(&head) == Framing::Closed;
-        if lease.is_relayed() && !body.is_end_stream() && is_closed {
+        if !lease.tells_end() && !body.is_end_stream() && is_closed {
             let reason = "an answer that ends with its connection may be cut off by the relay";
             return ReadOutcome::Other(Outcome::NoValidAnswer(reason.to_owned()));
         }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -9,8 +9,7 @@
 use crate::ports::Wire;
 use crate::tunnel::TUNNEL_PATH;
 use futures::future::{Either, select};
-use hyper::upgrade::Upgraded;
-use net::{Dial, Transport, TunnelError, Way, exec};
+use net::{Dial, Transport, Tunnel, TunnelError, Way, exec};
 use rand::seq::SliceRandom;
 use route::reach::{Attempt, Change, Plan, Relays, Status};
 use route::silence::SilenceMonitor;
@@ -98,7 +97,7 @@
             Plan::DirectFirst => self.dial_directly_first(address).await,
             Plan::DirectOnly => self.dial_directly(address).await,
             Plan::RelayFirst => match self.open_tunnel().await {
-                Ok(tunnel) => Ok(Transport::Relayed(tunnel)),
+                Ok(tunnel) => Ok(Transport::Relayed(Box::new(tunnel))),
                 Err(_) => self.dial_directly(address).await.inspect_err(|_| self.record(Attempt::Failed)),
             },
         }
@@ -142,11 +141,11 @@
             },
         };
         self.record(if tunnel.is_ok() { Attempt::Relayed } else { Attempt::Failed });
-        tunnel.map(Transport::Relayed)
+        tunnel.map(|tunnel| Transport::Relayed(Box::new(tunnel)))
     }
 
     /// Opens a tunnel through one of the other gateways, which are asked one after another.
-    async fn open_tunnel(&self) -> Result<Upgraded, Unreached> {
+    async fn open_tunnel(&self) -> Result<Tunnel, Unreached> {
         let reach = &self.node.reach;
         let mut unreachable = 0;
         let relays = reach.relays().select(rand::random(), self.node.now());
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -1,7 +1,7 @@
 //! Opens TCP connections to upstreams.
 
 use crate::exec;
-use hyper::upgrade::Upgraded;
+use crate::tunnel::Tunnel;
 use smol::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 use std::future::Future;
@@ -33,7 +33,7 @@
     /// A TCP connection to the peer.
     Direct(TcpStream),
     /// A tunnel to the peer.
-    Relayed(Upgraded),
+    Relayed(Box<Tunnel>),
 }
 
 /// Opens the connections of a [`Pool`](crate::Pool).
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -36,6 +36,8 @@
 struct Line {
     sender: SendRequest<Body>,
     way: Way,
+    /// Whether its end in order is the peer's, as opposed to that of a relay.
+    tells_end: bool,
     opened: Duration,
     count: Arc<OpenConnection>,
 }
@@ -179,12 +181,12 @@
         let count = OpenConnection::new(&self.0, peer, max_connections)
             .ok_or_else(|| unsent(format!("{max_connections} connections are in use")))?;
         let transport = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
-        let (way, sender) = match transport {
-            Transport::Direct(stream) => (Way::Direct, handshake(FuturesIo::new(stream), &count).await),
-            Transport::Relayed(tunnel) => (Way::Relayed, handshake(tunnel, &count).await),
+        let (way, tells_end, sender) = match transport {
+            Transport::Direct(stream) => (Way::Direct, true, handshake(FuturesIo::new(stream), &count).await),
+            Transport::Relayed(tunnel) => (Way::Relayed, tunnel.tells_end(), handshake(tunnel, &count).await),
         };
         let sender = sender.map_err(|error| unsent(error.to_string()))?;
-        Ok(Line { sender, way, opened: self.0.clock.now(), count })
+        Ok(Line { sender, way, tells_end, opened: self.0.clock.now(), count })
     }
 }
 
@@ -257,9 +259,10 @@
         self.line = None;
     }
 
-    /// Whether the connection leads through another process.
-    pub fn is_relayed(&self) -> bool {
-        self.line.as_ref().is_some_and(|line| line.way == Way::Relayed)
+    /// Whether the connection ends in order only if the peer closes it so. Relays of earlier builds end their tunnels
+    /// in the same way themselves.
+    pub fn tells_end(&self) -> bool {
+        self.line.as_ref().is_some_and(|line| line.tells_end)
     }
 
     /// Returns the connection to the pool as soon as it is ready for another request. Call this after reading
--- a/crates/net/tests/tunnel.rs
+++ b/crates/net/tests/tunnel.rs
@@ -3,8 +3,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBuf};
-use hyper::upgrade::Upgraded;
-use net::{Body, Limits, TunnelError, exec};
+use net::{Body, Limits, Tunnel, TunnelError, exec};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
@@ -44,12 +43,12 @@
     (listener, address)
 }
 
-async fn open(relay: &net::Handle, target: &str) -> Result<Upgraded, TunnelError> {
+async fn open(relay: &net::Handle, target: &str) -> Result<Tunnel, TunnelError> {
     net::open_tunnel(relay.address(), "/", target, LIMIT).await
 }
 
 /// Reads once from a tunnel; an empty result is its end.
-async fn read(tunnel: &mut Upgraded) -> std::io::Result<Vec<u8>> {
+async fn read(tunnel: &mut Tunnel) -> std::io::Result<Vec<u8>> {
     let mut bytes = [0; 64];
     let mut buffer = ReadBuf::new(&mut bytes);
     poll_fn(|context| Pin::new(&mut *tunnel).poll_read(context, buffer.unfilled())).await?;
@@ -57,7 +56,7 @@
 }
 
 /// A tunnel, and the target's end of it.
-async fn tunnel(relay: &net::Handle) -> (Upgraded, TcpStream) {
+async fn tunnel(relay: &net::Handle) -> (Tunnel, TcpStream) {
     let (target, address) = listener().await;
     let tunnel = open(relay, &address.to_string()).await.expect("a tunnel");
     (tunnel, target.accept().await.expect("a connection").0)
--- a/crates/net/tests/tunnel_end.rs
+++ b/crates/net/tests/tunnel_end.rs
@@ -1,7 +1,7 @@
 //! How the end of a tunnel is told: whether its target closed in order, or the relay ended.
 
 use hyper::rt::{Read, ReadBuf};
-use net::{Limits, exec};
+use net::{Limits, TunnelError, exec};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
@@ -17,6 +17,7 @@
 const FRAMED: &str =
     "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: tcp-tunnel/2\r\n\r\n";
 const PLAIN: &str = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: tcp-tunnel\r\n\r\n";
+const UNKNOWN: &str = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n";
 /// The frame that says that the target closed in order.
 const END: &[u8] = &[2, 0, 0];
 /// The size of the largest frame's content.
@@ -162,6 +163,43 @@
     });
 }
 
+/// Opens a tunnel through a relay that answers with this head. Returns the head of the request too.
+async fn open_at(answer: &'static str) -> (Result<net::Tunnel, TunnelError>, String) {
+    exec::start(2);
+    let (listener, relay) = listener().await;
+    let answering = exec::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let head = read_head(&mut stream).await;
+        stream.write_all(answer.as_bytes()).await.expect("bytes are taken");
+        stream.write_all(b"an answer").await.expect("bytes are taken");
+        head
+    });
+    let tunnel = net::open_tunnel(relay, "/", "target", LIMIT).await;
+    (tunnel, answering.await)
+}
+
+#[test]
+fn a_relay_of_an_earlier_build_is_asked_in_its_way_and_tells_no_end() {
+    exec::block_on(async {
+        let (tunnel, request) = open_at(PLAIN).await;
+        let upgrade = request.lines().find(|line| line.starts_with("upgrade:"));
+        assert_eq!(upgrade, Some("upgrade: tcp-tunnel"), "the first header is the only one that it reads");
+        let tunnel = tunnel.expect("a tunnel");
+        assert!(!tunnel.tells_end());
+        let (read, end) = read_all(tunnel).await;
+        assert!(end.is_ok() && read == b"an answer", "{end:?} {read:?}");
+    });
+}
+
+#[test]
+fn a_relay_of_this_build_tells_the_end_and_one_of_another_protocol_gets_nothing() {
+    exec::block_on(async {
+        assert!(open_at(FRAMED).await.0.expect("a tunnel").tells_end());
+        let (tunnel, _) = open_at(UNKNOWN).await;
+        assert!(matches!(tunnel, Err(TunnelError::NoAnswer(..))), "{tunnel:?}");
+    });
+}
+
 /// A requester of an earlier build.
 #[test]
 fn a_requester_that_asks_for_a_plain_tunnel_gets_one() {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -23,6 +23,8 @@
 const RESET_DELAY: Duration = Duration::from_millis(50);
 /// The ends of a request line.
 const REQUEST_ENDS: [&[u8]; 2] = [b" HTTP/1.1\r\n", b" HTTP/1.0\r\n"];
+/// The names of the framed protocol of tunnels, and of one that nobody speaks.
+const TUNNEL_PROTOCOLS: [&[u8]; 2] = [b"tcp-tunnel/2", b"tcp-tunnel/0"];
 /// The beginnings of a status line.
 const STATUS_STARTS: [&[u8]; 2] = [b"HTTP/1.0 ", b"HTTP/1.1 "];
 
@@ -51,6 +53,9 @@
     Http10,
     /// Like [`Rule::Http10`], but the answers claim to be HTTP/1.1.
     Unframed,
+    /// Requests for tunnels reach the target without the framed protocol, as if one of the two gateways were of an
+    /// earlier build.
+    PlainTunnels,
     /// Open connections go on, and new ones are refused.
     RefuseNew,
     /// All bytes are held back until the rule changes, and new connections are neither accepted nor refused.
@@ -313,6 +318,7 @@
         }
         match (shared.rule(), direction) {
             (Rule::Http10 | Rule::Unframed, Direction::Forward) => replace(&mut chunk[..count], REQUEST_ENDS),
+            (Rule::PlainTunnels, Direction::Forward) => replace(&mut chunk[..count], TUNNEL_PROTOCOLS),
             (Rule::Unframed, Direction::Back) if passed == 0 => replace(&mut chunk[..count], STATUS_STARTS),
             _ => {}
         }
