A relay waits until its requester has received the end of an answer

A broken answer is no false success, but one that may run only once is lost.

Cause: when the upstream closes, the relay closed the requester's connection at once. A connection that is closed while bytes are unread is reset, and the kernel drops what it has not sent yet. Ruled out: the framing; the same code closed plain tunnels.

The relay now closes its sending side, drops the connection to the upstream, and discards what still arrives until the requester closes, for at most 2 s. A requester closes as soon as it has read the end, so that no tunnel is held for longer than its last bytes take.

--- a/crates/net/src/tunnel.rs
+++ b/crates/net/src/tunnel.rs
@@ -19,7 +19,7 @@
 use smol_hyper::rt::FuturesIo;
 use socket2::SockRef;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -29,6 +29,11 @@
 /// The size of the buffer for each direction of a tunnel, in bytes.
 const BUFFER_SIZE: usize = MAX_CONTENT;
 
+/// The size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER: usize = 2_048;
+/// How long a requester may take to receive the last bytes of the target and to close the tunnel.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
 /// How a tunnel carries the bytes of its target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Protocol {
@@ -244,19 +249,33 @@
 async fn forward(origin: TcpStream, target: TcpStream, protocol: Protocol, on_bytes: &impl Fn(usize)) {
     let back = pump_back(target.clone(), origin.clone(), protocol, on_bytes);
     let there = async {
-        match pump(origin.clone(), target.clone(), Protocol::Plain, on_bytes).await {
+        match pump(origin.clone(), target, Protocol::Plain, on_bytes).await {
             // The target may have answered before it closed its connection.
             End::ReceiverBroke => std::future::pending().await,
             End::Closed | End::SenderBroke => End::Closed,
         }
     };
-    let end = smol::future::or(back, there).await;
-    if end == End::SenderBroke {
-        // An answer that ends with its connection must not seem to be complete, so the break is passed on.
-        let _ = SockRef::from(&origin).set_linger(Some(Duration::ZERO));
+    match smol::future::or(back, there).await {
+        End::Closed => {
+            // A connection that is closed while bytes of its requester are unread is reset, and what the requester
+            // has not received yet is lost.
+            let _ = origin.shutdown(Shutdown::Write);
+            exec::timeout(LINGER_TIME, discard(origin)).await;
+        }
+        End::SenderBroke => {
+            // An answer that ends with its connection must not seem to be complete, so the break is passed on.
+            let _ = SockRef::from(&origin).set_linger(Some(Duration::ZERO));
+        }
+        End::ReceiverBroke => {}
     }
 }
 
+/// Reads a connection until it is closed.
+async fn discard(mut from: TcpStream) {
+    let mut buffer = [0; DISCARD_BUFFER];
+    while let Ok(1..) = from.read(&mut buffer).await {}
+}
+
 /// Passes the bytes of the target on, and says that it closed in order if the protocol can.
 async fn pump_back(
     target: TcpStream,
--- a/crates/net/tests/tunnel_end.rs
+++ b/crates/net/tests/tunnel_end.rs
@@ -1,13 +1,13 @@
 //! How the end of a tunnel is told: whether its target closed in order, or the relay ended.
 
-use hyper::rt::{Read, ReadBuf};
+use hyper::rt::{Read, ReadBuf, Write};
 use net::{Limits, TunnelError, exec};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
 /// The size of the largest frame's content.
 const MAX_CONTENT: usize = 16 * 1024;
 
+/// The length of an answer that the requester's socket does not hold.
+const LARGE_ANSWER: usize = 1 << 20;
+
 /// A frame with bytes of the target.
 fn data(content: &[u8]) -> Vec<u8> {
     let length = u16::try_from(content.len()).expect("a short frame").to_be_bytes();
@@ -163,6 +166,36 @@
     });
 }
 
+/// Guards against the loss of answers that a target sends before it has read the whole request.
+#[test]
+fn an_answer_arrives_whole_although_its_request_is_not_read() {
+    exec::block_on(async {
+        let relay = relay().await;
+        let (target, address) = listener().await;
+        let tunnel = net::open_tunnel(relay.address(), "/", &address.to_string(), LIMIT).await;
+        let mut tunnel = tunnel.expect("a tunnel");
+        let (mut target, _) = target.accept().await.expect("a connection");
+        // The sockets on the way fill up, so that a part of the request is unread at the relay.
+        let chunk = [7; 64 * 1024];
+        while let Some(written) = exec::timeout(
+            Duration::from_millis(100),
+            poll_fn(|context| Pin::new(&mut tunnel).poll_write(context, &chunk)),
+        )
+        .await
+        {
+            written.expect("bytes are taken");
+        }
+        let answer = vec![9; LARGE_ANSWER];
+        target.write_all(&answer).await.expect("bytes are taken");
+        target.shutdown(Shutdown::Write).expect("an open connection");
+        // The relay has passed on all that it can.
+        exec::sleep(Duration::from_millis(100)).await;
+        let (read, end) = read_all(tunnel).await;
+        assert!(end.is_ok(), "{end:?} after {} bytes", read.len());
+        assert_eq!(read.len(), answer.len());
+    });
+}
+
 /// Opens a tunnel through a relay that answers with this head. Returns the head of the request too.
 async fn open_at(answer: &'static str) -> (Result<net::Tunnel, TunnelError>, String) {
     exec::start(2);
