Requests no longer wait on connections over a silent path

Seen: when a gateway's path to the upstreams fell silent (no reset, no answer), it found out within a second and relayed new connections, but requests on the old ones went on waiting: calls that may be repeated until 1.5 times their target, streams that may be resumed until they counted as stalled, others until their deadlines. Meanwhile they held the gateway's places at brittle upstreams, and those that timed out counted as failures of upstreams that were reached through relays.

Cause: the verdict on the path was used for new connections only.

Change: route::reach tells a silent path (three upstreams answer no direct attempt, not even with a refusal, relays reach the upstreams, and nothing arrives on any direct connection) from one on which new connections are refused and open ones may go on. A direct connection on which a request has waited for 500 ms on a silent path is lost. A request that may be repeated or resumed goes on elsewhere if the retry budget pays for it before the wait ends. Any other keeps waiting, since its answer may still come, and its place counts as free (Placer::release). Neither counts as a failure of the upstream.

Weighed: to end requests that may run only once with a 502. It frees the place as well, but loses answers that come once the path is whole, and callers don't retry on it.

The decisions are in route/tests/reach.rs and brittle.rs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,17 +8,21 @@
 use crate::link::Turn;
 use crate::manifest::RouteKind;
 use crate::ports::{Malformed, ResponseCheck, Wire};
-use crate::reach::Dialer;
+use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
+use futures::channel::oneshot;
+use futures::future::{Either, select};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri, Version};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
+use net::Way;
 use route::pacing;
 use route::placement::Placement;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use store::rows::Rows;
 
@@ -70,10 +74,19 @@
     ConnectionBroken(String),
     /// The upstream may have run the request, and no valid answer arrived.
     NoValidAnswer(String),
+    /// The upstream may have run the request, and the gateway's path to it fell silent.
+    PathLost(String),
     /// The deadline passed.
     TimedOut,
 }
 
+/// The connection on which a request waits for its first answer.
+struct Connection<'a> {
+    /// When the request is sent directly; cancelled if it is sent through a relay, or not at all.
+    sent: oneshot::Receiver<u64>,
+    is_lost: &'a AtomicBool,
+}
+
 impl<W: Wire, S: Rows> Job<W, S> {
     /// Waits until the body may be sent. If that takes time, the upstream is chosen again, since others have been
     /// dispatched meanwhile.
@@ -151,9 +164,15 @@
         let (body, writing) =
             turn.map_or_else(|| (bytes.clone().into(), None), |turn| turn.send(bytes.clone()));
         let request = self.build_request(&chosen.upstream, after_event, body);
+        let (sent, receiver) = oneshot::channel();
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
         // back-off.
-        let is_wanted = || node.placer().admits(&chosen.upstream, node.now());
+        let is_wanted = |way| {
+            if way == Way::Direct {
+                let _ = sent.send(node.now());
+            }
+            node.placer().admits(&chosen.upstream, node.now())
+        };
         let sending = async {
             let dialer = Dialer { node, upstream: &chosen.upstream };
             let sent = node
@@ -168,8 +187,11 @@
             sent
         };
         let began = node.now();
-        let outcome = self.wait_for_first_answer(chosen, slot, splitter, may_try_elsewhere, sending).await;
-        self.record_upstream_outcome(chosen, began, &outcome);
+        let is_lost = AtomicBool::new(false);
+        let connection = Connection { sent: receiver, is_lost: &is_lost };
+        let outcome =
+            self.wait_for_first_answer(chosen, slot, splitter, may_try_elsewhere, connection, sending).await;
+        self.record_upstream_outcome(chosen, began, &outcome, is_lost.into_inner());
         if let Outcome::ConnectionBroken(_) = outcome {
             self.inspect(&chosen.upstream, None).wait().await;
         }
@@ -182,11 +204,30 @@
         slot: UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
         may_try_elsewhere: bool,
+        connection: Connection<'_>,
         sending: impl Future<Output = Result<(http::Response<Incoming>, net::Lease), net::Failure>>,
     ) -> Outcome<W, S> {
         let mut reading = pin!(async {
             let mut slot = slot;
-            let outcome = self.read_first_answer(&mut slot, splitter, sending).await;
+            let outcome = {
+                let dispatch_id = slot.dispatch_id;
+                let answer = pin!(self.read_first_answer(&mut slot, splitter, sending));
+                match select(answer, pin!(self.until_lost(connection.sent))).await {
+                    Either::Left((outcome, _)) => outcome,
+                    Either::Right(((), answer)) => {
+                        connection.is_lost.store(true, Ordering::Relaxed);
+                        let may_repeat = may_try_elsewhere && self.kind().is_repeatable();
+                        if may_repeat && self.reserve_repeat("path-lost") {
+                            let reason = "the path to the upstream is silent".to_owned();
+                            ReadOutcome::Other(Outcome::PathLost(reason))
+                        } else {
+                            // The answer may still arrive, and no other one can.
+                            self.release_place(&chosen.upstream, dispatch_id);
+                            answer.await
+                        }
+                    }
+                }
+            };
             (outcome, slot)
         });
         let timeout = self.first_answer_timeout(chosen).min(self.remaining());
@@ -215,6 +256,14 @@
         }
     }
 
+    /// Waits until the connection of a request is lost. Connections through relays break when their relays do.
+    async fn until_lost(&self, sent: oneshot::Receiver<u64>) {
+        match sent.await {
+            Ok(sent) => reach::until_lost(&self.node, sent).await,
+            Err(oneshot::Canceled) => std::future::pending().await,
+        }
+    }
+
     fn first_answer_timeout(&self, chosen: &Placement) -> Duration {
         let factor = match self.kind() {
             RouteKind::Idempotent => CALL_TIMEOUT_FACTOR,
@@ -244,7 +293,7 @@
                 });
             }
         };
-        self.node.reach.record_answer(self.node.now());
+        self.node.reach.record_answer(&lease, self.node.now());
         let (head, body) = response.into_parts();
         let is_closed = Framing::of(&head) == Framing::Closed;
         if lease.is_relayed() && !body.is_end_stream() && is_closed {
@@ -430,8 +479,15 @@
         request
     }
 
-    /// Updates what is known of the upstream with the outcome of an attempt.
-    fn record_upstream_outcome(&self, chosen: &Placement, began: u64, outcome: &Outcome<W, S>) {
+    /// Updates what is known of the upstream with the outcome of an attempt. Failures on a lost connection are due to
+    /// the path.
+    fn record_upstream_outcome(
+        &self,
+        chosen: &Placement,
+        began: u64,
+        outcome: &Outcome<W, S>,
+        is_lost: bool,
+    ) {
         let now = self.node.now();
         let mut placer = self.node.placer();
         let ejected = match outcome {
@@ -448,7 +504,8 @@
                 placer.record_error(&chosen.upstream);
                 false
             }
-            Outcome::NotSent(_) => false,
+            Outcome::NotSent(_) | Outcome::PathLost(_) => false,
+            Outcome::ConnectionBroken(_) | Outcome::NoValidAnswer(_) | Outcome::TimedOut if is_lost => false,
             // The upstream itself announced that it accepts no requests, so there is no need to eject it on a
             // guess.
             Outcome::NotRun(_) if !placer.admits(&chosen.upstream, now) => false,
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -264,10 +264,10 @@
             job.log_end(refusal.name(), reason);
             Next::Answer(refuse(refusal))
         }
-        Outcome::ConnectionBroken(_) | Outcome::NoValidAnswer(_) if may_run_again => {
+        Outcome::ConnectionBroken(_) | Outcome::NoValidAnswer(_) | Outcome::PathLost(_) if may_run_again => {
             Next::TryElsewhere(refuse(Refusal::Failed))
         }
-        Outcome::ConnectionBroken(reason) | Outcome::NoValidAnswer(reason) => {
+        Outcome::ConnectionBroken(reason) | Outcome::NoValidAnswer(reason) | Outcome::PathLost(reason) => {
             job.log_end("failed", reason);
             Next::Answer(refuse(Refusal::Failed))
         }
@@ -295,6 +295,9 @@
     /// Takes one repeat out of the service's retry budget; `false` if none is left. The event is logged
     /// either way.
     pub(crate) fn take_repeat(&self, reason: &str) -> bool {
+        if std::mem::take(&mut self.progress().is_repeat_taken) {
+            return true;
+        }
         let service = &self.request.service;
         let chance = xxh3_64(self.request.ask.id.as_bytes()) as f64 / u64::MAX as f64;
         let (is_allowed, count) = self
@@ -318,6 +321,14 @@
         is_allowed
     }
 
+    /// Takes a repeat out of the budget for a request that still waits for an answer, before it is given up;
+    /// `false` if none is left.
+    pub(crate) fn reserve_repeat(&self, reason: &str) -> bool {
+        let is_allowed = self.take_repeat(reason);
+        self.progress().is_repeat_taken = is_allowed;
+        is_allowed
+    }
+
     /// The refusal of a request that no upstream ran, if all upstreams of its service are backing off or at
     /// their request limits. It names the time until the first one accepts requests again.
     fn unavailable(&self) -> Option<Refusal> {
@@ -348,9 +359,9 @@
                 return;
             }
             Outcome::NotRun(reason) => (false, Some(reason.clone())),
-            Outcome::ConnectionBroken(reason) | Outcome::NoValidAnswer(reason) => {
-                (true, Some(reason.clone()))
-            }
+            Outcome::ConnectionBroken(reason)
+            | Outcome::NoValidAnswer(reason)
+            | Outcome::PathLost(reason) => (true, Some(reason.clone())),
             Outcome::TimedOut => (true, Some("the deadline passed".to_owned())),
         };
         let mut progress = self.progress();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -41,6 +41,8 @@
     pub ran: u32,
     /// Upstreams that must not be tried again.
     pub excluded: Vec<String>,
+    /// Whether the next dispatch has been taken out of the retry budget.
+    pub is_repeat_taken: bool,
 }
 
 pub(crate) struct Admitted {
@@ -145,6 +147,14 @@
         }
     }
 
+    /// Counts the place of a dispatch as free, because its connection is lost. The dispatch goes on.
+    pub(crate) fn release_place(&self, upstream: &str, dispatch_id: DispatchId) {
+        if self.node.placer().release(upstream, dispatch_id, self.node.now()) {
+            log::warn!("request: id={} event=path-lost upstream={upstream}", self.request.ask.id);
+            self.node.place_freed.notify(1);
+        }
+    }
+
     /// Logs the outcome of the request and updates its metrics.
     pub(crate) fn log_end(&self, outcome: &str, detail: impl std::fmt::Display) {
         let ms = self.node.now().saturating_sub(self.request.arrived);
@@ -191,7 +201,7 @@
     node: Arc<Node<W, S>>,
     pub upstream: String,
     pub dispatched: Millis,
-    dispatch_id: DispatchId,
+    pub dispatch_id: DispatchId,
     is_prompt_read: bool,
 }
 
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -8,10 +8,12 @@
 use crate::owners::Peer;
 use crate::ports::Wire;
 use crate::tunnel::TUNNEL_PATH;
+use event_listener::Event;
 use futures::future::{Either, select};
 use hyper::upgrade::Upgraded;
-use net::{Dial, Transport, TunnelError, Way, exec};
+use net::{Dial, Lease, Transport, TunnelError, Way, exec};
 use rand::seq::SliceRandom;
+use route::Millis;
 use route::reach::{Attempt, Change, Plan, Relays, Status};
 use route::silence::SilenceMonitor;
 use smallvec::SmallVec;
@@ -45,6 +47,10 @@
     relays: Mutex<Relays>,
     /// When an upstream last answered, in milliseconds since the process started.
     heard: AtomicU64,
+    /// When bytes last arrived on a direct connection.
+    heard_directly: AtomicU64,
+    /// Notified when a direct attempt got no answer while relays reach the upstreams.
+    unanswered: Event,
     /// Whether it is being checked whether this gateway is isolated.
     is_confirming: AtomicBool,
 }
@@ -64,8 +70,20 @@
     }
 
     /// Records that bytes arrived from an upstream.
-    pub(crate) fn record_answer(&self, now: u64) {
+    pub(crate) fn record_answer(&self, lease: &Lease, now: Millis) {
         self.heard.store(now, Ordering::Relaxed);
+        if !lease.is_relayed() {
+            self.heard_directly.store(now, Ordering::Relaxed);
+        }
+    }
+
+    fn loss_delay_ms(&self, since: Millis, now: Millis) -> Option<Millis> {
+        self.state().loss_delay_ms(since, self.heard_directly.load(Ordering::Relaxed), now)
+    }
+
+    /// Whether a direct connection on which nothing has arrived since `since` is lost.
+    pub(crate) fn is_lost(&self, since: Millis, now: Millis) -> bool {
+        self.loss_delay_ms(since, now) == Some(0)
     }
 
     /// Whether this gateway reaches no upstream, directly or through others.
@@ -127,21 +145,27 @@
     /// Connects directly, and through a relay if that fails or takes long. Uses the connection that is
     /// established first.
     async fn dial_directly_first(&self, address: SocketAddr) -> io::Result<Transport> {
+        let since = self.node.now();
+        let unanswered = Attempt::Unanswered { since };
         let mut direct = pin!(self.dial_directly(address));
-        let tunnel = match exec::timeout(RELAY_DELAY, direct.as_mut()).await {
+        let (tunnel, attempt) = match exec::timeout(RELAY_DELAY, direct.as_mut()).await {
             Some(Ok(transport)) => return Ok(transport),
-            Some(Err(error)) => self.open_tunnel().await.map_err(|_| error),
+            Some(Err(error)) => (self.open_tunnel().await.map_err(|_| error), Attempt::Relayed),
             None => match select(direct, pin!(self.open_tunnel())).await {
                 Either::Left((Ok(transport), _)) => return Ok(transport),
-                Either::Left((Err(error), tunnel)) => tunnel.await.map_err(|_| error),
-                Either::Right((Ok(tunnel), _)) => Ok(tunnel),
+                Either::Left((Err(error), tunnel)) => {
+                    let is_unanswered = error.kind() == ErrorKind::TimedOut;
+                    let attempt = if is_unanswered { unanswered } else { Attempt::Relayed };
+                    (tunnel.await.map_err(|_| error), attempt)
+                }
+                Either::Right((Ok(tunnel), _)) => (Ok(tunnel), unanswered),
                 Either::Right((Err(_), direct)) => match direct.await {
                     Ok(transport) => return Ok(transport),
-                    Err(error) => Err(error),
+                    Err(error) => (Err(error), Attempt::Failed),
                 },
             },
         };
-        self.record(if tunnel.is_ok() { Attempt::Relayed } else { Attempt::Failed });
+        self.record(if tunnel.is_ok() { attempt } else { Attempt::Failed });
         tunnel.map(Transport::Relayed)
     }
 
@@ -190,6 +214,21 @@
             Change::Status(status) => apply_status(node, status),
             Change::MaybeIsolated => exec::spawn(confirm_isolation(node.clone())).detach(),
         }
+        if let Attempt::Unanswered { .. } = attempt {
+            node.reach.unanswered.notify(usize::MAX);
+        }
+    }
+}
+
+/// Waits until the direct connection is lost on which a request was sent at `sent`.
+pub(crate) async fn until_lost<W: Wire, S: Rows>(node: &Node<W, S>, sent: Millis) {
+    loop {
+        let unanswered = node.reach.unanswered.listen();
+        match node.reach.loss_delay_ms(sent, node.now()) {
+            Some(0) => return,
+            Some(ms) => _ = exec::timeout(Duration::from_millis(ms), unanswered).await,
+            None => unanswered.await,
+        }
     }
 }
 
@@ -276,11 +315,16 @@
         }
         let Some((upstream, address)) = sample_upstreams(&node).into_iter().next() else { continue };
         let dialer = Dialer { node: &node, upstream: &upstream };
+        let since = node.now();
         // The connection is closed at once.
-        let _ = match status {
+        let connected = match status {
             Status::Isolated => dialer.dial_directly_first(address).await,
             Status::Direct | Status::Relayed => dialer.dial_directly(address).await,
         };
+        let is_unanswered = connected.is_err_and(|error| error.kind() == ErrorKind::TimedOut);
+        if is_unanswered && node.reach.state().status() == Status::Relayed {
+            dialer.record(Attempt::Unanswered { since });
+        }
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -149,7 +149,7 @@
                 if self.job.node.now() >= self.job.deadline + CHECK_INTERVAL.as_millis() as Millis {
                     return Step::Fail("the deadline passed".to_owned());
                 }
-                self.job.node.reach.record_answer(self.job.node.now());
+                self.record_answer();
                 let now = self.job.node.now_exact();
                 self.longest_gap = self.longest_gap.max(self.reading.silence(now));
                 let is_held_back = self.reading.record_arrived(now);
@@ -173,6 +173,12 @@
         }
     }
 
+    fn record_answer(&self) {
+        if let State::Streaming(stream) = &self.state {
+            self.job.node.reach.record_answer(&stream.lease, self.job.node.now());
+        }
+    }
+
     /// Updates the estimated event pace of the upstream with the time since the last event.
     fn observe(&mut self, now: f64) {
         let State::Streaming(stream) = &self.state else { return };
@@ -209,11 +215,40 @@
         {
             return Poll::Ready(self.start_resume("the upstream stalled"));
         }
+        if self.is_path_lost(silence as Millis) {
+            return Poll::Ready(self.leave_path());
+        }
         Poll::Ready(Step::Continue)
     }
 
-    /// Resumes the stream at another upstream if the route allows it, and fails otherwise.
+    /// Whether the stream comes over a direct connection that is lost, after `silence_ms` without an event.
+    fn is_path_lost(&self, silence_ms: Millis) -> bool {
+        let State::Streaming(stream) = &self.state else { return false };
+        let now = self.job.node.now();
+        !stream.lease.is_relayed() && self.job.node.reach.is_lost(now.saturating_sub(silence_ms), now)
+    }
+
+    /// Resumes the stream on another path. If that is not possible, it may go on by itself, but its place counts as free.
+    fn leave_path(&mut self) -> Step {
+        if self.job.may_resume() && self.job.reserve_repeat("path-lost") {
+            return self.resume_elsewhere("the path to the upstream is silent");
+        }
+        if let State::Streaming(stream) = &self.state {
+            self.job.release_place(&stream.slot.upstream, stream.slot.dispatch_id);
+        }
+        Step::Continue
+    }
+
+    /// Resumes a stream that its upstream broke off.
     fn start_resume(&mut self, reason: &str) -> Step {
+        if let State::Streaming(stream) = &self.state {
+            self.job.node.placer().record_failure(&stream.slot.upstream, self.job.node.now());
+        }
+        self.resume_elsewhere(reason)
+    }
+
+    /// Resumes the stream at another upstream if the route allows it, and fails otherwise.
+    fn resume_elsewhere(&mut self, reason: &str) -> Step {
         let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) else {
             return Step::Fail(reason.to_owned());
         };
@@ -222,8 +257,6 @@
             self.job.inspect(&upstream, Some(self.job.node.now().saturating_sub(self.run_began)));
         // The broken run must end before another one begins.
         drop(stream);
-        let now = self.job.node.now();
-        self.job.node.placer().record_failure(&upstream, now);
         if self.job.kind() != RouteKind::ResumableStream {
             return Step::Fail(reason.to_owned());
         }
@@ -294,10 +327,17 @@
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
+    /// Whether the stream may be resumed, as far as the route allows it.
+    fn may_resume(&self) -> bool {
+        self.kind() == RouteKind::ResumableStream
+            && !self.remaining().is_zero()
+            && self.progress().ran < self.request.route.attempts + EXTRA_RUNS
+    }
+
     /// Resumes a broken stream at another upstream; `None` if none could continue it.
     async fn resume(&self, mut splitter: EventSplitter) -> Option<Resumed<W, S>> {
         loop {
-            if self.remaining().is_zero() || self.progress().ran >= self.request.route.attempts + EXTRA_RUNS {
+            if !self.may_resume() {
                 return None;
             }
             let chosen = self.choose()?;
--- a/crates/gateway/tests/unit/link.rs
+++ b/crates/gateway/tests/unit/link.rs
@@ -192,7 +192,7 @@
             let (body, writing) = turn.send(bytes.clone());
             writing.expect("it is sent in pieces").detach();
             let request = Request::post("/").header("host", "upstream").body(body).expect("a request");
-            let sent = pool.send("test", server.address(), 1, &net::Direct, request, || true).await;
+            let sent = pool.send("test", server.address(), 1, &net::Direct, request, |_| true).await;
             let (response, lease) = sent.expect("an answer");
             assert_eq!(response.headers()["request-length"], "72000");
             let echoed = net::collect(response.into_body(), usize::MAX).await.expect("the whole answer");
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -87,8 +87,8 @@
     /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. The caller returns the
     /// connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
-    /// As soon as a connection is available, `is_wanted` is called: the reason to send the request may no
-    /// longer hold by then. If it returns `false`, the request is withdrawn.
+    /// As soon as a connection is available, `is_wanted` is called with its way: the reason to send the request may
+    /// no longer hold by then. If it returns `false`, the request is withdrawn.
     ///
     /// # Errors
     /// [`Failure`] says whether the request may have reached the peer, and whether it was withdrawn.
@@ -99,7 +99,7 @@
         max_connections: usize,
         dialer: &impl Dial,
         request: Request<Body>,
-        is_wanted: impl FnOnce() -> bool,
+        is_wanted: impl FnOnce(Way) -> bool,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         let (mut line, reused) = match self.take(peer, dialer.way()) {
             Some(line) => (line, true),
@@ -108,7 +108,7 @@
                 (opened.map_err(|error| Failure { error, reused: false, is_withdrawn: false })?, false)
             }
         };
-        if !is_wanted() {
+        if !is_wanted(line.way) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
             Lease { pool: self.0.clone(), peer, line: Some(line), until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -66,7 +66,7 @@
         let (clock, peer) = (Clock::default(), server.address());
         let pool = Pool::new(clock.clone());
         let (answer, lease) =
-            pool.send("ask", peer, 1, &Direct, request(), || true).await.expect("an answer");
+            pool.send("ask", peer, 1, &Direct, request(), |_| true).await.expect("an answer");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         exec::sleep(Duration::from_millis(50)).await;
@@ -84,14 +84,14 @@
         let (server, count) = serve().await;
         let (pool, peer) = (Pool::default(), server.address());
         let failure = pool
-            .send("ask", peer, 1, &Direct, request(), || false)
+            .send("ask", peer, 1, &Direct, request(), |_| false)
             .await
             .expect_err("the request is withdrawn");
         assert!(failure.is_withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_connections(peer)), (0, 1));
         // The connection returns to the pool only after its task has run.
         wait_until(|| pool.has_room(peer, 1)).await;
-        assert!(pool.send("ask", peer, 1, &Direct, request(), || true).await.is_ok());
+        assert!(pool.send("ask", peer, 1, &Direct, request(), |_| true).await.is_ok());
         assert_eq!(count.load(Ordering::Relaxed), 1);
     });
 }
@@ -103,7 +103,7 @@
         let address = server.address();
         assert_eq!(net::probe(address, PROBE_TIMEOUT).await, ProbeResult::Listens);
         let pool = Pool::default();
-        let (_, lease) = pool.send("ask", address, 1, &Direct, request(), || true).await.expect("an answer");
+        let (_, lease) = pool.send("ask", address, 1, &Direct, request(), |_| true).await.expect("an answer");
         lease.keep();
         server.abort();
         exec::sleep(Duration::from_millis(50)).await;
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -25,7 +25,7 @@
 use crate::warmup::{Warmup, WarmupTracker};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The weight of a new outcome in the share of failures.
@@ -197,6 +197,8 @@
     services: HashMap<String, Service>,
     awaiting: HashMap<DispatchId, AwaitingDispatch>,
     running: HashMap<DispatchId, RunningDispatch>,
+    /// Dispatches that no longer count as open, but have not ended.
+    released: HashSet<DispatchId>,
     last_id: DispatchId,
 }
 
@@ -217,6 +219,7 @@
             services: HashMap::new(),
             awaiting: HashMap::new(),
             running: HashMap::new(),
+            released: HashSet::new(),
             last_id: 0,
         }
     }
@@ -474,8 +477,21 @@
         }
     }
 
+    /// Stops counting a dispatch as open, because nothing is expected to arrive on its connection any more. Its place
+    /// at the upstream is free from now on. Returns whether it was counted before.
+    pub fn release(&mut self, name: &str, id: DispatchId, now: Millis) -> bool {
+        if self.released.contains(&id) {
+            return false;
+        }
+        self.end(name, id, now);
+        self.released.insert(id)
+    }
+
     /// Records the end of a dispatch.
     pub fn end(&mut self, name: &str, id: DispatchId, now: Millis) {
+        if self.released.remove(&id) {
+            return;
+        }
         self.awaiting.remove(&id);
         if let Some(running) = self.running.remove(&id)
             && let Some(service) = self.service_mut(name)
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -6,7 +6,7 @@
 //! to ask.
 
 use crate::Millis;
-use crate::silence::TOLERANCE_MS;
+use crate::silence::{CHECK_DELAY_MS, TOLERANCE_MS};
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -37,8 +37,13 @@
 pub enum Attempt {
     /// The direct attempt succeeded.
     Direct,
-    /// The direct attempt failed or took long, and a relay reached the upstream.
+    /// The direct attempt failed, and a relay reached the upstream.
     Relayed,
+    /// The direct attempt, which began at `since`, got no answer while relays reach the upstreams.
+    Unanswered {
+        /// When the direct attempt began.
+        since: Millis,
+    },
     /// Neither this gateway nor a relay reached the upstream.
     Failed,
 }
@@ -78,6 +83,9 @@
     failed: HashMap<String, Millis>,
     /// The different upstreams that were reached through relays since the last direct connection.
     broken_paths: SmallVec<[String; BROKEN_PATHS]>,
+    /// The different upstreams whose addresses did not answer last, with the beginning of the latest direct attempt
+    /// at each. A refusal is an answer.
+    unanswered: SmallVec<[(String, Millis); BROKEN_PATHS]>,
     /// The different upstreams that were not reached since the last answer or connection of any.
     failed_in_row: SmallVec<[String; BROKEN_PATHS]>,
     /// When the first of them was not reached.
@@ -115,16 +123,19 @@
                 self.relayed.remove(upstream);
                 self.failed.remove(upstream);
                 self.broken_paths.clear();
+                self.unanswered.clear();
                 self.failed_in_row.clear();
                 self.set_status(Status::Direct)
             }
             Attempt::Relayed => {
-                self.relayed.insert(upstream.to_owned(), now + RETRY_MS);
-                self.failed.remove(upstream);
-                self.failed_in_row.clear();
-                insert(&mut self.broken_paths, upstream);
-                let is_broken = self.broken_paths.len() >= self.required() || self.status == Status::Isolated;
-                if is_broken { self.set_status(Status::Relayed) } else { Change::None }
+                self.unanswered.clear();
+                self.record_relayed(upstream, now)
+            }
+            Attempt::Unanswered { since } => {
+                self.unanswered.retain(|(known, _)| known != upstream);
+                self.unanswered.truncate(BROKEN_PATHS - 1);
+                self.unanswered.insert(0, (upstream.to_owned(), since));
+                self.record_relayed(upstream, now)
             }
             Attempt::Failed => {
                 self.failed.insert(upstream.to_owned(), now + RETRY_MS);
@@ -142,6 +153,27 @@
         }
     }
 
+    fn record_relayed(&mut self, upstream: &str, now: Millis) -> Change {
+        self.relayed.insert(upstream.to_owned(), now + RETRY_MS);
+        self.failed.remove(upstream);
+        self.failed_in_row.clear();
+        insert(&mut self.broken_paths, upstream);
+        let is_broken = self.broken_paths.len() >= self.required() || self.status == Status::Isolated;
+        if is_broken { self.set_status(Status::Relayed) } else { Change::None }
+    }
+
+    /// The time until a direct connection counts as lost on which a request has waited since `since`, in
+    /// milliseconds; `None` while the path is not known to be silent. `heard` is when anything last arrived on a
+    /// direct connection.
+    ///
+    /// Where new connections are refused, open ones may go on. A path is silent only if it answers no attempt, nothing
+    /// arrives on open connections, and relays reach the upstreams meanwhile.
+    pub fn loss_delay_ms(&self, since: Millis, heard: Millis, now: Millis) -> Option<Millis> {
+        let unanswered = self.unanswered.iter().filter(|(_, began)| *began > heard).count();
+        let is_silent = self.status == Status::Relayed && unanswered >= self.required();
+        is_silent.then(|| (since.max(heard) + CHECK_DELAY_MS).saturating_sub(now))
+    }
+
     /// Records that no other upstream was reached either. Returns whether the gateway is isolated from now on.
     pub fn confirm_isolated(&mut self) -> bool {
         self.set_status(Status::Isolated) != Change::None
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -12,7 +12,7 @@
 const PATIENCE_GAPS: Millis = 8;
 /// How long requests may wait for upstreams while none answers, in milliseconds, before the path is checked. An
 /// upstream that is only silent is told apart by the check.
-const CHECK_DELAY_MS: Millis = 500;
+pub(crate) const CHECK_DELAY_MS: Millis = 500;
 /// The shortest time between two checks, in milliseconds.
 const CHECK_INTERVAL_MS: Millis = 1_000;
 
--- a/crates/route/tests/brittle.rs
+++ b/crates/route/tests/brittle.rs
@@ -142,3 +142,30 @@
     assert_eq!(placer.observe_brittle("engine-1", 1.0, 31_000), None);
     assert_eq!(placer.observe_brittle("engine-1", 1.0, 32_000), Some("narrator"), "told again");
 }
+
+/// Guards against refusals because places are held by requests whose connections are dead.
+#[test]
+fn the_place_of_a_request_on_a_lost_connection_is_free_and_freed_once() {
+    let mut placer = gateways(1).remove(0);
+    placer.record_brittle_hint("narrator", TOLERATED as f64, 20_000);
+    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[] };
+    let mut begun = vec![];
+    while let Some(chosen) = placer.choose(&request, 20_000) {
+        begun.push((placer.begin(&chosen, None, 20_000), chosen.upstream));
+    }
+    let open = |placer: &Placer| placer.open_requests().map(|(_, count)| count).sum::<u32>();
+    let places = open(&placer);
+    let (id, upstream) = begun.pop().expect("a dispatch");
+    assert!(placer.release(&upstream, id, 20_100));
+    assert!(!placer.release(&upstream, id, 20_100));
+    assert_eq!(open(&placer), places - 1);
+    let next = placer.choose(&request, 20_100).expect("a place");
+    assert_eq!(next.upstream, upstream);
+    placer.begin(&next, None, 20_100);
+    placer.end(&upstream, id, 20_200);
+    assert_eq!(
+        (open(&placer), placer.choose(&request, 20_200)),
+        (places, None),
+        "its end frees no other place"
+    );
+}
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -124,3 +124,55 @@
     assert_eq!(stall_ms(2_000, 400), 4_000);
     assert!(stall_ms(u64::MAX, u64::MAX) > 0);
 }
+
+/// Records direct attempts at several upstreams that got no answer while relays reached them; returns the last change.
+fn record_unanswered(reach: &mut Reach, upstreams: &[&str], since: Millis, now: Millis) -> Change {
+    record_all(reach, upstreams, Attempt::Unanswered { since }, now)
+}
+
+/// Guards against requests that wait on dead connections until their deadlines.
+#[test]
+fn a_direct_connection_is_lost_once_relays_reach_what_does_not_answer_and_nothing_arrives() {
+    let mut reach = reach(21);
+    record_unanswered(&mut reach, &["a", "b"], 1_000, 1_150);
+    assert_eq!(reach.loss_delay_ms(900, 800, 1_150), None, "two upstreams may be cut off");
+    let change = record_unanswered(&mut reach, &["c"], 1_050, 1_200);
+    assert_eq!(change, Change::Status(Status::Relayed));
+    assert_eq!(reach.loss_delay_ms(900, 800, 1_200), Some(200), "it has waited for 300 ms");
+    assert_eq!(reach.loss_delay_ms(700, 950, 1_200), Some(250), "something arrived 250 ms ago");
+    assert_eq!(reach.loss_delay_ms(500, 600, 1_200), Some(0));
+    reach.record("a", Attempt::Direct, 0, 1_300);
+    assert_eq!(reach.loss_delay_ms(500, 600, 1_300), None, "the path is whole");
+}
+
+/// Guards against giving up requests whose connections live on while new ones are refused.
+#[test]
+fn where_new_connections_are_refused_no_open_one_is_lost() {
+    let mut reach = reach(21);
+    record_unanswered(&mut reach, &["a", "b"], 1_000, 1_150);
+    record_all(&mut reach, &["c"], Attempt::Relayed, 1_160);
+    assert_eq!(reach.status(), Status::Relayed);
+    assert_eq!(reach.loss_delay_ms(500, 600, 3_000), None);
+    record_unanswered(&mut reach, &["a", "b", "c"], 3_000, 3_150);
+    assert_eq!(reach.loss_delay_ms(500, 600, 3_150), Some(0), "now they get no answer either");
+}
+
+/// Guards against giving up requests because of attempts that were slow, on a path on which answers arrive.
+#[test]
+fn no_connection_is_lost_while_something_arrives_on_any_direct_one() {
+    let mut reach = reach(21);
+    record_unanswered(&mut reach, &["a", "b", "c"], 1_000, 1_150);
+    assert_eq!(reach.loss_delay_ms(100, 1_100, 9_000), None);
+    record_unanswered(&mut reach, &["a", "a", "b"], 2_000, 2_150);
+    assert_eq!(reach.loss_delay_ms(100, 1_100, 9_000), None, "two different upstreams since then");
+    record_unanswered(&mut reach, &["d"], 2_000, 2_150);
+    assert_eq!(reach.loss_delay_ms(100, 1_100, 9_000), Some(0));
+}
+
+#[test]
+fn an_isolated_gateway_gives_no_connection_up() {
+    let mut reach = reach(21);
+    record_unanswered(&mut reach, &["a", "b", "c"], 1_000, 1_150);
+    assert!(reach.confirm_isolated());
+    assert_eq!(reach.loss_delay_ms(500, 600, 3_000), None);
+}
