--- a/crates/route/tests/brittle.rs
+++ b/crates/route/tests/brittle.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::Millis;
-use route::placement::{DispatchId, PlacementRequest, Placer};
+use route::placement::{DispatchId, PlacementRequest, Placer, UpstreamInfo};
 use route::roster::Roster;
 
 /// The rejections that an upstream tolerates in a second.
@@ -169,3 +169,42 @@
         "its end frees no other place"
     );
 }
+
+/// The plain servers of the soak, which work on few requests at once.
+const SMALL: [&str; 3] = ["p-1", "p-2", "p-3"];
+/// How long one of them works on a request, in milliseconds.
+const SMALL_RUN_MS: Millis = 50;
+
+/// Guards against callers that are refused because their gateway has no place at any upstream of a service, while places
+/// are free.
+#[test]
+fn gateways_that_started_together_all_have_places_before_they_take_their_full_parts() {
+    let names = ["vm-0", "vm-1", "vm-2"];
+    let gateway = |own: &&str| {
+        let mut placer = Placer::new("here").with_gateway(own);
+        for name in SMALL {
+            placer.set(name, UpstreamInfo { slots: 4, ..upstream_info() }, false);
+        }
+        placer.roster.update_list(own, names.into_iter(), Some(0), 0, READ_INTERVAL);
+        placer.roster.confirm_heartbeat(0, 0, 1_000_000, READ_INTERVAL);
+        placer.roster.update_list(own, names.into_iter(), Some(2_000), 3_000, READ_INTERVAL);
+        placer
+    };
+    let mut served = names.iter().map(gateway).map(|mut placer| {
+        let mut served = 0;
+        for now in (4_000..7_000).step_by(SMALL_RUN_MS as usize) {
+            placer.record_brittle_hint("narrator", 5.0, now);
+            let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[] };
+            let mut begun = vec![];
+            while let Some(chosen) = placer.choose(&request, now) {
+                begun.push((placer.begin(&chosen, None, now), chosen.upstream));
+            }
+            served += begun.len();
+            begun.into_iter().for_each(|(id, upstream)| placer.end(&upstream, id, now + SMALL_RUN_MS));
+        }
+        served
+    });
+    let served: [usize; 3] = std::array::from_fn(|_| served.next().expect("a gateway"));
+    let most = served.into_iter().max().unwrap_or(0);
+    assert!(served.iter().all(|count| 3 * count >= most), "{served:?}");
+}
