--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,11 @@
 const REQUEST_ENDS: [&[u8]; 2] = [b" HTTP/1.1\r\n", b" HTTP/1.0\r\n"];
 /// The beginnings of a status line.
 const STATUS_STARTS: [&[u8]; 2] = [b"HTTP/1.0 ", b"HTTP/1.1 "];
+/// The beginning of the head of an answer, and its end.
+const HEAD_START: &[u8] = b"HTTP/1.";
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The headers that frame an answer.
+const FRAMING_HEADERS: [&str; 2] = ["\r\ncontent-length:", "\r\ntransfer-encoding:"];
 
 /// How the proxy treats connections and their bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -115,6 +120,7 @@
 pub struct Proxy {
     address: SocketAddr,
     rule: Arc<Mutex<Rule>>,
+    resets_unframed: Arc<AtomicBool>,
     passed: Arc<AtomicU64>,
     _stop: Sender<()>,
 }
@@ -154,8 +160,14 @@
         let address = listener.local_addr()?;
         let rule = Arc::new(Mutex::new(Rule::Pass));
         let (stop, stopped) = async_channel::bounded::<()>(1);
-        let passed = Arc::new(AtomicU64::new(0));
-        let shared = Shared { rule: rule.clone(), base, passed: passed.clone(), link };
+        let (passed, resets_unframed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+        let shared = Shared {
+            rule: rule.clone(),
+            base,
+            resets_unframed: resets_unframed.clone(),
+            passed: passed.clone(),
+            link,
+        };
         net::exec::spawn(async move {
             let accepting = accept(listener, address, target, &shared);
             smol::future::or(accepting, async {
@@ -164,7 +176,7 @@
             .await;
         })
         .detach();
-        Ok(Proxy { address, rule, passed, _stop: stop })
+        Ok(Proxy { address, rule, resets_unframed, passed, _stop: stop })
     }
 
     /// The address that the proxy listens on.
@@ -181,6 +193,12 @@
     pub fn set_rule(&self, rule: Rule) {
         *self.rule.lock().expect("the rule's lock") = rule;
     }
+
+    /// Makes rules that close a connection reset it while its answer has no framing. A close would be the proper end
+    /// of such an answer, wherever it comes.
+    pub fn reset_unframed(&self) {
+        self.resets_unframed.store(true, Ordering::Relaxed);
+    }
 }
 
 /// The state that the connections of a proxy share.
@@ -189,6 +207,7 @@
     rule: Arc<Mutex<Rule>>,
     /// The rule that holds while the own one is [`Rule::Pass`].
     base: Option<Arc<Mutex<Rule>>>,
+    resets_unframed: Arc<AtomicBool>,
     passed: Arc<AtomicU64>,
     link: Option<Arc<Link>>,
 }
@@ -265,9 +284,15 @@
         return;
     };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let forward = pin!(pump(client.clone(), server.clone(), &shared, Direction::Forward));
-    let back = pin!(pump(server, client, &shared, Direction::Back));
-    let closed = shared.wait_for_rule(|rule| matches!(rule, Rule::Cut | Rule::Down));
+    let is_unframed = AtomicBool::new(false);
+    let forward = pin!(pump(client.clone(), server.clone(), &shared, Direction::Forward, &is_unframed));
+    let back = pin!(pump(server, client.clone(), &shared, Direction::Back, &is_unframed));
+    let closed = async {
+        shared.wait_for_rule(|rule| matches!(rule, Rule::Cut | Rule::Down)).await;
+        if shared.resets_unframed.load(Ordering::Relaxed) && is_unframed.load(Ordering::Relaxed) {
+            let _ = SockRef::from(&client).set_linger(Some(Duration::ZERO));
+        }
+    };
     let transfer = async {
         match select(back, forward).await {
             // Dropping both connections resets that of the client.
@@ -297,7 +322,14 @@
     Reset,
 }
 
-async fn pump(mut from: TcpStream, mut to: TcpStream, shared: &Shared, direction: Direction) -> End {
+/// Passes on the bytes of one direction. `is_unframed` tells whether the last answer of the connection has no framing.
+async fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    shared: &Shared,
+    direction: Direction,
+    is_unframed: &AtomicBool,
+) -> End {
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut passed = 0;
     while let Ok(count @ 1..) = from.read(&mut chunk).await {
@@ -316,6 +348,9 @@
             (Rule::Unframed, Direction::Back) if passed == 0 => replace(&mut chunk[..count], STATUS_STARTS),
             _ => {}
         }
+        if direction == Direction::Back && chunk[..count].starts_with(HEAD_START) {
+            is_unframed.store(!names_framing(&chunk[..count]), Ordering::Relaxed);
+        }
         let mut is_last = false;
         let rule = shared.rule();
         if let (Rule::CloseAfter(limit) | Rule::ResetAfter(limit), Direction::Back) = (rule, direction) {
@@ -325,7 +360,9 @@
         passed += count;
         shared.passed.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&chunk[..count]).await.is_err() || is_last {
-            if let (true, Rule::ResetAfter(_)) = (is_last, rule) {
+            let resets = matches!(rule, Rule::ResetAfter(_))
+                || (shared.resets_unframed.load(Ordering::Relaxed) && is_unframed.load(Ordering::Relaxed));
+            if is_last && resets {
                 // A reset discards what the receiver has not read yet.
                 net::exec::sleep(RESET_DELAY).await;
                 let _ = SockRef::from(&to).set_linger(Some(Duration::ZERO));
@@ -339,6 +376,13 @@
     End::Closed
 }
 
+/// Whether a chunk with the head of an answer names the framing of its body.
+fn names_framing(chunk: &[u8]) -> bool {
+    let end = chunk.windows(HEAD_END.len()).position(|window| window == HEAD_END).unwrap_or(chunk.len());
+    let head = String::from_utf8_lossy(&chunk[..end]).to_ascii_lowercase();
+    FRAMING_HEADERS.iter().any(|header| head.contains(header))
+}
+
 /// Replaces the first occurrence of `old` by `new`, which is as long.
 fn replace(chunk: &mut [u8], [old, new]: [&[u8]; 2]) {
     if let Some(start) = chunk.windows(old.len()).position(|window| window == old) {
