--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
-use crate::ports::{Ask, Dispatch, Wire};
+use crate::ports::{Ask, Dispatch, Listing, Wire};
 use crate::team_budget::Reservation;
 use http::request::Parts;
 use hyper::body::Bytes;
@@ -10,6 +10,7 @@
 use route::Millis;
 use route::placement::{self, DispatchId, Placement, PlacementRequest};
 use route::version::Version;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use store::rows::Rows;
@@ -46,6 +47,8 @@
     pub empty: u32,
     /// The only software version at which the request may run: the one that began its stream.
     pub version: Option<Version>,
+    /// Whether the next dispatch has been taken out of the retry budget.
+    pub is_repeat_taken: bool,
 }
 
 pub(crate) struct Admitted {
@@ -154,6 +157,14 @@
         }
     }
 
+    /// Counts the place of a dispatch as free, because its connection is lost. The dispatch goes on.
+    pub(crate) fn release_place(&self, upstream: &str, dispatch_id: DispatchId) {
+        if self.node.placer().release(upstream, dispatch_id, self.node.now()) {
+            log::warn!("request: id={} event=path-lost upstream={upstream}", self.request.ask.id);
+            self.node.place_freed.notify(1);
+        }
+    }
+
     /// Logs the outcome of the request and updates its metrics.
     pub(crate) fn log_end(&self, outcome: &str, detail: impl std::fmt::Display) {
         let ms = self.node.now().saturating_sub(self.request.arrived);
@@ -199,15 +210,19 @@
 pub(crate) struct UpstreamSlot<W: Wire, S: Rows> {
     node: Arc<Node<W, S>>,
     pub upstream: String,
+    /// The address of the upstream, which may no longer be listed.
+    pub address: SocketAddr,
+    /// The software version of the upstream.
+    pub version: Version,
     pub dispatched: Millis,
-    dispatch_id: DispatchId,
+    pub dispatch_id: DispatchId,
     is_prompt_read: bool,
 }
 
 impl<W: Wire, S: Rows> UpstreamSlot<W, S> {
     /// Returns `None` if the upstream accepts no more requests now, because others were dispatched since it
     /// was chosen.
-    pub(crate) fn take(job: &Job<W, S>, chosen: &Placement) -> Option<UpstreamSlot<W, S>> {
+    pub(crate) fn take(job: &Job<W, S>, chosen: &Placement, listing: &Listing) -> Option<UpstreamSlot<W, S>> {
         let node = job.node.clone();
         let now = node.now();
         let mut placer = node.placer();
@@ -219,6 +234,8 @@
         Some(UpstreamSlot {
             node,
             upstream: chosen.upstream.clone(),
+            address: listing.address,
+            version: Version::of(&listing.version),
             dispatched: now,
             dispatch_id,
             is_prompt_read: false,
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -36,6 +36,8 @@
 struct Line {
     sender: SendRequest<Body>,
     way: Way,
+    /// Whether its end in order is the peer's, as opposed to that of a relay.
+    tells_end: bool,
     opened: Duration,
     count: Arc<OpenConnection>,
 }
@@ -87,8 +89,8 @@
     /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. The caller returns the
     /// connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
-    /// As soon as a connection is available, `is_wanted` is called: the reason to send the request may no
-    /// longer hold by then. If it returns `false`, the request is withdrawn.
+    /// As soon as a connection is available, `is_wanted` is called with its way: the reason to send the request may
+    /// no longer hold by then. If it returns `false`, the request is withdrawn.
     ///
     /// # Errors
     /// [`Failure`] says whether the request may have reached the peer, and whether it was withdrawn.
@@ -99,7 +101,7 @@
         max_connections: usize,
         dialer: &impl Dial,
         request: Request<Body>,
-        is_wanted: impl FnOnce() -> bool,
+        is_wanted: impl FnOnce(Way) -> bool,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         let (mut line, reused) = match self.take(peer, dialer.way()) {
             Some(line) => (line, true),
@@ -108,7 +110,7 @@
                 (opened.map_err(|error| Failure { error, reused: false, is_withdrawn: false })?, false)
             }
         };
-        if !is_wanted() {
+        if !is_wanted(line.way) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
             Lease { pool: self.0.clone(), peer, line: Some(line), until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
@@ -179,12 +181,12 @@
         let count = OpenConnection::new(&self.0, peer, max_connections)
             .ok_or_else(|| unsent(format!("{max_connections} connections are in use")))?;
         let transport = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
-        let (way, sender) = match transport {
-            Transport::Direct(stream) => (Way::Direct, handshake(FuturesIo::new(stream), &count).await),
-            Transport::Relayed(tunnel) => (Way::Relayed, handshake(tunnel, &count).await),
+        let (way, tells_end, sender) = match transport {
+            Transport::Direct(stream) => (Way::Direct, true, handshake(FuturesIo::new(stream), &count).await),
+            Transport::Relayed(tunnel) => (Way::Relayed, tunnel.tells_end(), handshake(tunnel, &count).await),
         };
         let sender = sender.map_err(|error| unsent(error.to_string()))?;
-        Ok(Line { sender, way, opened: self.0.clock.now(), count })
+        Ok(Line { sender, way, tells_end, opened: self.0.clock.now(), count })
     }
 }
 
@@ -262,6 +264,12 @@
         self.line.as_ref().is_some_and(|line| line.way == Way::Relayed)
     }
 
+    /// Whether the connection ends in order only if the peer closes it so. Relays of earlier builds end their tunnels
+    /// in the same way themselves.
+    pub fn tells_end(&self) -> bool {
+        self.line.as_ref().is_some_and(|line| line.tells_end)
+    }
+
     /// Returns the connection to the pool as soon as it is ready for another request. Call this after reading
     /// the complete answer.
     pub fn keep(mut self) {
