--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,7 +5,7 @@
 use crate::budget_state::DenialReason;
 use crate::event::EventSplitter;
 use crate::job::{Admitted, Job, TokenMeter};
-use crate::manifest::Lookup;
+use crate::manifest::{Lookup, RouteKind};
 use crate::node::{Node, Phase};
 use crate::origins;
 use crate::peer_reservations::{self, Cost, Denial};
@@ -121,7 +121,7 @@
         Lookup::NoKey => return Err(refused(Refusal::NoAccessKey, &version)),
     };
     // A split route selects the service of a stream by the attempt that began it.
-    let resumption = ask.resumption.as_ref().filter(|_| route.kind.is_stream());
+    let resumption = ask.resumption.as_ref().filter(|_| route.kind == RouteKind::ResumableStream);
     let first_attempt = resumption.and_then(|resumption| resumption.attempt.as_deref()).unwrap_or(&ask.id);
     let Some(service) = route.select_service(first_attempt).map(str::to_owned) else {
         return Err(refused(Refusal::NoUpstream, &version));
@@ -263,7 +263,7 @@
             Next::Answer(Response::from_parts(head, AnswerBody::Stream(Box::new(relay))))
         }
         // The caller may have all events. One upstream that closes its connection may have broken off, two hardly.
-        Outcome::Empty(head) if job.request.ask.resumption.is_some() => {
+        Outcome::Empty(head) if job.request.version.is_some() => {
             let reply = whole_answer(head, Bytes::new());
             if empty < EMPTY_ANSWERS && may_run_again {
                 return Next::TryElsewhere(reply);
