Tell how often a request has run, and when its repeat was counted

The log told neither how many runs of a request its route allows nor how long ago a dispatch was counted as a repeat, so it could not tell the hypotheses of the incident of repeats apart: too many upstreams for one request, or too many repeats in a window. The line of a dispatch has ran, attempts and repeat-age-ms now. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -135,7 +135,7 @@
             return Outcome::NotRun("the upstream is no longer listed".to_owned());
         };
         log::info!(
-            "request: id={} event=dispatch upstream={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={}",
+            "request: id={} event=dispatch upstream={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={} ran={} attempts={} repeat-age-ms={:?}",
             self.request.ask.id,
             chosen.upstream,
             listing.version,
@@ -148,6 +148,9 @@
             chosen.candidates,
             after_event,
             self.request.ask.resumption.as_ref().map_or("-", Resumption::name),
+            self.progress().ran,
+            self.request.route.attempts,
+            self.repeat_age_ms(),
         );
         let connection_limit = self
             .request
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -351,6 +351,7 @@
             self.node.fleet_size(),
         );
         if is_allowed {
+            self.progress().repeat_counted = Some(self.node.now());
             self.node.metrics.repeats.with_label_values(&[service.as_str(), reason]).inc();
         }
         is_allowed
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -49,6 +49,8 @@
     pub version: Option<Version>,
     /// Whether the next dispatch has been taken out of the retry budget.
     pub is_repeat_taken: bool,
+    /// When the last dispatch was taken out of the retry budget.
+    pub repeat_counted: Option<Millis>,
 }
 
 pub(crate) struct Admitted {
@@ -157,6 +159,12 @@
         }
     }
 
+    /// How long ago the next dispatch was counted as a repeat, in milliseconds; `None` if it is the first one.
+    pub(crate) fn repeat_age_ms(&self) -> Option<Millis> {
+        let progress = self.progress();
+        progress.repeat_counted.map(|counted| self.node.now().saturating_sub(counted))
+    }
+
     /// Counts the place of a dispatch as free, because its connection is lost. The dispatch goes on.
     pub(crate) fn release_place(&self, upstream: &str, dispatch_id: DispatchId) {
         if self.node.placer().release(upstream, dispatch_id, self.node.now()) {
