--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -134,6 +134,7 @@
         let Some(listing) = node.listings().get(&chosen.upstream).cloned() else {
             return Outcome::NotRun("the upstream is no longer listed".to_owned());
         };
+        let (ran, repeat_age_ms) = self.repeat_state();
         log::info!(
             "request: id={} event=dispatch upstream={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={} ran={} attempts={} repeat-age-ms={:?}",
             self.request.ask.id,
@@ -148,9 +149,9 @@
             chosen.candidates,
             after_event,
             self.request.ask.resumption.as_ref().map_or("-", Resumption::name),
-            self.progress().ran,
+            ran,
             self.request.route.attempts,
-            self.repeat_age_ms(),
+            repeat_age_ms,
         );
         let connection_limit = self
             .request
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -159,10 +159,11 @@
         }
     }
 
-    /// How long ago the next dispatch was counted as a repeat, in milliseconds; `None` if it is the first one.
-    pub(crate) fn repeat_age_ms(&self) -> Option<Millis> {
+    /// The number of runs so far, and how long ago the next dispatch was counted as a repeat, in milliseconds.
+    pub(crate) fn repeat_state(&self) -> (u32, Option<Millis>) {
         let progress = self.progress();
-        progress.repeat_counted.map(|counted| self.node.now().saturating_sub(counted))
+        let age = progress.repeat_counted.map(|counted| self.node.now().saturating_sub(counted));
+        (progress.ran, age)
     }
 
     /// Counts the place of a dispatch as free, because its connection is lost. The dispatch goes on.
