--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -64,14 +64,18 @@
 
 /// The largest ratio of repeats to allowed repeats in any window.
 fn max_ratio(received: &Received) -> f64 {
-    let length = BOUND.length as usize;
+    max_ratio_of(received, &BOUND)
+}
+
+fn max_ratio_of(received: &Received, bound: &RepeatBound) -> f64 {
+    let length = bound.length as usize;
     let sum = |counts: &[u32]| f64::from(counts.iter().sum::<u32>());
     let ends = (2 * length..received.requests.len()).step_by(100);
     let share = |end: usize| {
         let requests =
             [0, length / 2, length].map(|back| sum(&received.requests[end - back - length..end - back]));
         let most = requests.into_iter().fold(0.0, f64::max);
-        sum(&received.repeats[end - length..end]) / (BOUND.ratio * most + BOUND.extra)
+        sum(&received.repeats[end - length..end]) / (bound.ratio * most + bound.extra)
     };
     ends.map(share).fold(0.0, f64::max)
 }
@@ -160,3 +164,103 @@
         }
     }
 }
+
+/// A fleet of routers that get requests at random.
+struct Fleet {
+    routers: u32,
+    bound: RepeatBound,
+    /// The requests per second for each router.
+    per_s: f64,
+}
+
+/// Routers, and the extra of the bound: deployments, and the target.
+const FLEETS: [(u32, f64); 5] = [(8, 56.0), (71, 182.0), (295, 630.0), (1_400, 1_040.0), (1_400, 56.0)];
+/// The requests per second for each router.
+const LOADS: [f64; 5] = [0.2, 0.5, 1.0, 3.2, 10.0];
+/// The most repeats of one request.
+const MOST_REPEATS: usize = 4;
+/// The time after which a router that has started knows the others, in milliseconds.
+const KNOWN_AFTER_MS: Millis = 100;
+
+impl Fleet {
+    fn all() -> impl Iterator<Item = Fleet> {
+        let fleet = |(routers, extra), per_s| Fleet { routers, bound: RepeatBound { extra, ..BOUND }, per_s };
+        FLEETS.into_iter().flat_map(move |named| LOADS.into_iter().map(move |per_s| fleet(named, per_s)))
+    }
+
+    /// The largest ratio of repeats to allowed repeats in any window until `end`. `repeats` carries out a request that
+    /// arrives at a router and a time, and returns how often it was repeated.
+    fn max_ratio(&self, end: usize, mut repeats: impl FnMut(usize, Millis, &mut SmallRng) -> u32) -> f64 {
+        let mut random = SmallRng::seed_from_u64(1);
+        let mut received = Received { requests: vec![0; end], repeats: vec![0; end] };
+        let per_s = self.per_s * f64::from(self.routers);
+        let mut arrival = 0.0;
+        loop {
+            arrival += -random.gen_range(f64::MIN_POSITIVE..1.0_f64).ln() * SECOND_MS as f64 / per_s;
+            let now = arrival as usize;
+            if now >= end {
+                return max_ratio_of(&received, &self.bound);
+            }
+            received.requests[now] += 1;
+            let router = random.gen_range(0..self.routers as usize);
+            received.repeats[now] += repeats(router, now as Millis, &mut random);
+        }
+    }
+
+    /// The largest ratio if each router is killed and started again every `life_ms`, in turn and for `down_ms`, while all
+    /// requests fail.
+    fn max_ratio_of_lives(&self, life_ms: Millis, down_ms: Millis) -> f64 {
+        let mut windows = vec![(u64::MAX, RepeatWindow::new(self.bound, 0)); self.routers as usize];
+        self.max_ratio(40 * SECOND_MS, |router, now, random| {
+            let shifted = now + router as Millis * life_ms / Millis::from(self.routers);
+            let (life, time) = (shifted / life_ms, shifted % life_ms);
+            let Some(age) = time.checked_sub(down_ms) else { return 0 };
+            let (current, window) = &mut windows[router];
+            if std::mem::replace(current, life) != life {
+                *window = RepeatWindow::new(self.bound, 0);
+            }
+            window.set_routers((age > KNOWN_AFTER_MS).then_some(self.routers));
+            window.record_request(age);
+            (0..MOST_REPEATS).map(|_| u32::from(window.try_repeat(age, random.r#gen()))).sum()
+        })
+    }
+
+    /// The largest ratio if routers lose the list of the others, and all requests fail after a time.
+    fn max_ratio_of_outage(&self) -> f64 {
+        let (lost, failing, end) = (20_000, 200_000, 230 * SECOND_MS);
+        let mut windows = vec![RepeatWindow::new(self.bound, 0); self.routers as usize];
+        self.max_ratio(end, |router, now, random| {
+            let window = &mut windows[router];
+            window.set_routers((now < lost).then_some(self.routers));
+            window.record_request(now);
+            let tries = if now < failing { 0 } else { MOST_REPEATS };
+            (0..tries).map(|_| u32::from(window.try_repeat(now, random.r#gen()))).sum()
+        })
+    }
+}
+
+/// Guards against repeats that each process may make because it is new: a router that is restarted often is new often.
+#[test]
+fn repeats_stay_within_the_bound_when_routers_restart_in_series() {
+    for fleet in Fleet::all() {
+        for (life_ms, down_ms) in [(300, 30), (500, 50), (1_000, 100), (2_500, 500), (12_000, 500)] {
+            let (ratio, Fleet { routers, per_s, .. }) = (fleet.max_ratio_of_lives(life_ms, down_ms), &fleet);
+            assert!(
+                ratio <= 1.0,
+                "{routers} routers, {per_s} requests/s each, lives of {life_ms} ms: repeats reach {ratio:.2} of the bound"
+            );
+        }
+    }
+}
+
+/// Guards against repeats that pile up at routers that don't know how many others there are.
+#[test]
+fn repeats_stay_within_the_bound_when_upstreams_fail_during_a_long_outage_of_the_store() {
+    for fleet in Fleet::all() {
+        let (ratio, Fleet { routers, per_s, .. }) = (fleet.max_ratio_of_outage(), &fleet);
+        assert!(
+            ratio <= 1.0,
+            "{routers} routers, {per_s} requests/s each: repeats reach {ratio:.2} of the bound"
+        );
+    }
+}
