A resumed stream runs on no more live upstreams than its route allows

Callers saw nothing; upstreams ran streams that other upstreams had broken off once more than the route's attempts, three times in place of two. Cause: a resumption inside an answer was allowed one run beyond the attempts, on the ground that the upstream which broke the stream off no longer runs it. The bound leaves out upstreams that ended, and one that breaks an answer off need not have.

Every run counts as long as its upstream lives. When no run is left, the gateway probes the upstreams of the runs, and those that refuse connections here and at other gateways no longer count, so a crash costs no attempt. A resumption that an upstream ends in order without an event completes the stream if no run is left. The last run is no longer given up for being slow.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,7 @@
 use crate::body::AnswerBody;
 use crate::budget_state::DenialReason;
 use crate::event::EventSplitter;
-use crate::job::{Admitted, Job, TokenMeter};
+use crate::job::{Admitted, Job, Run, TokenMeter};
 use crate::manifest::{Lookup, RouteKind};
 use crate::node::{Node, Phase};
 use crate::origins;
@@ -401,9 +401,13 @@
             | Outcome::PathLost(reason) => (true, Some(reason.clone())),
             Outcome::TimedOut => (true, Some("the deadline passed".to_owned())),
         };
+        let address = self.node.listings().get(upstream).map(|listing| listing.address);
         let mut progress = self.progress();
         progress.sent += 1;
-        progress.ran += u32::from(ran);
+        if ran {
+            progress.ran += 1;
+            progress.runs.push(Run { upstream: upstream.to_owned(), address });
+        }
         progress.empty += u32::from(matches!(outcome, Outcome::Empty(_)));
         if let Some(reason) = reason {
             progress.excluded.push(upstream.to_owned());
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -10,6 +10,7 @@
 use route::Millis;
 use route::placement::{self, DispatchId, Placement, PlacementRequest};
 use route::version::Version;
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub sent: u32,
     /// The number of dispatches that ran or may have run.
     pub ran: u32,
+    /// Those of them whose upstreams are not known to have ended.
+    pub runs: SmallVec<[Run; 2]>,
     /// Upstreams that must not be tried again.
     pub excluded: Vec<String>,
     /// The number of upstreams that closed their connection before an event.
@@ -53,6 +56,14 @@
     pub repeat_counted: Option<Millis>,
 }
 
+/// A dispatch that ran or may have run.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub upstream: String,
+    /// `None` if the upstream was no longer listed.
+    pub address: Option<SocketAddr>,
+}
+
 pub(crate) struct Admitted {
     pub ask: Ask,
     pub head: Parts,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::event::EventSplitter;
 use crate::framing::Framing;
 use crate::handle::EMPTY_ANSWERS;
-use crate::job::{Job, TokenMeter};
+use crate::job::{Job, Run, TokenMeter};
 use crate::manifest::RouteKind;
 use crate::ports::Wire;
 use crate::quarantine;
@@ -26,8 +26,6 @@
 
 /// How often a stream is checked for a stall and for its deadline.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Runs of one stream beyond those that the route allows: upstreams whose stream broke no longer run it.
-const EXTRA_RUNS: u32 = 1;
 
 /// A stream that is being relayed to the caller.
 pub(crate) struct Relay<W: Wire, S: Rows> {
@@ -377,9 +375,29 @@
 impl<W: Wire, S: Rows> Job<W, S> {
     /// Whether the stream may be resumed, as far as the route allows it.
     fn may_resume(&self) -> bool {
-        self.kind() == RouteKind::ResumableStream
-            && !self.remaining().is_zero()
-            && self.progress().ran < self.request.route.attempts + EXTRA_RUNS
+        self.kind() == RouteKind::ResumableStream && !self.remaining().is_zero() && self.runs_left() > 0
+    }
+
+    /// At how many more upstreams the request may run. An upstream that broke its answer off counts as long as it lives:
+    /// it may go on with the request.
+    fn runs_left(&self) -> u32 {
+        self.request.route.attempts.saturating_sub(self.progress().runs.len() as u32)
+    }
+
+    /// Stops counting the runs at upstreams that have ended.
+    async fn forget_ended_runs(&self) {
+        let runs = self.progress().runs.clone();
+        let ended = runs.iter().map(async |Run { upstream, address }| match address {
+            Some(address) => quarantine::has_terminated(&self.node, upstream, *address).await,
+            None => false,
+        });
+        let ended = futures::future::join_all(ended).await;
+        let ended: Vec<&str> = runs
+            .iter()
+            .zip(ended)
+            .filter_map(|(run, ended)| ended.then_some(run.upstream.as_str()))
+            .collect();
+        self.progress().runs.retain(|run| !ended.contains(&run.upstream.as_str()));
     }
 
     /// Resumes a broken stream at another upstream; `None` if none could continue it.
@@ -387,18 +405,26 @@
         let empty_before = self.progress().empty;
         let empty = || self.progress().empty - empty_before;
         loop {
-            if !self.may_resume() {
+            if self.runs_left() == 0 {
+                self.forget_ended_runs().await;
+            }
+            if self.remaining().is_zero() {
                 return None;
             }
+            // An upstream that lives has ended its answer in order.
             let none_left = empty() > 0;
             let complete = |splitter| none_left.then_some(Resumed::Complete(splitter));
+            if !self.may_resume() {
+                return complete(splitter);
+            }
             let Some(chosen) = self.choose() else { return complete(splitter) };
             if !self.may_repeat() || !self.take_repeat("resume") {
                 return complete(splitter);
             }
             let (chosen, turn) = self.take_turn(chosen).await.ok()?;
             let after = splitter.last_id();
-            let outcome = self.attempt(&chosen, turn, &mut splitter, after, true).await;
+            let may_try_elsewhere = self.runs_left() > 1;
+            let outcome = self.attempt(&chosen, turn, &mut splitter, after, may_try_elsewhere).await;
             self.record_attempt(&chosen.upstream, &outcome);
             match outcome {
                 Outcome::Stream(_, stream, events) => {
