Gateways have no repeats for being new or for not knowing the others

Each process could repeat once for each service because it was new, and hold one whole repeat while its list of gateways had run out, however many gateways there are and however often they restart. Class: an allowance per process under a bound on a sum over gateways and time.

The bucket starts empty and never holds more than its share of what requests and the extra allow. While it can't hold a whole repeat, a repeat is allowed with the probability of its content, which is emptied either way: the debt that was kept before ended with the process. What all processes may repeat is now bounded by what was added to their buckets, with no allowance for each. Both tests of windows.rs that failed pass, and those of how much of the bound is used are unchanged.

Price: in the first 10 s of a process a request that fails is repeated with the share that earlier requests have paid for; before, the first one always was.

--- a/crates/route/src/repeat_window.rs
+++ b/crates/route/src/repeat_window.rs
@@ -5,10 +5,9 @@
 //! let bound = route::RepeatBound { ratio: 0.5, extra: 4.0, length: 10_000 };
 //! let mut window = route::RepeatWindow::new(bound, 0);
 //! window.set_routers(Some(2));
-//! assert!(window.try_repeat(0, 0.5), "a router that has just started may repeat once");
-//! assert!(!window.try_repeat(0, 0.5));
-//! (0..4).for_each(|_| window.record_request(0));
-//! assert!(window.try_repeat(0, 0.5), "requests allow further repeats");
+//! assert!(!window.try_repeat(0, 0.5), "a router that has just started may not repeat");
+//! (0..8).for_each(|_| window.record_request(0));
+//! assert!(window.try_repeat(0, 0.5), "requests allow repeats");
 //! ```
 
 use crate::Millis;
@@ -21,8 +20,6 @@
 /// The share of the allowed repeats that the token bucket may hold. Repeats come in bursts, when upstreams
 /// fail.
 const CAPACITY_SHARE: f64 = 0.3;
-/// The repeats in the bucket when a router starts, so that the first request that fails can be repeated.
-const INITIAL_REPEATS: f64 = 1.0;
 /// Scales the probability of a repeat at a router whose capacity is below one repeat. It is below one to
 /// leave headroom, since the number of routers that repeat at the same time varies.
 const PROBABILITY_SCALE: f64 = 0.8;
@@ -57,13 +54,13 @@
     requests: u32,
 }
 
-/// The repeats that one router may make for one service: a token bucket that starts almost empty.
+/// The repeats that one router may make for one service: a token bucket that starts empty.
 ///
 /// Except for what the bucket held before, a router's repeats in a window were added to the bucket within
 /// that window. Processes of a router that follow each other share the time and the requests, and each starts
-/// with an almost empty bucket, so all of them together stay within the bound, even if they are killed one
-/// after another. With counts that start from zero in each process, a fleet would exceed the bound when it is
-/// restarted at once while upstreams refuse requests (`tests/windows.rs`).
+/// with an empty bucket, so all of them together stay within the bound, however often they are restarted. Any
+/// repeat that a process may make because it is new, or because it doesn't know the others, adds up over
+/// restarts and routers (`tests/windows.rs`).
 #[derive(Clone, Debug)]
 pub struct RepeatWindow {
     bound: RepeatBound,
@@ -82,7 +79,7 @@
             routers: None,
             started,
             buckets: VecDeque::new(),
-            available: INITIAL_REPEATS,
+            available: 0.0,
             last_refill: started,
         }
     }
@@ -105,14 +102,19 @@
     }
 
     /// Counts a repeat if one is allowed, and returns whether it is. If the capacity is below one repeat, as
-    /// in a large fleet, a repeat is allowed with a probability proportional to the content of the bucket,
-    /// which may then become negative. `chance` must be uniformly distributed between 0 and 1.
+    /// in a large fleet or just after a start, a repeat is allowed with a probability proportional to the content of
+    /// the bucket, which is emptied either way: a debt would end with the process. `chance` must be uniformly
+    /// distributed between 0 and 1.
     pub fn try_repeat(&mut self, now: Millis, chance: f64) -> bool {
         self.refill(now);
-        let is_sampled = self.capacity(now) < 1.0 && chance < PROBABILITY_SCALE * self.available;
-        let is_allowed = self.available >= 1.0 || is_sampled;
-        self.available -= f64::from(u8::from(is_allowed));
-        is_allowed
+        if self.available >= 1.0 {
+            self.available -= 1.0;
+            return true;
+        }
+        if self.capacity(now) >= 1.0 {
+            return false;
+        }
+        chance < PROBABILITY_SCALE * std::mem::take(&mut self.available)
     }
 
     /// The counts of this router at `now`.
@@ -134,21 +136,7 @@
 
     /// The capacity of the token bucket, in repeats.
     fn capacity(&mut self, now: Millis) -> f64 {
-        let allowed = self.bound.ratio * f64::from(self.requests(now)) + self.extra(now);
-        (CAPACITY_SHARE * allowed).max(self.min_capacity(now))
-    }
-
-    /// The lower bound of the capacity. It is one repeat in the first window and while the number of routers
-    /// is unknown, so that a router with few requests can repeat at all. Otherwise it is limited to the part
-    /// of this router's share of the extra that may accumulate: a large fleet would exceed the bound if each
-    /// router could hold one repeat.
-    fn min_capacity(&self, now: Millis) -> f64 {
-        match self.routers {
-            Some(_) if !self.is_in_first_window(now) => {
-                (CAPACITY_SHARE * self.extra(now)).min(INITIAL_REPEATS)
-            }
-            _ => INITIAL_REPEATS,
-        }
+        CAPACITY_SHARE * (self.bound.ratio * f64::from(self.requests(now)) + self.extra(now))
     }
 
     /// Whether less than one window has passed since this router started.
