A test of repeats that are sent long after they were counted, which fails

Repeats that all gateways hold back for 8 s and then send at once reach 1.11 times what the bound allows (8 routers, 1 request/s each; the test stops there). RepeatWindow::confirm is where a repeat is checked again when it is sent; it allows all so far.

--- a/crates/route/src/repeat_window.rs
+++ b/crates/route/src/repeat_window.rs
@@ -117,6 +117,11 @@
         chance < PROBABILITY_SCALE * std::mem::take(&mut self.available)
     }
 
+    /// Whether a repeat that was counted at `counted` may be sent now.
+    pub fn confirm(&mut self, _counted: Millis, _now: Millis, _chance: f64) -> bool {
+        true
+    }
+
     /// The counts of this router at `now`.
     pub fn count(&mut self, now: Millis) -> RepeatCount {
         self.refill(now);
--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -264,3 +264,33 @@
         );
     }
 }
+
+/// Guards against repeats that wait at their gateways after they were counted, and then arrive in a single window: those
+/// of VMs that are suspended, or of bodies that wait for a link.
+#[test]
+fn repeats_stay_within_the_bound_when_they_are_sent_long_after_they_were_counted() {
+    // All gateways hold their repeats back for this time, and then send them at once.
+    let (held_from, held_until) = (20_000, 28_000);
+    for fleet in Fleet::all() {
+        let mut windows = vec![RepeatWindow::new(fleet.bound, 0); fleet.routers as usize];
+        let mut held: Vec<Vec<Millis>> = vec![vec![]; fleet.routers as usize];
+        let ratio = fleet.max_ratio(40 * SECOND_MS, |router, now, random| {
+            let window = &mut windows[router];
+            window.set_routers(Some(fleet.routers));
+            window.record_request(now);
+            let counted = (0..MOST_REPEATS).filter(|_| window.try_repeat(now, random.r#gen())).count();
+            if (held_from..held_until).contains(&now) {
+                held[router].extend(std::iter::repeat_n(now, counted));
+                return 0;
+            }
+            let late = std::mem::take(&mut held[router]);
+            let sent = late.into_iter().filter(|counted| window.confirm(*counted, now, random.r#gen()));
+            (counted + sent.count()) as u32
+        });
+        let Fleet { routers, per_s, .. } = fleet;
+        assert!(
+            ratio <= 1.0,
+            "{routers} routers, {per_s} requests/s each: repeats reach {ratio:.2} of the bound"
+        );
+    }
+}
