A repeat that waited is counted again when it is sent

A repeat was taken out of the retry budget before its body waited for the VM's link or its request for a connection, and a VM may be suspended meanwhile. It then reached its upstream in another window than it was counted in, beside the repeats of that window. Class: a limit checked when a decision is made, and not when it takes effect.

When its connection is there, a repeat that was counted more than a twentieth of a window ago is counted again, and withdrawn if the budget has none left; the caller then gets what it gets without a repeat. The sum of the three shares of a window is 0.95. The test is a model; no test holds a repeat back in a real gateway.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -181,12 +181,13 @@
         let request = self.build_request(&chosen.upstream, after_event, body);
         let (sent, receiver) = oneshot::channel();
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
-        // back-off.
+        // back-off, and a repeat that waits is sent in another window than it was counted in.
         let is_wanted = |way| {
             if way == Way::Direct {
                 let _ = sent.send(node.now());
             }
-            node.placer().admits(&chosen.upstream, node.now())
+            let admits = node.placer().admits(&chosen.upstream, node.now());
+            admits && self.confirm_repeat()
         };
         let sending = async {
             let dialer = Dialer { node, upstream: &chosen.upstream };
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,6 +21,7 @@
 use http::{Request, Response};
 use hyper::body::{Body, Bytes, Incoming};
 use route::returns::Group;
+use route::{Confirmation, RepeatCount};
 use std::sync::Arc;
 use std::time::Duration;
 use store::rows::Rows;
@@ -333,11 +334,36 @@
         if std::mem::take(&mut self.progress().is_repeat_taken) {
             return true;
         }
+        let chance = self.repeat_chance();
+        let (is_allowed, count) = self.node.with_retry_window(&self.request.service, |window, now| {
+            (window.try_repeat(now, chance), window.count(now))
+        });
+        self.record_repeat(reason, is_allowed, count);
+        is_allowed
+    }
+
+    /// Whether a repeat may be sent now. If it has waited since it was counted, it is counted again; the
+    /// event is logged then.
+    pub(crate) fn confirm_repeat(&self) -> bool {
+        let Some(counted) = self.progress().repeat_counted else { return true };
+        let chance = self.repeat_chance();
+        let (confirmation, count) = self.node.with_retry_window(&self.request.service, |window, now| {
+            (window.confirm(counted, now, chance), window.count(now))
+        });
+        let is_allowed = confirmation != Confirmation::Denied;
+        if confirmation != Confirmation::Current {
+            self.record_repeat("late", is_allowed, count);
+        }
+        is_allowed
+    }
+
+    /// A number between 0 and 1 that is the same for all repeats of this request.
+    fn repeat_chance(&self) -> f64 {
+        xxh3_64(self.request.ask.id.as_bytes()) as f64 / u64::MAX as f64
+    }
+
+    fn record_repeat(&self, reason: &str, is_allowed: bool, count: RepeatCount) {
         let service = &self.request.service;
-        let chance = xxh3_64(self.request.ask.id.as_bytes()) as f64 / u64::MAX as f64;
-        let (is_allowed, count) = self
-            .node
-            .with_retry_window(service, |window, now| (window.try_repeat(now, chance), window.count(now)));
         let event = match is_allowed {
             true => "repeat",
             false => "repeat-denied",
@@ -354,7 +380,6 @@
             self.progress().repeat_counted = Some(self.node.now());
             self.node.metrics.repeats.with_label_values(&[service.as_str(), reason]).inc();
         }
-        is_allowed
     }
 
     /// Takes a repeat out of the budget for a request that still waits for an answer, before it is given up;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -62,7 +62,7 @@
 };
 pub use queue::{FairQueue, PushOutcome, QueuedRequest};
 pub use reading::ReadTracker;
-pub use repeat_window::{RepeatBound, RepeatCount, RepeatWindow};
+pub use repeat_window::{Confirmation, RepeatBound, RepeatCount, RepeatWindow};
 pub use retry_budget::RetryBudget;
 pub use signals::retry_after_ms;
 
--- a/crates/route/src/repeat_window.rs
+++ b/crates/route/src/repeat_window.rs
@@ -13,13 +13,15 @@
 use crate::Millis;
 use std::collections::VecDeque;
 
-// The sum of both shares is below one, since the windows of different routers are not aligned.
+// The sum of these shares is below one, since the windows of different routers are not aligned.
 
 /// The share of the allowed repeats that is added to the token bucket as requests arrive and time passes.
 const REFILL_SHARE: f64 = 0.6;
 /// The share of the allowed repeats that the token bucket may hold. Repeats come in bursts, when upstreams
 /// fail.
 const CAPACITY_SHARE: f64 = 0.3;
+/// The share of a window within which a repeat has to be sent after it was counted.
+const MAX_AGE_SHARE: f64 = 0.05;
 /// Scales the probability of a repeat at a router whose capacity is below one repeat. It is below one to
 /// leave headroom, since the number of routers that repeat at the same time varies.
 const PROBABILITY_SCALE: f64 = 0.8;
@@ -48,6 +50,17 @@
     pub capacity: f64,
 }
 
+/// What becomes of a repeat that is about to be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Confirmation {
+    /// It was counted recently, and may be sent.
+    Current,
+    /// It was counted again, and may be sent.
+    Recounted,
+    /// It may not be sent.
+    Denied,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     at: Millis,
@@ -117,9 +130,17 @@
         chance < PROBABILITY_SCALE * std::mem::take(&mut self.available)
     }
 
-    /// Whether a repeat that was counted at `counted` may be sent now.
-    pub fn confirm(&mut self, _counted: Millis, _now: Millis, _chance: f64) -> bool {
-        true
+    /// Decides whether a repeat that was counted at `counted` may be sent now. One that waited is counted again,
+    /// because it reaches its upstream in another window. `chance` is that of [`RepeatWindow::try_repeat`].
+    pub fn confirm(&mut self, counted: Millis, now: Millis, chance: f64) -> Confirmation {
+        let max_age = MAX_AGE_SHARE * self.bound.length as f64;
+        if now.saturating_sub(counted) as f64 <= max_age {
+            return Confirmation::Current;
+        }
+        match self.try_repeat(now, chance) {
+            true => Confirmation::Recounted,
+            false => Confirmation::Denied,
+        }
     }
 
     /// The counts of this router at `now`.
--- a/crates/route/tests/windows.rs
+++ b/crates/route/tests/windows.rs
@@ -9,7 +9,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::{Millis, RepeatBound, RepeatWindow};
+use route::{Confirmation, Millis, RepeatBound, RepeatWindow};
 
 const BOUND: RepeatBound = RepeatBound { ratio: 0.2, extra: 56.0, length: 10_000 };
 /// The number of gateways in the fleet.
@@ -284,7 +284,9 @@
                 return 0;
             }
             let late = std::mem::take(&mut held[router]);
-            let sent = late.into_iter().filter(|counted| window.confirm(*counted, now, random.r#gen()));
+            let sent = late
+                .into_iter()
+                .filter(|counted| window.confirm(*counted, now, random.r#gen()) != Confirmation::Denied);
             (counted + sent.count()) as u32
         });
         let Fleet { routers, per_s, .. } = fleet;
