--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -411,7 +411,7 @@
             if self.remaining().is_zero() {
                 return None;
             }
-            // An upstream that lives has ended its answer in order.
+            // An answer that ended in order without an event says that none is left, unless its upstream has terminated.
             let none_left = empty() > 0;
             let complete = |splitter| none_left.then_some(Resumed::Complete(splitter));
             if !self.may_resume() {
