--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -17,6 +17,7 @@
     DECISION_DELAY_MS, DENIAL_DURATION_MS, Fingerprint, LostRun, Stage, Upstreams, Verdict,
 };
 use sha2::{Digest, Sha256};
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -37,6 +38,8 @@
     upstream: String,
     request: String,
     fingerprint: Fingerprint,
+    /// The parts of its prompt, in order.
+    parts: SmallVec<[u64; 4]>,
     /// The time from its first answer to the break, in milliseconds; `None` if there was no answer.
     begun_ms: Option<Millis>,
 }
@@ -60,6 +63,11 @@
         let team = self.team.as_ref().map(|team| team.name.as_str());
         fingerprint(&self.ask.host, &self.head.uri, team, &self.body)
     }
+
+    /// The parts of its prompt, in order.
+    fn parts(&self) -> SmallVec<[u64; 4]> {
+        self.ask.prompt.iter().flat_map(|prompt| prompt.parts.iter().map(|part| part.id)).collect()
+    }
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
@@ -70,7 +78,8 @@
         let fingerprint = self.request.fingerprint();
         let is_suspect = self.node.quarantine().verdict(fingerprint, self.node.now()) != Verdict::Clear;
         let (upstream, request) = (upstream.to_owned(), self.request.ask.id.clone());
-        let broken = BrokenRun { upstream, request, fingerprint, begun_ms };
+        let parts = self.request.parts();
+        let broken = BrokenRun { upstream, request, fingerprint, parts, begun_ms };
         // The inspection continues if the caller disconnects: that caller may be the one that sends such
         // requests.
         let (done, waiting) = async_channel::bounded::<()>(1);
@@ -103,6 +112,12 @@
     }
 }
 
+/// The parts of a prompt as they appear in logs.
+fn ids(parts: &[u64]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
+
 /// Whether a request may be dispatched again before its broken run has been inspected.
 pub(crate) enum Inspection {
     /// It may be dispatched while the inspection runs in the background.
@@ -158,14 +173,15 @@
 ///
 /// A process that is back before the attempt accepts it too, so the replacement of the upstream counts as well.
 async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, broken: BrokenRun) {
-    let BrokenRun { upstream, request, fingerprint, begun_ms } = broken;
+    let BrokenRun { upstream, request, fingerprint, parts, begun_ms } = broken;
     let Some(listing) = node.listings().get(&upstream).cloned() else { return };
     let was_leaving = node.placer().has_announced_leaving(&upstream);
     let probed = net::probe_after_break(listing.address).await;
     let is_leaving = was_leaving || node.placer().has_announced_leaving(&upstream);
     log::warn!(
-        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} begun-ms={begun_ms:?} leaving={is_leaving}",
-        probed.name()
+        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} parts={} begun-ms={begun_ms:?} leaving={is_leaving}",
+        probed.name(),
+        ids(&parts),
     );
     let has_terminated =
         probed == ProbeResult::Refuses && !reach::is_reached_by_others(&node, &upstream).await;
