--- a/crates/emulator/src/harmful.rs
+++ b/crates/emulator/src/harmful.rs
@@ -210,6 +210,8 @@
         let others = (0..routers).filter(|router| *router != from);
         let recipients: Vec<usize> = match self.limiters[from].recipients(notice, routers, now as Millis) {
             Recipients::All => others.collect(),
+            // Its requests have no prompts.
+            Recipients::Nobody | Recipients::PartCoordinators(_) => return,
             Recipients::Coordinators(request) => {
                 coordinators(request, others.map(|router| (router, self.names[router].as_str())))
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::link::Turn;
 use crate::manifest::RouteKind;
 use crate::ports::{Malformed, ResponseCheck, Resumption, Wire};
-use crate::quarantine;
+use crate::quarantine::{self, BrokenRun};
 use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
 use futures::channel::oneshot;
@@ -182,13 +182,14 @@
         let request = self.build_request(&chosen.upstream, after_event, body);
         let (sent, receiver) = oneshot::channel();
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
-        // back-off, and a repeat that waits is sent in another window than it was counted in.
+        // back-off, the request may be denied, and a repeat that waits is sent in another window than it was
+        // counted in.
         let is_wanted = |way| {
             if way == Way::Direct {
                 let _ = sent.send(node.now());
             }
             let admits = node.placer().admits(&chosen.upstream, node.now());
-            admits && self.confirm_repeat()
+            admits && self.may_run() && self.confirm_repeat()
         };
         let sending = async {
             let dialer = Dialer { node, upstream: &chosen.upstream };
@@ -217,7 +218,8 @@
         };
         self.record_upstream_outcome(chosen, took_ms, &outcome, is_lost.into_inner());
         if let Outcome::ConnectionBroken(_) = outcome {
-            self.inspect(&chosen.upstream, None).wait().await;
+            let run = BrokenRun { dispatched: began, begun: None, broken: node.now() };
+            self.inspect(&chosen.upstream, run).wait().await;
         }
         outcome
     }
@@ -567,6 +569,12 @@
         if let Outcome::Complete(..) | Outcome::ServerError(..) = outcome {
             self.record_survival();
         }
+        if let Outcome::Complete(head, bytes) = outcome
+            && head.status.is_success()
+            && !bytes.is_empty()
+        {
+            self.record_prompt_survival();
+        }
         if ejected {
             log::warn!(
                 "upstream: event=ejected upstream={} request={}",
--- a/crates/gateway/src/denials.rs
+++ b/crates/gateway/src/denials.rs
@@ -1,10 +1,11 @@
-//! The table of denied requests in the store, for starting gateways and for operators.
+//! The table of denied requests and denied parts of prompts in the store, for starting gateways and for operators.
 //!
-//! The key of a row is the fingerprint of the request. The row of a lifted denial is kept until it expires,
+//! The key of a row is the fingerprint of the request or of the parts. The row of a lifted denial is kept until it expires,
 //! so that gateways which read the table late learn of it too.
 
 use crate::table::{decode, encode};
 use route::Millis;
+use route::poison::Parts;
 use route::quarantine::{DENIAL_DURATION_MS, Fingerprint, Upstreams};
 use serde::{Deserialize, Serialize};
 use store::rows::{Change, Key, Page, Record, Rows};
@@ -15,6 +16,9 @@
 /// A row of the table.
 #[derive(Debug, Deserialize, Serialize)]
 struct Entry {
+    /// The parts of the denied prompts; empty if a single request is denied.
+    #[serde(default, skip_serializing_if = "Parts::is_empty")]
+    parts: Parts,
     /// The upstreams that crashed while they ran the request.
     upstreams: Upstreams,
     /// When the request was last denied or sent again, or when its denial was lifted, in milliseconds of the
@@ -25,11 +29,13 @@
     lifted: bool,
 }
 
-/// A denied request.
+/// A denied request, or all requests whose prompts have certain parts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Denial {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request, or of the parts.
     pub fingerprint: Fingerprint,
+    /// The parts of the denied prompts; empty if a single request is denied.
+    pub parts: Parts,
     /// The upstreams that crashed while they ran it.
     pub upstreams: Upstreams,
     /// The remaining time of the denial, in milliseconds.
@@ -83,7 +89,8 @@
         return Ok(lifted);
     }
     let put = |denial: &Denial| {
-        let entry = Entry { upstreams: denial.upstreams.clone(), since_ms: now_ms, lifted: true };
+        let (parts, upstreams) = (denial.parts.clone(), denial.upstreams.clone());
+        let entry = Entry { parts, upstreams, since_ms: now_ms, lifted: true };
         (key(denial.fingerprint.to_string()), encode(&entry))
     };
     let puts = lifted.iter().map(put).collect();
@@ -96,14 +103,16 @@
     Ok(table(&rows.list(TABLE, "").await?))
 }
 
-/// Writes the row of a denied request, and deletes expired rows.
+/// Writes the row of a denial, and deletes expired rows. `parts` are empty if a single request is denied.
 pub(crate) async fn insert(
     rows: &impl Rows,
     fingerprint: Fingerprint,
+    parts: &Parts,
     upstreams: &Upstreams,
 ) -> Result<(), store::Error> {
     let table = read(rows).await?;
-    let entry = Entry { upstreams: upstreams.clone(), since_ms: table.now_ms, lifted: false };
+    let (parts, upstreams) = (parts.clone(), upstreams.clone());
+    let entry = Entry { parts, upstreams, since_ms: table.now_ms, lifted: false };
     write(rows, vec![(key(fingerprint.to_string()), encode(&entry))], table.expired).await
 }
 
@@ -140,7 +149,7 @@
         log::error!("quarantine: event=unreadable row={} version={}", record.name, record.version);
         return None;
     };
-    let Entry { upstreams, since_ms, lifted: is_lifted } = decode(record)?;
+    let Entry { parts, upstreams, since_ms, lifted: is_lifted } = decode(record)?;
     let left_ms = DENIAL_DURATION_MS.saturating_sub(now_ms.saturating_sub(since_ms));
-    Some(Denial { fingerprint, upstreams, left_ms, is_lifted })
+    Some(Denial { fingerprint, parts, upstreams, left_ms, is_lifted })
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use crate::origins;
 use crate::peer_reservations::{self, Cost, Denial};
 use crate::ports::{Ask, Resumption, Wire};
-use crate::quarantine::{self, Check};
+use crate::quarantine;
 use crate::receive;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -129,12 +129,7 @@
     };
     let caller = team.as_ref().map(|team| team.name.as_str());
     let fingerprint = || quarantine::fingerprint(&ask.host, &head.uri, caller, &body);
-    let blocked = match quarantine::check(node, fingerprint) {
-        Check::Passed => None,
-        Check::Undecided(fingerprint) => Some((Refusal::QuarantinePending, fingerprint)),
-        Check::Denied(fingerprint) => Some((Refusal::Quarantined, fingerprint)),
-    };
-    if let Some((refusal, fingerprint)) = blocked {
+    if let Some((refusal, fingerprint)) = quarantine::check(node, &ask, fingerprint).refusal() {
         let team = caller.unwrap_or("-");
         let detail = format!("team={team} route={} {version} fingerprint={fingerprint}", route.name);
         return Err(refused(refusal, &detail));
@@ -209,7 +204,14 @@
     let mut meter = Some(TokenMeter::new(&*job, reservation));
     let mut last = None;
     while let Some(chosen) = job.choose_or_wait().await {
-        if job.progress().sent > 0 && (!job.may_repeat() || !job.take_repeat("retry")) {
+        if let Some(refusal) = job.quarantine_refusal() {
+            if job.progress().ran > 0 {
+                break;
+            }
+            job.log_end(refusal.name(), "");
+            return refuse(refusal);
+        }
+        if job.progress().sent > 0 && !job.take_repeat("retry") {
             break;
         }
         let (chosen, turn) = match job.take_turn(chosen).await {
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -11,8 +11,9 @@
 use crate::origins::Told;
 use crate::ports::Wire;
 use bincode::Options;
-use route::notice::{Notice, NoticeLimiter, Recipients, coordinators};
+use route::notice::{self, Notice, NoticeLimiter, Recipients};
 use route::placement::DispatchHint;
+use route::quarantine::Fingerprint;
 use route::{HintFilter, Millis};
 use serde::{Deserialize, Serialize};
 use smol::net::UdpSocket;
@@ -233,26 +234,35 @@
         net::exec::spawn(async move {
             for delay in SEND_DELAYS {
                 net::exec::sleep(delay).await;
-                hints.send_to(hint.clone(), hints.recipients(recipients));
+                hints.send_to(hint.clone(), hints.recipients(&recipients));
             }
         })
         .detach();
     }
 
     /// The addresses of the recipients.
-    fn recipients(&self, recipients: Recipients) -> Arc<Vec<SocketAddr>> {
+    fn recipients(&self, recipients: &Recipients) -> Arc<Vec<SocketAddr>> {
         let peers = self.peers();
+        let coordinators = |fingerprint: Fingerprint| {
+            notice::coordinators(fingerprint, peers.iter().map(|peer| (*peer, peer.to_string())))
+        };
         match recipients {
+            Recipients::Nobody => Arc::default(),
             Recipients::All => peers,
-            Recipients::Coordinators(fingerprint) => {
-                Arc::new(coordinators(fingerprint, peers.iter().map(|peer| (*peer, peer.to_string()))))
+            Recipients::Coordinators(fingerprint) => Arc::new(coordinators(*fingerprint)),
+            Recipients::PartCoordinators(parts) => {
+                let fingerprints = parts.iter().map(|part| notice::part_fingerprint(*part));
+                let mut coordinators: Vec<SocketAddr> = fingerprints.flat_map(coordinators).collect();
+                coordinators.sort_unstable();
+                coordinators.dedup();
+                Arc::new(coordinators)
             }
         }
     }
 
     /// Sends a hint to all gateways.
     fn send(&self, hint: Hint) {
-        self.send_to(hint, self.recipients(Recipients::All));
+        self.send_to(hint, self.recipients(&Recipients::All));
     }
 
     /// Sends a hint in the background, so that no request waits for it.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
 use event_listener::Event;
 use net::{Clock, Pool};
 use route::placement::Placer;
+use route::poison::Loss;
 use route::quarantine::Quarantine;
 use route::returns::Returns;
 use route::{Millis, RepeatBound, RepeatWindow};
@@ -100,6 +101,8 @@
     manifest_progress: Mutex<Progress>,
     placer: Mutex<Placer>,
     quarantine: Mutex<Quarantine>,
+    /// Lost runs that the other gateways have not been told of.
+    unreported_losses: Mutex<Vec<Loss>>,
     listings: Mutex<HashMap<String, Listing>>,
     windows: Mutex<HashMap<String, RepeatWindow>>,
     returns: Mutex<Returns>,
@@ -154,6 +157,7 @@
             quarantine_version: AtomicU64::new(0),
             quarantine_changed: Event::new(),
             quarantine: Mutex::default(),
+            unreported_losses: Mutex::default(),
             manifest: RwLock::default(),
             manifest_progress: Mutex::default(),
             listings: Mutex::default(),
@@ -250,6 +254,10 @@
         self.placer.lock().expect("the placer lock is not poisoned")
     }
 
+    pub(crate) fn unreported_losses(&self) -> MutexGuard<'_, Vec<Loss>> {
+        self.unreported_losses.lock().expect("the lock of losses is not poisoned")
+    }
+
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().expect("the quarantine's lock is not poisoned")
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! Quarantine of requests that crash the upstreams which run them. They are found by broken runs, reported to
-//! the other gateways, and kept in the store.
+//! Quarantine of requests that crash the upstreams which run them, and of parts of prompts that do. They are found
+//! by broken runs, reported to the other gateways, and kept in the store.
 //!
 //! [`route::notice`] decides which gateways are told of what. Denials are sent to all gateways and written to
 //! a table. Each gateway reads the table when it starts, when another one's heartbeat names a newer version,
@@ -8,11 +8,13 @@
 use crate::denials::{self, Denial};
 use crate::job::{Admitted, Job};
 use crate::node::Node;
-use crate::ports::Wire;
+use crate::ports::{Ask, Wire};
 use crate::reach;
+use crate::refusal::Refusal;
 use net::{ProbeResult, exec};
 use route::Millis;
-use route::notice::{FollowUp, Notice};
+use route::notice::{self, FollowUp, Notice};
+use route::poison::{self, Loss, Parts};
 use route::quarantine::{
     DECISION_DELAY_MS, DENIAL_DURATION_MS, Fingerprint, LostRun, Stage, Upstreams, Verdict,
 };
@@ -32,16 +34,55 @@
 const READ_INTERVAL: Duration = Duration::from_secs(10);
 const READ_INTERVAL_PER_GATEWAY_MS: u64 = 10;
 
-/// A run that broke before its answer was complete.
+/// The interval between reports of lost runs to other gateways.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The most lost runs that wait to be reported.
+const MAX_UNREPORTED_LOSSES: usize = 256;
+
+/// The times of a run that broke before its answer was complete.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenRun {
+    /// When the request was dispatched.
+    pub dispatched: Millis,
+    /// When its first answer arrived; `None` if there was none.
+    pub begun: Option<Millis>,
+    /// When it broke.
+    pub broken: Millis,
+}
+
+/// A broken run whose upstream may have crashed.
 #[derive(Clone, Debug)]
-struct BrokenRun {
+struct Suspect {
     upstream: String,
-    request: String,
+    /// The caller's identifier of the request.
+    id: String,
     fingerprint: Fingerprint,
     /// The parts of its prompt, in order.
-    parts: SmallVec<[u64; 4]>,
+    prompt: SmallVec<[u64; 4]>,
+    run: BrokenRun,
+}
+
+impl Suspect {
     /// The time from its first answer to the break, in milliseconds; `None` if there was no answer.
-    begun_ms: Option<Millis>,
+    fn begun_ms(&self) -> Option<Millis> {
+        self.run.begun.map(|begun| self.run.broken.saturating_sub(begun))
+    }
+
+    /// The lost run, if the stage that it had reached counts against the request.
+    fn lost_run(self) -> Option<LostRun> {
+        let Suspect { upstream, fingerprint, prompt, run: BrokenRun { dispatched, broken, .. }, .. } = &self;
+        let run =
+            poison::Run { request: fingerprint.seed(), parts: poison::shared_parts(prompt.iter().copied()) };
+        let loss = Loss {
+            upstream: upstream.clone(),
+            run,
+            dispatched: *dispatched,
+            at: *broken,
+            is_firsthand: true,
+        };
+        let stage = Stage::of(self.begun_ms())?;
+        Some(LostRun { fingerprint: *fingerprint, upstream: upstream.clone(), stage, loss })
+    }
 }
 
 /// Computes the fingerprint of a request. It is a cryptographic digest, so that nobody can craft a request
@@ -58,15 +99,25 @@
     Fingerprint::new(first)
 }
 
+/// The parts of a prompt, in order.
+fn prompt(ask: &Ask) -> impl Iterator<Item = u64> {
+    ask.prompt.iter().flat_map(|prompt| prompt.parts.iter().map(|part| part.id))
+}
+
+/// The parts of a prompt that other prompts may share.
+fn shared_parts(ask: &Ask) -> Parts {
+    poison::shared_parts(prompt(ask))
+}
+
 impl Admitted {
     fn fingerprint(&self) -> Fingerprint {
         let team = self.team.as_ref().map(|team| team.name.as_str());
         fingerprint(&self.ask.host, &self.head.uri, team, &self.body)
     }
 
-    /// The parts of its prompt, in order.
-    fn parts(&self) -> SmallVec<[u64; 4]> {
-        self.ask.prompt.iter().flat_map(|prompt| prompt.parts.iter().map(|part| part.id)).collect()
+    /// The parts of its prompt that other prompts may share.
+    fn shared_parts(&self) -> Parts {
+        shared_parts(&self.ask)
     }
 }
 
@@ -74,16 +125,24 @@
     /// Checks in the background whether a run of this request broke because its upstream crashed. A
     /// request that is already suspect must wait for the result, since it may crash the next upstream as
     /// well.
-    pub(crate) fn inspect(&self, upstream: &str, begun_ms: Option<Millis>) -> Inspection {
+    pub(crate) fn inspect(&self, upstream: &str, run: BrokenRun) -> Inspection {
         let fingerprint = self.request.fingerprint();
-        let is_suspect = self.node.quarantine().verdict(fingerprint, self.node.now()) != Verdict::Clear;
-        let (upstream, request) = (upstream.to_owned(), self.request.ask.id.clone());
-        let parts = self.request.parts();
-        let broken = BrokenRun { upstream, request, fingerprint, parts, begun_ms };
+        let is_suspect = {
+            let (quarantine, parts) = (self.node.quarantine(), self.request.shared_parts());
+            quarantine.verdict(fingerprint, self.node.now()) != Verdict::Clear
+                || !quarantine.suspected_parts(&parts, 1).is_empty()
+        };
+        let suspect = Suspect {
+            upstream: upstream.to_owned(),
+            id: self.request.ask.id.clone(),
+            fingerprint,
+            prompt: prompt(&self.request.ask).collect(),
+            run,
+        };
         // The inspection continues if the caller disconnects: that caller may be the one that sends such
         // requests.
         let (done, waiting) = async_channel::bounded::<()>(1);
-        let inspection = inspect(self.node.clone(), broken);
+        let inspection = inspect(self.node.clone(), suspect);
         exec::spawn(async move {
             inspection.await;
             drop(done);
@@ -105,10 +164,32 @@
         }
     }
 
-    /// Whether this request may run again: its runs, or those of other attempts with the same fingerprint,
-    /// may have crashed too many upstreams.
-    pub(crate) fn may_repeat(&self) -> bool {
-        matches!(check(&self.node, || self.request.fingerprint()), Check::Passed)
+    /// Records that an upstream wrote an answer to this request's prompt to its end.
+    pub(crate) fn record_prompt_survival(&self) {
+        if self.node.quarantine().is_empty() {
+            return;
+        }
+        let (parts, now) = (self.request.shared_parts(), self.node.now());
+        let notice = self.node.quarantine().record_prompt_survival(&parts, now);
+        if let Some(Notice::ClearedParts(cleared)) = &notice {
+            let (id, parts) = (&self.request.ask.id, ids(cleared));
+            log::info!("quarantine: event=cleared parts={parts} request={id}");
+        }
+        if let Some(notice) = notice {
+            self.node.hints.announce_quarantine(notice, now);
+        }
+    }
+
+    /// Whether this request may still run: its runs, or those of other requests with the same fingerprint or with parts
+    /// of its prompt, may have crashed too many upstreams since it was admitted.
+    pub(crate) fn may_run(&self) -> bool {
+        self.quarantine_refusal().is_none()
+    }
+
+    /// The refusal of this request if it may not run any more.
+    pub(crate) fn quarantine_refusal(&self) -> Option<Refusal> {
+        let checked = check(&self.node, &self.request.ask, || self.request.fingerprint());
+        checked.refusal().map(|(refusal, _)| refusal)
     }
 }
 
@@ -144,44 +225,76 @@
     Undecided(Fingerprint),
     /// The request may not run.
     Denied(Fingerprint),
+    /// Requests with certain parts of its prompt may not run.
+    PartsDenied(Fingerprint),
+}
+
+impl Check {
+    /// The refusal of a request that may not run, and the fingerprint of what is suspect or denied.
+    pub(crate) fn refusal(self) -> Option<(Refusal, Fingerprint)> {
+        match self {
+            Check::Passed => None,
+            Check::Undecided(fingerprint) => Some((Refusal::QuarantinePending, fingerprint)),
+            Check::Denied(fingerprint) => Some((Refusal::Quarantined, fingerprint)),
+            Check::PartsDenied(fingerprint) => Some((Refusal::PromptQuarantined, fingerprint)),
+        }
+    }
 }
 
 /// Checks a request. Its fingerprint is computed only if some request is suspect or denied.
 pub(crate) fn check<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
+    ask: &Ask,
     fingerprint: impl FnOnce() -> Fingerprint,
 ) -> Check {
     if node.quarantine().is_empty() {
         return Check::Passed;
     }
-    let (fingerprint, now) = (fingerprint(), node.now());
+    let now = node.now();
+    let denied = node.quarantine().denied_parts(&shared_parts(ask), now);
+    if let Some(denied) = denied {
+        renew_if_due(node, denied, now);
+        return Check::PartsDenied(denied);
+    }
+    let fingerprint = fingerprint();
     let verdict = node.quarantine().verdict(fingerprint, now);
     match verdict {
         Verdict::Clear | Verdict::Suspect(_) => return Check::Passed,
         Verdict::Undecided => return Check::Undecided(fingerprint),
         Verdict::Denied => {}
     }
-    let renewed = node.quarantine().renew(fingerprint, now);
+    renew_if_due(node, fingerprint, now);
+    Check::Denied(fingerprint)
+}
+
+/// Prolongs a denial that applied to a request, if it expires soon.
+fn renew_if_due<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, denied: Fingerprint, now: Millis) {
+    let (renewed, parts) = {
+        let mut quarantine = node.quarantine();
+        (quarantine.renew(denied, now), quarantine.parts_of(denied))
+    };
     if let Some(upstreams) = renewed {
-        exec::spawn(renew(node.clone(), fingerprint, upstreams)).detach();
+        exec::spawn(renew(node.clone(), Ruling { fingerprint: denied, parts, upstreams })).detach();
     }
-    Check::Denied(fingerprint)
 }
 
 /// Tries to connect to the upstream's address: a terminated process refuses, while a broken connection alone
 /// proves nothing. If another gateway is connected, it is only the path from this one that is broken.
 ///
 /// A process that is back before the attempt accepts it too, so the replacement of the upstream counts as well.
-async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, broken: BrokenRun) {
-    let BrokenRun { upstream, request, fingerprint, parts, begun_ms } = broken;
+async fn inspect<W: Wire, S: Rows>(node: Arc<Node<W, S>>, suspect: Suspect) {
+    let upstream = suspect.upstream.clone();
     let Some(listing) = node.listings().get(&upstream).cloned() else { return };
     let was_leaving = node.placer().has_announced_leaving(&upstream);
     let probed = net::probe_after_break(listing.address).await;
     let is_leaving = was_leaving || node.placer().has_announced_leaving(&upstream);
     log::warn!(
-        "upstream: event=run-lost upstream={upstream} address={} request={request} fingerprint={fingerprint} parts={} begun-ms={begun_ms:?} leaving={is_leaving}",
+        "upstream: event=run-lost upstream={upstream} address={} request={} fingerprint={} parts={} begun-ms={:?} leaving={is_leaving}",
         probed.name(),
-        ids(&parts),
+        suspect.id,
+        suspect.fingerprint,
+        ids(&suspect.prompt),
+        suspect.begun_ms(),
     );
     let has_terminated =
         probed == ProbeResult::Refuses && !reach::is_reached_by_others(&node, &upstream).await;
@@ -189,9 +302,11 @@
         node.metrics.runs_lost.inc();
     }
     // A leaving upstream terminates of its own accord.
-    let Some(stage) = Stage::of(begun_ms).filter(|_| !is_leaving) else { return };
+    if is_leaving {
+        return;
+    }
     let is_replaced = node.listings().get(&upstream).is_none_or(|current| current.started != listing.started);
-    let run = LostRun { fingerprint, upstream, stage };
+    let Some(run) = suspect.lost_run() else { return };
     match has_terminated || is_replaced {
         true => observe_crash(&node, &run),
         false => node.quarantine().record_lost_run(run, node.now()),
@@ -199,8 +314,43 @@
 }
 
 fn observe_crash<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, run: &LostRun) {
-    let follow_up = node.quarantine().observe_crash(run.fingerprint, &run.upstream, run.stage, node.now());
+    let now = node.now();
+    let follow_up = node.quarantine().observe_crash(run.fingerprint, &run.upstream, run.stage, now);
+    handle_follow_up(node, follow_up);
+    let (is_new, follow_up) = node.quarantine().observe_loss(&run.loss, now);
     handle_follow_up(node, follow_up);
+    if is_new {
+        report_loss(node, &run.loss);
+    }
+}
+
+/// Reports a lost run to other gateways, together with those that are lost at the same time.
+fn report_loss<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, loss: &Loss) {
+    let is_first = {
+        let mut unreported = node.unreported_losses();
+        if unreported.len() < MAX_UNREPORTED_LOSSES {
+            unreported.push(loss.clone());
+        }
+        unreported.len() == 1
+    };
+    if is_first {
+        exec::spawn(report_losses(node.clone())).detach();
+    }
+}
+
+async fn report_losses<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
+    loop {
+        exec::sleep(REPORT_INTERVAL).await;
+        let now = node.now();
+        let (reports, is_last) = {
+            let mut unreported = node.unreported_losses();
+            (notice::take_reports(&mut unreported, now), unreported.is_empty())
+        };
+        node.hints.announce_quarantine(Notice::Lost(reports), now);
+        if is_last {
+            return;
+        }
+    }
 }
 
 /// Records that an upstream was replaced or removed from the list, although it had not announced that it leaves.
@@ -240,50 +390,89 @@
 /// Decides on suspects once the reports of the other gateways have had time to arrive.
 async fn decide<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     exec::sleep(Duration::from_millis(DECISION_DELAY_MS)).await;
-    let denied: Vec<Decision> = {
+    let is_coordinated = notice::is_coordinated(node.hints.peers().len() + 1);
+    let decisions: Vec<Decision> = {
         let (mut quarantine, now) = (node.quarantine(), node.now());
-        let requests = quarantine.decide(now);
-        let decision = |fingerprint| Decision {
-            fingerprint,
-            upstreams: quarantine.denied_upstreams(fingerprint).unwrap_or_default(),
-            is_firsthand: quarantine.is_firsthand(fingerprint),
-        };
-        requests.into_iter().map(decision).collect()
+        let requests = quarantine.decide(now).into_iter().map(|fingerprint| Decision {
+            ruling: Ruling {
+                fingerprint,
+                parts: Parts::new(),
+                upstreams: quarantine.denied_upstreams(fingerprint).unwrap_or_default(),
+            },
+            is_announced: quarantine.is_firsthand(fingerprint),
+        });
+        let requests: Vec<Decision> = requests.collect();
+        let causes = quarantine.decide_on_parts(now).into_iter().map(|cause| Decision {
+            ruling: Ruling {
+                fingerprint: poison::fingerprint(&cause.parts),
+                parts: cause.parts,
+                upstreams: cause.upstreams,
+            },
+            is_announced: cause.is_firsthand || is_coordinated,
+        });
+        requests.into_iter().chain(causes).collect()
     };
-    for Decision { fingerprint, upstreams, is_firsthand } in denied {
-        let names = upstreams.join(",");
-        log::warn!("quarantine: event=denied fingerprint={fingerprint} upstreams={names} told-by=self");
+    for Decision { ruling, is_announced } in decisions {
+        ruling.log("self");
         update_gauge(&node);
-        if is_firsthand {
-            exec::spawn(announce(node.clone(), fingerprint, upstreams)).detach();
+        if is_announced {
+            exec::spawn(announce(node.clone(), ruling)).detach();
         }
     }
 }
 
-/// A request that this gateway has decided to deny.
+/// A denial that this gateway has decided on.
 struct Decision {
+    ruling: Ruling,
+    /// Whether this gateway tells the others: it observed one of the crashes itself, or few others know of them.
+    is_announced: bool,
+}
+
+/// What is denied, and why.
+#[derive(Clone, Debug)]
+struct Ruling {
     fingerprint: Fingerprint,
+    /// The parts of the denied prompts; empty if a single request is denied.
+    parts: Parts,
+    /// The upstreams that crashed.
     upstreams: Upstreams,
-    /// Whether this gateway observed one of the crashes itself, and therefore tells the others.
-    is_firsthand: bool,
+}
+
+impl Ruling {
+    fn log(&self, told_by: &str) {
+        let Ruling { fingerprint, parts, upstreams } = self;
+        let (parts, upstreams) = (ids(parts), upstreams.join(","));
+        log::warn!(
+            "quarantine: event=denied fingerprint={fingerprint} parts={parts} upstreams={upstreams} told-by={told_by}"
+        );
+    }
+
+    fn notice(&self) -> Notice {
+        let Ruling { fingerprint, parts, upstreams } = self.clone();
+        let lasts_ms = DENIAL_DURATION_MS;
+        match parts.is_empty() {
+            true => Notice::Denied { fingerprint, upstreams, lasts_ms },
+            false => Notice::DeniedParts { parts, upstreams, lasts_ms },
+        }
+    }
 }
 
 /// Tells all gateways that a denied request was sent again, unless an operator has lifted the denial.
-async fn renew<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
+async fn renew<W: Wire, S: Rows>(node: Arc<Node<W, S>>, ruling: Ruling) {
     if let Err(error) = read(&node).await {
         log::warn!("quarantine: event=not-read {error}");
     }
-    if node.quarantine().denied_upstreams(fingerprint).is_some() {
-        announce(node, fingerprint, upstreams).await;
+    if node.quarantine().denied_upstreams(ruling.fingerprint).is_some() {
+        announce(node, ruling).await;
     }
 }
 
-/// Tells all gateways that a request is denied, and writes the denial to the store.
-async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, fingerprint: Fingerprint, upstreams: Upstreams) {
-    let notice = Notice::Denied { fingerprint, upstreams: upstreams.clone(), lasts_ms: DENIAL_DURATION_MS };
-    node.hints.announce_quarantine(notice, node.now());
-    while node.quarantine().denied_upstreams(fingerprint).is_some() {
-        match denials::insert(&node.rows, fingerprint, &upstreams).await {
+/// Tells all gateways of a denial, and writes it to the store.
+async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, ruling: Ruling) {
+    node.hints.announce_quarantine(ruling.notice(), node.now());
+    let Ruling { fingerprint, parts, upstreams } = &ruling;
+    while node.quarantine().denied_upstreams(*fingerprint).is_some() {
+        match denials::insert(&node.rows, *fingerprint, parts, upstreams).await {
             Ok(()) => {
                 node.quarantine_changed.notify(usize::MAX);
                 return;
@@ -296,23 +485,32 @@
 
 /// Applies a notice from another gateway.
 pub(crate) fn apply_notice<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, notice: &Notice) {
-    if let Notice::Denied { fingerprint, upstreams, lasts_ms } = notice {
-        return deny(node, *fingerprint, upstreams, *lasts_ms, "gateway");
-    }
-    let follow_up = node.quarantine().apply(notice, node.now());
-    handle_follow_up(node, follow_up);
+    let (ruling, lasts_ms) = match notice {
+        Notice::Denied { fingerprint, upstreams, lasts_ms } => {
+            let (parts, upstreams) = (Parts::new(), upstreams.clone());
+            (Ruling { fingerprint: *fingerprint, parts, upstreams }, *lasts_ms)
+        }
+        Notice::DeniedParts { parts, upstreams, lasts_ms } => {
+            let (parts, upstreams) = (parts.clone(), upstreams.clone());
+            (Ruling { fingerprint: poison::fingerprint(&parts), parts, upstreams }, *lasts_ms)
+        }
+        _ => {
+            let follow_up = node.quarantine().apply(notice, node.now());
+            return handle_follow_up(node, follow_up);
+        }
+    };
+    deny(node, &ruling, lasts_ms, "gateway");
 }
 
-fn deny<W: Wire, S: Rows>(
-    node: &Node<W, S>,
-    fingerprint: Fingerprint,
-    upstreams: &Upstreams,
-    lasts_ms: Millis,
-    told_by: &str,
-) {
-    if node.quarantine().deny(fingerprint, upstreams, lasts_ms, node.now()) {
-        let names = upstreams.join(",");
-        log::warn!("quarantine: event=denied fingerprint={fingerprint} upstreams={names} told-by={told_by}");
+fn deny<W: Wire, S: Rows>(node: &Node<W, S>, ruling: &Ruling, lasts_ms: Millis, told_by: &str) {
+    let now = node.now();
+    let Ruling { fingerprint, parts, upstreams } = ruling;
+    let is_new = match parts.is_empty() {
+        true => node.quarantine().deny(*fingerprint, upstreams, lasts_ms, now),
+        false => node.quarantine().deny_parts(parts, upstreams, lasts_ms, now),
+    };
+    if is_new {
+        ruling.log(told_by);
     }
     update_gauge(node);
 }
@@ -345,10 +543,10 @@
 
 async fn read<W: Wire, S: Rows>(node: &Node<W, S>) -> Result<(), store::Error> {
     let table = denials::read(&node.rows).await?;
-    for Denial { fingerprint, upstreams, left_ms, is_lifted } in table.denials {
+    for Denial { fingerprint, parts, upstreams, left_ms, is_lifted } in table.denials {
         match is_lifted {
             true => lift(node, fingerprint),
-            false => deny(node, fingerprint, &upstreams, left_ms, "store"),
+            false => deny(node, &Ruling { fingerprint, parts, upstreams }, left_ms, "store"),
         }
     }
     node.quarantine_version.fetch_max(table.version, Ordering::Relaxed);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -28,6 +28,8 @@
     QuarantinePending,
     /// Upstreams crashed while they ran the request, so it is not run again.
     Quarantined,
+    /// Parts of the request's prompt are quarantined.
+    PromptQuarantined,
     /// The budget does not cover the most tokens that the request may use.
     BudgetExhausted,
     /// The budget has tokens left, but none are available now; the time until that may change, in
@@ -76,6 +78,7 @@
             Refusal::Crowded => "crowded",
             Refusal::QuarantinePending => "undecided",
             Refusal::Quarantined => "quarantined",
+            Refusal::PromptQuarantined => "quarantined-prompt",
             Refusal::BudgetExhausted => "budget-spent",
             Refusal::BudgetUnavailable(_) => "budget-away",
             Refusal::BudgetHeldElsewhere(_) => "budget-elsewhere",
@@ -97,7 +100,10 @@
     fn status(self) -> StatusCode {
         match self {
             // The same request gets the same answer again, so the status must not suggest a retry.
-            Refusal::Malformed | Refusal::BodyIncomplete | Refusal::Quarantined => StatusCode::BAD_REQUEST,
+            Refusal::Malformed
+            | Refusal::BodyIncomplete
+            | Refusal::Quarantined
+            | Refusal::PromptQuarantined => StatusCode::BAD_REQUEST,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccessKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -166,6 +172,9 @@
             Refusal::Quarantined => {
                 Some("upstreams ended while they ran this request; it was not run, and will not be run again")
             }
+            Refusal::PromptQuarantined => Some(
+                "upstreams ended while they ran requests that have parts of this prompt in common; it was not run, and will not be run",
+            ),
             _ => None,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use crate::job::{Job, Run, TokenMeter};
 use crate::manifest::RouteKind;
 use crate::ports::Wire;
-use crate::quarantine;
+use crate::quarantine::{self, BrokenRun};
 use async_channel::Receiver;
 use futures::{Stream, StreamExt};
 use http::StatusCode;
@@ -231,6 +231,7 @@
         if let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) {
             self.job.node.placer().record_success(&stream.slot.upstream, None);
             self.job.record_survival();
+            self.job.record_prompt_survival();
             stream.lease.keep();
         }
         self.log_end("complete", "");
@@ -290,8 +291,12 @@
             return Step::Fail(reason.to_owned());
         };
         let upstream = stream.slot.upstream.clone();
-        let inspection =
-            self.job.inspect(&upstream, Some(self.job.node.now().saturating_sub(self.run_began)));
+        let run = BrokenRun {
+            dispatched: stream.slot.dispatched,
+            begun: Some(self.run_began),
+            broken: self.job.node.now(),
+        };
+        let inspection = self.job.inspect(&upstream, run);
         // The broken run must end before another one begins.
         drop(stream);
         if self.job.kind() != RouteKind::ResumableStream {
@@ -417,7 +422,7 @@
                 return complete(splitter);
             }
             let Some(chosen) = self.choose() else { return complete(splitter) };
-            if !self.may_repeat() || !self.take_repeat("resume") {
+            if !self.may_run() || !self.take_repeat("resume") {
                 return complete(splitter);
             }
             let (chosen, turn) = self.take_turn(chosen).await.ok()?;
--- a/crates/gateway/tests/unit/quarantine.rs
+++ b/crates/gateway/tests/unit/quarantine.rs
@@ -13,7 +13,9 @@
         let _follower = exec::spawn(run(node.clone()));
         exec::sleep(Duration::from_millis(50)).await;
         let upstreams = ["i-1", "i-2", "i-3"].map(str::to_owned).into_iter().collect();
-        denials::insert(&rows, Fingerprint::new([7; 16]), &upstreams).await.expect("the store answers");
+        denials::insert(&rows, Fingerprint::new([7; 16]), &Parts::new(), &upstreams)
+            .await
+            .expect("the store answers");
         let version = denials::read(&rows).await.expect("the store answers").version;
 
         rows.set_fault(RowsFault::Down);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pacing;
 mod pauses;
 pub mod placement;
+pub mod poison;
 mod pool;
 pub mod quarantine;
 mod queue;
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -1,10 +1,12 @@
 //! Notices that routers exchange about requests which crash upstreams, and who receives them.
 
 use crate::Millis;
+use crate::poison::{self, Loss, MAX_PARTS, PartId, Parts, Run};
 use crate::quarantine::{
     Crashes, DENIAL_THRESHOLD, Fingerprint, MAX_UPSTREAMS, Quarantine, Stage, Upstreams, Verdict,
 };
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -21,6 +23,52 @@
 /// The longest name of an upstream in a notice, in bytes.
 const MAX_NAME_BYTES: usize = 120;
 
+/// The most lost runs in a notice, and the most parts of their prompts together, so that it fits into a datagram.
+const MAX_REPORTS: usize = 16;
+const MAX_REPORTED_PARTS: usize = 64;
+/// The number of crashes at which parts of prompts are suspected in large fleets.
+const SUSPICION_THRESHOLD: usize = 2;
+
+/// A run that was lost when its upstream crashed, as one router reports it to others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// The name of the upstream.
+    pub upstream: String,
+    /// The run.
+    pub run: Run,
+    /// The time from the dispatch to the end of the run, in milliseconds.
+    pub ran_ms: Millis,
+    /// The time since the end of the run, in milliseconds.
+    pub age_ms: Millis,
+}
+
+impl Report {
+    /// A report at the time `now` of the sender's clock.
+    pub fn new(loss: &Loss, now: Millis) -> Report {
+        Report {
+            upstream: loss.upstream.clone(),
+            run: loss.run.clone(),
+            ran_ms: loss.at.saturating_sub(loss.dispatched),
+            age_ms: now.saturating_sub(loss.at),
+        }
+    }
+
+    /// The loss by the receiver's clock.
+    fn loss(&self, now: Millis) -> Loss {
+        let at = now.saturating_sub(self.age_ms);
+        Loss {
+            upstream: self.upstream.clone(),
+            run: self.run.clone(),
+            dispatched: at.saturating_sub(self.ran_ms),
+            at,
+            is_firsthand: false,
+        }
+    }
+}
+
+/// Reports that fit into one notice.
+pub type Reports = SmallVec<[Report; 2]>;
+
 /// What one router tells others about a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Notice {
@@ -47,13 +95,32 @@
         /// The number of crashes that the sender held against it until then.
         ends: usize,
     },
+    /// Runs were lost when their upstreams crashed.
+    Lost(Reports),
+    /// These parts of prompts were present at several crashes.
+    SuspectParts(Parts),
+    /// Upstreams survived runs whose prompts have these suspected parts.
+    ClearedParts(Parts),
+    /// Requests whose prompts have all of these parts are denied.
+    DeniedParts {
+        /// The parts.
+        parts: Parts,
+        /// Upstreams that crashed while they ran such requests.
+        upstreams: Upstreams,
+        /// How long the denial lasts, in milliseconds.
+        lasts_ms: Millis,
+    },
 }
 
 /// The routers that receive a notice.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Recipients {
+    /// No router.
+    Nobody,
     /// The [coordinators] of a fingerprint.
     Coordinators(Fingerprint),
+    /// The coordinators of each of these parts of prompts.
+    PartCoordinators(Parts),
     /// Every router.
     All,
 }
@@ -81,10 +148,37 @@
                     && upstreams.iter().all(|name| is_valid_name(name))
             }
             Notice::Cleared { .. } => true,
+            Notice::Lost(reports) => {
+                reports.len() <= MAX_REPORTS
+                    && reports.iter().all(|report| is_valid_name(&report.upstream))
+                    && reports.iter().all(|report| are_valid_parts(&report.run.parts))
+            }
+            Notice::SuspectParts(parts) | Notice::ClearedParts(parts) => are_valid_parts(parts),
+            Notice::DeniedParts { parts, upstreams, .. } => {
+                are_valid_parts(parts)
+                    && (DENIAL_THRESHOLD..=MAX_UPSTREAMS).contains(&upstreams.len())
+                    && upstreams.iter().all(|name| is_valid_name(name))
+            }
         }
     }
 }
 
+/// Whether these can be parts of a prompt: a few in strictly ascending order.
+fn are_valid_parts(parts: &[PartId]) -> bool {
+    !parts.is_empty() && parts.len() <= MAX_PARTS && parts.is_sorted_by(|one, other| one < other)
+}
+
+/// Takes the reports of as many losses as fit into one notice.
+pub fn take_reports(losses: &mut Vec<Loss>, now: Millis) -> Reports {
+    let mut parts = 0;
+    let fits = |loss: &&Loss| {
+        parts += loss.run.parts.len();
+        parts <= MAX_REPORTED_PARTS
+    };
+    let count = losses.iter().take(MAX_REPORTS).take_while(fits).count();
+    losses.drain(..count).map(|loss| Report::new(&loss, now)).collect()
+}
+
 impl Quarantine {
     /// Records a crash that this router observed itself.
     pub fn observe_crash(
@@ -133,6 +227,52 @@
                 self.clear(*fingerprint);
                 FollowUp::default()
             }
+            Notice::Lost(reports) => {
+                let losses = reports.iter().map(|report| report.loss(now));
+                let follow_ups = losses.map(|loss| self.record_reported_loss(&loss, now));
+                follow_ups.fold(FollowUp::default(), |sum, next| FollowUp {
+                    notice: next.notice.or(sum.notice),
+                    is_decision_due: sum.is_decision_due || next.is_decision_due,
+                })
+            }
+            Notice::SuspectParts(parts) => {
+                self.suspect_parts(parts, now);
+                FollowUp::default()
+            }
+            Notice::ClearedParts(parts) => {
+                self.clear_parts(parts, now);
+                FollowUp::default()
+            }
+            Notice::DeniedParts { parts, upstreams, lasts_ms } => {
+                self.deny_parts(parts, upstreams, *lasts_ms, now);
+                FollowUp::default()
+            }
+        }
+    }
+
+    /// Records a run that this router lost when its upstream crashed. Returns whether to report it.
+    pub fn observe_loss(&mut self, loss: &Loss, now: Millis) -> (bool, FollowUp) {
+        let is_new = self.record_loss(loss, now);
+        let is_decision_due = is_new && self.schedule_poison_decision(&loss.run.parts, now);
+        (is_new, FollowUp { notice: None, is_decision_due })
+    }
+
+    /// Records that an upstream survived a run that this router dispatched. Returns the notice to send if parts of its
+    /// prompt were suspected.
+    pub fn record_prompt_survival(&mut self, parts: &[PartId], now: Millis) -> Option<Notice> {
+        let cleared = self.clear_parts(parts, now);
+        (!cleared.is_empty()).then_some(Notice::ClearedParts(cleared))
+    }
+
+    /// Records a run that another router lost.
+    fn record_reported_loss(&mut self, loss: &Loss, now: Millis) -> FollowUp {
+        if !self.record_loss(loss, now) {
+            return FollowUp::default();
+        }
+        let suspected = self.suspected_parts(&loss.run.parts, SUSPICION_THRESHOLD);
+        FollowUp {
+            notice: (!suspected.is_empty()).then_some(Notice::SuspectParts(suspected)),
+            is_decision_due: self.schedule_poison_decision(&loss.run.parts, now),
         }
     }
 
@@ -167,7 +307,10 @@
         let is_sampled =
             |fingerprint: &Fingerprint| fingerprint.seed() % (routers as u64).max(1) < FULL_BROADCAST_ROUTERS;
         let (fingerprint, is_for_all) = match notice {
-            Notice::Denied { .. } => return Recipients::All,
+            Notice::Denied { .. } | Notice::DeniedParts { .. } => return Recipients::All,
+            Notice::Lost(_) | Notice::SuspectParts(_) | Notice::ClearedParts(_) => {
+                return self.part_recipients(notice, routers, now);
+            }
             Notice::Cleared { fingerprint, ends } => (fingerprint, *ends > 1),
             Notice::Suspect { fingerprint, ends } => {
                 let is_silent = ends.iter().any(|crash| crash.stage == Stage::Silent);
@@ -180,6 +323,25 @@
         }
     }
 
+    /// In a small fleet all routers learn of lost runs and of survivals. In a larger one the coordinators of the parts
+    /// do, and decide on them. They tell all routers which parts they suspect, so that survivals are reported.
+    fn part_recipients(&mut self, notice: &Notice, routers: usize, now: Millis) -> Recipients {
+        let is_small = routers as u64 <= FULL_BROADCAST_ROUTERS;
+        match notice {
+            Notice::Lost(_) | Notice::ClearedParts(_) if is_small => Recipients::All,
+            Notice::Lost(reports) => {
+                let mut parts: Parts =
+                    reports.iter().flat_map(|report| report.run.parts.iter().copied()).collect();
+                parts.sort_unstable();
+                parts.dedup();
+                Recipients::PartCoordinators(parts)
+            }
+            Notice::ClearedParts(parts) => Recipients::PartCoordinators(parts.clone()),
+            Notice::SuspectParts(_) if !is_small && self.take_token(routers, now) => Recipients::All,
+            _ => Recipients::Nobody,
+        }
+    }
+
     fn take_token(&mut self, routers: usize, now: Millis) -> bool {
         let per_ms = BROADCASTS_PER_S / 1_000.0 / routers.max(1) as f64;
         let gained = per_ms * now.saturating_sub(self.refilled) as f64;
@@ -191,6 +353,17 @@
     }
 }
 
+/// Whether the coordinators of parts of prompts decide on them, as the other routers of a large fleet know of few
+/// lost runs.
+pub fn is_coordinated(routers: usize) -> bool {
+    routers as u64 > FULL_BROADCAST_ROUTERS
+}
+
+/// The fingerprint by which the coordinators of a part of prompts are chosen.
+pub fn part_fingerprint(part: PartId) -> Fingerprint {
+    poison::fingerprint(&[part])
+}
+
 /// The peers that coordinate the decision on a fingerprint, by rendezvous hashing: every router gets the same
 /// ones from the same names. Each peer comes with the name by which all routers know it.
 pub fn coordinators<P, N: AsRef<[u8]>>(
--- /dev/null
+++ b/crates/route/src/poison.rs
@@ -0,0 +1,414 @@
+//! Detection of parts of prompts that crash the upstreams which answer them.
+//!
+//! Requests that differ in everything else may share such a part, so the [quarantine](crate::quarantine) of whole
+//! requests never finds them. For each crash, a router records the prompts of the runs that were lost there. A part
+//! is suspected by the crashes since an upstream last survived a run with it. Several parts may always occur together,
+//! and most of them are harmless, so the result is a *signature*: the parts that the lost prompts have in common,
+//! without those that upstreams have survived. Only prompts that contain all of them are denied.
+//!
+//! The last part of a prompt belongs to a single request or session, and is never suspected.
+//!
+//! ```
+//! use route::poison::{Loss, Run, Tracker};
+//!
+//! let mut tracker = Tracker::default();
+//! for (number, upstream) in ["engine-1", "engine-2", "engine-3"].into_iter().enumerate() {
+//!     let at = 1_000 * number as u64;
+//!     let run = Run { request: number as u64, parts: [1, 7].into_iter().collect() };
+//!     tracker.record_loss(&Loss { upstream: upstream.into(), run, dispatched: at, at: at + 50, is_firsthand: true });
+//!     tracker.record_survival(&[1, 8], at + 200);
+//! }
+//! assert_eq!(tracker.find_cause().expect("a cause").parts.as_slice(), [7]);
+//! ```
+
+use crate::Millis;
+use crate::quarantine::{Fingerprint, Upstreams};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// The number of crashes at which a signature may be denied.
+pub(crate) const DENIAL_THRESHOLD: usize = 3;
+/// The number of crashes at which a signature is denied even if other prompts were present each time.
+const CERTAINTY_THRESHOLD: usize = 5;
+/// The number of times at which upstreams have to crash one after the other. Upstreams that crash at the same time
+/// have a cause in common, and any part that is in frequent use was present at several of them.
+const MIN_EPISODES: usize = 2;
+/// The share of the blame for its crashes above which a signature is denied.
+const MIN_BLAME_SHARE: f64 = 0.5;
+/// The share of all unexplained crashes that a signature has to account for.
+const MIN_CRASH_SHARE: f64 = 0.5;
+/// The time for which crashes are remembered, in milliseconds.
+const RETENTION_MS: Millis = 300_000;
+/// An upstream that crashes again later than this, in milliseconds, had been started again under the same name.
+const MIN_UPTIME_MS: Millis = 1_000;
+/// The most crashes to remember. The oldest one is evicted first.
+const MAX_CRASHES: usize = 64;
+/// The most lost runs to remember for each crash.
+const MAX_RUNS: usize = 64;
+/// The most parts of a prompt that are considered.
+pub(crate) const MAX_PARTS: usize = 64;
+/// The most suspected parts to remember. The one whose last crash is the longest ago is evicted first.
+const MAX_SUSPICIONS: usize = 4_096;
+/// The most upstreams that a [`Cause`] names.
+const MAX_UPSTREAMS: usize = crate::quarantine::MAX_UPSTREAMS;
+
+/// The identifier of a part of a prompt.
+pub type PartId = u64;
+
+/// Distinct parts of a prompt without the last one, in ascending order.
+pub type Parts = SmallVec<[PartId; 4]>;
+
+/// The parts of a prompt that other prompts may share: all but the last.
+pub fn shared_parts(prompt: impl IntoIterator<Item = PartId>) -> Parts {
+    let mut parts: Parts = prompt.into_iter().collect();
+    parts.pop();
+    parts.truncate(MAX_PARTS);
+    parts.sort_unstable();
+    parts.dedup();
+    parts
+}
+
+/// The identity of a signature, by which it is denied and listed.
+pub fn fingerprint(parts: &[PartId]) -> Fingerprint {
+    let bytes: SmallVec<[u8; 64]> =
+        b"parts".iter().copied().chain(parts.iter().flat_map(|part| part.to_be_bytes())).collect();
+    Fingerprint::new(xxh3_128(&bytes).to_be_bytes())
+}
+
+/// A run of a request with a prompt.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// Distinguishes requests. Repeats of a request have the same number.
+    pub request: u64,
+    /// The parts of its prompt that other prompts may share.
+    pub parts: Parts,
+}
+
+/// A run that was lost when its upstream crashed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loss {
+    /// The name of the upstream.
+    pub upstream: String,
+    /// The run.
+    pub run: Run,
+    /// When the request was dispatched.
+    pub dispatched: Millis,
+    /// When the run broke off.
+    pub at: Millis,
+    /// Whether this router observed it itself.
+    pub is_firsthand: bool,
+}
+
+/// The parts that are taken to have caused crashes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Cause {
+    /// The signature: prompts with all of these parts crash upstreams.
+    pub parts: Parts,
+    /// Upstreams that crashed.
+    pub upstreams: Upstreams,
+    /// Whether this router observed one of the crashes itself.
+    pub is_firsthand: bool,
+}
+
+/// The crash of an upstream, with the runs that were lost there.
+#[derive(Clone, Debug)]
+struct Crash {
+    upstream: String,
+    at: Millis,
+    losses: SmallVec<[Loss; 2]>,
+    /// Whether its cause is known. It is kept, as more of its lost runs may be reported.
+    is_explained: bool,
+}
+
+/// What is known of a part that was present at a crash.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspicion {
+    /// When it was last present at a crash, or last suspected by another router.
+    since: Millis,
+    /// When an upstream last survived a run with it.
+    survived: Option<Millis>,
+}
+
+/// The crashes that support a signature.
+#[derive(Clone, Debug, Default)]
+struct Support<'a> {
+    /// The lost runs that contain the signature, by crash, in the order of the crashes.
+    crashes: Vec<(&'a Crash, SmallVec<[&'a Loss; 2]>)>,
+}
+
+/// The crashes whose cause is not known, as far as one router has learned of them.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    /// In ascending order of their times.
+    crashes: Vec<Crash>,
+    suspicions: HashMap<PartId, Suspicion>,
+}
+
+impl Tracker {
+    /// Whether no part is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.is_empty()
+    }
+
+    /// Records a lost run. Returns whether it is new.
+    pub fn record_loss(&mut self, loss: &Loss) -> bool {
+        self.expire(loss.at);
+        if loss.run.parts.is_empty() || !self.insert(loss) {
+            return false;
+        }
+        for part in &loss.run.parts {
+            self.suspect(*part, loss.at);
+        }
+        true
+    }
+
+    /// Records that another router suspects a part, so that survivals of it are announced.
+    pub fn suspect(&mut self, part: PartId, now: Millis) {
+        if self.suspicions.len() >= MAX_SUSPICIONS && !self.suspicions.contains_key(&part) {
+            let oldest = self.suspicions.iter().min_by_key(|(part, suspicion)| (suspicion.since, **part));
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.suspicions.remove(&oldest);
+            }
+        }
+        let suspicion = self.suspicions.entry(part).or_default();
+        suspicion.since = suspicion.since.max(now);
+    }
+
+    /// Records that an upstream survived a run with these parts. Returns those that had been suspected since the last
+    /// time, which the other routers should be told of.
+    pub fn record_survival(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        let mut cleared = Parts::new();
+        for part in parts {
+            let Some(suspicion) = self.suspicions.get_mut(part) else { continue };
+            if suspicion.survived.is_none_or(|survived| survived <= suspicion.since) {
+                cleared.push(*part);
+            }
+            suspicion.survived = Some(suspicion.survived.unwrap_or(0).max(now));
+        }
+        cleared
+    }
+
+    /// The number of crashes that each part is suspected of.
+    fn crash_counts(&self) -> HashMap<PartId, usize> {
+        let mut counts = HashMap::new();
+        for crash in self.unexplained() {
+            let mut parts: SmallVec<[PartId; 16]> =
+                crash.losses.iter().flat_map(|loss| loss.run.parts.iter().copied()).collect();
+            parts.sort_unstable();
+            parts.dedup();
+            for part in parts {
+                if self.survived(part).is_none_or(|survived| crash.at > survived) {
+                    *counts.entry(part).or_default() += 1;
+                }
+            }
+        }
+        counts
+    }
+
+    /// Those of these parts that are suspected of at least `count` crashes.
+    pub fn suspected(&self, parts: &[PartId], count: usize) -> Parts {
+        let is_suspected = |part: &PartId| self.support(*part, &[*part]).crashes.len() >= count;
+        match self.crashes.len() >= count {
+            true => parts.iter().copied().filter(is_suspected).collect(),
+            false => Parts::new(),
+        }
+    }
+
+    /// The signature that has most likely caused crashes; `None` as long as chance explains them as well.
+    ///
+    /// Of several candidates the one with the most parts is returned, as it affects the fewest other requests. If a
+    /// prompt without some of them is harmful too, its crashes are evidence of a shorter signature.
+    pub fn find_cause(&self) -> Option<Cause> {
+        let counts = self.crash_counts();
+        let parts = counts.iter().filter(|(_, count)| **count >= DENIAL_THRESHOLD).map(|(part, _)| *part);
+        let candidates = parts.filter_map(|part| self.candidate(part, &counts));
+        let (parts, support) = candidates.max_by(|(parts, support), (other_parts, other_support)| {
+            let rank = (parts.len(), support.crashes.len());
+            rank.cmp(&(other_parts.len(), other_support.crashes.len())).then_with(|| other_parts.cmp(parts))
+        })?;
+        let upstreams = support.crashes.iter().take(MAX_UPSTREAMS).map(|(crash, _)| crash.upstream.clone());
+        Some(Cause { upstreams: upstreams.collect(), is_firsthand: support.is_firsthand(), parts })
+    }
+
+    /// Marks crashes whose cause is known from the request that ran there.
+    pub fn explain(&mut self, upstreams: &[&str]) {
+        let crashes = self.crashes.iter_mut();
+        crashes
+            .filter(|crash| upstreams.contains(&crash.upstream.as_str()))
+            .for_each(|crash| crash.is_explained = true);
+    }
+
+    /// Marks crashes at which a prompt with this signature was present, as its cause is known.
+    pub fn explain_by(&mut self, signature: &[PartId]) {
+        let crashes = self.crashes.iter_mut();
+        crashes.filter(|crash| crash.has_lost(signature)).for_each(|crash| crash.is_explained = true);
+    }
+
+    /// When an upstream last survived a run with a suspected part.
+    fn survived(&self, part: PartId) -> Option<Millis> {
+        self.suspicions.get(&part).and_then(|suspicion| suspicion.survived)
+    }
+
+    fn insert(&mut self, loss: &Loss) -> bool {
+        let is_same = |crash: &&mut Crash| {
+            crash.upstream == loss.upstream && crash.at.abs_diff(loss.at) < MIN_UPTIME_MS
+        };
+        if let Some(crash) = self.crashes.iter_mut().find(is_same) {
+            let is_known = crash.losses.iter().any(|known| known.run.request == loss.run.request);
+            if is_known || crash.losses.len() >= MAX_RUNS {
+                return false;
+            }
+            crash.losses.push(loss.clone());
+            return true;
+        }
+        let index = self.crashes.partition_point(|crash| crash.at <= loss.at);
+        let losses = [loss.clone()].into_iter().collect();
+        let crash = Crash { upstream: loss.upstream.clone(), at: loss.at, losses, is_explained: false };
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    fn unexplained(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_explained)
+    }
+
+    /// The crashes since a part last survived at which a prompt with this signature was present.
+    fn support(&self, part: PartId, signature: &[PartId]) -> Support<'_> {
+        let survived = self.survived(part);
+        let is_counted = |crash: &&Crash| survived.is_none_or(|survived| crash.at > survived);
+        let crashes = self.unexplained().filter(is_counted).map(|crash| {
+            let losses = crash.losses.iter().filter(|loss| contains_all(&loss.run.parts, signature));
+            (crash, losses.collect::<SmallVec<[&Loss; 2]>>())
+        });
+        Support { crashes: crashes.filter(|(_, losses)| !losses.is_empty()).collect() }
+    }
+
+    /// The signature to which a part leads, if it is taken for the cause of its crashes.
+    fn candidate(&self, part: PartId, counts: &HashMap<PartId, usize>) -> Option<(Parts, Support<'_>)> {
+        let mut signature: Parts = [part].into_iter().collect();
+        let mut support = self.support(part, &signature);
+        if !support.is_sufficient() {
+            return None;
+        }
+        let first = support.crashes.first().map_or(0, |(crash, _)| crash.at);
+        while let Some((extended, extended_support)) = self.extension(part, &signature, &support, first) {
+            (signature, support) = (extended, extended_support);
+        }
+        (support.crashes.len() >= CERTAINTY_THRESHOLD || self.has_most_blame(&signature, &support, counts))
+            .then_some((signature, support))
+    }
+
+    /// The signature with one more part that is supported by the most crashes. Parts that upstreams have survived since
+    /// the first of the crashes are not needed.
+    fn extension<'a>(
+        &'a self,
+        part: PartId,
+        signature: &[PartId],
+        support: &Support<'a>,
+        first: Millis,
+    ) -> Option<(Parts, Support<'a>)> {
+        let has_survived = |other: &PartId| self.survived(*other).is_some_and(|survived| survived > first);
+        let mut others: Parts = support
+            .losses()
+            .flat_map(|loss| loss.run.parts.iter().copied())
+            .filter(|other| !signature.contains(other) && !has_survived(other))
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        let extended = |other: PartId| {
+            let mut parts: Parts = signature.iter().copied().chain([other]).collect();
+            parts.sort_unstable();
+            let support = self.support(part, &parts);
+            (parts, support)
+        };
+        others
+            .into_iter()
+            .map(extended)
+            .filter(|(_, support)| support.is_sufficient())
+            .max_by_key(|(_, support)| support.crashes.len())
+    }
+
+    /// Whether a signature bears most of the blame for its crashes, and accounts for most crashes of its time.
+    fn has_most_blame(
+        &self,
+        signature: &[PartId],
+        support: &Support<'_>,
+        counts: &HashMap<PartId, usize>,
+    ) -> bool {
+        let count = support.crashes.len();
+        let Some((first, _)) = support.crashes.first() else { return false };
+        let all = self.unexplained().filter(|crash| crash.at >= first.at).count();
+        if (count as f64) < MIN_CRASH_SHARE * all as f64 {
+            return false;
+        }
+        let weight = |count: usize| (count * count) as f64;
+        let strongest_rival = |crash: &Crash| {
+            let rivals = crash.losses.iter().filter(|loss| !contains_all(&loss.run.parts, signature));
+            let parts =
+                rivals.flat_map(|loss| loss.run.parts.iter()).filter(|part| !signature.contains(part));
+            parts.filter_map(|part| counts.get(part).copied()).max().unwrap_or(0)
+        };
+        let shares = support
+            .crashes
+            .iter()
+            .map(|(crash, _)| weight(count) / (weight(count) + weight(strongest_rival(crash))));
+        shares.sum::<f64>() > MIN_BLAME_SHARE * count as f64
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let is_recent = |at: Millis| now.saturating_sub(at) < RETENTION_MS;
+        self.crashes.retain(|crash| is_recent(crash.at));
+        self.suspicions.retain(|_, suspicion| is_recent(suspicion.since));
+    }
+}
+
+impl Crash {
+    /// Whether a run whose prompt has this signature was lost there.
+    fn has_lost(&self, signature: &[PartId]) -> bool {
+        self.losses.iter().any(|loss| contains_all(&loss.run.parts, signature))
+    }
+}
+
+impl<'a> Support<'a> {
+    fn losses(&self) -> impl Iterator<Item = &'a Loss> {
+        self.crashes.iter().flat_map(|(_, losses)| losses.iter().copied())
+    }
+
+    fn is_firsthand(&self) -> bool {
+        self.losses().any(|loss| loss.is_firsthand)
+    }
+
+    /// Whether enough upstreams crashed, one after the other, under different requests. A single request that is
+    /// repeated says nothing of the parts of its prompt.
+    fn is_sufficient(&self) -> bool {
+        let mut requests: SmallVec<[u64; 16]> = self.losses().map(|loss| loss.run.request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        self.crashes.len() >= DENIAL_THRESHOLD
+            && requests.len() >= DENIAL_THRESHOLD
+            && self.episodes() >= MIN_EPISODES
+    }
+
+    /// The number of times at which upstreams crashed one after the other: the runs of a later one were dispatched
+    /// after the upstreams of the earlier one had crashed.
+    fn episodes(&self) -> usize {
+        let (mut count, mut began) = (0, None);
+        for (crash, losses) in &self.crashes {
+            let dispatched = losses.iter().map(|loss| loss.dispatched).max().unwrap_or(0);
+            if began.is_none_or(|began| dispatched >= began) {
+                (count, began) = (count + 1, Some(crash.at));
+            }
+        }
+        count
+    }
+}
+
+/// Whether a prompt with these `parts` contains the whole signature.
+pub(crate) fn contains_all(parts: &[PartId], signature: &[PartId]) -> bool {
+    signature.iter().all(|part| parts.binary_search(part).is_ok())
+}
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -9,6 +9,9 @@
 //! shared by all requests that were unanswered there; the more crashes a request was present at, the larger
 //! its share.
 //!
+//! Requests that differ may have a part of their prompts in common that crashes upstreams. These parts are found
+//! in the same way by [`poison`](crate::poison), and denied here.
+//!
 //! ```
 //! use route::quarantine::{DECISION_DELAY_MS, Fingerprint, Quarantine, Stage, Verdict};
 //!
@@ -24,6 +27,7 @@
 //! ```
 
 use crate::Millis;
+use crate::poison::{self, Cause, Loss, PartId, Parts, Tracker};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
@@ -123,9 +127,11 @@
     is_firsthand: bool,
 }
 
-/// A denied request.
+/// A denied request, or all requests whose prompts have certain parts.
 #[derive(Clone, Debug)]
 struct Denial {
+    /// The parts; empty if a single request is denied.
+    parts: Parts,
     upstreams: Upstreams,
     until: Millis,
     /// Whether this router observed one of the crashes itself.
@@ -141,6 +147,8 @@
     pub upstream: String,
     /// The progress of the run.
     pub stage: Stage,
+    /// What is known of its prompt.
+    pub loss: Loss,
 }
 
 /// What one router knows of requests that crash upstreams.
@@ -150,12 +158,15 @@
     denials: HashMap<Fingerprint, Denial>,
     /// With the times at which they were recorded, in ascending order.
     lost_runs: VecDeque<(Millis, LostRun)>,
+    poison: Tracker,
+    /// When a decision on parts of prompts is due.
+    poison_due: Option<Millis>,
 }
 
 impl Quarantine {
     /// Whether there are neither suspects nor denials, so that requests need not be looked up.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.denials.is_empty()
+        self.suspects.is_empty() && self.denials.is_empty() && self.poison.is_empty()
     }
 
     /// The number of denied requests.
@@ -215,6 +226,93 @@
         taken
     }
 
+    /// Records a run that was lost when its upstream crashed, as evidence against the parts of its prompt. Returns
+    /// whether it is new and not explained by denied parts.
+    pub fn record_loss(&mut self, loss: &Loss, now: Millis) -> bool {
+        self.expire(now);
+        let is_new = self.poison.record_loss(loss);
+        let explaining = |denial: &&mut Denial| {
+            !denial.parts.is_empty() && poison::contains_all(&loss.run.parts, &denial.parts)
+        };
+        let Some(denial) = self.denials.values_mut().find(explaining) else { return is_new };
+        insert_upstream(&mut denial.upstreams, &loss.upstream);
+        let parts = denial.parts.clone();
+        self.poison.explain_by(&parts);
+        self.clear_explained(&[&loss.upstream]);
+        false
+    }
+
+    /// Records that another router suspects these parts of prompts.
+    pub(crate) fn suspect_parts(&mut self, parts: &[PartId], now: Millis) {
+        parts.iter().for_each(|part| self.poison.suspect(*part, now));
+    }
+
+    /// Records that an upstream survived a run whose prompt has these parts. Returns those that other routers should be
+    /// told of.
+    pub fn clear_parts(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        self.poison.record_survival(parts, now)
+    }
+
+    /// Those of these parts of a prompt that are suspected of at least `count` crashes.
+    pub fn suspected_parts(&self, parts: &[PartId], count: usize) -> Parts {
+        self.poison.suspected(parts, count)
+    }
+
+    /// Schedules a decision on parts of prompts if one of these was present at enough crashes. Returns whether it was
+    /// not scheduled before.
+    pub(crate) fn schedule_poison_decision(&mut self, parts: &[PartId], now: Millis) -> bool {
+        let is_scheduled = self.poison_due.is_some();
+        if is_scheduled || self.suspected_parts(parts, poison::DENIAL_THRESHOLD).is_empty() {
+            return false;
+        }
+        self.poison_due = Some(now + DECISION_DELAY_MS);
+        true
+    }
+
+    /// Decides which parts of prompts are denied from now on.
+    pub fn decide_on_parts(&mut self, now: Millis) -> Vec<Cause> {
+        if self.poison_due.take_if(|due| *due <= now).is_none() {
+            return vec![];
+        }
+        let mut causes = vec![];
+        while let Some(cause) = self.poison.find_cause() {
+            self.deny_parts(&cause.parts, &cause.upstreams, DENIAL_DURATION_MS, now);
+            causes.push(cause);
+        }
+        causes
+    }
+
+    /// Denies all requests whose prompts have these parts, like [`Quarantine::deny`].
+    pub fn deny_parts(
+        &mut self,
+        parts: &[PartId],
+        upstreams: &Upstreams,
+        lasts_ms: Millis,
+        now: Millis,
+    ) -> bool {
+        let fingerprint = poison::fingerprint(parts);
+        let is_new = self.deny(fingerprint, upstreams, lasts_ms, now);
+        if let Some(denial) = self.denials.get_mut(&fingerprint) {
+            denial.parts = parts.iter().copied().collect();
+        }
+        self.poison.explain_by(parts);
+        is_new
+    }
+
+    /// The denial that applies to a prompt with these parts; `None` if there is none.
+    pub fn denied_parts(&self, parts: &[PartId], now: Millis) -> Option<Fingerprint> {
+        let applies = |denial: &Denial| {
+            !denial.parts.is_empty() && denial.until > now && poison::contains_all(parts, &denial.parts)
+        };
+        let denials = self.denials.iter().filter(|(_, denial)| applies(denial));
+        denials.map(|(fingerprint, _)| *fingerprint).min()
+    }
+
+    /// The parts to which a denial applies; empty if it applies to a single request.
+    pub fn parts_of(&self, denied: Fingerprint) -> Parts {
+        self.denials.get(&denied).map(|denial| denial.parts.clone()).unwrap_or_default()
+    }
+
     /// The crashes at which a suspect was present.
     pub fn crashes(&self, request: Fingerprint) -> Crashes {
         self.suspects.get(&request).map(|suspect| suspect.crashes.clone()).unwrap_or_default()
@@ -300,6 +398,7 @@
         }
         let until = now + lasts_ms.min(DENIAL_DURATION_MS);
         let denial = self.denials.entry(request).or_insert_with(|| Denial {
+            parts: Parts::new(),
             upstreams: Upstreams::new(),
             until,
             is_firsthand: false,
@@ -365,6 +464,7 @@
             }
         }
         self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.poison.explain(upstreams);
     }
 
     fn expire(&mut self, now: Millis) {
--- /dev/null
+++ b/crates/route/tests/poison.rs
@@ -0,0 +1,187 @@
+//! Guards against parts of prompts that crash one upstream after another under requests of which no two are alike,
+//! and against denials of parts that only occur beside them.
+
+use route::poison::{Loss, Run, Tracker, shared_parts};
+
+/// A part that all requests of a route have, and one that crashes upstreams.
+const COMMON: u64 = 1;
+const BAD: u64 = 66;
+/// The time from a dispatch to the crash, in milliseconds.
+const RUN_MS: u64 = 50;
+
+/// The crashes of a test, each under requests that no other one has.
+#[derive(Default)]
+struct Scene {
+    tracker: Tracker,
+    requests: u64,
+    upstreams: u64,
+}
+
+impl Scene {
+    /// An upstream crashes under runs of different requests with these prompts.
+    fn crash(&mut self, at: u64, prompts: &[&[u64]]) {
+        self.upstreams += 1;
+        for prompt in prompts {
+            self.requests += 1;
+            self.lose(at, self.requests, prompt);
+        }
+    }
+
+    fn lose(&mut self, at: u64, request: u64, parts: &[u64]) {
+        let run = Run { request, parts: parts.iter().copied().collect() };
+        let upstream = format!("engine-{}", self.upstreams);
+        let loss = Loss { upstream, run, dispatched: at.saturating_sub(RUN_MS), at, is_firsthand: true };
+        assert!(self.tracker.record_loss(&loss));
+    }
+
+    fn survive(&mut self, at: u64, parts: &[u64]) {
+        self.tracker.record_survival(parts, at);
+    }
+
+    /// The signature that is denied now, if any.
+    fn cause(&self) -> Option<Vec<u64>> {
+        self.tracker.find_cause().map(|cause| cause.parts.to_vec())
+    }
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_never_suspected() {
+    assert_eq!(shared_parts([9, 3, 9, 7]).as_slice(), [3, 9]);
+    assert!(shared_parts([7]).is_empty());
+    assert!(shared_parts([]).is_empty());
+}
+
+#[test]
+fn a_part_present_at_three_crashes_is_the_cause_and_one_that_upstreams_survive_is_not() {
+    let mut scene = Scene::default();
+    for number in 0..3 {
+        assert_eq!(scene.cause(), None, "after {number} crashes");
+        scene.crash(1_000 + 500 * number, &[&[COMMON, 10 + number, BAD], &[COMMON, 20 + number]]);
+        scene.survive(1_200 + 500 * number, &[COMMON, 30]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
+/// Sound requests with the common part can't be told from harmful ones by it, so it must not be denied alone.
+#[test]
+fn a_part_that_all_requests_of_a_route_have_is_denied_only_together_with_the_cause() {
+    let mut scene = Scene::default();
+    for number in 0..3 {
+        scene.crash(1_000 + 500 * number, &[&[COMMON, 10 + number, BAD], &[COMMON, 20 + number]]);
+    }
+    assert_eq!(scene.cause(), Some(vec![COMMON, BAD]));
+}
+
+#[test]
+fn a_first_part_that_crashes_upstreams_is_found() {
+    let mut scene = Scene::default();
+    for number in 0..3 {
+        scene.crash(1_000 + 500 * number, &[&[BAD, 100]]);
+        scene.survive(1_200 + 500 * number, &[COMMON, 100]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
+#[test]
+fn two_harmful_parts_at_the_same_time_are_both_found() {
+    let (mut scene, other) = (Scene::default(), 67);
+    let mut denied = vec![];
+    for number in 0..12 {
+        let part = if number % 2 == 0 { BAD } else { other };
+        scene.crash(1_000 + 300 * number, &[&[COMMON, part]]);
+        scene.survive(1_200 + 300 * number, &[COMMON]);
+        while let Some(parts) = scene.cause() {
+            scene.tracker.explain_by(&parts);
+            denied.push(parts);
+        }
+        if denied.len() == 2 {
+            assert!(number < 10, "after at most five crashes each");
+            break;
+        }
+    }
+    denied.sort();
+    assert_eq!(denied, [[BAD], [other]]);
+}
+
+#[test]
+fn a_harmful_part_that_also_occurs_without_its_companion_is_found_by_its_next_crashes() {
+    let (mut scene, companion) = (Scene::default(), 5);
+    for number in 0..3 {
+        scene.crash(1_000 + 500 * number, &[&[companion, BAD]]);
+    }
+    assert_eq!(scene.cause(), Some(vec![companion, BAD]));
+    scene.tracker.explain_by(&[companion, BAD]);
+    for number in 0..3 {
+        scene.crash(5_000 + 500 * number, &[&[BAD, 100 + number]]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
+#[test]
+fn a_request_that_is_repeated_says_nothing_of_its_parts() {
+    let mut scene = Scene::default();
+    for number in 0..8 {
+        scene.upstreams += 1;
+        scene.lose(1_000 + 500 * number, 7, &[COMMON, 10]);
+    }
+    assert_eq!(scene.cause(), None);
+}
+
+#[test]
+fn upstreams_that_crash_together_do_not_incriminate_a_part_in_frequent_use() {
+    let mut scene = Scene::default();
+    scene.survive(990, &[COMMON]);
+    for number in 0..30 {
+        scene.crash(1_000 + number, &[&[COMMON, 10 + number], &[COMMON, 11 + number]]);
+    }
+    assert_eq!(scene.cause(), None);
+    scene.survive(1_500, &[COMMON]);
+    for number in 0..30 {
+        scene.crash(4_000 + number, &[&[COMMON, 10 + number]]);
+    }
+    assert_eq!(scene.cause(), None);
+}
+
+#[test]
+fn requests_with_a_harmful_part_that_arrive_together_are_found_by_their_second_wave() {
+    let mut scene = Scene::default();
+    for wave in 0..2 {
+        assert_eq!(scene.cause(), None);
+        for number in 0..10 {
+            scene.crash(1_000 + 2_000 * wave + number, &[&[COMMON, BAD]]);
+        }
+        scene.survive(1_500 + 2_000 * wave, &[COMMON]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
+#[test]
+fn parts_that_are_always_lost_together_in_different_prompts_are_not_denied_before_five_crashes() {
+    let mut scene = Scene::default();
+    for number in 0..5 {
+        assert_eq!(scene.cause(), None, "after {number} crashes");
+        scene.crash(1_000 + 500 * number, &[&[2], &[3]]);
+    }
+    assert!(scene.cause().is_some());
+}
+
+#[test]
+fn crashes_that_are_known_to_have_another_cause_do_not_count() {
+    let mut scene = Scene::default();
+    for number in 0..3 {
+        scene.crash(1_000 + 500 * number, &[&[BAD]]);
+    }
+    scene.tracker.explain(&["engine-2"]);
+    assert_eq!(scene.cause(), None);
+}
+
+#[test]
+fn a_survival_is_told_once_after_each_crash() {
+    let mut scene = Scene::default();
+    assert!(scene.tracker.record_survival(&[COMMON], 900).is_empty(), "nothing is suspected");
+    scene.crash(1_000, &[&[COMMON, BAD]]);
+    assert_eq!(scene.tracker.record_survival(&[COMMON, 4], 1_100).as_slice(), [COMMON]);
+    assert!(scene.tracker.record_survival(&[COMMON, 4], 1_200).is_empty());
+    scene.crash(2_000, &[&[COMMON, BAD]]);
+    assert_eq!(scene.tracker.record_survival(&[COMMON], 2_100).as_slice(), [COMMON]);
+}
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -5,6 +5,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use route::notice::{self, Notice, NoticeLimiter, Recipients};
+use route::poison::{self, Loss};
 use route::quarantine::{
     Crash, Crashes, DECISION_DELAY_MS, DENIAL_DURATION_MS, DENIAL_THRESHOLD, Fingerprint, LostRun,
     Quarantine, Stage, Upstreams, Verdict,
@@ -343,6 +344,13 @@
         fingerprint: Fingerprint::new([1; 16]),
         upstream: upstream.to_owned(),
         stage: Stage::Silent,
+        loss: Loss {
+            upstream: upstream.to_owned(),
+            run: poison::Run { request: 1, parts: [2].into_iter().collect() },
+            dispatched: 0,
+            at: 0,
+            is_firsthand: true,
+        },
     };
     quarantine.record_lost_run(run("engine-1"), 0);
     quarantine.record_lost_run(run("engine-2"), 1_000);
--- a/src/cmd/ctl/quarantine.rs
+++ b/src/cmd/ctl/quarantine.rs
@@ -67,11 +67,23 @@
 }
 
 fn as_text(denial: &Denial) -> String {
-    let Denial { fingerprint, upstreams, left_ms, .. } = denial;
-    format!("{fingerprint}: crashed {}; denied for another {} s", upstreams.join(", "), left_ms / 1_000)
+    let Denial { fingerprint, parts, upstreams, left_ms, .. } = denial;
+    let prompts = match parts.is_empty() {
+        true => String::new(),
+        false => format!("prompts with the parts {}; ", ids(parts).join(", ")),
+    };
+    let upstreams = upstreams.join(", ");
+    format!("{fingerprint}: {prompts}crashed {upstreams}; denied for another {} s", left_ms / 1_000)
 }
 
 fn as_json(denial: &Denial) -> String {
-    let Denial { fingerprint, upstreams, left_ms, .. } = denial;
-    json!({"fingerprint": fingerprint.to_string(), "upstreams": upstreams, "left-ms": left_ms}).to_string()
+    let Denial { fingerprint, parts, upstreams, left_ms, .. } = denial;
+    let fingerprint = fingerprint.to_string();
+    json!({"fingerprint": fingerprint, "parts": ids(parts), "upstreams": upstreams, "left-ms": left_ms})
+        .to_string()
+}
+
+/// The identifiers of parts of prompts as callers send them.
+fn ids(parts: &[u64]) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
 }
