--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -309,6 +309,7 @@
     /// Sets the other gateways that are alive.
     pub(crate) fn set_peers(&self, peers: &[Peer]) {
         let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
+        self.quarantine().set_routers(peers.len() + 1);
         self.failover.set_peers(&addresses);
         self.hints.set_peers(addresses);
         self.reach.set_peers(peers);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,7 +14,7 @@
 use net::{ProbeResult, exec};
 use route::Millis;
 use route::notice::{self, FollowUp, Notice};
-use route::poison::{self, Loss, Parts};
+use route::poison::{self, Cause, Loss, Parts};
 use route::quarantine::{
     DECISION_DELAY_MS, DENIAL_DURATION_MS, Fingerprint, LostRun, Stage, Upstreams, Verdict,
 };
@@ -130,7 +130,7 @@
         let is_suspect = {
             let (quarantine, parts) = (self.node.quarantine(), self.request.shared_parts());
             quarantine.verdict(fingerprint, self.node.now()) != Verdict::Clear
-                || !quarantine.suspected_parts(&parts, 1).is_empty()
+                || quarantine.is_prompt_suspected(&parts)
         };
         let suspect = Suspect {
             upstream: upstream.to_owned(),
@@ -372,49 +372,75 @@
         && !reach::is_reached_by_others(node, upstream).await
 }
 
-/// Tells the other gateways what they need to know, and schedules the decision on a suspect if it is due.
+/// Tells the other gateways what they need to know, and schedules the decisions that are due.
 fn handle_follow_up<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, follow_up: FollowUp) {
-    if let Some(notice) = follow_up.notice {
-        if let Notice::Suspect { fingerprint, ends } = &notice {
-            let names: Vec<&str> = ends.iter().map(|crash| crash.upstream.as_str()).collect();
-            let (ended, names) = (ends.len(), names.join(","));
-            log::warn!("quarantine: event=suspect fingerprint={fingerprint} ended={ended} upstreams={names}");
+    match follow_up.notice {
+        Some(Notice::SuspectParts(mut parts)) => {
+            parts.retain(|part| is_responsible(node, *part));
+            if !parts.is_empty() {
+                log::warn!("quarantine: event=suspect parts={}", ids(&parts));
+                node.hints.announce_quarantine(Notice::SuspectParts(parts), node.now());
+            }
+        }
+        Some(notice) => {
+            if let Notice::Suspect { fingerprint, ends } = &notice {
+                let names: Vec<&str> = ends.iter().map(|crash| crash.upstream.as_str()).collect();
+                let (ended, names) = (ends.len(), names.join(","));
+                log::warn!(
+                    "quarantine: event=suspect fingerprint={fingerprint} ended={ended} upstreams={names}"
+                );
+            }
+            node.hints.announce_quarantine(notice, node.now());
         }
-        node.hints.announce_quarantine(notice, node.now());
+        None => {}
     }
     if follow_up.is_decision_due {
         exec::spawn(decide(node.clone())).detach();
     }
+    if let Some(delay_ms) = follow_up.parts_due_ms {
+        exec::spawn(decide_on_parts(node.clone(), delay_ms)).detach();
+    }
 }
 
 /// Decides on suspects once the reports of the other gateways have had time to arrive.
 async fn decide<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
     exec::sleep(Duration::from_millis(DECISION_DELAY_MS)).await;
-    let is_coordinated = notice::is_coordinated(node.hints.peers().len() + 1);
     let decisions: Vec<Decision> = {
         let (mut quarantine, now) = (node.quarantine(), node.now());
-        let requests = quarantine.decide(now).into_iter().map(|fingerprint| Decision {
-            ruling: Ruling {
-                fingerprint,
-                parts: Parts::new(),
-                upstreams: quarantine.denied_upstreams(fingerprint).unwrap_or_default(),
-            },
-            is_announced: quarantine.is_firsthand(fingerprint),
-        });
-        let requests: Vec<Decision> = requests.collect();
-        let causes = quarantine.decide_on_parts(now).into_iter().map(|cause| Decision {
-            ruling: Ruling {
-                fingerprint: poison::fingerprint(&cause.parts),
-                parts: cause.parts,
-                upstreams: cause.upstreams,
-            },
-            is_announced: cause.is_firsthand || is_coordinated,
-        });
-        requests.into_iter().chain(causes).collect()
+        let requests = quarantine.decide(now);
+        let decision = |fingerprint| {
+            let upstreams = quarantine.denied_upstreams(fingerprint).unwrap_or_default();
+            let is_announced = quarantine.is_firsthand(fingerprint);
+            Decision { ruling: Ruling { fingerprint, parts: Parts::new(), upstreams }, is_announced }
+        };
+        requests.into_iter().map(decision).collect()
     };
+    enforce(&node, decisions);
+}
+
+/// Decides on parts of prompts, like [`decide`].
+async fn decide_on_parts<W: Wire, S: Rows>(node: Arc<Node<W, S>>, delay_ms: Millis) {
+    exec::sleep(Duration::from_millis(delay_ms)).await;
+    let is_coordinated = notice::is_coordinated(node.hints.peers().len() + 1);
+    let is_responsible = |part| is_responsible(&node, part);
+    let causes = node.quarantine().decide_on_parts(node.now(), is_responsible);
+    let decision = |Cause { parts, upstreams, is_firsthand }| {
+        let ruling = Ruling { fingerprint: poison::fingerprint(&parts), parts, upstreams };
+        Decision { ruling, is_announced: is_firsthand || is_coordinated }
+    };
+    enforce(&node, causes.into_iter().map(decision));
+}
+
+/// Whether this gateway decides on a part of prompts.
+fn is_responsible<W: Wire, S: Rows>(node: &Node<W, S>, part: u64) -> bool {
+    let peers: Vec<String> = node.hints.peers().iter().map(SocketAddr::to_string).collect();
+    notice::is_responsible(part, node.settings.listen.peers.to_string(), peers.into_iter())
+}
+
+fn enforce<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, decisions: impl IntoIterator<Item = Decision>) {
     for Decision { ruling, is_announced } in decisions {
         ruling.log("self");
-        update_gauge(&node);
+        update_gauge(node);
         if is_announced {
             exec::spawn(announce(node.clone(), ruling)).detach();
         }
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -26,8 +26,6 @@
 /// The most lost runs in a notice, and the most parts of their prompts together, so that it fits into a datagram.
 const MAX_REPORTS: usize = 16;
 const MAX_REPORTED_PARTS: usize = 64;
-/// The number of crashes at which parts of prompts are suspected in large fleets.
-const SUSPICION_THRESHOLD: usize = 2;
 
 /// A run that was lost when its upstream crashed, as one router reports it to others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -133,6 +131,8 @@
     /// Whether to call [`Quarantine::decide`] after
     /// [`DECISION_DELAY_MS`](crate::quarantine::DECISION_DELAY_MS).
     pub is_decision_due: bool,
+    /// The time after which to call [`Quarantine::decide_on_parts`], in milliseconds.
+    pub parts_due_ms: Option<Millis>,
 }
 
 impl Notice {
@@ -228,12 +228,8 @@
                 FollowUp::default()
             }
             Notice::Lost(reports) => {
-                let losses = reports.iter().map(|report| report.loss(now));
-                let follow_ups = losses.map(|loss| self.record_reported_loss(&loss, now));
-                follow_ups.fold(FollowUp::default(), |sum, next| FollowUp {
-                    notice: next.notice.or(sum.notice),
-                    is_decision_due: sum.is_decision_due || next.is_decision_due,
-                })
+                let losses: SmallVec<[Loss; 2]> = reports.iter().map(|report| report.loss(now)).collect();
+                self.record_reported_losses(&losses, now)
             }
             Notice::SuspectParts(parts) => {
                 self.suspect_parts(parts, now);
@@ -250,11 +246,16 @@
         }
     }
 
+    /// Sets the number of routers in the fleet.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.set_coordinated(is_coordinated(routers));
+    }
+
     /// Records a run that this router lost when its upstream crashed. Returns whether to report it.
     pub fn observe_loss(&mut self, loss: &Loss, now: Millis) -> (bool, FollowUp) {
         let is_new = self.record_loss(loss, now);
-        let is_decision_due = is_new && self.schedule_poison_decision(&loss.run.parts, now);
-        (is_new, FollowUp { notice: None, is_decision_due })
+        let parts_due_ms = is_new.then(|| self.schedule_poison_decision(&loss.run.parts, now)).flatten();
+        (is_new, FollowUp { parts_due_ms, ..FollowUp::default() })
     }
 
     /// Records that an upstream survived a run that this router dispatched. Returns the notice to send if parts of its
@@ -264,22 +265,24 @@
         (!cleared.is_empty()).then_some(Notice::ClearedParts(cleared))
     }
 
-    /// Records a run that another router lost.
-    fn record_reported_loss(&mut self, loss: &Loss, now: Millis) -> FollowUp {
-        if !self.record_loss(loss, now) {
-            return FollowUp::default();
-        }
-        let suspected = self.suspected_parts(&loss.run.parts, SUSPICION_THRESHOLD);
+    /// Records runs that another router lost.
+    fn record_reported_losses(&mut self, losses: &[Loss], now: Millis) -> FollowUp {
+        let new = losses.iter().filter(|loss| self.record_loss(loss, now));
+        let mut parts: Parts = new.flat_map(|loss| loss.run.parts.iter().copied()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let suspected = self.take_unannounced_parts(&parts, now);
         FollowUp {
             notice: (!suspected.is_empty()).then_some(Notice::SuspectParts(suspected)),
-            is_decision_due: self.schedule_poison_decision(&loss.run.parts, now),
+            parts_due_ms: self.schedule_poison_decision(&parts, now),
+            ..FollowUp::default()
         }
     }
 
     fn follow_up(&self, fingerprint: Fingerprint, has_news: bool, now: Millis) -> FollowUp {
         let notice = Notice::Suspect { fingerprint, ends: self.crashes(fingerprint) };
         let is_decision_due = self.verdict(fingerprint, now) == Verdict::Undecided;
-        FollowUp { notice: has_news.then_some(notice), is_decision_due }
+        FollowUp { notice: has_news.then_some(notice), is_decision_due, ..FollowUp::default() }
     }
 }
 
@@ -288,16 +291,24 @@
 /// All routers should know which requests were unanswered at a crash, since these share the blame for it. But
 /// if a large fleet loses many upstreams, each router would receive thousands of notices. So of the suspects
 /// with a single crash, only a sample is sent to all routers, a smaller part the larger the fleet, and the
-/// rest to a few routers. In addition, the rate of notices to all routers is fixed for the fleet as a whole.
-#[derive(Clone, Copy, Debug)]
+/// rest to a few routers. In addition, the rate of notices to all routers is fixed for the fleet as a whole, for those
+/// about requests and for those about parts of prompts.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct NoticeLimiter {
+    requests: Bucket,
+    parts: Bucket,
+}
+
+/// The notices that a router may send to all others.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
     tokens: f64,
     refilled: Millis,
 }
 
-impl Default for NoticeLimiter {
-    fn default() -> NoticeLimiter {
-        NoticeLimiter { tokens: BROADCAST_BURST, refilled: 0 }
+impl Default for Bucket {
+    fn default() -> Bucket {
+        Bucket { tokens: BROADCAST_BURST, refilled: 0 }
     }
 }
 
@@ -317,7 +328,7 @@
                 (fingerprint, ends.len() > 1 || is_silent && is_sampled(fingerprint))
             }
         };
-        match is_for_all && self.take_token(routers, now) {
+        match is_for_all && self.requests.take_token(routers, now) {
             true => Recipients::All,
             false => Recipients::Coordinators(*fingerprint),
         }
@@ -326,7 +337,7 @@
     /// In a small fleet all routers learn of lost runs and of survivals. In a larger one the coordinators of the parts
     /// do, and decide on them. They tell all routers which parts they suspect, so that survivals are reported.
     fn part_recipients(&mut self, notice: &Notice, routers: usize, now: Millis) -> Recipients {
-        let is_small = routers as u64 <= FULL_BROADCAST_ROUTERS;
+        let is_small = !is_coordinated(routers);
         match notice {
             Notice::Lost(_) | Notice::ClearedParts(_) if is_small => Recipients::All,
             Notice::Lost(reports) => {
@@ -337,11 +348,13 @@
                 Recipients::PartCoordinators(parts)
             }
             Notice::ClearedParts(parts) => Recipients::PartCoordinators(parts.clone()),
-            Notice::SuspectParts(_) if !is_small && self.take_token(routers, now) => Recipients::All,
+            Notice::SuspectParts(_) if !is_small && self.parts.take_token(routers, now) => Recipients::All,
             _ => Recipients::Nobody,
         }
     }
+}
 
+impl Bucket {
     fn take_token(&mut self, routers: usize, now: Millis) -> bool {
         let per_ms = BROADCASTS_PER_S / 1_000.0 / routers.max(1) as f64;
         let gained = per_ms * now.saturating_sub(self.refilled) as f64;
@@ -364,6 +377,13 @@
     poison::fingerprint(&[part])
 }
 
+/// Whether the router with the name `own` decides on a part of prompts. `peers` are the names of the others.
+pub fn is_responsible<N: AsRef<[u8]>>(part: PartId, own: N, peers: impl ExactSizeIterator<Item = N>) -> bool {
+    let is_small = !is_coordinated(peers.len() + 1);
+    let routers = peers.map(|name| (false, name)).chain([(true, own)]);
+    is_small || coordinators(part_fingerprint(part), routers).contains(&true)
+}
+
 /// The peers that coordinate the decision on a fingerprint, by rendezvous hashing: every router gets the same
 /// ones from the same names. Each peer comes with the name by which all routers know it.
 pub fn coordinators<P, N: AsRef<[u8]>>(
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -18,7 +18,7 @@
 //!     tracker.record_loss(&Loss { upstream: upstream.into(), run, dispatched: at, at: at + 50, is_firsthand: true });
 //!     tracker.record_survival(&[1, 8], at + 200);
 //! }
-//! assert_eq!(tracker.find_cause().expect("a cause").parts.as_slice(), [7]);
+//! assert_eq!(tracker.find_cause(|_| true).expect("a cause").parts.as_slice(), [7]);
 //! ```
 
 use crate::Millis;
@@ -28,21 +28,24 @@
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_128;
 
-/// The number of crashes at which a signature may be denied.
+/// The number of crashes at which a signature is denied if it explains all known crashes.
 pub(crate) const DENIAL_THRESHOLD: usize = 3;
-/// The number of crashes at which a signature is denied even if other prompts were present each time.
+/// The number of crashes at which a signature is denied although upstreams crashed for other reasons too, or other
+/// prompts were present each time. Then a part that is seldom used may be present at a few crashes by chance.
 const CERTAINTY_THRESHOLD: usize = 5;
 /// The number of times at which upstreams have to crash one after the other. Upstreams that crash at the same time
 /// have a cause in common, and any part that is in frequent use was present at several of them.
 const MIN_EPISODES: usize = 2;
 /// The share of the blame for its crashes above which a signature is denied.
 const MIN_BLAME_SHARE: f64 = 0.5;
-/// The share of all unexplained crashes that a signature has to account for.
-const MIN_CRASH_SHARE: f64 = 0.5;
+/// The share of its crashes for which a longer signature has to account to take the place of a shorter one.
+const MIN_EXTENSION_SHARE: f64 = 1.0 / 3.0;
 /// The time for which crashes are remembered, in milliseconds.
 const RETENTION_MS: Millis = 300_000;
 /// An upstream that crashes again later than this, in milliseconds, had been started again under the same name.
 const MIN_UPTIME_MS: Millis = 1_000;
+/// The time between two announcements that a part is suspected, in milliseconds.
+const ANNOUNCEMENT_INTERVAL_MS: Millis = 1_000;
 /// The most crashes to remember. The oldest one is evicted first.
 const MAX_CRASHES: usize = 64;
 /// The most lost runs to remember for each crash.
@@ -129,6 +132,8 @@
     since: Millis,
     /// When an upstream last survived a run with it.
     survived: Option<Millis>,
+    /// When this router last told the others that it suspects the part.
+    announced: Option<Millis>,
 }
 
 /// The crashes that support a signature.
@@ -144,9 +149,16 @@
     /// In ascending order of their times.
     crashes: Vec<Crash>,
     suspicions: HashMap<PartId, Suspicion>,
+    /// Whether this router learns only of a part of the crashes, as in a large fleet.
+    is_partial: bool,
 }
 
 impl Tracker {
+    /// Sets whether this router learns only of crashes at which parts were present that it coordinates.
+    pub fn set_partial(&mut self, is_partial: bool) {
+        self.is_partial = is_partial;
+    }
+
     /// Whether no part is suspected.
     pub fn is_empty(&self) -> bool {
         self.suspicions.is_empty()
@@ -207,22 +219,45 @@
         counts
     }
 
-    /// Those of these parts that are suspected of at least `count` crashes.
-    pub fn suspected(&self, parts: &[PartId], count: usize) -> Parts {
-        let is_suspected = |part: &PartId| self.support(*part, &[*part]).crashes.len() >= count;
-        match self.crashes.len() >= count {
-            true => parts.iter().copied().filter(is_suspected).collect(),
-            false => Parts::new(),
+    /// Whether one of these parts may have caused crashes.
+    pub fn is_suspected(&self, parts: &[PartId]) -> bool {
+        parts.iter().any(|part| !self.support(*part, &[*part]).crashes.is_empty())
+    }
+
+    /// Whether one of these parts was present at enough crashes to decide on it.
+    pub fn is_decidable(&self, parts: &[PartId]) -> bool {
+        self.crashes.len() >= DENIAL_THRESHOLD
+            && parts.iter().any(|part| self.support(*part, &[*part]).is_sufficient())
+    }
+
+    /// Those of these parts that may soon be decided on, and of which the other routers have not been told lately.
+    pub fn take_unannounced(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        let is_due = |announced: Option<Millis>| {
+            announced.is_none_or(|announced| now.saturating_sub(announced) >= ANNOUNCEMENT_INTERVAL_MS)
+        };
+        let mut unannounced = Parts::new();
+        for part in parts {
+            let is_close = self.support(*part, &[*part]).episodes() >= MIN_EPISODES;
+            let Some(suspicion) = self.suspicions.get_mut(part) else { continue };
+            if is_close && is_due(suspicion.announced) {
+                suspicion.announced = Some(now);
+                unannounced.push(*part);
+            }
         }
+        unannounced
     }
 
     /// The signature that has most likely caused crashes; `None` as long as chance explains them as well.
     ///
     /// Of several candidates the one with the most parts is returned, as it affects the fewest other requests. If a
     /// prompt without some of them is harmful too, its crashes are evidence of a shorter signature.
-    pub fn find_cause(&self) -> Option<Cause> {
+    ///
+    /// Only signatures are considered that have a part for which this router `is_responsible`: it knows of the runs
+    /// with that part which upstreams have survived.
+    pub fn find_cause(&self, is_responsible: impl Fn(PartId) -> bool) -> Option<Cause> {
         let counts = self.crash_counts();
         let parts = counts.iter().filter(|(_, count)| **count >= DENIAL_THRESHOLD).map(|(part, _)| *part);
+        let parts = parts.filter(|part| is_responsible(*part));
         let candidates = parts.filter_map(|part| self.candidate(part, &counts));
         let (parts, support) = candidates.max_by(|(parts, support), (other_parts, other_support)| {
             let rank = (parts.len(), support.crashes.len());
@@ -299,8 +334,13 @@
         while let Some((extended, extended_support)) = self.extension(part, &signature, &support, first) {
             (signature, support) = (extended, extended_support);
         }
-        (support.crashes.len() >= CERTAINTY_THRESHOLD || self.has_most_blame(&signature, &support, counts))
-            .then_some((signature, support))
+        let is_certain = support.crashes.len() >= CERTAINTY_THRESHOLD;
+        let is_likely = || {
+            !self.is_partial
+                && support.crashes.len() == self.unexplained().count()
+                && self.has_most_blame(&signature, &support, counts)
+        };
+        (is_certain || is_likely()).then_some((signature, support))
     }
 
     /// The signature with one more part that is supported by the most crashes. Parts that upstreams have survived since
@@ -329,11 +369,12 @@
         others
             .into_iter()
             .map(extended)
-            .filter(|(_, support)| support.is_sufficient())
+            .filter(|(_, extended)| extended.is_sufficient() && extended.covers(support))
             .max_by_key(|(_, support)| support.crashes.len())
     }
 
-    /// Whether a signature bears most of the blame for its crashes, and accounts for most crashes of its time.
+    /// Whether a signature bears most of the blame for its crashes. Each is divided between the signature and the
+    /// strongest rival among the other prompts that were present, by the squares of their numbers of crashes.
     fn has_most_blame(
         &self,
         signature: &[PartId],
@@ -341,11 +382,6 @@
         counts: &HashMap<PartId, usize>,
     ) -> bool {
         let count = support.crashes.len();
-        let Some((first, _)) = support.crashes.first() else { return false };
-        let all = self.unexplained().filter(|crash| crash.at >= first.at).count();
-        if (count as f64) < MIN_CRASH_SHARE * all as f64 {
-            return false;
-        }
         let weight = |count: usize| (count * count) as f64;
         let strongest_rival = |crash: &Crash| {
             let rivals = crash.losses.iter().filter(|loss| !contains_all(&loss.run.parts, signature));
@@ -394,6 +430,11 @@
             && self.episodes() >= MIN_EPISODES
     }
 
+    /// Whether this support of a longer signature accounts for enough of the crashes of a shorter one.
+    fn covers(&self, shorter: &Support<'_>) -> bool {
+        self.crashes.len() as f64 >= MIN_EXTENSION_SHARE * shorter.crashes.len() as f64
+    }
+
     /// The number of times at which upstreams crashed one after the other: the runs of a later one were dispatched
     /// after the upstreams of the earlier one had crashed.
     fn episodes(&self) -> usize {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -41,6 +41,9 @@
 /// The time for which a router waits for reports on what else ran at the last crashed upstream, in
 /// milliseconds: several times the latency of a datagram.
 pub const DECISION_DELAY_MS: Millis = 100;
+/// The time for which the coordinators of a part of prompts wait for reports that upstreams survive it, in milliseconds:
+/// the duration of most runs.
+const SURVIVAL_DELAY_MS: Millis = 1_000;
 /// The number of crashes at which a request is denied even if other requests were present each time, or if it
 /// had been answered each time.
 const CERTAINTY_THRESHOLD: usize = 5;
@@ -161,6 +164,8 @@
     poison: Tracker,
     /// When a decision on parts of prompts is due.
     poison_due: Option<Millis>,
+    /// Whether the coordinators of parts of prompts decide on them.
+    is_coordinated: bool,
 }
 
 impl Quarantine {
@@ -253,29 +258,40 @@
         self.poison.record_survival(parts, now)
     }
 
-    /// Those of these parts of a prompt that are suspected of at least `count` crashes.
-    pub fn suspected_parts(&self, parts: &[PartId], count: usize) -> Parts {
-        self.poison.suspected(parts, count)
+    /// Whether one of these parts of a prompt may have caused crashes.
+    pub fn is_prompt_suspected(&self, parts: &[PartId]) -> bool {
+        self.poison.is_suspected(parts)
     }
 
-    /// Schedules a decision on parts of prompts if one of these was present at enough crashes. Returns whether it was
-    /// not scheduled before.
-    pub(crate) fn schedule_poison_decision(&mut self, parts: &[PartId], now: Millis) -> bool {
-        let is_scheduled = self.poison_due.is_some();
-        if is_scheduled || self.suspected_parts(parts, poison::DENIAL_THRESHOLD).is_empty() {
-            return false;
+    /// The suspected parts among these of which to tell all routers of a large fleet.
+    pub(crate) fn take_unannounced_parts(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        self.poison.take_unannounced(parts, now)
+    }
+
+    /// Sets whether the fleet is so large that the coordinators of parts of prompts decide on them.
+    pub(crate) fn set_coordinated(&mut self, is_coordinated: bool) {
+        self.is_coordinated = is_coordinated;
+        self.poison.set_partial(is_coordinated);
+    }
+
+    /// Schedules a decision on parts of prompts if one of these was present at enough crashes. Returns the time until
+    /// then, unless it was scheduled before.
+    pub(crate) fn schedule_poison_decision(&mut self, parts: &[PartId], now: Millis) -> Option<Millis> {
+        if self.poison_due.is_some() || !self.poison.is_decidable(parts) {
+            return None;
         }
-        self.poison_due = Some(now + DECISION_DELAY_MS);
-        true
+        let delay = if self.is_coordinated { SURVIVAL_DELAY_MS } else { DECISION_DELAY_MS };
+        self.poison_due = Some(now + delay);
+        Some(delay)
     }
 
-    /// Decides which parts of prompts are denied from now on.
-    pub fn decide_on_parts(&mut self, now: Millis) -> Vec<Cause> {
+    /// Decides which parts of prompts are denied from now on, as far as this router `is_responsible` for them.
+    pub fn decide_on_parts(&mut self, now: Millis, is_responsible: impl Fn(PartId) -> bool) -> Vec<Cause> {
         if self.poison_due.take_if(|due| *due <= now).is_none() {
             return vec![];
         }
         let mut causes = vec![];
-        while let Some(cause) = self.poison.find_cause() {
+        while let Some(cause) = self.poison.find_cause(&is_responsible) {
             self.deny_parts(&cause.parts, &cause.upstreams, DENIAL_DURATION_MS, now);
             causes.push(cause);
         }
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -40,7 +40,7 @@
 
     /// The signature that is denied now, if any.
     fn cause(&self) -> Option<Vec<u64>> {
-        self.tracker.find_cause().map(|cause| cause.parts.to_vec())
+        self.tracker.find_cause(|_| true).map(|cause| cause.parts.to_vec())
     }
 }
 
