--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -153,7 +153,7 @@
 
     /// Records that an upstream survived a run of this request.
     pub(crate) fn record_survival(&self) {
-        if self.node.quarantine().is_empty() {
+        if !self.node.quarantine().concerns_requests() {
             return;
         }
         let fingerprint = self.request.fingerprint();
@@ -166,7 +166,7 @@
 
     /// Records that an upstream wrote an answer to this request's prompt to its end.
     pub(crate) fn record_prompt_survival(&self) {
-        if self.node.quarantine().is_empty() {
+        if !self.node.quarantine().suspects_parts() {
             return;
         }
         let (parts, now) = (self.request.shared_parts(), self.node.now());
@@ -241,7 +241,7 @@
     }
 }
 
-/// Checks a request. Its fingerprint is computed only if some request is suspect or denied.
+/// Checks a request. Its fingerprint is computed only if single requests are suspect or denied.
 pub(crate) fn check<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     ask: &Ask,
@@ -256,6 +256,9 @@
         renew_if_due(node, denied, now);
         return Check::PartsDenied(denied);
     }
+    if !node.quarantine().concerns_requests() {
+        return Check::Passed;
+    }
     let fingerprint = fingerprint();
     let verdict = node.quarantine().verdict(fingerprint, now);
     match verdict {
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -15,7 +15,8 @@
 //! for (number, upstream) in ["engine-1", "engine-2", "engine-3"].into_iter().enumerate() {
 //!     let at = 1_000 * number as u64;
 //!     let run = Run { request: number as u64, parts: [1, 7].into_iter().collect() };
-//!     tracker.record_loss(&Loss { upstream: upstream.into(), run, dispatched: at, at: at + 50, is_firsthand: true });
+//!     let loss = Loss { upstream: upstream.into(), run, dispatched: at, at: at + 50, is_firsthand: true };
+//!     tracker.record_loss(&loss, at + 150);
 //!     tracker.record_survival(&[1, 8], at + 200);
 //! }
 //! assert_eq!(tracker.find_cause(|_| true).expect("a cause").parts.as_slice(), [7]);
@@ -165,8 +166,8 @@
     }
 
     /// Records a lost run. Returns whether it is new.
-    pub fn record_loss(&mut self, loss: &Loss) -> bool {
-        self.expire(loss.at);
+    pub fn record_loss(&mut self, loss: &Loss, now: Millis) -> bool {
+        self.expire(now);
         if loss.run.parts.is_empty() || !self.insert(loss) {
             return false;
         }
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -171,7 +171,17 @@
 impl Quarantine {
     /// Whether there are neither suspects nor denials, so that requests need not be looked up.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.denials.is_empty() && self.poison.is_empty()
+        self.suspects.is_empty() && self.denials.is_empty()
+    }
+
+    /// Whether single requests are suspects or denied, so that fingerprints need to be looked up.
+    pub fn concerns_requests(&self) -> bool {
+        !self.suspects.is_empty() || self.denials.values().any(|denial| denial.parts.is_empty())
+    }
+
+    /// Whether parts of prompts are suspected, so that survivals need to be recorded.
+    pub fn suspects_parts(&self) -> bool {
+        !self.poison.is_empty()
     }
 
     /// The number of denied requests.
@@ -235,7 +245,7 @@
     /// whether it is new and not explained by denied parts.
     pub fn record_loss(&mut self, loss: &Loss, now: Millis) -> bool {
         self.expire(now);
-        let is_new = self.poison.record_loss(loss);
+        let is_new = self.poison.record_loss(loss, now);
         let explaining = |denial: &&mut Denial| {
             !denial.parts.is_empty() && poison::contains_all(&loss.run.parts, &denial.parts)
         };
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -31,7 +31,7 @@
         let run = Run { request, parts: parts.iter().copied().collect() };
         let upstream = format!("engine-{}", self.upstreams);
         let loss = Loss { upstream, run, dispatched: at.saturating_sub(RUN_MS), at, is_firsthand: true };
-        assert!(self.tracker.record_loss(&loss));
+        assert!(self.tracker.record_loss(&loss, at));
     }
 
     fn survive(&mut self, at: u64, parts: &[u64]) {
