--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -16,7 +16,7 @@
 use route::notice::{self, FollowUp, Notice};
 use route::poison::{self, Cause, Loss, Parts};
 use route::quarantine::{
-    DECISION_DELAY_MS, DENIAL_DURATION_MS, Fingerprint, LostRun, Stage, Upstreams, Verdict,
+    DECISION_DELAY_MS, DENIAL_DURATION_MS, DENIAL_THRESHOLD, Fingerprint, LostRun, Stage, Upstreams, Verdict,
 };
 use sha2::{Digest, Sha256};
 use smallvec::SmallVec;
@@ -68,13 +68,14 @@
         self.run.begun.map(|begun| self.run.broken.saturating_sub(begun))
     }
 
-    /// The lost run, if the stage that it had reached counts against the request.
-    fn lost_run(self) -> Option<LostRun> {
+    /// The run at the upstream that had `started` then, if the stage that it had reached counts against the request.
+    fn lost_run(self, started: Option<Millis>) -> Option<LostRun> {
         let Suspect { upstream, fingerprint, prompt, run: BrokenRun { dispatched, broken, .. }, .. } = &self;
         let run =
             poison::Run { request: fingerprint.seed(), parts: poison::shared_parts(prompt.iter().copied()) };
         let loss = Loss {
             upstream: upstream.clone(),
+            started,
             run,
             dispatched: *dispatched,
             at: *broken,
@@ -309,10 +310,12 @@
         return;
     }
     let is_replaced = node.listings().get(&upstream).is_none_or(|current| current.started != listing.started);
-    let Some(run) = suspect.lost_run() else { return };
-    match has_terminated || is_replaced {
-        true => observe_crash(&node, &run),
-        false => node.quarantine().record_lost_run(run, node.now()),
+    let Some(run) = suspect.lost_run(listing.started) else { return };
+    if has_terminated || is_replaced {
+        observe_crash(&node, &run);
+        observe_loss(&node, &run.loss);
+    } else {
+        node.quarantine().record_lost_run(run, node.now());
     }
 }
 
@@ -320,10 +323,14 @@
     let now = node.now();
     let follow_up = node.quarantine().observe_crash(run.fingerprint, &run.upstream, run.stage, now);
     handle_follow_up(node, follow_up);
-    let (is_new, follow_up) = node.quarantine().observe_loss(&run.loss, now);
+}
+
+fn observe_loss<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, loss: &Loss) {
+    let now = node.now();
+    let (is_new, follow_up) = node.quarantine().observe_loss(loss, now);
     handle_follow_up(node, follow_up);
     if is_new {
-        report_loss(node, &run.loss);
+        report_loss(node, loss);
     }
 }
 
@@ -359,9 +366,13 @@
 /// Records that an upstream was replaced or removed from the list, although it had not announced that it leaves.
 pub(crate) fn observe_replacement<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, upstream: &str) {
     let lost_runs = node.quarantine().take_lost_runs(upstream, node.now());
+    let last = lost_runs.iter().map(|run| run.loss.at).max().unwrap_or(0);
     for run in lost_runs {
         log::warn!("upstream: event=replaced upstream={upstream} fingerprint={}", run.fingerprint);
         observe_crash(node, &run);
+        if run.broke_with(last) {
+            observe_loss(node, &run.loss);
+        }
     }
 }
 
@@ -481,7 +492,11 @@
         let lasts_ms = DENIAL_DURATION_MS;
         match parts.is_empty() {
             true => Notice::Denied { fingerprint, upstreams, lasts_ms },
-            false => Notice::DeniedParts { parts, upstreams, lasts_ms },
+            false => {
+                // With all names the notice might not fit into a datagram.
+                let upstreams = upstreams.into_iter().take(DENIAL_THRESHOLD).collect();
+                Notice::DeniedParts { parts, upstreams, lasts_ms }
+            }
         }
     }
 }
--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -4,6 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::placement::DispatchTotals;
+use route::poison::{Loss, Parts, Run};
 use route::quarantine::Fingerprint;
 
 fn address(port: u16) -> SocketAddr {
@@ -125,6 +126,36 @@
     assert!(decoded(denied(&[long.as_str(); 8])).is_ok(), "the largest denial fits into a datagram");
 }
 
+/// A datagram that is too large is not sent, so nobody would learn of the crashes.
+#[test]
+fn the_largest_notices_about_parts_of_prompts_fit_into_a_datagram_and_are_decoded_unchanged() {
+    let parts: Parts = (0..64).map(|part| u64::MAX - 64 + part).collect();
+    let loss = |request: u64, upstream: String, parts: &[u64]| Loss {
+        upstream,
+        started: Some(u64::MAX),
+        run: Run { request, parts: parts.iter().copied().collect() },
+        dispatched: 0,
+        at: 30_000,
+        is_firsthand: true,
+    };
+    let mut reported = vec![];
+    for (name, count) in [(12, 1), (12, 4), (12, 64), (120, 1), (120, 64)] {
+        let mut losses: Vec<Loss> =
+            (0..64).map(|request| loss(u64::MAX - request, "i".repeat(name), &parts[..count])).collect();
+        reported.push(Notice::Lost(notice::take_reports(&mut losses, 600_000)));
+    }
+    let upstreams = ["1", "2", "3"].map(|name| name.repeat(120)).into_iter().collect();
+    let denied = Notice::DeniedParts { parts: parts.clone(), upstreams, lasts_ms: 600_000 };
+    for notice in reported.into_iter().chain([denied, Notice::SuspectParts(parts)]) {
+        let bytes = encode(&NumberedHint { number: u64::MAX, hint: Hint::Quarantine(notice.clone()) });
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes: {notice:?}", bytes.len());
+        let Ok(Hint::Quarantine(decoded)) = hints().accept(&bytes, address(1)) else {
+            panic!("not accepted: {notice:?}");
+        };
+        assert_eq!(decoded, notice);
+    }
+}
+
 #[test]
 fn a_request_limit_is_decoded_unchanged_and_accepted_only_if_it_is_a_rate() {
     let decoded = |per_s: Option<f64>| {
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -23,15 +23,21 @@
 /// The longest name of an upstream in a notice, in bytes.
 const MAX_NAME_BYTES: usize = 120;
 
-/// The most lost runs in a notice, and the most parts of their prompts together, so that it fits into a datagram.
-const MAX_REPORTS: usize = 16;
-const MAX_REPORTED_PARTS: usize = 64;
+/// The most lost runs in a notice.
+const MAX_REPORTS: usize = 32;
+/// The most bytes of reports in a notice, so that it fits into a datagram. A report takes at most `REPORT_BYTES`, its
+/// name, and `PART_BYTES` for each part.
+const MAX_REPORT_BYTES: usize = 1_200;
+const REPORT_BYTES: usize = 42;
+const PART_BYTES: usize = 9;
 
 /// A run that was lost when its upstream crashed, as one router reports it to others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
     /// The name of the upstream.
     pub upstream: String,
+    /// When the upstream had started, by its own clock, if it says so.
+    pub started: Option<Millis>,
     /// The run.
     pub run: Run,
     /// The time from the dispatch to the end of the run, in milliseconds.
@@ -45,6 +51,7 @@
     pub fn new(loss: &Loss, now: Millis) -> Report {
         Report {
             upstream: loss.upstream.clone(),
+            started: loss.started,
             run: loss.run.clone(),
             ran_ms: loss.at.saturating_sub(loss.dispatched),
             age_ms: now.saturating_sub(loss.at),
@@ -56,6 +63,7 @@
         let at = now.saturating_sub(self.age_ms);
         Loss {
             upstream: self.upstream.clone(),
+            started: self.started,
             run: self.run.clone(),
             dispatched: at.saturating_sub(self.ran_ms),
             at,
@@ -170,13 +178,15 @@
 
 /// Takes the reports of as many losses as fit into one notice.
 pub fn take_reports(losses: &mut Vec<Loss>, now: Millis) -> Reports {
-    let mut parts = 0;
+    let mut bytes = 0;
     let fits = |loss: &&Loss| {
-        parts += loss.run.parts.len();
-        parts <= MAX_REPORTED_PARTS
+        bytes += REPORT_BYTES + loss.upstream.len() + PART_BYTES * loss.run.parts.len();
+        bytes <= MAX_REPORT_BYTES
     };
     let count = losses.iter().take(MAX_REPORTS).take_while(fits).count();
-    losses.drain(..count).map(|loss| Report::new(&loss, now)).collect()
+    // A loss that does not fit into any notice is not reported.
+    let taken = losses.drain(..count.max(1).min(losses.len()));
+    taken.map(|loss| Report::new(&loss, now)).collect()
 }
 
 impl Quarantine {
@@ -271,7 +281,8 @@
         let mut parts: Parts = new.flat_map(|loss| loss.run.parts.iter().copied()).collect();
         parts.sort_unstable();
         parts.dedup();
-        let suspected = self.take_unannounced_parts(&parts, now);
+        let mut suspected = self.take_unannounced_parts(&parts, now);
+        suspected.truncate(MAX_PARTS);
         FollowUp {
             notice: (!suspected.is_empty()).then_some(Notice::SuspectParts(suspected)),
             parts_due_ms: self.schedule_poison_decision(&parts, now),
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -15,7 +15,7 @@
 //! for (number, upstream) in ["engine-1", "engine-2", "engine-3"].into_iter().enumerate() {
 //!     let at = 1_000 * number as u64;
 //!     let run = Run { request: number as u64, parts: [1, 7].into_iter().collect() };
-//!     let loss = Loss { upstream: upstream.into(), run, dispatched: at, at: at + 50, is_firsthand: true };
+//!     let loss = Loss { upstream: upstream.into(), run, started: None, dispatched: at, at: at + 50, is_firsthand: true };
 //!     tracker.record_loss(&loss, at + 150);
 //!     tracker.record_survival(&[1, 8], at + 200);
 //! }
@@ -26,7 +26,7 @@
 use crate::quarantine::{Fingerprint, Upstreams};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_128;
 
 /// The number of crashes at which a signature is denied if it explains all known crashes.
@@ -37,14 +37,15 @@
 /// The number of times at which upstreams have to crash one after the other. Upstreams that crash at the same time
 /// have a cause in common, and any part that is in frequent use was present at several of them.
 const MIN_EPISODES: usize = 2;
+/// The number of runs that upstreams have to survive meanwhile. Otherwise they may be unable to answer anything, and
+/// only [`CERTAINTY_THRESHOLD`] crashes one after the other are evidence.
+const MIN_SURVIVALS: usize = 3;
 /// The share of the blame for its crashes above which a signature is denied.
 const MIN_BLAME_SHARE: f64 = 0.5;
 /// The share of its crashes for which a longer signature has to account to take the place of a shorter one.
 const MIN_EXTENSION_SHARE: f64 = 1.0 / 3.0;
 /// The time for which crashes are remembered, in milliseconds.
 const RETENTION_MS: Millis = 300_000;
-/// An upstream that crashes again later than this, in milliseconds, had been started again under the same name.
-const MIN_UPTIME_MS: Millis = 1_000;
 /// The time between two announcements that a part is suspected, in milliseconds.
 const ANNOUNCEMENT_INTERVAL_MS: Millis = 1_000;
 /// The most crashes to remember. The oldest one is evicted first.
@@ -95,6 +96,8 @@
 pub struct Loss {
     /// The name of the upstream.
     pub upstream: String,
+    /// When the upstream had started, by its own clock, if it says so. It may start again under the same name.
+    pub started: Option<Millis>,
     /// The run.
     pub run: Run,
     /// When the request was dispatched.
@@ -120,6 +123,7 @@
 #[derive(Clone, Debug)]
 struct Crash {
     upstream: String,
+    started: Option<Millis>,
     at: Millis,
     losses: SmallVec<[Loss; 2]>,
     /// Whether its cause is known. It is kept, as more of its lost runs may be reported.
@@ -150,6 +154,8 @@
     /// In ascending order of their times.
     crashes: Vec<Crash>,
     suspicions: HashMap<PartId, Suspicion>,
+    /// When upstreams last survived runs, in the order in which this router learned of it.
+    survivals: VecDeque<Millis>,
     /// Whether this router learns only of a part of the crashes, as in a large fleet.
     is_partial: bool,
 }
@@ -192,6 +198,10 @@
     /// Records that an upstream survived a run with these parts. Returns those that had been suspected since the last
     /// time, which the other routers should be told of.
     pub fn record_survival(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        self.survivals.push_back(now);
+        if self.survivals.len() > MIN_SURVIVALS {
+            self.survivals.pop_front();
+        }
         let mut cleared = Parts::new();
         for part in parts {
             let Some(suspicion) = self.suspicions.get_mut(part) else { continue };
@@ -288,9 +298,7 @@
     }
 
     fn insert(&mut self, loss: &Loss) -> bool {
-        let is_same = |crash: &&mut Crash| {
-            crash.upstream == loss.upstream && crash.at.abs_diff(loss.at) < MIN_UPTIME_MS
-        };
+        let is_same = |crash: &&mut Crash| crash.upstream == loss.upstream && crash.started == loss.started;
         if let Some(crash) = self.crashes.iter_mut().find(is_same) {
             let is_known = crash.losses.iter().any(|known| known.run.request == loss.run.request);
             if is_known || crash.losses.len() >= MAX_RUNS {
@@ -301,7 +309,8 @@
         }
         let index = self.crashes.partition_point(|crash| crash.at <= loss.at);
         let losses = [loss.clone()].into_iter().collect();
-        let crash = Crash { upstream: loss.upstream.clone(), at: loss.at, losses, is_explained: false };
+        let Loss { upstream, started, at, .. } = loss.clone();
+        let crash = Crash { upstream, started, at, losses, is_explained: false };
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
@@ -335,6 +344,10 @@
         while let Some((extended, extended_support)) = self.extension(part, &signature, &support, first) {
             (signature, support) = (extended, extended_support);
         }
+        let survivals = self.survivals.iter().filter(|at| **at > first).count();
+        if survivals < MIN_SURVIVALS && support.episodes() < CERTAINTY_THRESHOLD {
+            return None;
+        }
         let is_certain = support.crashes.len() >= CERTAINTY_THRESHOLD;
         let is_likely = || {
             !self.is_partial
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -65,6 +65,8 @@
 const MAX_DENIALS: usize = 1_024;
 /// How long after a run was lost the replacement of its upstream shows that it had crashed, in milliseconds.
 const REPLACEMENT_MS: Millis = 2_000;
+/// The most time between the breaks of the runs that one crash ends, as a router observes them, in milliseconds.
+const SIMULTANEOUS_MS: Millis = 100;
 /// The most lost runs to remember whose upstreams may be replaced. The oldest one is evicted first.
 const MAX_LOST_RUNS: usize = 1_024;
 /// The most upstreams to remember for each request, and to name in a notice.
@@ -154,6 +156,13 @@
     pub loss: Loss,
 }
 
+impl LostRun {
+    /// Whether the run broke off together with the last one of its upstream, and so by its crash.
+    pub fn broke_with(&self, last: Millis) -> bool {
+        last.saturating_sub(self.loss.at) < SIMULTANEOUS_MS
+    }
+}
+
 /// What one router knows of requests that crash upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -1,11 +1,14 @@
 //! Guards against parts of prompts that crash one upstream after another under requests of which no two are alike,
 //! and against denials of parts that only occur beside them.
 
-use route::poison::{Loss, Run, Tracker, shared_parts};
+use route::notice::{self, Notice, Report};
+use route::poison::{Loss, Parts, Run, Tracker, shared_parts};
 
 /// A part that all requests of a route have, and one that crashes upstreams.
 const COMMON: u64 = 1;
 const BAD: u64 = 66;
+/// A part of prompts on other routes.
+const OTHER: u64 = 2;
 /// The time from a dispatch to the crash, in milliseconds.
 const RUN_MS: u64 = 50;
 
@@ -15,11 +18,18 @@
     tracker: Tracker,
     requests: u64,
     upstreams: u64,
+    /// When the next upstreams that crash have started.
+    started: Option<u64>,
 }
 
 impl Scene {
-    /// An upstream crashes under runs of different requests with these prompts.
+    /// An upstream crashes under runs of different requests with these prompts, while others answer.
     fn crash(&mut self, at: u64, prompts: &[&[u64]]) {
+        self.crash_alone(at, prompts);
+        self.survive(at + 1, &[OTHER]);
+    }
+
+    fn crash_alone(&mut self, at: u64, prompts: &[&[u64]]) {
         self.upstreams += 1;
         for prompt in prompts {
             self.requests += 1;
@@ -30,7 +40,8 @@
     fn lose(&mut self, at: u64, request: u64, parts: &[u64]) {
         let run = Run { request, parts: parts.iter().copied().collect() };
         let upstream = format!("engine-{}", self.upstreams);
-        let loss = Loss { upstream, run, dispatched: at.saturating_sub(RUN_MS), at, is_firsthand: true };
+        let dispatched = at.saturating_sub(RUN_MS);
+        let loss = Loss { upstream, started: self.started, run, dispatched, at, is_firsthand: true };
         assert!(self.tracker.record_loss(&loss, at));
     }
 
@@ -160,11 +171,40 @@
     let mut scene = Scene::default();
     for number in 0..5 {
         assert_eq!(scene.cause(), None, "after {number} crashes");
-        scene.crash(1_000 + 500 * number, &[&[2], &[3]]);
+        scene.crash(1_000 + 500 * number, &[&[3], &[4]]);
     }
     assert!(scene.cause().is_some());
 }
 
+/// While upstreams answer nothing, any part in use was present at each crash.
+#[test]
+fn without_answers_only_five_crashes_one_after_the_other_are_evidence() {
+    let mut scene = Scene::default();
+    for wave in 0..4 {
+        for number in 0..10 {
+            scene.crash_alone(1_000 + 2_000 * wave + number, &[&[COMMON]]);
+        }
+        assert_eq!(scene.cause(), None, "wave {wave}");
+    }
+    scene.crash_alone(9_000, &[&[COMMON]]);
+    assert_eq!(scene.cause(), Some(vec![COMMON]));
+}
+
+#[test]
+fn an_upstream_crashes_once_for_each_of_its_starts() {
+    let mut scene = Scene::default();
+    for number in 0..8 {
+        scene.upstreams = 0;
+        scene.crash(1_000 + 500 * number, &[&[BAD]]);
+    }
+    assert_eq!(scene.cause(), None, "the runs broke off at one upstream");
+    for number in 0..2 {
+        (scene.upstreams, scene.started) = (0, Some(number));
+        scene.crash(6_000 + 500 * number, &[&[BAD]]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
 #[test]
 fn crashes_that_are_known_to_have_another_cause_do_not_count() {
     let mut scene = Scene::default();
@@ -185,3 +225,44 @@
     scene.crash(2_000, &[&[COMMON, BAD]]);
     assert_eq!(scene.tracker.record_survival(&[COMMON], 2_100).as_slice(), [COMMON]);
 }
+
+/// A loss at an upstream with a name of this length, of a prompt with so many parts.
+fn loss(request: u64, name: usize, parts: u64) -> Loss {
+    let run = Run { request, parts: (0..parts).map(|part| u64::MAX - parts + part).collect() };
+    let upstream = "x".repeat(name);
+    Loss { upstream, started: None, run, dispatched: 100, at: 400, is_firsthand: true }
+}
+
+#[test]
+fn losses_are_reported_in_parts_and_as_times_before_the_report() {
+    let mut losses: Vec<Loss> = (0..100).map(|request| loss(request, 12, 3)).collect();
+    let (mut notices, mut reported) = (0, vec![]);
+    while !losses.is_empty() {
+        let reports = notice::take_reports(&mut losses, 1_000);
+        assert!(Notice::Lost(reports.clone()).is_valid());
+        notices += 1;
+        reported.extend(reports);
+    }
+    assert_eq!((notices, reported.len()), (8, 100));
+    let run = loss(0, 12, 3).run;
+    let upstream = "x".repeat(12);
+    assert_eq!(reported[0], Report { upstream, started: None, run, ran_ms: 300, age_ms: 600 });
+}
+
+#[test]
+fn notices_about_parts_that_no_router_can_have_sent_are_not_valid() {
+    let parts = |parts: &[u64]| parts.iter().copied().collect::<Parts>();
+    let many: Vec<u64> = (0..65).collect();
+    for invalid in [&[][..], &[2, 1], &[1, 1], &many] {
+        assert!(!Notice::SuspectParts(parts(invalid)).is_valid(), "{invalid:?}");
+        assert!(!Notice::ClearedParts(parts(invalid)).is_valid(), "{invalid:?}");
+        let upstreams = ["e-1", "e-2", "e-3"].map(str::to_owned).into_iter().collect();
+        let denied = Notice::DeniedParts { parts: parts(invalid), upstreams, lasts_ms: 1 };
+        assert!(!denied.is_valid(), "{invalid:?}");
+    }
+    let reports = |loss: &Loss| [Report::new(loss, 500)].into_iter().collect();
+    assert!(Notice::Lost(reports(&loss(1, 120, 64))).is_valid());
+    assert!(!Notice::Lost(reports(&loss(1, 121, 64))).is_valid());
+    assert!(!Notice::Lost(reports(&loss(1, 120, 65))).is_valid());
+    assert!(!Notice::Lost(reports(&loss(1, 120, 0))).is_valid());
+}
--- a/crates/route/tests/poison_fleet.rs
+++ b/crates/route/tests/poison_fleet.rs
@@ -289,7 +289,8 @@
         for number in lost {
             let OpenRun { router, parts, dispatched, .. } = self.runs.remove(&number).expect("a run");
             let run = Run { request: number, parts };
-            let loss = Loss { upstream: upstream.clone(), run, dispatched, at: self.now, is_firsthand: true };
+            let (upstream, at) = (upstream.clone(), self.now);
+            let loss = Loss { upstream, started: None, run, dispatched, at, is_firsthand: true };
             self.push(self.now + PROBE_MS, Event::Proof { router, loss });
         }
     }
@@ -397,7 +398,9 @@
 
 #[test]
 fn a_part_that_crashes_engines_is_denied_in_fleets_of_every_size_and_sound_prompts_are_not() {
-    for (routers, seeds) in [(1, 0..6), (3, 0..6), (6, 0..6), (22, 0..4), (75, 0..3), (295, 0..2)] {
+    for (routers, seeds) in
+        [(1, 0..6), (3, 0..6), (6, 0..6), (22, 0..4), (75, 0..3), (295, 0..2), (1_400, 0..1)]
+    {
         for seed in seeds {
             check(&Plan::new(routers, seed));
         }
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -346,6 +346,7 @@
         stage: Stage::Silent,
         loss: Loss {
             upstream: upstream.to_owned(),
+            started: None,
             run: poison::Run { request: 1, parts: [2].into_iter().collect() },
             dispatched: 0,
             at: 0,
