Only runs with prompts show that upstreams answer; losses count for 250 ms after the first event

Answers of plain services counted as survivals, so the rule for upstreams that answer nothing did not apply.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -71,8 +71,11 @@
     /// The run at the upstream that had `started` then, if the stage that it had reached counts against the request.
     fn lost_run(self, started: Option<Millis>) -> Option<LostRun> {
         let Suspect { upstream, fingerprint, prompt, run: BrokenRun { dispatched, broken, .. }, .. } = &self;
-        let run =
-            poison::Run { request: fingerprint.seed(), parts: poison::shared_parts(prompt.iter().copied()) };
+        let parts = match poison::is_early(self.begun_ms()) {
+            true => poison::shared_parts(prompt.iter().copied()),
+            false => Parts::new(),
+        };
+        let run = poison::Run { request: fingerprint.seed(), parts };
         let loss = Loss {
             upstream: upstream.clone(),
             started,
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -46,6 +46,9 @@
 const MIN_BLAME_SHARE: f64 = 0.5;
 /// The share of its crashes for which a longer signature has to account to take the place of a shorter one.
 const MIN_EXTENSION_SHARE: f64 = 1.0 / 3.0;
+/// A crash later than this after the first answer, in milliseconds, is not counted against the parts of the prompt: a
+/// harmful part crashes its upstream as that begins to answer.
+const EARLY_RUN_MS: Millis = 250;
 /// The time for which crashes are remembered, in milliseconds.
 const RETENTION_MS: Millis = 300_000;
 /// The time between two announcements that a part is suspected, in milliseconds.
@@ -77,6 +80,12 @@
     parts
 }
 
+/// Whether the loss of a run counts against its prompt if its first answer arrived `begun_ms` milliseconds before; `None`
+/// if none had arrived.
+pub fn is_early(begun_ms: Option<Millis>) -> bool {
+    begun_ms.is_none_or(|ms| ms <= EARLY_RUN_MS)
+}
+
 /// The identity of a signature, by which it is denied and listed.
 pub fn fingerprint(parts: &[PartId]) -> Fingerprint {
     let bytes: SmallVec<[u8; 64]> =
@@ -200,6 +209,10 @@
     /// Records that an upstream survived a run with these parts. Returns those that had been suspected since the last
     /// time, which the other routers should be told of.
     pub fn record_survival(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        // A run without a prompt says nothing of the upstreams that answer prompts.
+        if parts.is_empty() {
+            return Parts::new();
+        }
         self.survivals.push_back(now);
         if self.survivals.len() > MIN_SURVIVALS {
             self.survivals.pop_front();
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -2,7 +2,7 @@
 //! and against denials of parts that only occur beside them.
 
 use route::notice::{self, Notice, Report};
-use route::poison::{Loss, Parts, Run, Tracker, shared_parts};
+use route::poison::{Loss, Parts, Run, Tracker, is_early, shared_parts};
 
 /// A part that all requests of a route have, and one that crashes upstreams.
 const COMMON: u64 = 1;
@@ -62,6 +62,12 @@
     assert!(shared_parts([]).is_empty());
 }
 
+#[test]
+fn only_runs_that_have_just_begun_count() {
+    assert!(is_early(None) && is_early(Some(250)));
+    assert!(!is_early(Some(251)));
+}
+
 #[test]
 fn a_part_present_at_three_crashes_is_the_cause_and_one_that_upstreams_survive_is_not() {
     let mut scene = Scene::default();
@@ -202,6 +208,10 @@
         }
         assert_eq!(scene.cause(), None, "wave {wave}");
     }
+    for number in 0..10 {
+        scene.survive(8_000 + number, &[]);
+    }
+    assert_eq!(scene.cause(), None, "services without prompts answer");
     scene.crash_alone(9_000, &[&[COMMON]]);
     assert_eq!(scene.cause(), Some(vec![COMMON]));
 }
