--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -396,7 +396,7 @@
             node.placer().record_dispatch_hint(&upstream, &told, node.now());
         }
         Hint::Division { service, short } => node.apply_division(&service, &short),
-        Hint::Quarantine(notice) => crate::quarantine::apply_notice(node, &notice),
+        Hint::Quarantine(notice) => crate::rulings::apply_notice(node, &notice),
         Hint::Leaving { upstream, started } => apply_leaving(node, &upstream, started),
         Hint::Limit { upstream, started, per_s } => {
             crate::limits::apply_hint(node, &upstream, started, per_s);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
 //! - `reach` opens its connection.
-//! - `quarantine` inspects a dispatch that broke off, and denies requests that crash upstreams.
+//! - `quarantine` inspects a dispatch that broke off, and refuses requests that crash upstreams, as `rulings` decides.
 //! - `job` holds the request and what it has acquired.
 //! - `node` holds the state of the gateway.
 //! - `team_budget` and `budget_state` reserve its tokens at this gateway, `peer_reservations` at one that
@@ -57,6 +57,7 @@
 mod refusal;
 mod relay;
 mod returns;
+mod rulings;
 mod settings;
 mod settle;
 mod snapshot;
@@ -137,7 +138,7 @@
     exec::spawn(watch::follow_recalls(node.clone())).detach();
     exec::spawn(hints::run(node.clone())).detach();
     exec::spawn(members::run(node.clone())).detach();
-    exec::spawn(quarantine::run(node.clone())).detach();
+    exec::spawn(rulings::run(node.clone())).detach();
     exec::spawn(notes::run(node.clone(), requested_notes)).detach();
     exec::spawn(load::run(node.clone())).detach();
     exec::spawn(reach::run(node.clone())).detach();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -222,7 +222,7 @@
     let heartbeats = page.records.iter().filter(|record| alive(&record.name));
     let peer = |record: &Record| {
         let heartbeat: Heartbeat = decode(record)?;
-        crate::quarantine::observe_version(node, heartbeat.quarantine);
+        crate::rulings::observe_version(node, heartbeat.quarantine);
         let distance = distance(&node.settings, &heartbeat);
         let Heartbeat { peers: address, cores, .. } = heartbeat;
         Some(Peer { name: record.name.clone(), address, cores, distance })
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,39 +1,27 @@
 //! Quarantine of requests that crash the upstreams which run them, and of parts of prompts that do. They are found
-//! by broken runs, reported to the other gateways, and kept in the store.
+//! by broken runs, which are reported to the other gateways.
 //!
-//! [`route::notice`] decides which gateways are told of what. Denials are sent to all gateways and written to
-//! a table. Each gateway reads the table when it starts, when another one's heartbeat names a newer version,
-//! and periodically while any request is denied.
+//! [`route::notice`] decides which gateways are told of what, and [`rulings`](crate::rulings) carries out what is
+//! decided.
 
-use crate::denials::{self, Denial};
 use crate::job::{Admitted, Job};
 use crate::node::Node;
 use crate::ports::{Ask, Wire};
 use crate::reach;
 use crate::refusal::Refusal;
+use crate::rulings;
 use net::{ProbeResult, exec};
 use route::Millis;
 use route::notice::{self, FollowUp, Notice};
-use route::poison::{self, Cause, Loss, Parts};
-use route::quarantine::{
-    DECISION_DELAY_MS, DENIAL_DURATION_MS, DENIAL_THRESHOLD, Fingerprint, LostRun, Stage, Upstreams, Verdict,
-};
+use route::poison::{self, Loss, Parts};
+use route::quarantine::{Fingerprint, LostRun, Stage, Verdict};
 use sha2::{Digest, Sha256};
 use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use store::rows::Rows;
 
-/// The delay after a failed call to the store.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// The interval between reads of the table while any request is denied. In a large fleet it is
-/// `READ_INTERVAL_PER_GATEWAY_MS` for each gateway, so that all of them together make at most a hundred reads
-/// per second. A lifted denial remains in force for at most one interval.
-const READ_INTERVAL: Duration = Duration::from_secs(10);
-const READ_INTERVAL_PER_GATEWAY_MS: u64 = 10;
-
 /// The interval between reports of lost runs to other gateways.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// The most lost runs that wait to be reported.
@@ -198,7 +186,7 @@
 }
 
 /// The parts of a prompt as they appear in logs.
-fn ids(parts: &[u64]) -> String {
+pub(crate) fn ids(parts: &[u64]) -> String {
     let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
     ids.join(",")
 }
@@ -257,7 +245,7 @@
     let now = node.now();
     let denied = node.quarantine().denied_parts(&shared_parts(ask), now);
     if let Some(denied) = denied {
-        renew_if_due(node, denied, now);
+        rulings::renew_if_due(node, denied, now);
         return Check::PartsDenied(denied);
     }
     if !node.quarantine().concerns_requests() {
@@ -270,21 +258,10 @@
         Verdict::Undecided => return Check::Undecided(fingerprint),
         Verdict::Denied => {}
     }
-    renew_if_due(node, fingerprint, now);
+    rulings::renew_if_due(node, fingerprint, now);
     Check::Denied(fingerprint)
 }
 
-/// Prolongs a denial that applied to a request, if it expires soon.
-fn renew_if_due<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, denied: Fingerprint, now: Millis) {
-    let (renewed, parts) = {
-        let mut quarantine = node.quarantine();
-        (quarantine.renew(denied, now), quarantine.parts_of(denied))
-    };
-    if let Some(upstreams) = renewed {
-        exec::spawn(renew(node.clone(), Ruling { fingerprint: denied, parts, upstreams })).detach();
-    }
-}
-
 /// Tries to connect to the upstream's address: a terminated process refuses, while a broken connection alone
 /// proves nothing. If another gateway is connected, it is only the path from this one that is broken.
 ///
@@ -390,10 +367,10 @@
 }
 
 /// Tells the other gateways what they need to know, and schedules the decisions that are due.
-fn handle_follow_up<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, follow_up: FollowUp) {
+pub(crate) fn handle_follow_up<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, follow_up: FollowUp) {
     match follow_up.notice {
         Some(Notice::SuspectParts(mut parts)) => {
-            parts.retain(|part| is_responsible(node, *part));
+            parts.retain(|part| rulings::is_responsible(node, *part));
             if !parts.is_empty() {
                 log::warn!("quarantine: event=suspect parts={}", ids(&parts));
                 node.hints.announce_quarantine(Notice::SuspectParts(parts), node.now());
@@ -412,209 +389,9 @@
         None => {}
     }
     if follow_up.is_decision_due {
-        exec::spawn(decide(node.clone())).detach();
+        exec::spawn(rulings::decide(node.clone())).detach();
     }
     if let Some(delay_ms) = follow_up.parts_due_ms {
-        exec::spawn(decide_on_parts(node.clone(), delay_ms)).detach();
+        exec::spawn(rulings::decide_on_parts(node.clone(), delay_ms)).detach();
     }
 }
-
-/// Decides on suspects once the reports of the other gateways have had time to arrive.
-async fn decide<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
-    exec::sleep(Duration::from_millis(DECISION_DELAY_MS)).await;
-    let decisions: Vec<Decision> = {
-        let (mut quarantine, now) = (node.quarantine(), node.now());
-        let requests = quarantine.decide(now);
-        let decision = |fingerprint| {
-            let upstreams = quarantine.denied_upstreams(fingerprint).unwrap_or_default();
-            let is_announced = quarantine.is_firsthand(fingerprint);
-            Decision { ruling: Ruling { fingerprint, parts: Parts::new(), upstreams }, is_announced }
-        };
-        requests.into_iter().map(decision).collect()
-    };
-    enforce(&node, decisions);
-}
-
-/// Decides on parts of prompts, like [`decide`].
-async fn decide_on_parts<W: Wire, S: Rows>(node: Arc<Node<W, S>>, delay_ms: Millis) {
-    exec::sleep(Duration::from_millis(delay_ms)).await;
-    let is_coordinated = notice::is_coordinated(node.hints.peers().len() + 1);
-    let is_responsible = |part| is_responsible(&node, part);
-    let causes = node.quarantine().decide_on_parts(node.now(), is_responsible);
-    let decision = |Cause { parts, upstreams, is_firsthand }| {
-        let ruling = Ruling { fingerprint: poison::fingerprint(&parts), parts, upstreams };
-        Decision { ruling, is_announced: is_firsthand || is_coordinated }
-    };
-    enforce(&node, causes.into_iter().map(decision));
-}
-
-/// Whether this gateway decides on a part of prompts.
-fn is_responsible<W: Wire, S: Rows>(node: &Node<W, S>, part: u64) -> bool {
-    let peers: Vec<String> = node.hints.peers().iter().map(SocketAddr::to_string).collect();
-    notice::is_responsible(part, node.settings.listen.peers.to_string(), peers.into_iter())
-}
-
-fn enforce<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, decisions: impl IntoIterator<Item = Decision>) {
-    for Decision { ruling, is_announced } in decisions {
-        ruling.log("self");
-        update_gauge(node);
-        if is_announced {
-            exec::spawn(announce(node.clone(), ruling)).detach();
-        }
-    }
-}
-
-/// A denial that this gateway has decided on.
-struct Decision {
-    ruling: Ruling,
-    /// Whether this gateway tells the others: it observed one of the crashes itself, or few others know of them.
-    is_announced: bool,
-}
-
-/// What is denied, and why.
-#[derive(Clone, Debug)]
-struct Ruling {
-    fingerprint: Fingerprint,
-    /// The parts of the denied prompts; empty if a single request is denied.
-    parts: Parts,
-    /// The upstreams that crashed.
-    upstreams: Upstreams,
-}
-
-impl Ruling {
-    fn log(&self, told_by: &str) {
-        let Ruling { fingerprint, parts, upstreams } = self;
-        let (parts, upstreams) = (ids(parts), upstreams.join(","));
-        log::warn!(
-            "quarantine: event=denied fingerprint={fingerprint} parts={parts} upstreams={upstreams} told-by={told_by}"
-        );
-    }
-
-    fn notice(&self) -> Notice {
-        let Ruling { fingerprint, parts, upstreams } = self.clone();
-        let lasts_ms = DENIAL_DURATION_MS;
-        match parts.is_empty() {
-            true => Notice::Denied { fingerprint, upstreams, lasts_ms },
-            false => {
-                // With all names the notice might not fit into a datagram.
-                let upstreams = upstreams.into_iter().take(DENIAL_THRESHOLD).collect();
-                Notice::DeniedParts { parts, upstreams, lasts_ms }
-            }
-        }
-    }
-}
-
-/// Tells all gateways that a denied request was sent again, unless an operator has lifted the denial.
-async fn renew<W: Wire, S: Rows>(node: Arc<Node<W, S>>, ruling: Ruling) {
-    if let Err(error) = read(&node).await {
-        log::warn!("quarantine: event=not-read {error}");
-    }
-    if node.quarantine().denied_upstreams(ruling.fingerprint).is_some() {
-        announce(node, ruling).await;
-    }
-}
-
-/// Tells all gateways of a denial, and writes it to the store.
-async fn announce<W: Wire, S: Rows>(node: Arc<Node<W, S>>, ruling: Ruling) {
-    node.hints.announce_quarantine(ruling.notice(), node.now());
-    let Ruling { fingerprint, parts, upstreams } = &ruling;
-    while node.quarantine().denied_upstreams(*fingerprint).is_some() {
-        match denials::insert(&node.rows, *fingerprint, parts, upstreams).await {
-            Ok(()) => {
-                node.quarantine_changed.notify(usize::MAX);
-                return;
-            }
-            Err(error) => log::warn!("quarantine: event=not-kept fingerprint={fingerprint} {error}"),
-        }
-        exec::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Applies a notice from another gateway.
-pub(crate) fn apply_notice<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, notice: &Notice) {
-    let (ruling, lasts_ms) = match notice {
-        Notice::Denied { fingerprint, upstreams, lasts_ms } => {
-            let (parts, upstreams) = (Parts::new(), upstreams.clone());
-            (Ruling { fingerprint: *fingerprint, parts, upstreams }, *lasts_ms)
-        }
-        Notice::DeniedParts { parts, upstreams, lasts_ms } => {
-            let (parts, upstreams) = (parts.clone(), upstreams.clone());
-            (Ruling { fingerprint: poison::fingerprint(&parts), parts, upstreams }, *lasts_ms)
-        }
-        _ => {
-            let follow_up = node.quarantine().apply(notice, node.now());
-            return handle_follow_up(node, follow_up);
-        }
-    };
-    deny(node, &ruling, lasts_ms, "gateway");
-}
-
-fn deny<W: Wire, S: Rows>(node: &Node<W, S>, ruling: &Ruling, lasts_ms: Millis, told_by: &str) {
-    let now = node.now();
-    let Ruling { fingerprint, parts, upstreams } = ruling;
-    let is_new = match parts.is_empty() {
-        true => node.quarantine().deny(*fingerprint, upstreams, lasts_ms, now),
-        false => node.quarantine().deny_parts(parts, upstreams, lasts_ms, now),
-    };
-    if is_new {
-        ruling.log(told_by);
-    }
-    update_gauge(node);
-}
-
-fn update_gauge<W: Wire, S: Rows>(node: &Node<W, S>) {
-    node.metrics.quarantined.set(node.quarantine().denied_count() as i64);
-}
-
-/// Reads the denied requests when the gateway starts, when another gateway has read a newer version of the
-/// table, and periodically while any request is denied, since operators may lift denials.
-pub(crate) async fn run<W: Wire, S: Rows>(node: Arc<Node<W, S>>) {
-    loop {
-        let more = node.quarantine_changed.listen();
-        let pause = match read(&node).await {
-            Ok(()) if node.quarantine().denied_count() == 0 => {
-                more.await;
-                continue;
-            }
-            Ok(()) => {
-                READ_INTERVAL.max(Duration::from_millis(node.fleet_size() * READ_INTERVAL_PER_GATEWAY_MS))
-            }
-            Err(error) => {
-                log::warn!("quarantine: event=not-read {error}");
-                RETRY_DELAY
-            }
-        };
-        exec::timeout(pause, more).await;
-    }
-}
-
-async fn read<W: Wire, S: Rows>(node: &Node<W, S>) -> Result<(), store::Error> {
-    let table = denials::read(&node.rows).await?;
-    for Denial { fingerprint, parts, upstreams, left_ms, is_lifted } in table.denials {
-        match is_lifted {
-            true => lift(node, fingerprint),
-            false => deny(node, &Ruling { fingerprint, parts, upstreams }, left_ms, "store"),
-        }
-    }
-    node.quarantine_version.fetch_max(table.version, Ordering::Relaxed);
-    Ok(())
-}
-
-fn lift<W: Wire, S: Rows>(node: &Node<W, S>, fingerprint: Fingerprint) {
-    if node.quarantine().lift(fingerprint) {
-        log::warn!("quarantine: event=lifted fingerprint={fingerprint} told-by=store");
-        update_gauge(node);
-    }
-}
-
-/// Records which version of the table another gateway has read, and has the table read if that is newer. Each
-/// version triggers a single read: the row of that version may have been deleted since.
-pub(crate) fn observe_version<W: Wire, S: Rows>(node: &Node<W, S>, version: u64) {
-    if version > node.quarantine_version.fetch_max(version, Ordering::Relaxed) {
-        node.quarantine_changed.notify(usize::MAX);
-    }
-}
-
-#[cfg(test)]
-#[path = "../tests/unit/quarantine.rs"]
-mod tests;
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -22,6 +22,9 @@
 //! assert_eq!(tracker.find_cause(|_| true).expect("a cause").parts.as_slice(), [7]);
 //! ```
 
+mod support;
+
+use self::support::{Crash, MIN_EPISODES, Support};
 use crate::Millis;
 use crate::quarantine::{Fingerprint, Upstreams};
 use serde::{Deserialize, Serialize};
@@ -34,18 +37,11 @@
 /// The number of crashes at which a signature is denied although upstreams crashed for other reasons too, or other
 /// prompts were present each time. Then a part that is seldom used may be present at a few crashes by chance.
 const CERTAINTY_THRESHOLD: usize = 5;
-/// The number of times at which upstreams have to crash one after the other. Upstreams that crash at the same time
-/// have a cause in common, and any part that is in frequent use was present at several of them.
-const MIN_EPISODES: usize = 2;
-/// Upstreams that crash within this time of each other, in milliseconds, may have crashed together.
-const EPISODE_MS: Millis = 200;
 /// The number of runs that upstreams have to survive meanwhile. Otherwise they may be unable to answer anything, and
 /// only [`CERTAINTY_THRESHOLD`] crashes one after the other are evidence.
 const MIN_SURVIVALS: usize = 3;
 /// The share of the blame for its crashes above which a signature is denied.
 const MIN_BLAME_SHARE: f64 = 0.5;
-/// The share of its crashes for which a longer signature has to account to take the place of a shorter one.
-const MIN_EXTENSION_SHARE: f64 = 1.0 / 3.0;
 /// A crash later than this after the first answer, in milliseconds, is not counted against the parts of the prompt: a
 /// harmful part crashes its upstream as that begins to answer.
 const EARLY_RUN_MS: Millis = 250;
@@ -130,17 +126,6 @@
     pub is_firsthand: bool,
 }
 
-/// The crash of an upstream, with the runs that were lost there.
-#[derive(Clone, Debug)]
-struct Crash {
-    upstream: String,
-    started: Option<Millis>,
-    at: Millis,
-    losses: SmallVec<[Loss; 2]>,
-    /// Whether its cause is known. It is kept, as more of its lost runs may be reported.
-    is_explained: bool,
-}
-
 /// What is known of a part that was present at a crash.
 #[derive(Clone, Copy, Debug, Default)]
 struct Suspicion {
@@ -152,13 +137,6 @@
     announced: Option<Millis>,
 }
 
-/// The crashes that support a signature.
-#[derive(Clone, Debug, Default)]
-struct Support<'a> {
-    /// The lost runs that contain the signature, by crash, in the order of the crashes.
-    crashes: Vec<(&'a Crash, SmallVec<[&'a Loss; 2]>)>,
-}
-
 /// The crashes whose cause is not known, as far as one router has learned of them.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
@@ -194,7 +172,7 @@
         true
     }
 
-    /// Records that another router suspects a part, so that survivals of it are announced.
+    /// Records that a part was present at a crash or is suspected by another router, so that survivals of it are told.
     pub fn suspect(&mut self, part: PartId, now: Millis) {
         if self.suspicions.len() >= MAX_SUSPICIONS && !self.suspicions.contains_key(&part) {
             let oldest = self.suspicions.iter().min_by_key(|(part, suspicion)| (suspicion.since, **part));
@@ -345,11 +323,7 @@
     fn support(&self, part: PartId, signature: &[PartId]) -> Support<'_> {
         let survived = self.survived(part);
         let is_counted = |crash: &&Crash| survived.is_none_or(|survived| crash.at > survived);
-        let crashes = self.unexplained().filter(is_counted).map(|crash| {
-            let losses = crash.losses.iter().filter(|loss| contains_all(&loss.run.parts, signature));
-            (crash, losses.collect::<SmallVec<[&Loss; 2]>>())
-        });
-        Support { crashes: crashes.filter(|(_, losses)| !losses.is_empty()).collect() }
+        Support::new(self.unexplained().filter(is_counted), signature)
     }
 
     /// The signature to which a part leads, if it is taken for the cause of its crashes.
@@ -363,17 +337,24 @@
         while let Some((extended, extended_support)) = self.extension(part, &signature, &support, first) {
             (signature, support) = (extended, extended_support);
         }
+        self.is_conclusive(&signature, &support, first, counts).then_some((signature, support))
+    }
+
+    /// Whether chance does not explain that a signature was present at crashes since the time `first`.
+    fn is_conclusive(
+        &self,
+        signature: &[PartId],
+        support: &Support<'_>,
+        first: Millis,
+        counts: &HashMap<PartId, usize>,
+    ) -> bool {
         let survivals = self.survivals.iter().filter(|at| **at > first).count();
         if survivals < MIN_SURVIVALS && support.episodes() < CERTAINTY_THRESHOLD {
-            return None;
+            return false;
         }
-        let is_certain = support.crashes.len() >= CERTAINTY_THRESHOLD;
-        let is_likely = || {
-            !self.is_partial
-                && support.crashes.len() == self.unexplained().count()
-                && self.has_most_blame(&signature, &support, counts)
-        };
-        (is_certain || is_likely()).then_some((signature, support))
+        let explains_all = || !self.is_partial && support.crashes.len() == self.unexplained().count();
+        support.crashes.len() >= CERTAINTY_THRESHOLD
+            || explains_all() && self.has_most_blame(signature, support, counts)
     }
 
     /// The signature with one more part that is supported by the most crashes. Parts that upstreams have survived since
@@ -436,52 +417,6 @@
     }
 }
 
-impl Crash {
-    /// Whether a run whose prompt has this signature was lost there.
-    fn has_lost(&self, signature: &[PartId]) -> bool {
-        self.losses.iter().any(|loss| contains_all(&loss.run.parts, signature))
-    }
-}
-
-impl<'a> Support<'a> {
-    fn losses(&self) -> impl Iterator<Item = &'a Loss> {
-        self.crashes.iter().flat_map(|(_, losses)| losses.iter().copied())
-    }
-
-    fn is_firsthand(&self) -> bool {
-        self.losses().any(|loss| loss.is_firsthand)
-    }
-
-    /// Whether enough upstreams crashed, one after the other, under different requests. A single request that is
-    /// repeated says nothing of the parts of its prompt.
-    fn is_sufficient(&self) -> bool {
-        let mut requests: SmallVec<[u64; 16]> = self.losses().map(|loss| loss.run.request).collect();
-        requests.sort_unstable();
-        requests.dedup();
-        self.crashes.len() >= DENIAL_THRESHOLD
-            && requests.len() >= DENIAL_THRESHOLD
-            && self.episodes() >= MIN_EPISODES
-    }
-
-    /// Whether this support of a longer signature accounts for enough of the crashes of a shorter one.
-    fn covers(&self, shorter: &Support<'_>) -> bool {
-        self.crashes.len() as f64 >= MIN_EXTENSION_SHARE * shorter.crashes.len() as f64
-    }
-
-    /// The number of times at which upstreams crashed one after the other: some time later, and under runs that were
-    /// dispatched after the upstreams of the earlier time had crashed.
-    fn episodes(&self) -> usize {
-        let (mut count, mut began) = (0, None);
-        for (crash, losses) in &self.crashes {
-            let dispatched = losses.iter().map(|loss| loss.dispatched).max().unwrap_or(0);
-            if began.is_none_or(|began| crash.at >= began + EPISODE_MS && dispatched >= began) {
-                (count, began) = (count + 1, Some(crash.at));
-            }
-        }
-        count
-    }
-}
-
 /// Whether a prompt with these `parts` contains the whole signature.
 pub(crate) fn contains_all(parts: &[PartId], signature: &[PartId]) -> bool {
     signature.iter().all(|part| parts.binary_search(part).is_ok())
