--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -54,6 +54,20 @@
         Pair { rows, owner, handle: Some(handle), other }
     }
 
+    /// Stops the owner's listener, and waits until it is closed, which a task of its own does.
+    async fn stop_owner(&mut self) {
+        let handle = self.handle.take().expect("the owner listens");
+        let address = handle.address();
+        drop(handle);
+        for _ in 0..1_000 {
+            if std::net::TcpStream::connect(address).is_err() {
+                return;
+            }
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the owner still listens");
+    }
+
     /// Reserves and charges tokens for requests of a heavy caller at the other gateway, until that gateway
     /// holds tokens itself. Returns how many requests that took.
     async fn become_holder(&self) -> usize {
@@ -166,7 +180,7 @@
 fn without_the_owner_tokens_are_drawn_locally() {
     exec::block_on(async {
         let mut pair = Pair::start().await;
-        drop(pair.handle.take());
+        pair.stop_owner().await;
         let reservation = pair.reserve(10_000).await.expect("tokens").expect("a budget");
         assert_matches!(reservation, Reservation::Local(_));
         assert_eq!(pair.other.owners.owner_of(TEAM), Owner::Local, "the owner is skipped for a while");
@@ -242,7 +256,7 @@
     exec::block_on(async {
         let mut pair = Pair::start().await;
         pair.become_holder().await;
-        drop(pair.handle.take());
+        pair.stop_owner().await;
         for _ in 0..20 {
             pair.note_budgets();
             let reservation = pair.reserve(10).await.expect("tokens").expect("a budget");
