Test of answers that crash: it waits until the upstreams listen again

Cause: the second call was sent while the fronts' ports were still closed after the simulated crash. It was refused and never executed, and the test waited for its execution without a limit.

The test now waits until the fronts accept connections, and fails if the call is not executed.

--- a/tests/testsuite/framing.rs
+++ b/tests/testsuite/framing.rs
@@ -3,6 +3,7 @@
 
 use crate::support::{consumed, executions, open_runs, program, run, stop_all};
 use harness::{ChatRequest, Fleet, Plan};
+use smol::net::TcpStream;
 use standin::{Fault, Proxy, Rule};
 use std::time::Duration;
 use store::{Role, Table, Tx, Vm, VmList};
@@ -44,6 +45,18 @@
     fn set_rule(&self, rule: Rule) {
         self.fronts.iter().for_each(|front| front.set_rule(rule));
     }
+
+    /// Waits until all fronts accept connections again after they were down.
+    async fn wait_until_open(&self) {
+        let opening = async {
+            for front in &self.fronts {
+                while TcpStream::connect(front.address()).await.is_err() {
+                    net::exec::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        };
+        net::exec::timeout(WAIT_LIMIT, opening).await.expect("the fronts accept connections");
+    }
 }
 
 #[test]
@@ -79,16 +92,20 @@
                 }
                 caller.send(request)
             };
-            let crash = async {
+            let executed = async {
                 while site.fleet.service.executed().values().sum::<u64>() == before {
                     net::exec::sleep(Duration::from_millis(5)).await;
                 }
+            };
+            let crash = async {
+                net::exec::timeout(WAIT_LIMIT, executed).await.expect("the service executes the call");
                 net::exec::sleep(Duration::from_millis(20)).await;
                 site.set_rule(Rule::Down);
             };
             let (cut, ()) = futures::future::join(send(), crash).await;
             assert!(cut.status != 200 || !cut.complete, "{key:?}: {cut:?}");
             site.set_rule(Rule::Pass);
+            site.wait_until_open().await;
             let again = send().await;
             let is_cut = again.status == 200 && again.complete && !again.text.ends_with(": 5 bytes");
             assert!(!is_cut, "{key:?}: {again:?}");
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -3,16 +3,20 @@
 use harness::{Answer, Fleet, Plan, audit};
 use std::fmt::Write;
 use std::path::Path;
+use std::time::Duration;
 
 /// The path of the router program.
 pub fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_tallypaddle"))
 }
 
+/// How long a test may take before it fails. Without a limit, a test that waits in vain stops the whole suite.
+const TEST_LIMIT: Duration = Duration::from_secs(300);
+
 /// Runs an asynchronous test on four worker threads.
 pub fn run(test: impl Future<Output = ()>) {
     net::exec::start(4);
-    net::exec::block_on(test);
+    net::exec::block_on(async { net::exec::timeout(TEST_LIMIT, test).await.expect("the test ends in time") });
 }
 
 /// Starts a fleet and waits until it is ready.
@@ -47,14 +51,14 @@
 
 /// Waits until a router's process has ended, and asserts that it ended with success.
 pub async fn wait_ended(fleet: &mut Fleet, index: usize) {
-    let deadline = std::time::Instant::now() + std::time::Duration::from_secs(30);
+    let deadline = std::time::Instant::now() + Duration::from_secs(30);
     loop {
         if let Some(status) = fleet.nodes[index].process.exit_status() {
             assert!(status.success(), "{status}: {}", fleet.nodes[index].process.log());
             return;
         }
         assert!(std::time::Instant::now() < deadline, "still running: {}", fleet.nodes[index].process.log());
-        net::exec::sleep(std::time::Duration::from_millis(10)).await;
+        net::exec::sleep(Duration::from_millis(10)).await;
     }
 }
 
