A gateway without a free connection no longer counts that as a failure of the upstream

Cause: the pool reports "7 connections are in use" with the same fault as a connection that could not be opened, and three in a row eject an upstream, drop what is known of its caches and limit it as if it were warming up.

The pool now names what failed. Requests without a connection are tried at other upstreams as before, but the upstream's health stays as it is. tallypaddle_ejections_total counts ejections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
-use net::{Framing, Way};
+use net::{Cause, Framing, Way};
 use route::placement::Placement;
 use route::version::Version;
 use route::{Millis, pacing};
@@ -72,6 +72,8 @@
     NotSent(String),
     /// The upstream certainly did not run the request.
     NotRun(String),
+    /// The request was not sent, because this gateway may open no further connection to the upstream.
+    NoConnection(String),
     /// The upstream answered with a server error.
     ServerError(response::Parts, Bytes),
     /// The upstream may have run the request, and the connection broke before the answer was complete.
@@ -154,12 +156,6 @@
             self.request.route.attempts,
             repeat_age_ms,
         );
-        let connection_limit = self
-            .request
-            .manifest
-            .services
-            .get(&self.request.service)
-            .map_or(usize::MAX, |service| service.connections);
         let version = self.progress().version;
         if version.is_some_and(|began| began != Version::of(&listing.version)) {
             return Outcome::NotSent("the upstream has another software version now".to_owned());
@@ -171,8 +167,8 @@
             let hint = node.placer().take_hint(chosen);
             node.hints.announce_dispatch(&chosen.upstream, hint);
         }
-        let connection_share = node.max_connections(connection_limit);
-        let max_connections = node.placer().max_connections(&chosen.upstream, connection_share);
+        let max_connections =
+            node.max_connections_to(&chosen.upstream, &self.request.service, &self.request.manifest);
         // A stream that has to go on at one version may need an upstream that is left to other gateways.
         let max_connections = max_connections.max(usize::from(self.progress().version.is_some()));
         let bytes = self.request.body.clone();
@@ -326,13 +322,13 @@
     ) -> ReadOutcome<W, S> {
         let (response, lease) = match sending.await {
             Ok(answer) => answer,
-            Err(failure) if failure.is_withdrawn => {
-                return ReadOutcome::Other(Outcome::NotSent(failure.error.to_string()));
-            }
             Err(failure) => {
-                return ReadOutcome::Other(match failure.error.fault {
-                    net::Fault::Unsent => Outcome::NotRun(failure.error.to_string()),
-                    net::Fault::Unknown => Outcome::ConnectionBroken(failure.error.to_string()),
+                let reason = failure.error.to_string();
+                return ReadOutcome::Other(match (failure.cause, failure.error.fault) {
+                    (Cause::Withdrawn, _) => Outcome::NotSent(reason),
+                    (Cause::NoConnection, _) => Outcome::NoConnection(reason),
+                    (Cause::Connection, net::Fault::Unsent) => Outcome::NotRun(reason),
+                    (Cause::Connection, net::Fault::Unknown) => Outcome::ConnectionBroken(reason),
                 });
             }
         };
@@ -555,7 +551,9 @@
                 placer.record_error(&chosen.upstream);
                 false
             }
-            Outcome::Empty(_) | Outcome::NotSent(_) | Outcome::PathLost(_) => false,
+            Outcome::Empty(_) | Outcome::NoConnection(_) | Outcome::NotSent(_) | Outcome::PathLost(_) => {
+                false
+            }
             Outcome::ConnectionBroken(_) | Outcome::NoValidAnswer(_) | Outcome::TimedOut if is_lost => false,
             // The upstream itself announced that it accepts no requests, so there is no need to eject it on a
             // guess.
@@ -576,6 +574,7 @@
             self.record_prompt_survival();
         }
         if ejected {
+            self.node.metrics.ejections.inc();
             log::warn!(
                 "upstream: event=ejected upstream={} request={}",
                 chosen.upstream,
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -293,11 +293,13 @@
             let refusal = if ran == 0 { Refusal::NotRun } else { Refusal::Failed };
             Next::TryElsewhere(refuse(refusal))
         }
-        Outcome::NotRun(_) if ran == 0 && refusals <= MAX_REFUSALS => {
+        Outcome::NotRun(_) | Outcome::NoConnection(_) if ran == 0 && refusals <= MAX_REFUSALS => {
             Next::TryElsewhere(refuse(Refusal::NotRun))
         }
-        Outcome::NotRun(_) if may_run_again => Next::TryElsewhere(refuse(Refusal::Failed)),
-        Outcome::NotRun(reason) => {
+        Outcome::NotRun(_) | Outcome::NoConnection(_) if may_run_again => {
+            Next::TryElsewhere(refuse(Refusal::Failed))
+        }
+        Outcome::NotRun(reason) | Outcome::NoConnection(reason) => {
             let refusal = if ran == 0 { Refusal::NotRun } else { Refusal::Failed };
             job.log_end(refusal.name(), reason);
             Next::Answer(refuse(refusal))
@@ -421,7 +423,7 @@
                 self.record_not_sent(upstream, reason);
                 return;
             }
-            Outcome::NotRun(reason) => (false, Some(reason.clone())),
+            Outcome::NotRun(reason) | Outcome::NoConnection(reason) => (false, Some(reason.clone())),
             Outcome::Empty(_) => (true, Some("the connection was closed before an event".to_owned())),
             Outcome::ConnectionBroken(reason)
             | Outcome::NoValidAnswer(reason)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub budgets_held: IntGauge,
     /// Attempts to connect to upstreams, by outcome.
     pub connection_attempts: IntCounterVec,
+    /// Upstreams that this gateway ejected.
+    pub ejections: IntCounter,
     /// How this gateway reaches the upstreams.
     pub reach: IntGauge,
     /// Tunnels to upstreams that this gateway serves for others.
@@ -249,6 +251,10 @@
                 "Attempts to connect to upstreams, by outcome.",
                 &["outcome"],
             ),
+            ejections: counter(
+                "tallypaddle_ejections_total",
+                "Upstreams that this gateway ejected, because it could not reach them or they broke off requests.",
+            ),
             reach: gauge(
                 "tallypaddle_upstreams_reach",
                 "How the upstreams are reached: 0 directly, 1 through other gateways, 2 not at all.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -353,6 +353,12 @@
         route::equal_share(accepted, self.fleet_size())
     }
 
+    /// The number of connections that this gateway may open to an upstream of a service.
+    pub(crate) fn max_connections_to(&self, upstream: &str, service: &str, manifest: &Manifest) -> usize {
+        let accepted = manifest.services.get(service).map_or(usize::MAX, |service| service.connections);
+        self.placer().max_connections(upstream, self.max_connections(accepted))
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         match self.phase.load(Ordering::Relaxed) {
             0 => Phase::Serving,
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::rt::{Read, Write};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -74,8 +75,19 @@
     pub error: Error,
     /// Whether the request used an existing connection.
     pub reused: bool,
-    /// Whether the request was withdrawn before it was sent.
-    pub is_withdrawn: bool,
+    /// What failed.
+    pub cause: Cause,
+}
+
+/// What failed when a request was not sent, or got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The request was withdrawn before it was sent.
+    Withdrawn,
+    /// As many connections are in use as may be opened. This tells nothing about the peer.
+    NoConnection,
+    /// The connection could not be opened, or broke.
+    Connection,
 }
 
 impl Pool {
@@ -105,17 +117,14 @@
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         let (mut line, reused) = match self.take(peer, dialer.way()) {
             Some(line) => (line, true),
-            None => {
-                let opened = self.open(step, peer, max_connections, dialer).await;
-                (opened.map_err(|error| Failure { error, reused: false, is_withdrawn: false })?, false)
-            }
+            None => (self.open(step, peer, max_connections, dialer).await?, false),
         };
         if !is_wanted(line.way) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
             Lease { pool: self.0.clone(), peer, line: Some(line), until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
-            return Err(Failure { error, reused, is_withdrawn: true });
+            return Err(Failure { error, reused, cause: Cause::Withdrawn });
         }
         let answer = line.sender.try_send_request(request).await.map_err(|mut failure| {
             let fault = match failure.take_message() {
@@ -123,11 +132,8 @@
                 None => Fault::Unknown,
             };
             let reason = crate::client::describe(failure.error());
-            Failure {
-                error: Error { step, peer: peer.to_string(), fault, reason },
-                reused,
-                is_withdrawn: false,
-            }
+            let error = Error { step, peer: peer.to_string(), fault, reason };
+            Failure { error, reused, cause: Cause::Connection }
         })?;
         let until = self.0.clock.now() + idle_time(answer.headers());
         let lease = Lease { pool: self.0.clone(), peer, line: Some(line), until };
@@ -176,16 +182,20 @@
         peer: SocketAddr,
         max_connections: usize,
         dialer: &impl Dial,
-    ) -> Result<Line, Error> {
-        let unsent = |reason: String| Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
-        let count = OpenConnection::new(&self.0, peer, max_connections)
-            .ok_or_else(|| unsent(format!("{max_connections} connections are in use")))?;
-        let transport = dialer.dial(peer).await.map_err(|error| unsent(error.to_string()))?;
+    ) -> Result<Line, Failure> {
+        let unsent = |cause, reason: String| {
+            let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
+            Failure { error, reused: false, cause }
+        };
+        let failed = |error: io::Error| unsent(Cause::Connection, error.to_string());
+        let in_use = || unsent(Cause::NoConnection, format!("{max_connections} connections are in use"));
+        let count = OpenConnection::new(&self.0, peer, max_connections).ok_or_else(in_use)?;
+        let transport = dialer.dial(peer).await.map_err(failed)?;
         let (way, tells_end, sender) = match transport {
             Transport::Direct(stream) => (Way::Direct, true, handshake(FuturesIo::new(stream), &count).await),
             Transport::Relayed(tunnel) => (Way::Relayed, tunnel.tells_end(), handshake(tunnel, &count).await),
         };
-        let sender = sender.map_err(|error| unsent(error.to_string()))?;
+        let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
         Ok(Line { sender, way, tells_end, opened: self.0.clock.now(), count })
     }
 }
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Pooled connections, aborted servers and connection probes.
 
 use http::{Request, Response};
-use net::{Body, Clock, Direct, Fault, Limits, Pool, ProbeResult, exec};
+use net::{Body, Cause, Clock, Direct, Fault, Limits, Pool, ProbeResult, exec};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -87,7 +87,7 @@
             .send("ask", peer, 1, &Direct, request(), |_| false)
             .await
             .expect_err("the request is withdrawn");
-        assert!(failure.is_withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
+        assert!(failure.cause == Cause::Withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_connections(peer)), (0, 1));
         // The connection returns to the pool only after its task has run.
         wait_until(|| pool.has_room(peer, 1)).await;
