A gateway whose connections to an upstream are in use borrows from others

Callers saw: a gateway that gets more than its part of the requests answered 503 once its equal share of the upstreams' connections was in use, although the shares of the others were free: of 40 streams at one of three gateways, 24 were served.

A gateway without a free connection now asks others for tunnels that count as theirs. A gateway lends while its VM has spare capacity and a quarter of its share stays free, also in place of idle connections. An upstream has no more connections than before. Gateways of earlier builds don't know the path and decline.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -186,7 +186,7 @@
             peer_reservations::answer(node.clone(), request).await
         }
         origins::PATH => origins::answer(node.clone(), request).await,
-        tunnel::TUNNEL_PATH => tunnel::answer(node.clone(), request).await,
+        tunnel::TUNNEL_PATH | tunnel::LOAN_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
     };
     node.load.record_message(response.body().size_hint().exact().unwrap_or(0) as usize);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -78,6 +78,11 @@
         self.monitor().is_unready()
     }
 
+    /// Whether this VM could handle more work now.
+    pub(crate) fn has_spare_capacity(&self) -> bool {
+        self.monitor().has_spare_capacity()
+    }
+
     /// Whether to close the connection after an answer, so that the balancer sends its caller to another
     /// gateway.
     pub(crate) fn should_close_connection(&self) -> bool {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::owners::Peer;
 use crate::ports::Wire;
-use crate::tunnel::TUNNEL_PATH;
+use crate::tunnel::{LOAN_PATH, TUNNEL_PATH};
 use event_listener::Event;
 use futures::future::{Either, select};
 use net::{Dial, Lease, Transport, Tunnel, TunnelError, Way, exec};
@@ -44,6 +44,8 @@
 pub(crate) struct Reach {
     state: Mutex<route::reach::Reach>,
     relays: Mutex<Relays>,
+    /// The gateways that are asked for connections out of their shares.
+    lenders: Mutex<Relays>,
     /// When an upstream last answered, in milliseconds since the process started.
     heard: AtomicU64,
     /// When bytes last arrived on a direct connection.
@@ -63,9 +65,15 @@
         self.relays.lock().expect("no thread panics while it holds the relays")
     }
 
+    fn lenders(&self) -> MutexGuard<'_, Relays> {
+        self.lenders.lock().expect("no thread panics while it holds the lenders")
+    }
+
     /// Sets the other gateways that are alive.
     pub(crate) fn set_peers(&self, peers: &[Peer]) {
-        self.relays().set(peers.iter().map(|peer| (peer.address, peer.distance)).collect());
+        let gateways: Vec<_> = peers.iter().map(|peer| (peer.address, peer.distance)).collect();
+        self.relays().set(gateways.clone());
+        self.lenders().set(gateways);
     }
 
     /// Records that bytes arrived from an upstream.
@@ -120,6 +128,25 @@
             },
         }
     }
+
+    async fn borrow(&self) -> Option<Tunnel> {
+        let reach = &self.node.reach;
+        let lenders = reach.lenders().select(rand::random(), self.node.now());
+        for lender in lenders {
+            match net::open_tunnel(lender, LOAN_PATH, self.upstream, RELAY_TIMEOUT).await {
+                Ok(tunnel) => {
+                    self.count("borrowed");
+                    return Some(tunnel);
+                }
+                Err(TunnelError::TargetUnreachable(_)) => return None,
+                Err(error @ (TunnelError::Declined(_) | TunnelError::NoAnswer(..))) => {
+                    log::debug!("upstream: event=not-borrowed upstream={} {error}", self.upstream);
+                    reach.lenders().back_off(lender, self.node.now());
+                }
+            }
+        }
+        None
+    }
 }
 
 impl<W: Wire, S: Rows> Dialer<'_, W, S> {
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -46,6 +46,12 @@
     /// # Errors
     /// Fails if no connection could be opened. Nothing was sent then.
     fn dial(&self, peer: SocketAddr) -> impl Future<Output = io::Result<Transport>> + Send;
+
+    /// Asks another process to open a connection, which counts as one of its own. Called while as many connections are
+    /// open as this process may open itself. Nothing was sent if there is none.
+    fn borrow(&self) -> impl Future<Output = Option<Tunnel>> + Send {
+        async { None }
+    }
 }
 
 /// Opens connections directly.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,7 +25,7 @@
 pub use clock::Clock;
 pub use dial::{Dial, Direct, Transport, Way, connect};
 pub use framing::Framing;
-pub use pool::{Cause, Failure, Lease, Pool};
+pub use pool::{Cause, Failure, Lease, Loan, Pool};
 pub use probe::{ProbeResult, probe, probe_after_break};
 pub use server::{Handle, Limits, UnreadRequest, serve};
 pub use tunnel::{Tunnel, TunnelError, accept_tunnel, open_tunnel, tunnel_target};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -37,6 +37,8 @@
 struct Line {
     sender: SendRequest<Body>,
     way: Way,
+    /// Whether another process opened it as one of its own connections.
+    is_borrowed: bool,
     /// Whether its end in order is the peer's, as opposed to that of a relay.
     tells_end: bool,
     opened: Duration,
@@ -90,6 +92,12 @@
     Connection,
 }
 
+/// A connection that this process opens on behalf of another one. It counts until this is dropped.
+#[derive(Debug)]
+pub struct Loan {
+    _count: Arc<OpenConnection>,
+}
+
 impl Pool {
     /// Creates a pool whose idle connections expire by `clock`.
     pub fn new(clock: Clock) -> Pool {
@@ -98,8 +106,8 @@
 
     /// Sends `request` to `peer` and waits for the head of the answer.
     ///
-    /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. The caller returns the
-    /// connection to the pool with [`Lease::keep`] once it has read the complete answer.
+    /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. Otherwise one is
+    /// borrowed. The caller returns the connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
     /// As soon as a connection is available, `is_wanted` is called with its way: the reason to send the request may
     /// no longer hold by then. If it returns `false`, the request is withdrawn.
@@ -151,6 +159,27 @@
         peers.get(&peer).is_none_or(|entry| !entry.idle.is_empty() || entry.open < max_connections)
     }
 
+    /// Counts a connection to `peer` that this process opens on behalf of another one, instead of an idle one if
+    /// `max_connections` are open. Returns `None` if no more than `kept` of them would be left.
+    pub fn lend(&self, peer: SocketAddr, max_connections: usize, kept: usize) -> Option<Loan> {
+        let replaced = {
+            let mut peers = self.0.peers.lock().expect("the pool's lock");
+            let entry = peers.entry(peer).or_default();
+            let own: Vec<usize> =
+                (0..entry.idle.len()).filter(|index| !entry.idle[*index].line.is_borrowed).collect();
+            if entry.open.saturating_sub(own.len()) + kept >= max_connections {
+                return None;
+            }
+            let is_replaced = entry.open >= max_connections;
+            own.first().filter(|_| is_replaced).map(|index| entry.idle.remove(*index))
+        };
+        // The connection ends later, but no longer counts.
+        if let Some(idle) = replaced {
+            idle.line.count.end();
+        }
+        OpenConnection::new(&self.0, peer, max_connections).map(|count| Loan { _count: count })
+    }
+
     /// Closes idle connections that have expired, and removes peers without connections.
     pub fn evict_expired(&self) {
         let now = self.0.clock.now();
@@ -161,12 +190,13 @@
         peers.retain(|_, peer| peer.open > 0 || !peer.idle.is_empty());
     }
 
-    /// Takes an idle connection of this way, and closes those of the other one.
+    /// Takes an idle connection of this way or a borrowed one, and closes those of the other way.
     fn take(&self, peer: SocketAddr, way: Way) -> Option<Line> {
         let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
         let entry = peers.get_mut(&peer)?;
-        let other_way: Vec<Idle> = entry.idle.extract_if(.., |idle| idle.line.way != way).collect();
+        let is_other_way = |idle: &mut Idle| idle.line.way != way && !idle.line.is_borrowed;
+        let other_way: Vec<Idle> = entry.idle.extract_if(.., is_other_way).collect();
         let taken = std::iter::from_fn(|| entry.idle.pop())
             .find(|idle| idle.until > now && idle.line.sender.is_ready())
             .map(|idle| idle.line);
@@ -188,15 +218,21 @@
             Failure { error, reused: false, cause }
         };
         let failed = |error: io::Error| unsent(Cause::Connection, error.to_string());
-        let in_use = || unsent(Cause::NoConnection, format!("{max_connections} connections are in use"));
-        let count = OpenConnection::new(&self.0, peer, max_connections).ok_or_else(in_use)?;
-        let transport = dialer.dial(peer).await.map_err(failed)?;
+        let (count, transport, is_borrowed) = match OpenConnection::new(&self.0, peer, max_connections) {
+            Some(count) => (count, dialer.dial(peer).await.map_err(failed)?, false),
+            None => {
+                let in_use =
+                    || unsent(Cause::NoConnection, format!("{max_connections} connections are in use"));
+                let tunnel = dialer.borrow().await.ok_or_else(in_use)?;
+                (OpenConnection::uncounted(&self.0, peer), Transport::Relayed(Box::new(tunnel)), true)
+            }
+        };
         let (way, tells_end, sender) = match transport {
             Transport::Direct(stream) => (Way::Direct, true, handshake(FuturesIo::new(stream), &count).await),
             Transport::Relayed(tunnel) => (Way::Relayed, tunnel.tells_end(), handshake(tunnel, &count).await),
         };
         let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
-        Ok(Line { sender, way, tells_end, opened: self.0.clock.now(), count })
+        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), count })
     }
 }
 
@@ -235,6 +271,11 @@
         Some(Arc::new(OpenConnection { pool: pool.clone(), peer, has_ended: AtomicBool::new(false) }))
     }
 
+    /// A connection that counts at the process that opened it.
+    fn uncounted(pool: &Arc<Shared>, peer: SocketAddr) -> Arc<OpenConnection> {
+        Arc::new(OpenConnection { pool: pool.clone(), peer, has_ended: AtomicBool::new(true) })
+    }
+
     /// Stops counting the connection.
     fn end(&self) {
         if self.has_ended.swap(true, Ordering::Relaxed) {
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -96,6 +96,28 @@
     });
 }
 
+#[test]
+fn a_loan_takes_the_place_of_an_idle_connection_and_leaves_those_that_are_kept() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let (answer, lease) =
+            pool.send("ask", peer, 2, &Direct, request(), |_| true).await.expect("an answer");
+        assert!(pool.lend(peer, 2, 1).is_none(), "one is in use, and one is kept");
+        net::collect(answer.into_body(), 100).await.expect("an empty body");
+        lease.keep();
+        wait_until(|| pool.has_room(peer, 1)).await;
+        let loan = pool.lend(peer, 2, 1).expect("one is idle");
+        assert!(pool.lend(peer, 2, 1).is_none(), "the idle one is kept");
+        assert_eq!(pool.open_connections(peer), 2);
+        drop(loan);
+        let loan = pool.lend(peer, 1, 0).expect("the idle one is replaced");
+        assert_eq!(pool.open_connections(peer), 1);
+        drop(loan);
+        assert_eq!(pool.open_connections(peer), 0);
+    });
+}
+
 #[test]
 fn an_aborted_server_refuses_connections_at_once() {
     exec::block_on(async {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -50,7 +50,7 @@
 pub mod warmup;
 
 pub use assignment::{Owners, assign_slots};
-pub use connections::equal_share;
+pub use connections::{equal_share, kept};
 pub use dispatcher::{Dispatcher, SubmitOutcome, SubmitRequest};
 pub use engine::Model;
 pub use health::HealthStatus;
--- a/crates/route/src/overload.rs
+++ b/crates/route/src/overload.rs
@@ -274,6 +274,11 @@
         self.unready_since.is_some()
     }
 
+    /// Whether the VM could handle more work now. A gateway stays unready for some time longer.
+    pub fn has_spare_capacity(&self) -> bool {
+        self.has_recovered(0)
+    }
+
     /// Whether to close a connection after its answer; `random` is uniformly distributed between 0 and 1.
     pub fn should_close_connection(&self, random: f64) -> bool {
         let for_timers = if self.has_late_timers() { CLOSE_PROBABILITY } else { 0.0 };
