A gateway that stops hands its budgets over before it ceases to reserve tokens

Callers saw: after a planned stop of the gateway that owned a team's budget, requests at all other gateways got 503 budget-away with a Retry-After of up to 3 s, while the store was up but took longer than a request may wait for tokens (66 ms).

Cause: a gateway refused the reservations of others as soon as its stop began, and nobody was prepared to own its budgets. Each of the others opened the budget itself and had to wait for two calls to the store; a new owner's first notes allow little use.

Now the stopping gateway goes on reserving while the next owner of each budget, which it tells its rate of use, draws tokens and counts itself among the owners. Then it retires its budgets and reserves the tokens of its own callers there as well. A gateway whose owner refuses at once asks the next owner before it opens the budget itself.

--- a/crates/budget/src/demand.rs
+++ b/crates/budget/src/demand.rs
@@ -60,6 +60,12 @@
         self.consumed = 0;
     }
 
+    /// Assumes that a rate which was observed elsewhere comes in addition to that of this router.
+    pub fn take_over(&mut self, rate: f64) {
+        self.rate += rate;
+        self.samples = self.samples.max((1.0 / SAMPLE_WEIGHT) as u32);
+    }
+
     /// The average number of tokens consumed per second.
     pub fn rate(&self) -> f64 {
         self.rate
--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -206,11 +206,24 @@
             available: self.grant.available(),
             unspent: self.unspent(),
             owners,
-            rate: self.demand.rate().max(self.use_growth.rate()),
+            rate: self.rate(),
             note_latency_ms: note_ms,
         })
     }
 
+    /// The tokens used per second here.
+    pub(crate) fn rate(&self) -> f64 {
+        self.demand.rate().max(self.use_growth.rate())
+    }
+
+    /// Expects requests that use `tokens_per_s` in addition, because another gateway stops to reserve their tokens.
+    pub(crate) fn take_over(&mut self, tokens_per_s: f64) {
+        let now = self.now();
+        self.demand.record_request(now);
+        self.demand.take_over(tokens_per_s);
+        self.use_growth.take_over(tokens_per_s);
+    }
+
     /// Updates the averages with the use of the last `elapsed_ms` milliseconds.
     fn update_averages(&mut self, elapsed_ms: u64) {
         let used = self.grant.used();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -182,9 +182,9 @@
 /// Answers a request of another gateway.
 async fn answer_peer<W: Wire, S: Rows>(node: Arc<Node<W, S>>, request: Request<Incoming>) -> Response<Body> {
     let response = match request.uri().path() {
-        peer_reservations::RESERVE_PATH | peer_reservations::REPORT_PATH => {
-            peer_reservations::answer(node.clone(), request).await
-        }
+        peer_reservations::RESERVE_PATH
+        | peer_reservations::REPORT_PATH
+        | peer_reservations::HAND_OVER_PATH => peer_reservations::answer(node.clone(), request).await,
         origins::PATH => origins::answer(node.clone(), request).await,
         tunnel::TUNNEL_PATH | tunnel::LOAN_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
@@ -301,9 +301,12 @@
         log::info!("gateway: event=stopping open={}", node.open_requests.load(Ordering::Relaxed));
         let began = std::time::Instant::now();
         node.set_phase(Phase::Leaving);
+        let delay = DEREGISTRATION_DELAY.min(node.settings.grace_period() / 2);
+        peer_reservations::hand_over(node, delay / 2).await;
+        node.owners.exclude_self();
         // Tokens are returned while the open requests end, so that little is left to settle afterwards.
         node.budgets().values().for_each(|budget| budget.retire());
-        exec::sleep(DEREGISTRATION_DELAY.min(node.settings.grace_period() / 2)).await;
+        exec::sleep(delay.saturating_sub(began.elapsed())).await;
         node.set_phase(Phase::Draining);
         self.callers.stop();
         let drain_limit = node.settings.grace_period().saturating_sub(SETTLE_RESERVE);
--- a/crates/gateway/src/owners.rs
+++ b/crates/gateway/src/owners.rs
@@ -29,6 +29,8 @@
 const MAX_RANKED: usize = 8;
 /// The time for which a gateway that did not answer is skipped: about the duration of a restart.
 const SKIP_DURATION: Duration = Duration::from_millis(1_000);
+/// The longest time for which a gateway that stops is not ranked though it is still listed.
+const STOPPING_DURATION: Duration = Duration::from_secs(10);
 
 /// Another gateway that is alive.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,6 +65,10 @@
     peers: Vec<Peer>,
     /// Gateways that did not answer, and until when they are skipped.
     skipped_until: HashMap<SocketAddr, Instant>,
+    /// Whether this gateway stops.
+    is_stopping: bool,
+    /// Other gateways that stop, by name, and until when they are not ranked.
+    stopping_until: HashMap<String, Instant>,
     /// Each team's share of all prepaid tokens.
     level_shares: HashMap<String, f64>,
     /// Rankings by team since the last change of the fleet or the shares. They are cached because a ranking
@@ -93,12 +99,14 @@
     /// Sets the other gateways that are alive.
     pub(crate) fn set_peers(&self, alive: &[Peer]) {
         let mut state = self.lock();
-        if state.peers == alive {
+        let now = Instant::now();
+        let excluded = state.stopping_until.len();
+        state.stopping_until.retain(|_, until| *until > now);
+        if state.peers == alive && state.stopping_until.len() == excluded {
             return;
         }
         state.peers = alive.to_vec();
         state.rankings.clear();
-        let now = Instant::now();
         state.skipped_until.retain(|_, until| *until > now);
     }
 
@@ -136,6 +144,14 @@
         Owner::Local
     }
 
+    /// The gateway that takes this one's place among the owners of `team` once this one has stopped; `None` if this one
+    /// is no owner, or there is no other gateway left.
+    pub(crate) fn successor(&self, team: &str) -> Option<SocketAddr> {
+        let mut state = self.lock();
+        let Ranking { owners, gateways } = self.ranking(&mut state, team);
+        gateways[..owners].contains(&None).then(|| gateways.get(owners).copied().flatten()).flatten()
+    }
+
     /// The number of gateways that own the budget of `team`, or 0 if this gateway is not among them; `None`
     /// if no other gateway is known.
     pub(crate) fn owner_count(&self, team: &str) -> Option<u64> {
@@ -171,9 +187,12 @@
         let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
         let least = self.least_cores(&state.peers);
         let key = |name: &str, cores: f64| (cores < least, Reverse(weight(name)));
+        let staying = state.peers.iter().filter(|peer| !state.stopping_until.contains_key(&peer.name));
         let mut ranked: Vec<_> =
-            state.peers.iter().map(|peer| (key(&peer.name, peer.cores), Some(peer.address))).collect();
-        ranked.push((key(&self.name, self.cores), None));
+            staying.map(|peer| (key(&peer.name, peer.cores), Some(peer.address))).collect();
+        if !state.is_stopping || ranked.is_empty() {
+            ranked.push((key(&self.name, self.cores), None));
+        }
         ranked.sort_unstable_by_key(|(key, _)| *key);
         let share = state.level_shares.get(team).copied().unwrap_or(0.0);
         let owners = owners_for_share(share, ranked.len()).min(MAX_RANKED);
@@ -193,6 +212,20 @@
         (cores[0] * LARGE_VM_RATIO).min(cores[needed - 1])
     }
 
+    /// No longer ranks this gateway, because it stops. It reserves tokens at others, if there are any.
+    pub(crate) fn exclude_self(&self) {
+        let mut state = self.lock();
+        state.is_stopping = true;
+        state.rankings.clear();
+    }
+
+    /// No longer ranks another gateway that stops, so that others own its budgets.
+    pub(crate) fn exclude(&self, name: &str) {
+        let mut state = self.lock();
+        state.stopping_until.insert(name.to_owned(), Instant::now() + STOPPING_DURATION);
+        state.rankings.clear();
+    }
+
     /// Skips a gateway that did not answer for [`SKIP_DURATION`].
     pub(crate) fn skip(&self, address: SocketAddr) {
         self.lock().skipped_until.insert(address, Instant::now() + SKIP_DURATION);
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -21,6 +21,24 @@
     pub lasts_ms: u64,
 }
 
+/// Announces that a gateway which stops no longer reserves tokens of a team, and that the receiver is the next one to
+/// be asked. Earlier builds don't know it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct HandOver {
+    /// The name of the sender.
+    pub from: String,
+    pub team: String,
+    /// The team's prepaid total, as known to the sender.
+    pub level_version: u64,
+    pub level_tokens: u64,
+    /// The number of gateways that own the budget.
+    pub owners: u64,
+    /// What the requests whose tokens the sender reserved used.
+    pub tokens_per_s: f64,
+    /// How long the sender waits for the answer.
+    pub patience_ms: u64,
+}
+
 /// What follows a [`ReserveRequest`]; earlier builds neither send nor read it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RequestSuffix {
@@ -63,6 +81,12 @@
     }
 }
 
+impl Decode for bool {
+    fn decode(bytes: &[u8]) -> Result<Self, bincode::Error> {
+        bincode::deserialize(bytes)
+    }
+}
+
 /// A message followed by a value that earlier builds neither send nor read; they ignore bytes behind a
 /// message. Without it, the value is the default.
 pub(crate) struct WithSuffix<T, V>(pub T, pub V);
--- a/crates/gateway/src/peer_reservations.rs
+++ b/crates/gateway/src/peer_reservations.rs
@@ -12,11 +12,14 @@
 use crate::budget_state::DenialReason;
 use crate::node::{Node, Phase};
 use crate::owners::Owner;
-use crate::peer_messages::{Decode, RequestSuffix, ReserveRequest, ReserveResponse, UsageReport, WithSuffix};
+use crate::peer_messages::{
+    Decode, HandOver, RequestSuffix, ReserveRequest, ReserveResponse, UsageReport, WithSuffix,
+};
 use crate::ports::Wire;
 use crate::team_budget::{Reservation, TeamBudget};
 use budget::holder::{Holders, Holding, Millis, Place};
 use budget::ledger::Level;
+use futures::StreamExt;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::{Body, Client, Framing, exec};
@@ -31,6 +34,7 @@
 /// The paths of requests between gateways.
 pub(crate) const RESERVE_PATH: &str = "/reserve";
 pub(crate) const REPORT_PATH: &str = "/report";
+pub(crate) const HAND_OVER_PATH: &str = "/hand-over";
 
 /// The time that an owner may take to answer in addition to its wait for tokens: the latency between data
 /// centres, and the delays of a slow VM.
@@ -49,6 +53,8 @@
 const REPORT_ATTEMPTS: u32 = 4;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// The number of budgets whose next owners are prepared at the same time.
+const MAX_HANDED_OVER_AT_ONCE: usize = 16;
 /// How long an owner remembers a report that arrived before its reservation was made. A reservation is made
 /// within the time for which the request may wait for tokens, a part of its target latency.
 const EARLY_REPORT_LIFETIME: Duration = Duration::from_secs(10);
@@ -333,8 +339,8 @@
     pub priority: u32,
 }
 
-/// Reserves the worst-case cost of a request: at the team's owner, or here if this gateway owns the budget or
-/// the owner is unavailable.
+/// Reserves the worst-case cost of a request: at one of the team's owners, or here if this gateway owns the budget or
+/// no owner is available.
 pub(crate) async fn reserve<W: Wire, S: Rows>(
     node: &Node<W, S>,
     budget: impl FnOnce() -> Option<Arc<TeamBudget>>,
@@ -345,15 +351,19 @@
     max_duration: Duration,
 ) -> Result<Option<Reservation>, Denial> {
     let began = Instant::now();
-    let owner = node.owners.owner_of(team);
-    if let Owner::Peer(owner) = owner {
+    let left = || timeout.saturating_sub(began.elapsed());
+    for asked in 0.. {
+        let Owner::Peer(owner) = node.owners.owner_of(team) else { break };
+        // Another owner is asked only if the one before refused at once.
+        if asked > 0 && left() < timeout.mul_f64(OWNER_TIMEOUT_RATIO) {
+            break;
+        }
         let (place, requests_per_s) = node.peer_reservations.record_request(team, node.now());
         let holding = node.peer_reservations.holds(team).then(|| node.held_budget(team)).flatten();
         if let Some(budget) = &holding {
             // The tokens of the first requests are not here yet; until they are, an owner is asked.
             if place == Place::Holder && budget.can_reserve(cost.tokens) {
-                let left = timeout.saturating_sub(began.elapsed());
-                return reserve_here(budget, cost, left).await;
+                return reserve_here(budget, cost, left()).await;
             }
             budget.record_demand(cost.tokens);
         }
@@ -365,7 +375,7 @@
             level_version: level.version,
             level_tokens: level.tokens,
             tokens: cost.tokens,
-            patience_ms: timeout.mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
+            patience_ms: left().mul_f64(OWNER_TIMEOUT_RATIO).as_millis() as u64,
             lasts_ms: max_duration.as_millis() as u64,
         };
         // The reservation, and later the report of its use.
@@ -382,7 +392,7 @@
             }
             ReserveOutcome::Denied(denial) => match holding {
                 Some(budget) if budget.can_reserve(cost.tokens) => {
-                    return reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await;
+                    return reserve_here(&budget, cost, left()).await;
                 }
                 _ => return Err(denial),
             },
@@ -390,7 +400,52 @@
         }
     }
     let Some(budget) = budget() else { return Ok(None) };
-    reserve_here(&budget, cost, timeout.saturating_sub(began.elapsed())).await
+    reserve_here(&budget, cost, left()).await
+}
+
+/// Has the next owners of the budgets that this gateway owns draw tokens, for at most `limit`, so that they can reserve
+/// some as soon as this gateway no longer does.
+pub(crate) async fn hand_over<W: Wire, S: Rows>(node: &Node<W, S>, limit: Duration) {
+    let budgets: Vec<_> = node.budgets().values().cloned().collect();
+    let ready = AtomicU64::new(0);
+    let prepare = async |budget: Arc<TeamBudget>| {
+        if prepare_successor(node, &budget, limit).await {
+            ready.fetch_add(1, Ordering::Relaxed);
+        }
+    };
+    let preparing = futures::stream::iter(budgets).for_each_concurrent(MAX_HANDED_OVER_AT_ONCE, prepare);
+    let is_complete = exec::timeout(limit, preparing).await.is_some();
+    log::info!("budget: event=handed-over budgets={} complete={is_complete}", ready.load(Ordering::Relaxed));
+}
+
+/// Returns whether the next owner of a budget has tokens.
+async fn prepare_successor<W: Wire, S: Rows>(
+    node: &Node<W, S>,
+    budget: &TeamBudget,
+    limit: Duration,
+) -> bool {
+    let tokens_per_s = budget.tokens_per_s();
+    let Some(successor) = node.owners.successor(&budget.team).filter(|_| tokens_per_s >= 1.0) else {
+        return false;
+    };
+    let Level { version: level_version, tokens: level_tokens } = budget.level();
+    let message = HandOver {
+        from: node.settings.name.clone(),
+        team: budget.team.clone(),
+        level_version,
+        level_tokens,
+        owners: budget.owners.load(Ordering::Relaxed),
+        tokens_per_s,
+        patience_ms: limit.saturating_sub(NETWORK_ALLOWANCE).as_millis() as u64,
+    };
+    let sent = node.peer_reservations.send("hand-over", successor, HAND_OVER_PATH, &message, limit);
+    match sent.await {
+        Ok(is_ready) => is_ready,
+        Err(error) => {
+            log::warn!("budget: event=not-handed-over team={} error=\"{error}\"", budget.team);
+            false
+        }
+    }
 }
 
 async fn reserve_here(
@@ -421,6 +476,12 @@
             }
             Err(_) => bad_request(),
         },
+        HAND_OVER_PATH => match bincode::deserialize::<HandOver>(&bytes) {
+            Ok(hand_over) if hand_over.tokens_per_s.is_finite() && hand_over.tokens_per_s >= 0.0 => {
+                encode_response(&take_over(&node, &hand_over).await)
+            }
+            _ => bad_request(),
+        },
         _ => match bincode::deserialize::<UsageReport>(&bytes) {
             Ok(report) => {
                 node.peer_reservations.apply_report(report);
@@ -431,20 +492,25 @@
     }
 }
 
+/// Draws tokens for requests that are soon made here instead of at a gateway that stops. Returns whether there are some.
+async fn take_over<W: Wire, S: Rows>(node: &Node<W, S>, hand_over: &HandOver) -> bool {
+    let Some(budget) = budget_for_peers(node, &hand_over.team) else { return false };
+    budget.set_level(Level { version: hand_over.level_version, tokens: hand_over.level_tokens });
+    budget.owners.store(hand_over.owners.max(1), Ordering::Relaxed);
+    let tokens_per_s = hand_over.tokens_per_s.min(hand_over.level_tokens as f64);
+    let is_ready = budget.take_over(tokens_per_s, Duration::from_millis(hand_over.patience_ms)).await;
+    // From here on, requests that arrive here no longer ask the sender.
+    node.owners.exclude(&hand_over.from);
+    is_ready
+}
+
 /// Reserves tokens for a request of another gateway.
 async fn reserve_for_peer<W: Wire, S: Rows>(
     node: &Node<W, S>,
     request: ReserveRequest,
     priority: u32,
 ) -> ReserveResponse {
-    if node.phase() != Phase::Serving {
-        return ReserveResponse::Unfit;
-    }
-    let Some(manifest) = node.manifest() else { return ReserveResponse::Unfit };
-    let team = manifest.teams.get(&request.team).cloned();
-    let Some(budget) = team.and_then(|team| node.budget(&manifest, &team)) else {
-        return ReserveResponse::Unfit;
-    };
+    let Some(budget) = budget_for_peers(node, &request.team) else { return ReserveResponse::Unfit };
     budget.set_level(Level { version: request.level_version, tokens: request.level_tokens });
     let patience = Duration::from_millis(request.patience_ms);
     match budget.reserve(request.tokens, priority, patience).await {
@@ -460,6 +526,18 @@
     }
 }
 
+/// The budget of a team whose tokens other gateways may reserve here. A gateway that stops opens none, and keeps others
+/// until their next owners are prepared.
+fn budget_for_peers<W: Wire, S: Rows>(node: &Node<W, S>, team: &str) -> Option<Arc<TeamBudget>> {
+    let manifest = node.manifest()?;
+    let team = manifest.teams.get(team)?;
+    match node.phase() {
+        Phase::Serving => node.budget(&manifest, team),
+        Phase::Leaving => node.held_budget(&team.name).filter(|budget| !budget.is_retired()),
+        Phase::Draining => None,
+    }
+}
+
 fn encode_response(answer: &impl Serialize) -> Response<Body> {
     match bincode::serialize(answer) {
         Ok(bytes) => Response::new(Body::from(bytes)),
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -123,6 +123,11 @@
         self.lock().now()
     }
 
+    /// The prepaid total.
+    pub(crate) fn level(&self) -> Level {
+        self.lock().level
+    }
+
     /// Sets the prepaid total, unless the current one comes from the same manifest or a newer one.
     pub(crate) fn set_level(&self, level: Level) {
         let mut state = self.lock();
@@ -357,6 +362,24 @@
         }
     }
 
+    /// The tokens used per second here.
+    pub(crate) fn tokens_per_s(&self) -> f64 {
+        self.lock().rate()
+    }
+
+    /// Gets ready for requests whose tokens another gateway reserved so far, which waits at most `patience`. Returns
+    /// whether there are tokens for them.
+    pub(crate) async fn take_over(self: &Arc<TeamBudget>, tokens_per_s: f64, patience: Duration) -> bool {
+        self.lock().take_over(tokens_per_s);
+        let _ = self.note_requests.try_send(());
+        // The reservation ends at once, and its tokens remain here.
+        self.reserve(tokens_per_s as u64, 0, patience).await.is_ok()
+    }
+
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::Relaxed)
+    }
+
     /// Returns idle tokens from now on; requests may still draw what they need.
     pub(crate) fn retire(&self) {
         self.retired.store(true, Ordering::Relaxed);
--- a/crates/gateway/tests/unit/owners.rs
+++ b/crates/gateway/tests/unit/owners.rs
@@ -113,3 +113,34 @@
     assert_eq!(owners.owner_of("desk"), Owner::Local);
     assert_eq!(owners.owner_count("desk"), None);
 }
+
+/// Guards against budgets that nobody is prepared to own when their owner stops, and against gateways that are excluded
+/// for good because they returned before they were missed.
+#[test]
+fn the_successor_of_an_owner_owns_its_budgets_once_it_is_excluded() {
+    let mut views = views(&fleet(7));
+    let first = chosen("desk", &views)[0];
+    let index = views.iter().position(|(own, _)| *own == first).expect("a gateway");
+    let (_, owner) = views.remove(index);
+    let successor = owner.successor("desk").expect("there are others");
+    assert!(
+        views.iter().all(|(_, owners)| owners.successor("desk").is_none()),
+        "only owners have successors"
+    );
+    let name = owner.name.clone();
+    views.iter().for_each(|(_, owners)| owners.exclude(&name));
+    assert_eq!(chosen("desk", &views), [successor]);
+    owner.exclude_self();
+    assert_eq!(owner.owner_of("desk"), Owner::Peer(successor));
+    assert_eq!(owner.successor("desk"), None);
+
+    let (_, other) = &views[0];
+    let listed = other.lock().peers.clone();
+    other.lock().stopping_until.insert(name, Instant::now());
+    other.set_peers(&listed);
+    assert_eq!(
+        other.owner_of("desk"),
+        Owner::Peer(first),
+        "the exclusion has ended, and the list is the same"
+    );
+}
--- a/crates/gateway/tests/unit/peer_reservations.rs
+++ b/crates/gateway/tests/unit/peer_reservations.rs
@@ -209,6 +209,56 @@
     });
 }
 
+#[test]
+fn a_stopping_owner_reserves_tokens_until_its_budget_retires() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let reserved = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reserved, Reservation::Remote(_));
+        pair.owner.set_phase(Phase::Leaving);
+        let reserved = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reserved, Reservation::Remote(_));
+        pair.owner.budgets().values().for_each(|budget| budget.retire());
+        let reserved = pair.reserve(10_000).await.expect("tokens").expect("a budget");
+        assert_matches!(reserved, Reservation::Local(_));
+    });
+}
+
+/// Guards against rates that are no numbers, which would spoil the averages of the receiver.
+#[test]
+fn a_hand_over_with_an_invalid_rate_is_refused() {
+    exec::block_on(async {
+        let pair = Pair::start().await;
+        let owner = pair.handle.as_ref().expect("the owner listens").address();
+        let send = async |tokens_per_s| {
+            let message = HandOver {
+                from: "vm-9".to_owned(),
+                team: TEAM.to_owned(),
+                level_version: 1,
+                level_tokens: 1_000,
+                owners: 1,
+                tokens_per_s,
+                patience_ms: 2_000,
+            };
+            let sent = pair.other.peer_reservations.send::<bool>(
+                "hand-over",
+                owner,
+                HAND_OVER_PATH,
+                &message,
+                RESERVE_TIMEOUT,
+            );
+            sent.await.ok()
+        };
+        for invalid in [f64::NAN, f64::INFINITY, -1.0] {
+            assert_eq!(send(invalid).await, None);
+        }
+        assert!(pair.owner.budgets().is_empty(), "no budget was opened");
+        assert_eq!(send(f64::MAX).await, Some(true), "no more than the level is expected");
+        let budget = pair.owner.held_budget(TEAM).expect("a budget");
+        assert!(budget.tokens_per_s() <= 1_000.0, "{}", budget.tokens_per_s());
+    });
+}
+
 /// Without the memory of early reports, the reservation stays open until it is charged at its worst case.
 #[test]
 fn a_reservation_that_was_given_up_before_it_was_made_is_released() {
