--- a/review/stand/case1.rs
+++ b/review/stand/case1.rs
@@ -8,6 +8,8 @@
 mod http;
 #[path = "json.rs"]
 mod json;
+#[path = "parent.rs"]
+mod parent;
 #[path = "record.rs"]
 mod record;
 #[path = "store.rs"]
@@ -48,6 +50,7 @@
     if let [_, command, id, ip] = arguments.as_slice()
         && command == "server"
     {
+        parent::exit_with_parent();
         serve(id, ip.parse().expect("an address"));
         return ExitCode::SUCCESS;
     }
