A part of prompts is denied only if chance does not explain that it was present at crashes

Cause: each crash of a moment counted by itself, and only answers that had ended counted as survivals.

Change: an upstream that goes on answering for 250 ms has survived the prompt. A crash counts against a part only if all upstreams that crashed at that moment ran it; gateways tell each other of crashes without such runs. For each crash, the share of the upstream's life in which it ran the part is the probability that chance explains it; Fisher's method combines them, and what is accepted falls with the number of crashes, so that the sum is bounded however many there are. Survivals before the first crash count, and are told to gateways that may decide without them.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -56,24 +56,29 @@
         self.run.begun.map(|begun| self.run.broken.saturating_sub(begun))
     }
 
-    /// The run at the upstream that had `started` then, if the stage that it had reached counts against the request.
-    fn lost_run(self, started: Option<Millis>) -> Option<LostRun> {
-        let Suspect { upstream, fingerprint, prompt, run: BrokenRun { dispatched, broken, .. }, .. } = &self;
+    /// The loss of the run at the upstream that had `started` then. It has no parts if it does not count against them.
+    fn loss(&self, started: Option<Millis>) -> Loss {
+        let Suspect { upstream, fingerprint, prompt, run: BrokenRun { dispatched, broken, .. }, .. } = self;
         let parts = match poison::is_early(self.begun_ms()) {
             true => poison::shared_parts(prompt.iter().copied()),
             false => Parts::new(),
         };
         let run = poison::Run { request: fingerprint.seed(), parts };
-        let loss = Loss {
+        Loss {
             upstream: upstream.clone(),
             started,
             run,
             dispatched: *dispatched,
             at: *broken,
             is_firsthand: true,
-        };
+        }
+    }
+
+    /// The lost run, if the stage that it had reached counts against the request.
+    fn lost_run(&self, loss: &Loss) -> Option<LostRun> {
         let stage = Stage::of(self.begun_ms())?;
-        Some(LostRun { fingerprint: *fingerprint, upstream: upstream.clone(), stage, loss })
+        let (fingerprint, upstream) = (self.fingerprint, self.upstream.clone());
+        Some(LostRun { fingerprint, upstream, stage, loss: loss.clone() })
     }
 }
 
@@ -156,11 +161,8 @@
         }
     }
 
-    /// Records that an upstream wrote an answer to this request's prompt to its end.
+    /// Records that an upstream survived the beginning of its answer to this request's prompt.
     pub(crate) fn record_prompt_survival(&self) {
-        if !self.node.quarantine().suspects_parts() {
-            return;
-        }
         let (parts, now) = (self.request.shared_parts(), self.node.now());
         let notice = self.node.quarantine().record_prompt_survival(&parts, now);
         if let Some(Notice::ClearedParts(cleared)) = &notice {
@@ -290,11 +292,12 @@
         return;
     }
     let is_replaced = node.listings().get(&upstream).is_none_or(|current| current.started != listing.started);
-    let Some(run) = suspect.lost_run(listing.started) else { return };
+    let loss = suspect.loss(listing.started);
+    let run = suspect.lost_run(&loss);
     if has_terminated || is_replaced {
-        observe_crash(&node, &run);
-        observe_loss(&node, &run.loss);
-    } else {
+        run.iter().for_each(|run| observe_crash(&node, run));
+        observe_loss(&node, &loss);
+    } else if let Some(run) = run {
         node.quarantine().record_lost_run(run, node.now());
     }
 }
@@ -332,11 +335,11 @@
     loop {
         exec::sleep(REPORT_INTERVAL).await;
         let now = node.now();
-        let (reports, is_last) = {
+        let (notice, is_last) = {
             let mut unreported = node.unreported_losses();
-            (notice::take_reports(&mut unreported, now), unreported.is_empty())
+            (notice::take_notice(&mut unreported, now), unreported.is_empty())
         };
-        node.hints.announce_quarantine(Notice::Lost(reports), now);
+        node.hints.announce_quarantine(notice, now);
         if is_last {
             return;
         }
@@ -388,6 +391,9 @@
         }
         None => {}
     }
+    if let Some(survivals) = follow_up.survivals {
+        node.hints.announce_quarantine(survivals, node.now());
+    }
     if follow_up.is_decision_due {
         exec::spawn(rulings::decide(node.clone())).detach();
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,8 @@
 use http_body::Body as _;
 use hyper::body::Bytes;
 use net::{Framing, exec};
+use route::poison::EARLY_RUN_MS;
+use route::quarantine::Stage;
 use route::silence::stall_ms;
 use route::{Millis, PauseKind, PauseTracker, ReadTracker};
 use smol::Timer;
@@ -39,6 +41,9 @@
     began: Millis,
     /// When the run that the stream now comes from sent its first answer.
     run_began: Millis,
+    /// Whether the upstream of this run has survived its prompt, and the request as a whole.
+    has_survived_prompt: bool,
+    has_survived: bool,
     /// The longest time for which the caller waited for the upstream, in milliseconds.
     longest_gap: f64,
     pauses: PauseTracker,
@@ -100,6 +105,8 @@
             check_timer: Timer::interval(CHECK_INTERVAL),
             began: now,
             run_began: now,
+            has_survived_prompt: false,
+            has_survived: false,
             longest_gap: 0.0,
             pauses: PauseTracker::new(now_exact),
             reading: ReadTracker::new(now_exact),
@@ -172,8 +179,10 @@
                 if events.is_empty() {
                     return Step::Continue;
                 }
+                // What a slow caller holds back may have been written before a crash.
                 if !is_held_back {
                     self.observe(now);
+                    self.record_survival();
                 }
                 self.meter.record_events(self.splitter.count());
                 Step::Yield(events)
@@ -210,6 +219,19 @@
         }
     }
 
+    /// Records that the upstream goes on answering at a time at which a harmful prompt or request would have crashed it.
+    fn record_survival(&mut self) {
+        let survived_ms = self.job.node.now().saturating_sub(self.run_began);
+        if !self.has_survived_prompt && survived_ms > EARLY_RUN_MS {
+            self.has_survived_prompt = true;
+            self.job.record_prompt_survival();
+        }
+        if !self.has_survived && Stage::of(Some(survived_ms)).is_none() {
+            self.has_survived = true;
+            self.job.record_survival();
+        }
+    }
+
     fn record_answer(&self) {
         if let State::Streaming(stream) = &self.state {
             self.job.node.reach.record_answer(&stream.lease, self.job.node.now());
@@ -231,7 +253,9 @@
         if let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) {
             self.job.node.placer().record_success(&stream.slot.upstream, None);
             self.job.record_survival();
-            self.job.record_prompt_survival();
+            if !self.has_survived_prompt {
+                self.job.record_prompt_survival();
+            }
             stream.lease.keep();
         }
         self.log_end("complete", "");
@@ -344,6 +368,7 @@
             }
         };
         self.run_began = self.job.node.now();
+        (self.has_survived_prompt, self.has_survived) = (false, false);
         let now = self.job.node.now_exact();
         self.reading.record_arrived(now);
         self.pauses = PauseTracker::new(now);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -538,6 +538,7 @@
         let former = if has_restarted { node.listings().remove(name) } else { None };
         if let Some(former) = former {
             node.origins.versions().remove(&former.service, Version::of(&former.version), node.now());
+            node.quarantine().record_gone(name, former.started, node.now());
             if !node.placer().has_announced_leaving(name) {
                 quarantine::observe_replacement(node, name);
             }
@@ -586,6 +587,9 @@
             versions.remove(&known.service, Version::of(&known.version), node.now());
         }
     }
+    if known.is_none() {
+        node.quarantine().record_start(name, listing.started, node.now());
+    }
     let mut placer = node.placer();
     placer.set(name, info, listing.leaving);
     placer.warm_up(name, warmup_ms, node.now());
@@ -652,6 +656,7 @@
 fn remove<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, list: &UpstreamRows, name: &str) {
     let removed = node.listings().remove(name);
     if let Some(listing) = removed {
+        node.quarantine().record_gone(name, listing.started, node.now());
         if !node.placer().has_announced_leaving(name) {
             quarantine::observe_replacement(node, name);
         }
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -72,9 +72,29 @@
     }
 }
 
+impl From<Report> for CrashReport {
+    fn from(Report { upstream, started, age_ms, .. }: Report) -> CrashReport {
+        CrashReport { upstream, started, age_ms }
+    }
+}
+
 /// Reports that fit into one notice.
 pub type Reports = SmallVec<[Report; 2]>;
 
+/// The crash of an upstream, as one router reports it to others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// The name of the upstream.
+    pub upstream: String,
+    /// When the upstream had started, by its own clock, if it says so.
+    pub started: Option<Millis>,
+    /// The time since the crash, in milliseconds.
+    pub age_ms: Millis,
+}
+
+/// A part of prompts, and the time since an upstream last survived a run with it, in milliseconds.
+pub type SurvivedPart = (PartId, Millis);
+
 /// What one router tells others about a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Notice {
@@ -116,6 +136,10 @@
         /// How long the denial lasts, in milliseconds.
         lasts_ms: Millis,
     },
+    /// Upstreams crashed, and the sender lost no run there that counts against its prompt.
+    Crashed(SmallVec<[CrashReport; 2]>),
+    /// Upstreams survived runs with these parts before they were suspected.
+    SurvivedParts(SmallVec<[SurvivedPart; 4]>),
 }
 
 /// The routers that receive a notice.
@@ -136,6 +160,8 @@
 pub struct FollowUp {
     /// The notice to send to other routers.
     pub notice: Option<Notice>,
+    /// What to tell other routers of earlier survivals.
+    pub survivals: Option<Notice>,
     /// Whether to call [`Quarantine::decide`] after
     /// [`DECISION_DELAY_MS`](crate::quarantine::DECISION_DELAY_MS).
     pub is_decision_due: bool,
@@ -162,6 +188,12 @@
                     && reports.iter().all(|report| are_valid_parts(&report.run.parts))
             }
             Notice::SuspectParts(parts) | Notice::ClearedParts(parts) => are_valid_parts(parts),
+            Notice::Crashed(reports) => {
+                reports.len() <= MAX_REPORTS && reports.iter().all(|report| is_valid_name(&report.upstream))
+            }
+            Notice::SurvivedParts(survived) => {
+                are_valid_parts(&survived.iter().map(|(part, _)| *part).collect::<Parts>())
+            }
             Notice::DeniedParts { parts, upstreams, .. } => {
                 are_valid_parts(parts)
                     && (DENIAL_THRESHOLD..=MAX_UPSTREAMS).contains(&upstreams.len())
@@ -174,8 +206,11 @@
 impl Notice {
     /// The notice when it is sent `ms` milliseconds later.
     pub fn aged(mut self, ms: Millis) -> Notice {
-        if let Notice::Lost(reports) = &mut self {
-            reports.iter_mut().for_each(|report| report.age_ms += ms);
+        match &mut self {
+            Notice::Lost(reports) => reports.iter_mut().for_each(|report| report.age_ms += ms),
+            Notice::Crashed(reports) => reports.iter_mut().for_each(|report| report.age_ms += ms),
+            Notice::SurvivedParts(survived) => survived.iter_mut().for_each(|(_, age_ms)| *age_ms += ms),
+            _ => {}
         }
         self
     }
@@ -186,6 +221,19 @@
     !parts.is_empty() && parts.len() <= MAX_PARTS && parts.is_sorted_by(|one, other| one < other)
 }
 
+/// Takes as many losses as fit into one notice. Those without parts are reported as crashes.
+pub fn take_notice(losses: &mut Vec<Loss>, now: Millis) -> Notice {
+    let is_crash = |loss: &Loss| loss.run.parts.is_empty();
+    if losses.iter().all(is_crash) {
+        return Notice::Crashed(take_reports(losses, now).into_iter().map(CrashReport::from).collect());
+    }
+    let mut crashes: Vec<Loss> = losses.iter().filter(|loss| is_crash(loss)).cloned().collect();
+    losses.retain(|loss| !is_crash(loss));
+    let reports = take_reports(losses, now);
+    losses.append(&mut crashes);
+    Notice::Lost(reports)
+}
+
 /// Takes the reports of as many losses as fit into one notice.
 pub fn take_reports(losses: &mut Vec<Loss>, now: Millis) -> Reports {
     let mut bytes = 0;
@@ -252,7 +300,19 @@
                 self.record_reported_losses(&losses, now)
             }
             Notice::SuspectParts(parts) => {
-                self.suspect_parts(parts, now);
+                let new = self.suspect_parts(parts, now);
+                FollowUp { survivals: self.earlier_survivals(&new, now), ..FollowUp::default() }
+            }
+            Notice::Crashed(reports) => {
+                for CrashReport { upstream, started, age_ms } in reports {
+                    self.record_reported_crash(upstream, *started, now.saturating_sub(*age_ms));
+                }
+                FollowUp::default()
+            }
+            Notice::SurvivedParts(survived) => {
+                for (part, age_ms) in survived {
+                    self.record_reported_survival(*part, now.saturating_sub(*age_ms));
+                }
                 FollowUp::default()
             }
             Notice::ClearedParts(parts) => {
@@ -291,15 +351,25 @@
         let mut parts: Parts = new.flat_map(|loss| loss.run.parts.iter().copied()).collect();
         parts.sort_unstable();
         parts.dedup();
+        let survivals = self.earlier_survivals(&parts, now);
         let mut suspected = self.take_unannounced_parts(&parts, now);
         suspected.truncate(MAX_PARTS);
         FollowUp {
             notice: (!suspected.is_empty()).then_some(Notice::SuspectParts(suspected)),
+            survivals,
             parts_due_ms: self.schedule_poison_decision(&parts, now),
             ..FollowUp::default()
         }
     }
 
+    /// The notice of those of these parts that this router saw upstreams survive.
+    fn earlier_survivals(&mut self, parts: &[PartId], now: Millis) -> Option<Notice> {
+        let survived = self.take_untold_survivals(parts, now).into_iter().take(MAX_PARTS);
+        let survived: SmallVec<[SurvivedPart; 4]> =
+            survived.map(|(part, at)| (part, now.saturating_sub(at))).collect();
+        (!survived.is_empty()).then_some(Notice::SurvivedParts(survived))
+    }
+
     fn follow_up(&self, fingerprint: Fingerprint, has_news: bool, now: Millis) -> FollowUp {
         let notice = Notice::Suspect { fingerprint, ends: self.crashes(fingerprint) };
         let is_decision_due = self.verdict(fingerprint, now) == Verdict::Undecided;
@@ -340,7 +410,11 @@
             |fingerprint: &Fingerprint| fingerprint.seed() % (routers as u64).max(1) < FULL_BROADCAST_ROUTERS;
         let (fingerprint, is_for_all) = match notice {
             Notice::Denied { .. } | Notice::DeniedParts { .. } => return Recipients::All,
-            Notice::Lost(_) | Notice::SuspectParts(_) | Notice::ClearedParts(_) => {
+            Notice::Lost(_)
+            | Notice::SuspectParts(_)
+            | Notice::ClearedParts(_)
+            | Notice::Crashed(_)
+            | Notice::SurvivedParts(_) => {
                 return self.part_recipients(notice, routers, now);
             }
             Notice::Cleared { fingerprint, ends } => (fingerprint, *ends > 1),
@@ -360,7 +434,11 @@
     fn part_recipients(&mut self, notice: &Notice, routers: usize, now: Millis) -> Recipients {
         let is_small = !is_coordinated(routers);
         match notice {
-            Notice::Lost(_) | Notice::ClearedParts(_) if is_small => Recipients::All,
+            Notice::Lost(_) | Notice::ClearedParts(_) | Notice::Crashed(_) | Notice::SurvivedParts(_)
+                if is_small =>
+            {
+                Recipients::All
+            }
             Notice::Lost(reports) => {
                 let mut parts: Parts =
                     reports.iter().flat_map(|report| report.run.parts.iter().copied()).collect();
@@ -369,6 +447,9 @@
                 Recipients::PartCoordinators(parts)
             }
             Notice::ClearedParts(parts) => Recipients::PartCoordinators(parts.clone()),
+            Notice::SurvivedParts(survived) => {
+                Recipients::PartCoordinators(survived.iter().map(|(part, _)| *part).collect())
+            }
             Notice::SuspectParts(_) if !is_small && self.parts.take_token(routers, now) => Recipients::All,
             _ => Recipients::Nobody,
         }
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -8,6 +8,11 @@
 //!
 //! The last part of a prompt belongs to a single request or session, and is never suspected.
 //!
+//! Upstreams also crash for other reasons, often many at the same moment, and a part that is in frequent use is present at
+//! most of these crashes. So a crash counts against a part only if every upstream that crashed at that moment ran it, and
+//! a part is denied only if its runs take so small a share of the time that chance does not explain the crashes. A run
+//! survives once its upstream has been answering it for [`EARLY_RUN_MS`], however long it goes on.
+//!
 //! ```
 //! use route::poison::{Loss, Run, Tracker};
 //!
@@ -22,8 +27,12 @@
 //! assert_eq!(tracker.find_cause(|_| true).expect("a cause").parts.as_slice(), [7]);
 //! ```
 
+mod chance;
+mod history;
 mod support;
 
+use self::chance::Chances;
+use self::history::History;
 use self::support::{Crash, MIN_EPISODES, Support};
 use crate::Millis;
 use crate::quarantine::{Fingerprint, Upstreams};
@@ -43,8 +52,11 @@
 /// The share of the blame for its crashes above which a signature is denied.
 const MIN_BLAME_SHARE: f64 = 0.5;
 /// A crash later than this after the first answer, in milliseconds, is not counted against the parts of the prompt: a
-/// harmful part crashes its upstream as that begins to answer.
-const EARLY_RUN_MS: Millis = 250;
+/// harmful part crashes its upstream as that begins to answer. An upstream that goes on answering has survived the run.
+pub const EARLY_RUN_MS: Millis = 250;
+/// The time for which requests may still be dispatched to an upstream that has crashed, in milliseconds. Such a request
+/// breaks at once, and seems to have been present at the crash.
+const UNNOTICED_MS: Millis = 25;
 /// The time for which crashes are remembered, in milliseconds.
 const RETENTION_MS: Millis = 300_000;
 /// The time between two announcements that a part is suspected, in milliseconds.
@@ -131,7 +143,7 @@
 struct Suspicion {
     /// When it was last present at a crash, or last suspected by another router.
     since: Millis,
-    /// When an upstream last survived a run with it.
+    /// When an upstream last survived a run with it since it is suspected.
     survived: Option<Millis>,
     /// When this router last told the others that it suspects the part.
     announced: Option<Millis>,
@@ -145,6 +157,7 @@
     suspicions: HashMap<PartId, Suspicion>,
     /// When upstreams last survived runs, in the order in which this router learned of it.
     survivals: VecDeque<Millis>,
+    history: History,
     /// Whether this router learns only of a part of the crashes, as in a large fleet.
     is_partial: bool,
 }
@@ -160,10 +173,23 @@
         self.suspicions.is_empty()
     }
 
-    /// Records a lost run. Returns whether it is new.
+    /// Records that an upstream is up. `started` is as in [`Loss`].
+    pub fn record_start(&mut self, upstream: &str, started: Option<Millis>, now: Millis) {
+        self.history.record_start(upstream, started, now);
+    }
+
+    /// Records that an upstream is gone.
+    pub fn record_gone(&mut self, upstream: &str, started: Option<Millis>, now: Millis) {
+        self.history.record_gone(upstream, started, now);
+    }
+
+    /// Records a lost run. Returns whether it is new. One without parts tells only that its upstream has crashed.
     pub fn record_loss(&mut self, loss: &Loss, now: Millis) -> bool {
         self.expire(now);
-        if loss.run.parts.is_empty() || !self.insert(loss) {
+        if loss.run.parts.is_empty() {
+            return self.record_crash(&loss.upstream, loss.started, loss.at);
+        }
+        if !self.insert(loss) {
             return false;
         }
         for part in &loss.run.parts {
@@ -173,8 +199,10 @@
     }
 
     /// Records that a part was present at a crash or is suspected by another router, so that survivals of it are told.
-    pub fn suspect(&mut self, part: PartId, now: Millis) {
-        if self.suspicions.len() >= MAX_SUSPICIONS && !self.suspicions.contains_key(&part) {
+    /// Returns whether it was not suspected before.
+    pub fn suspect(&mut self, part: PartId, now: Millis) -> bool {
+        let is_new = !self.suspicions.contains_key(&part);
+        if self.suspicions.len() >= MAX_SUSPICIONS && is_new {
             let oldest = self.suspicions.iter().min_by_key(|(part, suspicion)| (suspicion.since, **part));
             if let Some(oldest) = oldest.map(|(part, _)| *part) {
                 self.suspicions.remove(&oldest);
@@ -182,6 +210,7 @@
         }
         let suspicion = self.suspicions.entry(part).or_default();
         suspicion.since = suspicion.since.max(now);
+        is_new
     }
 
     /// Records that an upstream survived a run with these parts. Returns those that had been suspected since the last
@@ -197,30 +226,58 @@
         }
         let mut cleared = Parts::new();
         for part in parts {
-            let Some(suspicion) = self.suspicions.get_mut(part) else { continue };
-            if suspicion.survived.is_none_or(|survived| survived <= suspicion.since) {
+            let suspicion = self.suspicions.get_mut(part);
+            let is_news = |suspicion: &mut Suspicion| {
+                let is_first = suspicion.survived.is_none_or(|survived| survived <= suspicion.since);
+                suspicion.survived = suspicion.survived.max(Some(now));
+                is_first
+            };
+            let is_told = suspicion.is_some_and(is_news);
+            self.history.record_survival(*part, now, is_told);
+            if is_told {
                 cleared.push(*part);
             }
-            suspicion.survived = Some(suspicion.survived.unwrap_or(0).max(now));
         }
         cleared
     }
 
+    /// Records that another router saw an upstream survive a run with a part at the time `at`.
+    pub fn record_reported_survival(&mut self, part: PartId, at: Millis) {
+        self.history.record_reported_survival(part, at);
+    }
+
+    /// Those of these parts that upstreams survived, with the times, if other routers may decide on them without knowing
+    /// of it.
+    pub fn take_untold_survivals(
+        &mut self,
+        parts: &[PartId],
+        now: Millis,
+    ) -> SmallVec<[(PartId, Millis); 4]> {
+        let may_be_decided = |part: &PartId| {
+            let survived = self.history.survived_as_shared(*part);
+            self.is_partial || self.support_since(survived, &[*part]).is_sufficient()
+        };
+        let decidable: Parts = parts.iter().copied().filter(may_be_decided).collect();
+        let untold = |part: PartId| Some((part, self.history.take_untold(part, now)?));
+        decidable.into_iter().filter_map(untold).collect()
+    }
+
+    /// Whether the crash of `upstream` had a cause in common with that of an upstream for which `was_present` is false:
+    /// both crashed at the same moment.
+    pub fn is_coincidental(&self, upstream: &str, was_present: impl Fn(&str) -> bool) -> bool {
+        let Some(crash) = self.crashes.iter().find(|crash| crash.upstream == upstream) else { return false };
+        let others = self.unexplained().filter(|other| other.is_simultaneous(crash));
+        others.into_iter().any(|other| other.upstream != upstream && !was_present(&other.upstream))
+    }
+
     /// The number of crashes that each part is suspected of.
     fn crash_counts(&self) -> HashMap<PartId, usize> {
-        let mut counts = HashMap::new();
-        for crash in self.unexplained() {
-            let mut parts: SmallVec<[PartId; 16]> =
-                crash.losses.iter().flat_map(|loss| loss.run.parts.iter().copied()).collect();
-            parts.sort_unstable();
-            parts.dedup();
-            for part in parts {
-                if self.survived(part).is_none_or(|survived| crash.at > survived) {
-                    *counts.entry(part).or_default() += 1;
-                }
-            }
-        }
-        counts
+        let losses = self.unexplained().flat_map(|crash| &crash.losses);
+        let mut parts: Vec<PartId> = losses.flat_map(|loss| loss.run.parts.iter().copied()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let count = |part: PartId| (part, self.support(part, &[part]).crashes.len());
+        parts.into_iter().map(count).filter(|(_, count)| *count > 0).collect()
     }
 
     /// Whether one of these parts may have caused crashes.
@@ -285,13 +342,22 @@
         crashes.filter(|crash| crash.has_lost(signature)).for_each(|crash| crash.is_explained = true);
     }
 
-    /// When an upstream last survived a run with a suspected part.
+    /// When an upstream last survived a run with a part.
     fn survived(&self, part: PartId) -> Option<Millis> {
-        self.suspicions.get(&part).and_then(|suspicion| suspicion.survived)
+        self.history.survived(part)
+    }
+
+    /// Records a crash without a run that counts against its prompt. Returns whether it is new.
+    pub fn record_crash(&mut self, upstream: &str, started: Option<Millis>, at: Millis) -> bool {
+        let is_known = self.crashes.iter().any(|crash| crash.is_of(upstream, started));
+        if !is_known {
+            self.insert_crash(Crash::new(upstream, started, at));
+        }
+        !is_known
     }
 
     fn insert(&mut self, loss: &Loss) -> bool {
-        let is_same = |crash: &&mut Crash| crash.upstream == loss.upstream && crash.started == loss.started;
+        let is_same = |crash: &&mut Crash| crash.is_of(&loss.upstream, loss.started);
         if let Some(crash) = self.crashes.iter_mut().find(is_same) {
             let is_known = crash.losses.iter().any(|known| known.run.request == loss.run.request);
             if is_known || crash.losses.len() >= MAX_RUNS {
@@ -304,15 +370,23 @@
             }
             return true;
         }
-        let index = self.crashes.partition_point(|crash| crash.at <= loss.at);
-        let losses = [loss.clone()].into_iter().collect();
-        let Loss { upstream, started, at, .. } = loss.clone();
-        let crash = Crash { upstream, started, at, losses, is_explained: false };
+        let mut crash = Crash::new(&loss.upstream, loss.started, loss.at);
+        crash.losses.push(loss.clone());
+        self.insert_crash(crash);
+        true
+    }
+
+    fn insert_crash(&mut self, crash: Crash) {
+        let index = self.crashes.partition_point(|other| other.at <= crash.at);
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
-        true
+    }
+
+    /// The number of unexplained crashes at which a run was lost that counts against its prompt.
+    fn prompt_crashes(&self) -> usize {
+        self.unexplained().filter(|crash| !crash.losses.is_empty()).count()
     }
 
     fn unexplained(&self) -> impl Iterator<Item = &Crash> {
@@ -321,7 +395,11 @@
 
     /// The crashes since a part last survived at which a prompt with this signature was present.
     fn support(&self, part: PartId, signature: &[PartId]) -> Support<'_> {
-        let survived = self.survived(part);
+        self.support_since(self.survived(part), signature)
+    }
+
+    /// The crashes since `survived` at which a prompt with this signature was present.
+    fn support_since(&self, survived: Option<Millis>, signature: &[PartId]) -> Support<'_> {
         let is_counted = |crash: &&Crash| survived.is_none_or(|survived| crash.at > survived);
         Support::new(self.unexplained().filter(is_counted), signature)
     }
@@ -337,12 +415,13 @@
         while let Some((extended, extended_support)) = self.extension(part, &signature, &support, first) {
             (signature, support) = (extended, extended_support);
         }
-        self.is_conclusive(&signature, &support, first, counts).then_some((signature, support))
+        self.is_conclusive(part, &signature, &support, first, counts).then_some((signature, support))
     }
 
     /// Whether chance does not explain that a signature was present at crashes since the time `first`.
     fn is_conclusive(
         &self,
+        part: PartId,
         signature: &[PartId],
         support: &Support<'_>,
         first: Millis,
@@ -352,9 +431,25 @@
         if survivals < MIN_SURVIVALS && support.episodes() < CERTAINTY_THRESHOLD {
             return false;
         }
-        let explains_all = || !self.is_partial && support.crashes.len() == self.unexplained().count();
-        support.crashes.len() >= CERTAINTY_THRESHOLD
-            || explains_all() && self.has_most_blame(signature, support, counts)
+        let explains_all = || !self.is_partial && support.crashes.len() == self.prompt_crashes();
+        let is_sufficient = support.crashes.len() >= CERTAINTY_THRESHOLD
+            || explains_all() && self.has_most_blame(signature, support, counts);
+        is_sufficient && chance::is_excluded(&self.chances(part, support))
+    }
+
+    /// For each crash, the share of the time before it in which its upstream ran prompts with the signature: if that
+    /// is harmless, the crash fell into this time by chance. The time begins with the start of the upstream, or with the
+    /// last run with the `part` that an upstream survived.
+    fn chances(&self, part: PartId, support: &Support<'_>) -> Chances {
+        let survived = self.survived(part).unwrap_or(0);
+        let share = |(crash, losses): &(&Crash, SmallVec<[&Loss; 2]>)| {
+            let Some(up_since) = self.history.up_since(&crash.upstream, crash.started) else { return 0.0 };
+            let before = crash.at.saturating_sub(up_since.max(survived));
+            let dispatched = losses.iter().map(|loss| loss.dispatched).min().unwrap_or(crash.at);
+            let ran = crash.at.saturating_sub(dispatched).max(UNNOTICED_MS);
+            ran as f64 / before.max(1) as f64
+        };
+        support.crashes.iter().map(share).collect()
     }
 
     /// The signature with one more part that is supported by the most crashes. Parts that upstreams have survived since
--- a/crates/route/src/poison/support.rs
+++ b/crates/route/src/poison/support.rs
@@ -9,6 +9,8 @@
 pub(super) const MIN_EPISODES: usize = 2;
 /// Upstreams that crash within this time of each other, in milliseconds, may have crashed together.
 const EPISODE_MS: Millis = 200;
+/// Upstreams that crash within this time of each other, in milliseconds, crash at the same moment.
+const MOMENT_MS: Millis = 100;
 /// The share of its crashes for which a longer signature has to account to take the place of a shorter one.
 const MIN_EXTENSION_SHARE: f64 = 1.0 / 3.0;
 
@@ -31,6 +33,18 @@
 }
 
 impl Crash {
+    pub(super) fn new(upstream: &str, started: Option<Millis>, at: Millis) -> Crash {
+        Crash { upstream: upstream.to_owned(), started, at, losses: SmallVec::new(), is_explained: false }
+    }
+
+    pub(super) fn is_of(&self, upstream: &str, started: Option<Millis>) -> bool {
+        self.upstream == upstream && self.started == started
+    }
+
+    pub(super) fn is_simultaneous(&self, other: &Crash) -> bool {
+        self.at.abs_diff(other.at) < MOMENT_MS
+    }
+
     /// Whether a run whose prompt has this signature was lost there.
     pub(super) fn has_lost(&self, signature: &[PartId]) -> bool {
         self.losses.iter().any(|loss| contains_all(&loss.run.parts, signature))
@@ -38,13 +52,18 @@
 }
 
 impl<'a> Support<'a> {
-    /// The crashes among these at which a prompt with this signature was present.
+    /// The crashes among these at which a prompt with this signature was present, unless an upstream without one
+    /// crashed at the same moment: then they have another cause in common.
     pub(super) fn new(crashes: impl Iterator<Item = &'a Crash>, signature: &[PartId]) -> Support<'a> {
         let lost = |crash: &'a Crash| {
             let losses = crash.losses.iter().filter(|loss| contains_all(&loss.run.parts, signature));
+            let losses = losses.filter(|loss| loss.dispatched < crash.at);
             (crash, losses.collect::<SmallVec<[&Loss; 2]>>())
         };
-        Support { crashes: crashes.map(lost).filter(|(_, losses)| !losses.is_empty()).collect() }
+        let (present, absent): (Vec<_>, Vec<_>) =
+            crashes.map(lost).partition(|(_, losses)| !losses.is_empty());
+        let is_coincidental = |crash: &Crash| absent.iter().any(|(other, _)| other.is_simultaneous(crash));
+        Support { crashes: present.into_iter().filter(|(crash, _)| !is_coincidental(crash)).collect() }
     }
 
     pub(super) fn losses(&self) -> impl Iterator<Item = &'a Loss> {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -250,6 +250,35 @@
         taken
     }
 
+    /// Records that an upstream is up. `started` is when it started by its own clock, if it says so.
+    pub fn record_start(&mut self, upstream: &str, started: Option<Millis>, now: Millis) {
+        self.poison.record_start(upstream, started, now);
+    }
+
+    /// Records that an upstream is gone.
+    pub fn record_gone(&mut self, upstream: &str, started: Option<Millis>, now: Millis) {
+        self.poison.record_gone(upstream, started, now);
+    }
+
+    /// Records that another router saw an upstream crash.
+    pub(crate) fn record_reported_crash(&mut self, upstream: &str, started: Option<Millis>, at: Millis) {
+        self.poison.record_crash(upstream, started, at);
+    }
+
+    /// Records that another router saw an upstream survive a run with a part of prompts.
+    pub(crate) fn record_reported_survival(&mut self, part: PartId, at: Millis) {
+        self.poison.record_reported_survival(part, at);
+    }
+
+    /// Those of these parts that upstreams survived, with the times, if other routers may not know of it.
+    pub(crate) fn take_untold_survivals(
+        &mut self,
+        parts: &[PartId],
+        now: Millis,
+    ) -> SmallVec<[(PartId, Millis); 4]> {
+        self.poison.take_untold_survivals(parts, now)
+    }
+
     /// Records a run that was lost when its upstream crashed, as evidence against the parts of its prompt. Returns
     /// whether it is new and not explained by denied parts.
     pub fn record_loss(&mut self, loss: &Loss, now: Millis) -> bool {
@@ -266,9 +295,10 @@
         false
     }
 
-    /// Records that another router suspects these parts of prompts.
-    pub(crate) fn suspect_parts(&mut self, parts: &[PartId], now: Millis) {
-        parts.iter().for_each(|part| self.poison.suspect(*part, now));
+    /// Records that another router suspects these parts of prompts. Returns those that were not suspected before.
+    pub(crate) fn suspect_parts(&mut self, parts: &[PartId], now: Millis) -> Parts {
+        let new = parts.iter().copied().filter(|part| self.poison.suspect(*part, now));
+        new.collect()
     }
 
     /// Records that an upstream survived a run whose prompt has these parts. Returns those that other routers should be
@@ -468,9 +498,14 @@
         Some(denial.upstreams.clone())
     }
 
-    /// Whether a suspect is taken to be the cause of its crashes.
+    /// Whether a suspect is taken to be the cause of its crashes. Those that happened at the same moment as the crash of
+    /// an upstream which did not run it have another cause.
     fn is_cause(&self, request: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&request) else { return false };
+        let was_present = |upstream: &str| suspect.stage(upstream).is_some();
+        let is_selective = |crash: &&Crash| !self.poison.is_coincidental(&crash.upstream, was_present);
+        let crashes = suspect.crashes.iter().filter(is_selective).cloned().collect();
+        let suspect = &Suspect { crashes, ..suspect.clone() };
         let silent = suspect.silent_crashes();
         let has_most_blame =
             silent >= DENIAL_THRESHOLD && self.blame(suspect) > MIN_BLAME_SHARE * silent as f64;
