A request that is often sent is not denied because upstreams crash together

What callers saw: 400 quarantined for each request of a kind with one body, after upstreams had crashed once. Identical requests have one fingerprint, and five crashes of one moment were enough to deny it.

Crashes of one moment counted singly, and nothing asked how much of the time the request runs anyway.

Change: where an upstream crashes at the same moment that did not run the request, the crash does not count; of the crashes of one moment under runs that were dispatched before, one counts. The share of the time since the last crash in which the request ran is the probability of chance, combined as for parts. Gateways report the times of lost runs (SuspectRuns); those of older versions do not read that notice, and what they report counts as before.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -304,7 +304,7 @@
 
 fn observe_crash<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, run: &LostRun) {
     let now = node.now();
-    let follow_up = node.quarantine().observe_crash(run.fingerprint, &run.upstream, run.stage, now);
+    let follow_up = node.quarantine().observe_lost_run(run, now);
     handle_follow_up(node, follow_up);
 }
 
@@ -380,8 +380,8 @@
             }
         }
         Some(notice) => {
-            if let Notice::Suspect { fingerprint, ends } = &notice {
-                let names: Vec<&str> = ends.iter().map(|crash| crash.upstream.as_str()).collect();
+            if let Notice::SuspectRuns { fingerprint, ends } = &notice {
+                let names: Vec<&str> = ends.iter().map(|end| end.crash.upstream.as_str()).collect();
                 let (ended, names) = (ends.len(), names.join(","));
                 log::warn!(
                     "quarantine: event=suspect fingerprint={fingerprint} ended={ended} upstreams={names}"
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -3,7 +3,8 @@
 use crate::Millis;
 use crate::poison::{self, Loss, MAX_PARTS, PartId, Parts, Run};
 use crate::quarantine::{
-    Crashes, DENIAL_THRESHOLD, Fingerprint, MAX_UPSTREAMS, Quarantine, Stage, Upstreams, Verdict,
+    Crash, Crashes, DENIAL_THRESHOLD, Fingerprint, LostRun, MAX_UPSTREAMS, Presence, Presences, Quarantine,
+    Span, Stage, Upstreams, Verdict,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -92,6 +93,33 @@
     pub age_ms: Millis,
 }
 
+/// A crash at which a request was present, as one router reports it to others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TimedCrash {
+    /// The crash.
+    pub crash: Crash,
+    /// The time from the dispatch of the run to its end, and the time since then, in milliseconds, if they are known.
+    pub ran_ms: Option<(Millis, Millis)>,
+}
+
+impl TimedCrash {
+    /// A report at the time `now` of the sender's clock.
+    fn new(presence: Presence, now: Millis) -> TimedCrash {
+        let Presence { crash, span } = presence;
+        let times = |span: Span| (span.at.saturating_sub(span.dispatched), now.saturating_sub(span.at));
+        TimedCrash { crash, ran_ms: span.map(times) }
+    }
+
+    /// The crash by the receiver's clock.
+    fn presence(&self, now: Millis) -> Presence {
+        let span = |(ran_ms, age_ms): (Millis, Millis)| {
+            let at = now.saturating_sub(age_ms);
+            Span { dispatched: at.saturating_sub(ran_ms), at }
+        };
+        Presence { crash: self.crash.clone(), span: self.ran_ms.map(span) }
+    }
+}
+
 /// A part of prompts, and the time since an upstream last survived a run with it, in milliseconds.
 pub type SurvivedPart = (PartId, Millis);
 
@@ -140,6 +168,13 @@
     Crashed(SmallVec<[CrashReport; 2]>),
     /// Upstreams survived runs with these parts before they were suspected.
     SurvivedParts(SmallVec<[SurvivedPart; 4]>),
+    /// Like `Suspect`, with the times of the runs.
+    SuspectRuns {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// All crashes that the sender knows of.
+        ends: SmallVec<[TimedCrash; 4]>,
+    },
 }
 
 /// The routers that receive a notice.
@@ -191,6 +226,9 @@
             Notice::Crashed(reports) => {
                 reports.len() <= MAX_REPORTS && reports.iter().all(|report| is_valid_name(&report.upstream))
             }
+            Notice::SuspectRuns { ends, .. } => {
+                ends.len() <= MAX_UPSTREAMS && ends.iter().all(|end| is_valid_name(&end.crash.upstream))
+            }
             Notice::SurvivedParts(survived) => {
                 are_valid_parts(&survived.iter().map(|(part, _)| *part).collect::<Parts>())
             }
@@ -209,6 +247,9 @@
         match &mut self {
             Notice::Lost(reports) => reports.iter_mut().for_each(|report| report.age_ms += ms),
             Notice::Crashed(reports) => reports.iter_mut().for_each(|report| report.age_ms += ms),
+            Notice::SuspectRuns { ends, .. } => {
+                ends.iter_mut().filter_map(|end| end.ran_ms.as_mut()).for_each(|(_, age_ms)| *age_ms += ms);
+            }
             Notice::SurvivedParts(survived) => survived.iter_mut().for_each(|(_, age_ms)| *age_ms += ms),
             _ => {}
         }
@@ -263,6 +304,17 @@
         self.follow_up(fingerprint, true, now)
     }
 
+    /// Like [`Quarantine::observe_crash`], with the times of the lost run.
+    pub fn observe_lost_run(&mut self, run: &LostRun, now: Millis) -> FollowUp {
+        let crash = Crash { upstream: run.upstream.clone(), stage: run.stage };
+        let span = Some(Span { dispatched: run.loss.dispatched, at: run.loss.at });
+        if !self.record_presence(run.fingerprint, Presence { crash, span }, now) {
+            return FollowUp::default();
+        }
+        self.mark_firsthand(run.fingerprint);
+        self.follow_up(run.fingerprint, true, now)
+    }
+
     /// Records that an upstream survived a run of a request that this router dispatched. Returns the notice
     /// to send if the request was a suspect.
     pub fn record_survival(&mut self, fingerprint: Fingerprint) -> Option<Notice> {
@@ -274,18 +326,12 @@
     pub fn apply(&mut self, notice: &Notice, now: Millis) -> FollowUp {
         match notice {
             Notice::Suspect { fingerprint, ends } => {
-                let known_before = self.crashes(*fingerprint).len();
-                for crash in ends {
-                    self.record_crash(*fingerprint, &crash.upstream, crash.stage, now);
-                }
-                let known_now = self.crashes(*fingerprint).len();
-                // A router that knows of more crashes than the notice names sends all of them. Otherwise the
-                // sender has already told those concerned.
-                if known_now > known_before {
-                    self.follow_up(*fingerprint, known_now > ends.len(), now)
-                } else {
-                    FollowUp::default()
-                }
+                let presences = ends.iter().map(|crash| Presence { crash: crash.clone(), span: None });
+                self.record_reported_presences(*fingerprint, presences.collect(), now)
+            }
+            Notice::SuspectRuns { fingerprint, ends } => {
+                let presences = ends.iter().map(|end| end.presence(now)).collect();
+                self.record_reported_presences(*fingerprint, presences, now)
             }
             Notice::Denied { fingerprint, upstreams, lasts_ms } => {
                 self.deny(*fingerprint, upstreams, *lasts_ms, now);
@@ -370,8 +416,35 @@
         (!survived.is_empty()).then_some(Notice::SurvivedParts(survived))
     }
 
+    /// Records crashes of which another router reports that a request was present.
+    fn record_reported_presences(
+        &mut self,
+        fingerprint: Fingerprint,
+        presences: Presences,
+        now: Millis,
+    ) -> FollowUp {
+        let (known_before, reported) = (self.crashes(fingerprint).len(), presences.len());
+        for presence in presences {
+            self.record_presence(fingerprint, presence, now);
+        }
+        let known_now = self.crashes(fingerprint).len();
+        // A router that knows of more crashes than the notice names sends all of them. Otherwise the sender has already
+        // told those concerned.
+        match known_now > known_before {
+            true => self.follow_up(fingerprint, known_now > reported, now),
+            false => FollowUp::default(),
+        }
+    }
+
     fn follow_up(&self, fingerprint: Fingerprint, has_news: bool, now: Millis) -> FollowUp {
-        let notice = Notice::Suspect { fingerprint, ends: self.crashes(fingerprint) };
+        let presences = self.presences(fingerprint);
+        let notice = match presences.iter().any(|presence| presence.span.is_some()) {
+            true => {
+                let ends = presences.into_iter().map(|presence| TimedCrash::new(presence, now)).collect();
+                Notice::SuspectRuns { fingerprint, ends }
+            }
+            false => Notice::Suspect { fingerprint, ends: self.crashes(fingerprint) },
+        };
         let is_decision_due = self.verdict(fingerprint, now) == Verdict::Undecided;
         FollowUp { notice: has_news.then_some(notice), is_decision_due, ..FollowUp::default() }
     }
@@ -422,6 +495,10 @@
                 let is_silent = ends.iter().any(|crash| crash.stage == Stage::Silent);
                 (fingerprint, ends.len() > 1 || is_silent && is_sampled(fingerprint))
             }
+            Notice::SuspectRuns { fingerprint, ends } => {
+                let is_silent = ends.iter().any(|end| end.crash.stage == Stage::Silent);
+                (fingerprint, ends.len() > 1 || is_silent && is_sampled(fingerprint))
+            }
         };
         match is_for_all && self.requests.take_token(routers, now) {
             true => Recipients::All,
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -35,7 +35,7 @@
 use self::history::History;
 use self::support::{Crash, MIN_EPISODES, Support};
 use crate::Millis;
-use crate::quarantine::{Fingerprint, Upstreams};
+use crate::quarantine::{Fingerprint, Span, Upstreams};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
@@ -270,6 +270,33 @@
         others.into_iter().any(|other| other.upstream != upstream && !was_present(&other.upstream))
     }
 
+    /// Whether chance does not explain that a request was present at these crashes, of which the times of its runs are given
+    /// where they are known.
+    ///
+    /// For each crash, chance explains as much as the share of the time before it in which the request ran. That time
+    /// begins with the last crash of any upstream or, if that is earlier, with the start of this one.
+    pub(crate) fn is_chance_excluded<'a>(
+        &self,
+        presences: impl Iterator<Item = (&'a str, Option<Span>)>,
+    ) -> bool {
+        let share = |(upstream, span): (&str, Option<Span>)| {
+            let Some(Span { dispatched, at }) = span else { return 0.0 };
+            let Some(calm_since) = self.calm_since(upstream, at) else { return 0.0 };
+            at.saturating_sub(dispatched) as f64 / at.saturating_sub(calm_since).max(1) as f64
+        };
+        let chances: Chances = presences.map(share).collect();
+        chance::is_excluded(&chances)
+    }
+
+    /// Since when no upstream had crashed before the time `at`, or since when `upstream` was up, whichever is earlier.
+    fn calm_since(&self, upstream: &str, at: Millis) -> Option<Millis> {
+        let crash = self.crashes.iter().find(|crash| crash.upstream == upstream);
+        let up_since = self.history.up_since(upstream, crash.and_then(|crash| crash.started))?;
+        let earlier = self.crashes.iter().filter(|crash| crash.upstream != upstream && crash.is_before(at));
+        let last = earlier.map(|crash| crash.at).max().or_else(|| self.history.begin());
+        Some(last.map_or(up_since, |last| up_since.min(last)))
+    }
+
     /// The number of crashes that each part is suspected of.
     fn crash_counts(&self) -> HashMap<PartId, usize> {
         let losses = self.unexplained().flat_map(|crash| &crash.losses);
--- a/crates/route/src/poison/history.rs
+++ b/crates/route/src/poison/history.rs
@@ -28,10 +28,13 @@
     survivals: HashMap<PartId, Survival>,
     earlier: HashMap<PartId, Survival>,
     lives: HashMap<(String, Option<Millis>), Life>,
+    /// When this router learned of the first upstream.
+    begin: Option<Millis>,
 }
 
 impl History {
     pub(super) fn record_start(&mut self, upstream: &str, started: Option<Millis>, now: Millis) {
+        self.begin.get_or_insert(now);
         self.lives.entry((upstream.to_owned(), started)).or_insert(Life { since: now, gone: None });
     }
 
@@ -43,6 +46,11 @@
         self.lives.retain(|_, life| life.gone.is_none_or(|gone| now.saturating_sub(gone) < RETENTION_MS));
     }
 
+    /// When this router learned of the first upstream.
+    pub(super) fn begin(&self) -> Option<Millis> {
+        self.begin
+    }
+
     /// Since when an upstream has been up, as far as this router knows; `None` if it is not told of starts at all.
     pub(super) fn up_since(&self, upstream: &str, started: Option<Millis>) -> Option<Millis> {
         let life = self.lives.get(&(upstream.to_owned(), started));
--- a/crates/route/src/poison/support.rs
+++ b/crates/route/src/poison/support.rs
@@ -41,6 +41,11 @@
         self.upstream == upstream && self.started == started
     }
 
+    /// Whether it happened at an earlier moment than `at`.
+    pub(super) fn is_before(&self, at: Millis) -> bool {
+        self.at + MOMENT_MS <= at
+    }
+
     pub(super) fn is_simultaneous(&self, other: &Crash) -> bool {
         self.at.abs_diff(other.at) < MOMENT_MS
     }
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -105,6 +105,25 @@
 /// The crashes at which one request was present.
 pub type Crashes = SmallVec<[Crash; 4]>;
 
+/// The times of a run that was lost at a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Span {
+    /// When the request was dispatched.
+    pub dispatched: Millis,
+    /// When the run broke off.
+    pub at: Millis,
+}
+
+/// A crash at which a request was present, and the times of its run, as far as they are known.
+#[derive(Clone, Debug)]
+pub(crate) struct Presence {
+    pub(crate) crash: Crash,
+    pub(crate) span: Option<Span>,
+}
+
+/// The crashes at which one request was present, with the times of its runs.
+pub(crate) type Presences = SmallVec<[Presence; 4]>;
+
 /// Names of crashed upstreams.
 pub type Upstreams = SmallVec<[String; 4]>;
 
@@ -124,7 +143,7 @@
 /// A request that was present at crashes.
 #[derive(Clone, Debug)]
 struct Suspect {
-    crashes: Crashes,
+    presences: Presences,
     last_crash: Millis,
     /// When to decide on it, if it was present at enough crashes.
     decision_due: Option<Millis>,
@@ -201,6 +220,13 @@
     /// Records the crash of an upstream while it ran a request. Returns whether it is new and not explained
     /// by a denied request that ran there too.
     pub fn record_crash(&mut self, request: Fingerprint, upstream: &str, stage: Stage, now: Millis) -> bool {
+        let crash = Crash { upstream: upstream.to_owned(), stage };
+        self.record_presence(request, Presence { crash, span: None }, now)
+    }
+
+    /// Like [`Quarantine::record_crash`], with the times of the run if they are known.
+    pub(crate) fn record_presence(&mut self, request: Fingerprint, presence: Presence, now: Millis) -> bool {
+        let upstream = presence.crash.upstream.as_str();
         self.expire(now);
         if let Some(denial) = self.denials.get_mut(&request) {
             insert_upstream(&mut denial.upstreams, upstream);
@@ -213,13 +239,17 @@
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&request) {
             self.evict_oldest_suspect();
         }
-        let new =
-            || Suspect { crashes: Crashes::new(), last_crash: now, decision_due: None, is_firsthand: false };
+        let new = || Suspect {
+            presences: Presences::new(),
+            last_crash: now,
+            decision_due: None,
+            is_firsthand: false,
+        };
         let suspect = self.suspects.entry(request).or_insert_with(new);
-        if suspect.crashes.len() >= MAX_UPSTREAMS || suspect.stage(upstream).is_some() {
+        if suspect.presences.len() >= MAX_UPSTREAMS || suspect.stage(upstream).is_some() {
             return false;
         }
-        suspect.crashes.push(Crash { upstream: upstream.to_owned(), stage });
+        suspect.presences.push(presence);
         suspect.last_crash = now;
         if suspect.is_decidable() {
             suspect.decision_due.get_or_insert(now + DECISION_DELAY_MS);
@@ -380,7 +410,12 @@
 
     /// The crashes at which a suspect was present.
     pub fn crashes(&self, request: Fingerprint) -> Crashes {
-        self.suspects.get(&request).map(|suspect| suspect.crashes.clone()).unwrap_or_default()
+        self.presences(request).into_iter().map(|presence| presence.crash).collect()
+    }
+
+    /// The crashes at which a suspect was present, with the times of its runs.
+    pub(crate) fn presences(&self, request: Fingerprint) -> Presences {
+        self.suspects.get(&request).map(|suspect| suspect.presences.clone()).unwrap_or_default()
     }
 
     /// The upstreams that crashed while they ran a denied request; `None` if the request is not denied.
@@ -412,7 +447,7 @@
     /// Records that an upstream survived a run of a request, so that the request is not harmful. Returns the
     /// number of crashes that are no longer held against it.
     pub fn clear(&mut self, request: Fingerprint) -> usize {
-        self.suspects.remove(&request).map_or(0, |suspect| suspect.crashes.len())
+        self.suspects.remove(&request).map_or(0, |suspect| suspect.presences.len())
     }
 
     /// Decides on all suspects that are due. Returns the requests that are denied from now on.
@@ -482,7 +517,7 @@
         }
         match self.suspects.get(&request) {
             Some(Suspect { decision_due: Some(_), .. }) => Verdict::Undecided,
-            Some(suspect) => Verdict::Suspect(suspect.crashes.len()),
+            Some(suspect) => Verdict::Suspect(suspect.presences.len()),
             None => Verdict::Clear,
         }
     }
@@ -498,18 +533,43 @@
         Some(denial.upstreams.clone())
     }
 
-    /// Whether a suspect is taken to be the cause of its crashes. Those that happened at the same moment as the crash of
-    /// an upstream which did not run it have another cause.
+    /// Whether a suspect is taken to be the cause of its crashes.
     fn is_cause(&self, request: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&request) else { return false };
-        let was_present = |upstream: &str| suspect.stage(upstream).is_some();
-        let is_selective = |crash: &&Crash| !self.poison.is_coincidental(&crash.upstream, was_present);
-        let crashes = suspect.crashes.iter().filter(is_selective).cloned().collect();
-        let suspect = &Suspect { crashes, ..suspect.clone() };
+        let presences = self.selective_presences(suspect);
+        if !self
+            .poison
+            .is_chance_excluded(presences.iter().map(|presence| (&*presence.crash.upstream, presence.span)))
+        {
+            return false;
+        }
+        let suspect = &Suspect { presences, ..suspect.clone() };
         let silent = suspect.silent_crashes();
         let has_most_blame =
             silent >= DENIAL_THRESHOLD && self.blame(suspect) > MIN_BLAME_SHARE * silent as f64;
-        has_most_blame || suspect.crashes.len() >= CERTAINTY_THRESHOLD
+        has_most_blame || suspect.presences.len() >= CERTAINTY_THRESHOLD
+    }
+
+    /// The crashes that a suspect can have caused one by one. Where an upstream that did not run it crashed at the same
+    /// moment, both crashes have another cause. Of the crashes of a moment under runs that were all dispatched before,
+    /// as those of a request that is often sent, one counts.
+    fn selective_presences(&self, suspect: &Suspect) -> Presences {
+        let was_present = |upstream: &str| suspect.stage(upstream).is_some();
+        let is_selective =
+            |presence: &&Presence| !self.poison.is_coincidental(&presence.crash.upstream, was_present);
+        let mut selective: Presences = suspect.presences.iter().filter(is_selective).cloned().collect();
+        selective.sort_by_key(|presence| presence.span.map(|span| span.at));
+        let mut last: Option<Millis> = None;
+        selective.retain(|Presence { span, .. }| {
+            let Some(span) = span else { return true };
+            let is_separate =
+                last.is_none_or(|last| span.at >= last + SIMULTANEOUS_MS || span.dispatched >= last);
+            if is_separate {
+                last = Some(span.at);
+            }
+            is_separate
+        });
+        selective
     }
 
     /// The number of crashes that are put down to a suspect. Each crash is divided among the requests that
@@ -521,19 +581,20 @@
             let was_silent_there = |other: &&Suspect| other.stage(upstream) == Some(Stage::Silent);
             self.suspects.values().filter(was_silent_there).map(|other| other.silent_crashes().pow(2)).sum()
         };
-        let shares = suspect.crashes.iter().filter(|crash| crash.stage == Stage::Silent);
+        let crashes = suspect.presences.iter().map(|presence| &presence.crash);
+        let shares = crashes.filter(|crash| crash.stage == Stage::Silent);
         shares.map(|crash| own_weight / total_weight(&crash.upstream) as f64).sum()
     }
 
     /// Discards the crashes of upstreams whose cause is known from the other requests that ran there.
     fn clear_explained(&mut self, upstreams: &[&str]) {
         for suspect in self.suspects.values_mut() {
-            suspect.crashes.retain(|crash| !upstreams.contains(&crash.upstream.as_str()));
+            suspect.presences.retain(|presence| !upstreams.contains(&presence.crash.upstream.as_str()));
             if !suspect.is_decidable() {
                 suspect.decision_due = None;
             }
         }
-        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.suspects.retain(|_, suspect| !suspect.presences.is_empty());
         self.poison.explain(upstreams);
     }
 
@@ -559,17 +620,18 @@
 
 impl Suspect {
     fn stage(&self, upstream: &str) -> Option<Stage> {
-        self.crashes.iter().find(|crash| crash.upstream == upstream).map(|crash| crash.stage)
+        let mut crashes = self.presences.iter().map(|presence| &presence.crash);
+        crashes.find(|crash| crash.upstream == upstream).map(|crash| crash.stage)
     }
 
     /// The number of crashes before its first answer.
     fn silent_crashes(&self) -> usize {
-        self.crashes.iter().filter(|crash| crash.stage == Stage::Silent).count()
+        self.presences.iter().filter(|presence| presence.crash.stage == Stage::Silent).count()
     }
 
     /// Whether there are enough crashes to decide on it.
     fn is_decidable(&self) -> bool {
-        self.silent_crashes() >= DENIAL_THRESHOLD || self.crashes.len() >= CERTAINTY_THRESHOLD
+        self.silent_crashes() >= DENIAL_THRESHOLD || self.presences.len() >= CERTAINTY_THRESHOLD
     }
 }
 
