Answers and bodies without end no longer hang a gateway

What callers saw: an upstream that never ends the size of a chunk got no caller any answer from that gateway; interim answers without end were read by the gigabyte; of streams whose event never ends, some callers heard nothing. A caller could do the first as well, with the body of a request.

Cause: the parser consumes such bytes within one poll for as long as reads find more, so that no time limit takes effect; and each read of an event that is not complete was copied and searched again from its beginning.

Change: reads of all HTTP connections give other tasks their turn; connections to upstreams bound the bytes that are neither head nor body of an answer; events are searched once, and one of more than 1 MiB ends the stream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at an upstream, up to the first answer.
 
 use crate::brittle;
-use crate::event::EventSplitter;
+use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
 use crate::limits;
 use crate::link::Turn;
@@ -17,8 +17,8 @@
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
-use net::{Cause, Framing, Way};
+use hyper::body::Bytes;
+use net::{Cause, Framing, Received, Way};
 use route::placement::Placement;
 use route::version::Version;
 use route::{Millis, pacing};
@@ -54,7 +54,7 @@
 
 /// A stream whose first events have arrived.
 pub(crate) struct OpenStream<W: Wire, S: Rows> {
-    pub body: Incoming,
+    pub body: Received,
     pub lease: net::Lease,
     pub slot: UpstreamSlot<W, S>,
     pub framing: Framing,
@@ -227,7 +227,7 @@
         splitter: &mut EventSplitter,
         may_try_elsewhere: bool,
         connection: Connection<'_>,
-        sending: impl Future<Output = Result<(http::Response<Incoming>, net::Lease), net::Failure>>,
+        sending: impl Future<Output = Result<(http::Response<Received>, net::Lease), net::Failure>>,
     ) -> FirstAnswer<W, S> {
         let mut reading = pin!(async {
             let mut slot = slot;
@@ -318,7 +318,7 @@
         &self,
         slot: &mut UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
-        sending: impl Future<Output = Result<(http::Response<Incoming>, net::Lease), net::Failure>>,
+        sending: impl Future<Output = Result<(http::Response<Received>, net::Lease), net::Failure>>,
     ) -> ReadOutcome<W, S> {
         let (response, lease) = match sending.await {
             Ok(answer) => answer,
@@ -432,7 +432,7 @@
     }
 
     /// Reads a short answer to its end, so that the connection can be reused.
-    async fn drain(&self, lease: net::Lease, body: Incoming) {
+    async fn drain(&self, lease: net::Lease, body: Received) {
         match net::collect(body, ANSWER_LIMIT).await {
             Ok(_) => lease.keep(),
             Err(reason) => {
@@ -444,7 +444,7 @@
     async fn read_whole(
         &self,
         mut head: response::Parts,
-        body: Incoming,
+        body: Received,
         lease: net::Lease,
         slot: &mut UpstreamSlot<W, S>,
     ) -> ReadOutcome<W, S> {
@@ -469,7 +469,7 @@
     async fn read_events(
         &self,
         mut head: response::Parts,
-        mut body: Incoming,
+        mut body: Received,
         lease: net::Lease,
         slot: &mut UpstreamSlot<W, S>,
         splitter: &mut EventSplitter,
@@ -480,6 +480,10 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let events = splitter.push(data);
+                    if splitter.is_event_too_large() {
+                        self.node.metrics.unreadable_answers.inc();
+                        return ReadOutcome::Other(Outcome::ConnectionBroken(EVENT_TOO_LARGE.to_owned()));
+                    }
                     if !events.is_empty() {
                         slot.mark_prompt_read();
                         detach(&mut head);
@@ -602,7 +606,7 @@
 }
 
 enum ReadOutcome<W: Wire, S: Rows> {
-    Stream(response::Parts, Framing, Incoming, net::Lease, Bytes),
+    Stream(response::Parts, Framing, Received, net::Lease, Bytes),
     /// An answer that ended with its connection.
     Closed(response::Parts, Bytes),
     Other(Outcome<W, S>),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,6 +4,12 @@
 
 /// The ends of an event: the end of its last line, and an empty line.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+/// The length of the longest of [`EVENT_ENDS`], in bytes.
+const MAX_END: usize = 3;
+/// The largest event, in bytes. It is held until it is complete.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Why a stream with a larger event is broken off.
+pub(crate) const EVENT_TOO_LARGE: &str = "an event of the stream is too large";
 /// The beginning of a comment line, which keeps a connection alive.
 const COMMENT: &[u8] = b":";
 /// The name of the field that holds an event's identifier.
@@ -23,7 +29,13 @@
     /// Events that were already returned are left out, so that a resumed stream repeats none.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
         // Most reads hold complete events, which are passed on without a copy.
-        let whole = if self.partial.is_empty() { bytes } else { self.prepend_partial(&bytes) };
+        let whole = match self.partial.is_empty() {
+            true => bytes,
+            false => match self.extend_partial(&bytes) {
+                Some(whole) => whole,
+                None => return Bytes::new(),
+            },
+        };
         let Some(end) = find_last_end(&whole) else {
             self.partial = whole.to_vec();
             return Bytes::new();
@@ -46,10 +58,18 @@
         kept.map_or(complete, Bytes::from)
     }
 
-    fn prepend_partial(&mut self, bytes: &[u8]) -> Bytes {
-        let mut whole = std::mem::take(&mut self.partial);
-        whole.extend_from_slice(bytes);
-        Bytes::from(whole)
+    /// Adds bytes to a partial event, and takes all of them if an event ends there. Bytes without the end of an event are
+    /// searched only once, however many there are.
+    fn extend_partial(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let searched = self.partial.len().saturating_sub(MAX_END - 1);
+        self.partial.extend_from_slice(bytes);
+        find_last_end(&self.partial[searched..])?;
+        Some(Bytes::from(std::mem::take(&mut self.partial)))
+    }
+
+    /// Whether the event that the bytes so far end in is larger than any that an upstream may send.
+    pub(crate) fn is_event_too_large(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
     }
 
     fn is_new(&mut self, event: &[u8]) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a stream of events to the caller, and resumes it at another upstream if it breaks.
 
 use crate::attempt::{OpenStream, Outcome};
-use crate::event::EventSplitter;
+use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::handle::EMPTY_ANSWERS;
 use crate::job::{Job, Run, TokenMeter};
 use crate::manifest::RouteKind;
@@ -176,6 +176,10 @@
                 }
                 self.job.node.load.record_relayed(data.len());
                 let events = self.splitter.push(data);
+                if self.splitter.is_event_too_large() {
+                    self.job.node.metrics.unreadable_answers.inc();
+                    return self.start_resume(EVENT_TOO_LARGE);
+                }
                 if events.is_empty() {
                     return Step::Continue;
                 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -10,6 +10,7 @@
 
 use crate::body::Body;
 use crate::exec::{self, Spawner};
+use crate::metered::Turn;
 use http::{Request, Response, Uri, response};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
@@ -263,7 +264,7 @@
                 .await
                 .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
             stream.set_nodelay(true)?;
-            Ok(TcpConnection { io: FuturesIo::new(stream) })
+            Ok(TcpConnection { io: FuturesIo::new(stream), turn: Turn::default() })
         })
     }
 }
@@ -274,6 +275,7 @@
     struct TcpConnection {
         #[pin]
         io: FuturesIo<TcpStream>,
+        turn: Turn,
     }
 }
 
@@ -289,7 +291,8 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        self.project().io.poll_read(context, buffer)
+        let this = self.project();
+        this.turn.poll(context, |context| this.io.poll_read(context, buffer))
     }
 }
 
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -8,9 +8,9 @@
 use crate::clock::Clock;
 use crate::dial::{Dial, Transport, Way};
 use crate::exec;
+use crate::metered::{Meter, Metered, Received};
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, Write};
 use smol_hyper::rt::FuturesIo;
@@ -42,6 +42,7 @@
     /// Whether its end in order is the peer's, as opposed to that of a relay.
     tells_end: bool,
     opened: Duration,
+    meter: Arc<Meter>,
     count: Arc<OpenConnection>,
 }
 
@@ -122,7 +123,7 @@
         dialer: &impl Dial,
         request: Request<Body>,
         is_wanted: impl FnOnce(Way) -> bool,
-    ) -> Result<(Response<Incoming>, Lease), Failure> {
+    ) -> Result<(Response<Received>, Lease), Failure> {
         let (mut line, reused) = match self.take(peer, dialer.way()) {
             Some(line) => (line, true),
             None => (self.open(step, peer, max_connections, dialer).await?, false),
@@ -134,6 +135,7 @@
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
             return Err(Failure { error, reused, cause: Cause::Withdrawn });
         }
+        line.meter.begin_answer();
         let answer = line.sender.try_send_request(request).await.map_err(|mut failure| {
             let fault = match failure.take_message() {
                 Some(_) => Fault::Unsent,
@@ -144,8 +146,9 @@
             Failure { error, reused, cause: Cause::Connection }
         })?;
         let until = self.0.clock.now() + idle_time(answer.headers());
+        let meter = line.meter.clone();
         let lease = Lease { pool: self.0.clone(), peer, line: Some(line), until };
-        Ok((answer, lease))
+        Ok((answer.map(|body| Received::new(body, meter)), lease))
     }
 
     /// The number of open connections to `peer`.
@@ -227,12 +230,19 @@
                 (OpenConnection::uncounted(&self.0, peer), Transport::Relayed(Box::new(tunnel)), true)
             }
         };
+        let meter = Arc::new(Meter::default());
         let (way, tells_end, sender) = match transport {
-            Transport::Direct(stream) => (Way::Direct, true, handshake(FuturesIo::new(stream), &count).await),
-            Transport::Relayed(tunnel) => (Way::Relayed, tunnel.tells_end(), handshake(tunnel, &count).await),
+            Transport::Direct(stream) => {
+                let io = Metered::new(FuturesIo::new(stream), meter.clone());
+                (Way::Direct, true, handshake(io, &count).await)
+            }
+            Transport::Relayed(tunnel) => {
+                let tells_end = tunnel.tells_end();
+                (Way::Relayed, tells_end, handshake(Metered::new(tunnel, meter.clone()), &count).await)
+            }
         };
         let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
-        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), count })
+        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), meter, count })
     }
 }
 
--- a/crates/net/src/watched.rs
+++ b/crates/net/src/watched.rs
@@ -6,6 +6,7 @@
 //! peer are unread is reset, so that the peer may lose a response that was already sent.
 
 use crate::clock::Clock;
+use crate::metered::Turn;
 use futures::Stream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use smol::Timer;
@@ -72,12 +73,21 @@
     lingers: Arc<AtomicBool>,
     /// When the connection is closed, once it was shut down.
     lingering: Option<Timer>,
+    turn: Turn,
 }
 
 impl<T> Watched<T> {
     /// Watches the writes of `io`; without a limit they may block forever.
     pub(crate) fn new(io: T, peer: Option<SocketAddr>, limit: Option<StallLimit>) -> Watched<T> {
-        Watched { io, peer, limit, blocked: None, lingers: Arc::default(), lingering: None }
+        Watched {
+            io,
+            peer,
+            limit,
+            blocked: None,
+            lingers: Arc::default(),
+            lingering: None,
+            turn: Turn::default(),
+        }
     }
 
     /// The I/O without the checks.
@@ -141,11 +151,12 @@
 
 impl<T: Read + Unpin> Read for Watched<T> {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(context, buffer)
+        let Watched { io, turn, .. } = self.get_mut();
+        turn.poll(context, |context| Pin::new(io).poll_read(context, buffer))
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,7 +22,7 @@
 pub use engine::{Engine, EngineConfig, EngineRecord, Fault};
 pub use platform::{Counts, Mode, Platform, Rates};
 pub use proxy::{Link, Proxy, Rule};
-pub use raw::serve_raw;
+pub use raw::{Endless, serve_raw};
 pub use rows::{RowsFault, TableRows};
 pub use service::Service;
 pub use text::{answer, prompt_tokens, token};
