A stream without an event is checked for a crash of its upstream

The upstreams that should have resumed it had crashed before they sent an event; their answers have no length, so they ended in order.

Cause: an answer that ends with its connection was checked for a crash of its upstream if it had bytes or events, not if it had none.

Change: the same check for all answers that end with their connection. Such a crash counts in the quarantine, too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -208,8 +208,8 @@
         let took_ms = node.now() - began;
         let outcome = match answer {
             FirstAnswer::Known(outcome) => outcome,
-            FirstAnswer::Closed(head, bytes) => {
-                self.inspect_closed(&chosen.upstream, listing.address, head, bytes).await
+            FirstAnswer::Closed(closed) => {
+                self.inspect_closed(&chosen.upstream, listing.address, closed).await
             }
         };
         self.record_upstream_outcome(chosen, took_ms, &outcome, is_lost.into_inner());
@@ -276,22 +276,19 @@
                 let stream = Box::new(OpenStream { body, lease, slot, framing });
                 FirstAnswer::Known(Outcome::Stream(head, stream, bytes))
             }
-            ReadOutcome::Closed(head, bytes) => FirstAnswer::Closed(head, bytes),
+            ReadOutcome::Closed(closed) => FirstAnswer::Closed(closed),
             ReadOutcome::Other(outcome) => FirstAnswer::Known(outcome),
         }
     }
 
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
-    async fn inspect_closed(
-        &self,
-        upstream: &str,
-        address: SocketAddr,
-        head: response::Parts,
-        bytes: Bytes,
-    ) -> Outcome<W, S> {
-        match quarantine::has_terminated(&self.node, upstream, address).await {
-            true => Outcome::ConnectionBroken("the upstream terminated before its answer ended".to_owned()),
-            false => Outcome::whole(head, bytes),
+    async fn inspect_closed(&self, upstream: &str, address: SocketAddr, closed: Closed) -> Outcome<W, S> {
+        if quarantine::has_terminated(&self.node, upstream, address).await {
+            return Outcome::ConnectionBroken("the upstream terminated before its answer ended".to_owned());
+        }
+        match closed {
+            Closed::Whole(head, bytes) => Outcome::whole(head, bytes),
+            Closed::BeforeEvent(head) => Outcome::Empty(head),
         }
     }
 
@@ -455,7 +452,7 @@
                 slot.mark_prompt_read();
                 detach(&mut head);
                 match is_closed {
-                    true => ReadOutcome::Closed(head, bytes),
+                    true => ReadOutcome::Closed(Closed::Whole(head, bytes)),
                     false => ReadOutcome::Other(Outcome::whole(head, bytes)),
                 }
             }
@@ -501,7 +498,7 @@
                 }
                 None if framing == Framing::Closed => {
                     detach(&mut head);
-                    return ReadOutcome::Other(Outcome::Empty(head));
+                    return ReadOutcome::Closed(Closed::BeforeEvent(head));
                 }
                 None => {
                     lease.keep();
@@ -602,16 +599,24 @@
 enum FirstAnswer<W: Wire, S: Rows> {
     Known(Outcome<W, S>),
     /// An answer that ended with its connection, and may have been cut off.
-    Closed(response::Parts, Bytes),
+    Closed(Closed),
 }
 
 enum ReadOutcome<W: Wire, S: Rows> {
     Stream(response::Parts, Framing, Received, net::Lease, Bytes),
     /// An answer that ended with its connection.
-    Closed(response::Parts, Bytes),
+    Closed(Closed),
     Other(Outcome<W, S>),
 }
 
+/// An answer that ended with its connection.
+enum Closed {
+    /// One that is no stream.
+    Whole(response::Parts, Bytes),
+    /// A stream without an event.
+    BeforeEvent(response::Parts),
+}
+
 /// Whether an answer consists of events, as that to a request for a stream does unless its head says otherwise.
 fn is_event_stream(head: &response::Parts) -> bool {
     let media_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
