The bodies of running requests are bounded by the memory of the VM

Cause: a body counted only while it was received, and is kept until its request has ended.

Change: all bodies together may take 0.7 of memory-mb; beyond that a request is refused on its head (503 crowded).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -99,6 +99,7 @@
         Ok(body) => body,
         Err((refusal, detail)) => return Err(refused(refusal, &detail)),
     };
+    let held = node.receiving.hold(body.len());
     node.load.record_received(body.len());
     if node.phase() == Phase::Draining {
         return Err(refused(Refusal::Stopping, ""));
@@ -168,7 +169,8 @@
     if let (Some(team), Some(_)) = (caller, &reservation) {
         node.returns().record_admitted(Group::Team(team), node.now());
     }
-    let admitted = Admitted { ask, head, body, manifest, route, team, service, version: software, arrived };
+    let admitted =
+        Admitted { ask, head, body, _held: held, manifest, route, team, service, version: software, arrived };
     Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -3,6 +3,7 @@
 use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::ports::{Ask, Dispatch, Listing, Wire};
+use crate::receive::Held;
 use crate::team_budget::Reservation;
 use http::request::Parts;
 use hyper::body::Bytes;
@@ -68,6 +69,8 @@
     pub ask: Ask,
     pub head: Parts,
     pub body: Bytes,
+    /// Counts the memory of the body.
+    pub _held: Held,
     pub manifest: Arc<Manifest>,
     pub route: Arc<Route>,
     pub team: Option<Arc<Team>>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -204,7 +204,7 @@
             ),
             unreadable_answers: counter(
                 "tallypaddle_upstream_answers_unreadable_total",
-                "Answers of upstreams with a header that can't be read, which is ignored.",
+                "Answers of upstreams with a header that can't be read, which is ignored, or with too large an event.",
             ),
             runs_lost: counter(
                 "tallypaddle_runs_lost_total",
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -2,7 +2,8 @@
 //!
 //! A body is copied into one buffer that grows with what has arrived, so that small pieces cost no more than
 //! their bytes: a piece as it is received keeps a whole read buffer of its connection alive. All buffers
-//! together are bounded by a [`ByteBudget`]. While it is used up, requests are refused on their head.
+//! together are bounded by a [`ByteBudget`], and so are the bodies that are held while their requests run. While it is used
+//! up, requests are refused on their head.
 
 use crate::manifest::Lookup;
 use crate::node::Node;
@@ -14,6 +15,7 @@
 use prometheus::IntGauge;
 use std::fmt::Display;
 use std::pin::pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use store::rows::Rows;
@@ -27,31 +29,62 @@
 /// The part of the VM's memory that bodies may take while they are received. The rest is for requests that
 /// run, answers, and the gateway itself.
 const MEMORY_SHARE: f64 = 0.125;
+/// The part of the VM's memory that all bodies may take, with those of requests that run. A body is held until its request
+/// has ended: it may be sent again, or turn out to have crashed its upstream.
+const TOTAL_MEMORY_SHARE: f64 = 0.7;
 /// The bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
-/// The memory that the bodies may take which are being received.
+/// The memory that bodies may take: those that are being received, and those that are held for running requests.
 #[derive(Debug)]
 pub(crate) struct ByteBudget {
     limit: usize,
     used: AtomicUsize,
     gauge: IntGauge,
+    total_limit: usize,
+    held: Arc<AtomicUsize>,
+}
+
+/// The memory of a body that is held for a running request, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Held {
+    bytes: usize,
+    held: Arc<AtomicUsize>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl ByteBudget {
     /// Creates the budget of a VM; without its memory, there is no bound. `gauge` shows the bytes in use.
     pub(crate) fn new(memory_mb: Option<f64>, gauge: IntGauge) -> ByteBudget {
-        let limit = memory_mb.map_or(usize::MAX, |mb| (mb * MEGABYTE * MEMORY_SHARE) as usize);
-        ByteBudget { limit, used: AtomicUsize::new(0), gauge }
+        let limit = |share: f64| memory_mb.map_or(usize::MAX, |mb| (mb * MEGABYTE * share) as usize);
+        let (total_limit, limit) = (limit(TOTAL_MEMORY_SHARE), limit(MEMORY_SHARE));
+        ByteBudget { limit, used: AtomicUsize::new(0), gauge, total_limit, held: Arc::default() }
+    }
+
+    /// Counts a body that has been received for as long as its request runs.
+    pub(crate) fn hold(&self, bytes: usize) -> Held {
+        self.held.fetch_add(bytes, Ordering::Relaxed);
+        Held { bytes, held: self.held.clone() }
+    }
+
+    /// Whether this many bytes of bodies that are being received fit beside those that are held.
+    fn fits(&self, receiving: usize) -> bool {
+        let total = receiving.saturating_add(self.held.load(Ordering::Relaxed));
+        receiving <= self.limit && total <= self.total_limit
     }
 
     /// Whether a body of this size fits now.
     fn has_room(&self, bytes: usize) -> bool {
-        self.used.load(Ordering::Relaxed).saturating_add(bytes) <= self.limit
+        self.fits(self.used.load(Ordering::Relaxed).saturating_add(bytes))
     }
 
     fn try_take(&self, bytes: usize) -> bool {
-        let take = |used: usize| used.checked_add(bytes).filter(|used| *used <= self.limit);
+        let take = |used: usize| used.checked_add(bytes).filter(|used| self.fits(*used));
         let is_taken = self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
         if is_taken {
             self.gauge.add(bytes as i64);
@@ -174,8 +207,12 @@
     let budget = &node.receiving;
     let declared = declared_size(&body);
     let crowded = || {
-        let used = budget.used.load(Ordering::Relaxed);
-        (Refusal::Crowded, format!("bytes={declared} receiving-bytes={used} limit={}", budget.limit))
+        let (used, held) = (budget.used.load(Ordering::Relaxed), budget.held.load(Ordering::Relaxed));
+        let (limit, total) = (budget.limit, budget.total_limit);
+        let detail = format!(
+            "bytes={declared} receiving-bytes={used} limit={limit} held-bytes={held} total-limit={total}"
+        );
+        (Refusal::Crowded, detail)
     };
     if !budget.has_room(declared) {
         return Err(crowded());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,7 +22,7 @@
     BodyIncomplete,
     /// The caller did not send the whole body within the request's time limit.
     BodyTimedOut,
-    /// The bodies that other callers are sending take all the memory there is for them.
+    /// The bodies of other requests take all the memory there is for them.
     Crowded,
     /// It is not decided yet whether the request is quarantined.
     QuarantinePending,
--- a/crates/gateway/tests/unit/receive.rs
+++ b/crates/gateway/tests/unit/receive.rs
@@ -114,6 +114,19 @@
     assert_eq!(budget.gauge.get(), 0);
 }
 
+/// Guards against a process that exceeds its memory by the bodies of running requests.
+#[test]
+fn bodies_of_running_requests_count_until_their_requests_end() {
+    // Of 0.8 MB, bodies may take 560 KB, an eighth of 0.8 MB while they are received.
+    let budget = budget(Some(0.8));
+    let mut held: Vec<Held> = (0..5).map(|_| budget.hold(100 * KB)).collect();
+    assert!(budget.has_room(60 * KB) && !budget.has_room(70 * KB));
+    let next = || body([Bytes::from(vec![0; 70 * KB])].into_iter());
+    assert_eq!(collect_now(next(), 100 * KB, &budget), Err(Failure::Crowded));
+    held.pop();
+    assert_eq!(collect_now(next(), 100 * KB, &budget).map(|body| body.len()), Ok(70 * KB));
+}
+
 #[test]
 fn a_body_that_exceeds_the_limit_on_its_size_is_refused() {
     let budget = budget(None);
