A request that runs once at a time is not held against chance

Change: chance is asked only where runs of the request were lost that had run at the same time, which shows that it is sent often. A request that its caller repeats one after the other is denied as before.

--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -537,10 +537,8 @@
     fn is_cause(&self, request: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&request) else { return false };
         let presences = self.selective_presences(suspect);
-        if !self
-            .poison
-            .is_chance_excluded(presences.iter().map(|presence| (&*presence.crash.upstream, presence.span)))
-        {
+        let runs = presences.iter().map(|presence| (&*presence.crash.upstream, presence.span));
+        if suspect.has_concurrent_runs() && !self.poison.is_chance_excluded(runs) {
             return false;
         }
         let suspect = &Suspect { presences, ..suspect.clone() };
@@ -624,6 +622,14 @@
         crashes.find(|crash| crash.upstream == upstream).map(|crash| crash.stage)
     }
 
+    /// Whether two of its runs were lost that had run at the same time: the request is sent often, and by chance present
+    /// at crashes.
+    fn has_concurrent_runs(&self) -> bool {
+        let spans: SmallVec<[Span; 4]> = self.presences.iter().filter_map(|presence| presence.span).collect();
+        let overlaps = |one: &Span, other: &Span| one.dispatched < other.at && other.dispatched < one.at;
+        spans.iter().enumerate().any(|(index, span)| spans[..index].iter().any(|other| overlaps(span, other)))
+    }
+
     /// The number of crashes before its first answer.
     fn silent_crashes(&self) -> usize {
         self.presences.iter().filter(|presence| presence.crash.stage == Stage::Silent).count()
