Logs tell when a run ends, and which prompt was dispatched

Whether two runs of one request overlap, at one gateway or at two, could not be read from the logs: they named the beginning of a run only, and nothing that attempts of one stream at different gateways have in common.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::limits;
 use crate::link::Turn;
 use crate::manifest::RouteKind;
-use crate::ports::{Malformed, ResponseCheck, Resumption, Wire};
+use crate::ports::{Malformed, Prompt, ResponseCheck, Resumption, Wire};
 use crate::quarantine::{self, BrokenRun};
 use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
@@ -139,9 +139,10 @@
         };
         let (ran, repeat_age_ms) = self.repeat_state();
         log::info!(
-            "request: id={} event=dispatch upstream={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={} ran={} attempts={} repeat-age-ms={:?}",
+            "request: id={} event=dispatch upstream={} prompt={} software={} cost={:.0} first-ms={:.0} unread={} long={} kept-for-short={} open={} candidates={} after={:?} resumes={} ran={} attempts={} repeat-age-ms={:?}",
             self.request.ask.id,
             chosen.upstream,
+            self.request.ask.prompt.as_ref().map_or("-".to_owned(), Prompt::name),
             listing.version,
             chosen.cost,
             chosen.first_ms,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -232,6 +232,7 @@
 /// Registers a request as running at an upstream until it is dropped.
 pub(crate) struct UpstreamSlot<W: Wire, S: Rows> {
     node: Arc<Node<W, S>>,
+    request: String,
     service: String,
     pub upstream: String,
     /// The address of the upstream, which may no longer be listed.
@@ -257,6 +258,7 @@
         drop(placer);
         Some(UpstreamSlot {
             node,
+            request: job.request.ask.id.clone(),
             service: job.request.service.clone(),
             upstream: chosen.upstream.clone(),
             address: listing.address,
@@ -277,7 +279,15 @@
 
 impl<W: Wire, S: Rows> Drop for UpstreamSlot<W, S> {
     fn drop(&mut self) {
-        self.node.placer().end(&self.upstream, self.dispatch_id, self.node.now());
+        let now = self.node.now();
+        log::info!(
+            "request: id={} event=run-ended upstream={} ms={} answered={}",
+            self.request,
+            self.upstream,
+            now.saturating_sub(self.dispatched),
+            self.is_prompt_read
+        );
+        self.node.placer().end(&self.upstream, self.dispatch_id, now);
         self.node.places.free(&self.service);
     }
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -67,6 +67,11 @@
         self.guess.unwrap_or(self.output / 2).min(self.output)
     }
 
+    /// Its last part, which tells it from other prompts, as it appears in logs.
+    pub(crate) fn name(&self) -> String {
+        self.parts.last().map_or("-".to_owned(), |part| format!("{:x}", part.id))
+    }
+
     /// The most tokens that the request may use, prompt included.
     pub fn max_tokens(&self, stride: u64) -> u64 {
         self.input + self.max_output_in_events(stride)
