A stream is given up only if its upstream answers others or is gone

Callers saw no fault; the users' rule TWICE was broken: a request went on at another server while the one before was still at work on it. Cause: the gateway closed the connection of a silent run, took the run to be over, and sent the request elsewhere. A suspended process reads neither the request nor the close until it goes on; then both ran.

Now a run that is overdue is given up only if something has arrived from its upstream within 0.3 s, if the upstream answers a probe, or if its address refuses or does not answer. Otherwise it is kept until the upstream goes on. It works because a process that answers also notices the close, and one that does not cannot be told to stop.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at an upstream, up to the first answer.
 
 use crate::brittle;
+use crate::contact::Peer;
 use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
 use crate::limits;
@@ -18,7 +19,7 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use net::{Cause, Framing, Received, Way};
+use net::{Cause, Framing, Received, Way, exec};
 use route::placement::Placement;
 use route::version::Version;
 use route::{Millis, pacing};
@@ -230,6 +231,7 @@
         connection: Connection<'_>,
         sending: impl Future<Output = Result<(http::Response<Received>, net::Lease), net::Failure>>,
     ) -> FirstAnswer<W, S> {
+        let peer = slot.peer.clone();
         let mut reading = pin!(async {
             let mut slot = slot;
             let outcome = {
@@ -253,14 +255,24 @@
             };
             (outcome, slot)
         });
-        let timeout = self.first_answer_timeout(chosen).min(self.remaining());
+        let began = self.node.now();
+        let patience = self.first_answer_timeout(chosen);
         let clock = &self.node.clock;
-        let result = clock.timeout(timeout, reading.as_mut()).await;
+        let result = match self.kind() {
+            RouteKind::ResumableStream if may_try_elsewhere => {
+                let given_up = pin!(self.until_given_up(&peer, patience));
+                match clock.timeout(self.remaining(), select(reading.as_mut(), given_up)).await {
+                    Some(Either::Left((done, _))) => Some(done),
+                    Some(Either::Right(_)) | None => None,
+                }
+            }
+            _ => clock.timeout(patience.min(self.remaining()), reading.as_mut()).await,
+        };
         let (outcome, slot) = match result {
             Some(done) => done,
             None if may_try_elsewhere && self.kind().is_repeatable() && !self.remaining().is_zero() => {
                 self.node.placer().record_error(&chosen.upstream);
-                let reason = format!("no answer within {} ms", timeout.as_millis());
+                let reason = format!("no answer within {} ms", self.node.now() - began);
                 return FirstAnswer::Known(Outcome::NoValidAnswer(reason));
             }
             None => {
@@ -282,6 +294,16 @@
         }
     }
 
+    /// Waits until a run may be given up that another one is to follow. Once it is overdue, it counts so.
+    async fn until_given_up(&self, peer: &Peer, patience: Duration) {
+        let counted = async {
+            exec::sleep(patience).await;
+            let _overdue = OverdueGuard::new(&self.node, &peer.upstream);
+            std::future::pending().await
+        };
+        smol::future::or(peer.until_given_up(&self.node, patience), counted).await;
+    }
+
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
     async fn inspect_closed(&self, upstream: &str, address: SocketAddr, closed: Closed) -> Outcome<W, S> {
         if quarantine::has_terminated(&self.node, upstream, address).await {
@@ -331,6 +353,7 @@
             }
         };
         self.node.reach.record_answer(&lease, self.node.now());
+        slot.peer.contact.record_answer(0, self.node.now());
         let (head, body) = response.into_parts();
         let is_closed = Framing::of(&head) == Framing::Closed;
         if !lease.tells_end() && !body.is_end_stream() && is_closed {
@@ -368,7 +391,7 @@
     /// Applies what an upstream says about its own state, before its answer is passed on.
     fn apply_upstream_state(&self, slot: &UpstreamSlot<W, S>, head: &response::Parts, check: ResponseCheck) {
         let node = &self.node;
-        let upstream = slot.upstream.as_str();
+        let upstream = slot.peer.upstream.as_str();
         if node.wire.is_leaving(head) && node.placer().mark_leaving(upstream, node.now()) {
             log::info!(
                 "upstream: event=leaves upstream={upstream} told-by=answer request={}",
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request, and the guards that release what it holds.
 
+use crate::contact::Peer;
 use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::ports::{Ask, Dispatch, Listing, Wire};
@@ -107,6 +108,17 @@
         self.request.manifest.services.get(&self.request.service).map_or(1, |service| service.stride)
     }
 
+    /// A listed upstream of the request's service.
+    fn peer(&self, upstream: &str, listing: &Listing) -> Peer {
+        let service = self.request.manifest.services.get(&self.request.service);
+        Peer {
+            upstream: upstream.to_owned(),
+            address: listing.address,
+            health_path: service.and_then(|service| service.health_path.clone()),
+            contact: self.node.contacts.of(upstream),
+        }
+    }
+
     /// Chooses an upstream that has not been tried yet.
     pub(crate) fn choose(&self) -> Option<Placement> {
         let progress = self.progress();
@@ -234,9 +246,8 @@
     node: Arc<Node<W, S>>,
     request: String,
     service: String,
-    pub upstream: String,
-    /// The address of the upstream, which may no longer be listed.
-    pub address: SocketAddr,
+    /// The upstream, which may no longer be listed.
+    pub peer: Peer,
     /// The software version of the upstream.
     pub version: Version,
     pub dispatched: Millis,
@@ -260,8 +271,7 @@
             node,
             request: job.request.ask.id.clone(),
             service: job.request.service.clone(),
-            upstream: chosen.upstream.clone(),
-            address: listing.address,
+            peer: job.peer(&chosen.upstream, listing),
             version: Version::of(&listing.version),
             dispatched: now,
             dispatch_id,
@@ -272,7 +282,7 @@
     /// Records that the upstream has read the prompt, as its first answer shows.
     pub(crate) fn mark_prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_prompt_read, true) {
-            self.node.placer().record_first_answer(&self.upstream, self.dispatch_id, self.node.now());
+            self.node.placer().record_first_answer(&self.peer.upstream, self.dispatch_id, self.node.now());
         }
     }
 }
@@ -283,11 +293,11 @@
         log::info!(
             "request: id={} event=run-ended upstream={} ms={} answered={}",
             self.request,
-            self.upstream,
+            self.peer.upstream,
             now.saturating_sub(self.dispatched),
             self.is_prompt_read
         );
-        self.node.placer().end(&self.upstream, self.dispatch_id, now);
+        self.node.placer().end(&self.peer.upstream, self.dispatch_id, now);
         self.node.places.free(&self.service);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch.
+//! - `contact` tells whether its upstream answers.
 //! - `reach` opens its connection.
 //! - `quarantine` inspects a dispatch that broke off, and refuses requests that crash upstreams, as `rulings` decides.
 //! - `job` holds the request and what it has acquired.
@@ -31,6 +32,7 @@
 mod brittle;
 mod budget_state;
 mod closing;
+mod contact;
 pub mod denials;
 mod event;
 mod failover;
@@ -229,6 +231,7 @@
     for round in 1u64.. {
         exec::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
+        node.contacts.evict_unused();
         node.peer_reservations.expire();
         node.origins.expire(node.stream_lifetime(), node.now());
         node.metrics.origins.set(node.origins.stream_count() as i64);
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -78,6 +78,8 @@
     pub connections: usize,
     /// The number of tokens in one event of a stream, if its upstreams are inference engines.
     pub stride: u64,
+    /// The path at which its upstreams tell whether they are well.
+    pub health_path: Option<String>,
     /// The load that each of its upstreams can handle while warming up; `None` if the operator has not
     /// configured it.
     pub warmup: Option<Warmup>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub connection_attempts: IntCounterVec,
     /// Upstreams that this gateway ejected.
     pub ejections: IntCounter,
+    /// Probes of upstreams from which nothing arrived, by result.
+    pub silent_upstreams: IntCounterVec,
     /// How this gateway reaches the upstreams.
     pub reach: IntGauge,
     /// Tunnels to upstreams that this gateway serves for others.
@@ -251,6 +253,11 @@
                 "Attempts to connect to upstreams, by outcome.",
                 &["outcome"],
             ),
+            silent_upstreams: counters(
+                "tallypaddle_silent_upstreams_total",
+                "Probes of upstreams from which nothing arrived, by result.",
+                &["address"],
+            ),
             ejections: counter(
                 "tallypaddle_ejections_total",
                 "Upstreams that this gateway ejected, because it could not reach them or they broke off requests.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway that its tasks share.
 
+use crate::contact::Contacts;
 use crate::failover::Failover;
 use crate::hints::Hints;
 use crate::link::Link;
@@ -88,6 +89,7 @@
     pub peer_reservations: Arc<PeerReservations>,
     /// Wakes requests when one at an upstream of their service has ended.
     pub places: Places,
+    pub contacts: Contacts,
     /// Notified when a budget is opened.
     pub budget_opened: Event,
     /// The newest version of the table of denied requests that this gateway has read, or that another one has
@@ -153,6 +155,7 @@
             origins: Arc::default(),
             stream_lifetime: AtomicU64::new(RETURN_TIME_MS),
             places: Places::default(),
+            contacts: Contacts::default(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
             quarantine_changed: Event::new(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use net::{Framing, exec};
 use route::poison::EARLY_RUN_MS;
 use route::quarantine::Stage;
-use route::silence::stall_ms;
+use route::silence::{Decision, stall_ms};
 use route::{Millis, PauseKind, PauseTracker, ReadTracker};
 use smol::Timer;
 use std::io;
@@ -167,8 +167,8 @@
                 if self.job.node.now() >= self.job.deadline + CHECK_INTERVAL.as_millis() as Millis {
                     return Step::Fail("the deadline passed".to_owned());
                 }
-                self.record_answer();
                 let now = self.job.node.now_exact();
+                self.record_answer(now);
                 self.longest_gap = self.longest_gap.max(self.reading.silence(now));
                 let is_held_back = self.reading.record_arrived(now);
                 if is_held_back {
@@ -204,7 +204,8 @@
             return Step::Continue;
         };
         let (sender, receiver) = async_channel::bounded(1);
-        let (job, upstream, address) = (self.job.clone(), stream.slot.upstream.clone(), stream.slot.address);
+        let (job, upstream, address) =
+            (self.job.clone(), stream.slot.peer.upstream.clone(), stream.slot.peer.address);
         exec::spawn(async move {
             let _ = sender.send(quarantine::has_terminated(&job.node, &upstream, address).await).await;
         })
@@ -236,16 +237,19 @@
         }
     }
 
-    fn record_answer(&self) {
+    /// Records bytes that the stream has waited for.
+    fn record_answer(&self, now: f64) {
         if let State::Streaming(stream) = &self.state {
-            self.job.node.reach.record_answer(&stream.lease, self.job.node.now());
+            let gap_ms = self.reading.silence(now) as Millis;
+            stream.slot.peer.contact.record_answer(gap_ms, now as Millis);
+            self.job.node.reach.record_answer(&stream.lease, now as Millis);
         }
     }
 
     /// Updates the estimated event pace of the upstream with the time since the last event.
     fn observe(&mut self, now: f64) {
         let State::Streaming(stream) = &self.state else { return };
-        let upstream = &stream.slot.upstream;
+        let upstream = &stream.slot.peer.upstream;
         match self.pauses.record(now) {
             PauseKind::Baseline(ms) => self.job.node.placer().record_baseline_pause(upstream, ms),
             PauseKind::Long(ms) => self.job.node.placer().record_pause(upstream, ms, self.job.node.now()),
@@ -255,7 +259,7 @@
 
     fn complete(&mut self) -> Step {
         if let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) {
-            self.job.node.placer().record_success(&stream.slot.upstream, None);
+            self.job.node.placer().record_success(&stream.slot.peer.upstream, None);
             self.job.record_survival();
             if !self.has_survived_prompt {
                 self.job.record_prompt_survival();
@@ -272,21 +276,35 @@
         if self.job.node.now() >= self.job.deadline {
             return Poll::Ready(Step::Fail("the deadline passed".to_owned()));
         }
-        let silence = self.reading.silence(self.job.node.now_exact());
-        let route = &self.job.request.route;
-        let stalled = silence > stall_ms(route.target_ms, route.gap_ms) as f64;
-        if stalled
-            && matches!(self.state, State::Streaming(_))
-            && self.job.kind() == RouteKind::ResumableStream
-        {
+        let silence_ms = self.reading.silence(self.job.node.now_exact()) as Millis;
+        if self.is_given_up(silence_ms) {
             return Poll::Ready(self.start_resume("the upstream stalled"));
         }
-        if self.is_path_lost(silence as Millis) {
+        if self.is_path_lost(silence_ms) {
             return Poll::Ready(self.leave_path());
         }
         Poll::Ready(Step::Continue)
     }
 
+    /// Whether the run is to be replaced by one at another upstream, after `silence_ms` without an event.
+    fn is_given_up(&self, silence_ms: Millis) -> bool {
+        let State::Streaming(stream) = &self.state else { return false };
+        if self.job.kind() != RouteKind::ResumableStream {
+            return false;
+        }
+        let (peer, route, now) = (&stream.slot.peer, &self.job.request.route, self.job.node.now());
+        let patience_ms = stall_ms(route.target_ms, route.gap_ms);
+        match peer.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
+            Decision::GiveUp => true,
+            Decision::Wait(_) => false,
+            Decision::Probe => {
+                let (peer, node) = (peer.clone(), self.job.node.clone());
+                exec::spawn(async move { peer.probe(&node).await }).detach();
+                false
+            }
+        }
+    }
+
     /// Whether the stream comes over a direct connection that is lost, after `silence_ms` without an event.
     fn is_path_lost(&self, silence_ms: Millis) -> bool {
         let State::Streaming(stream) = &self.state else { return false };
@@ -300,7 +318,7 @@
             return self.resume_elsewhere("the path to the upstream is silent");
         }
         if let State::Streaming(stream) = &self.state {
-            self.job.release_place(&stream.slot.upstream, stream.slot.dispatch_id);
+            self.job.release_place(&stream.slot.peer.upstream, stream.slot.dispatch_id);
         }
         Step::Continue
     }
@@ -308,7 +326,7 @@
     /// Resumes a stream that its upstream broke off.
     fn start_resume(&mut self, reason: &str) -> Step {
         if let State::Streaming(stream) = &self.state {
-            self.job.node.placer().record_failure(&stream.slot.upstream, self.job.node.now());
+            self.job.node.placer().record_failure(&stream.slot.peer.upstream, self.job.node.now());
         }
         self.resume_elsewhere(reason)
     }
@@ -318,7 +336,7 @@
         let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) else {
             return Step::Fail(reason.to_owned());
         };
-        let upstream = stream.slot.upstream.clone();
+        let upstream = stream.slot.peer.upstream.clone();
         let run = BrokenRun {
             dispatched: stream.slot.dispatched,
             begun: Some(self.run_began),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,6 +28,6 @@
 pub use framing::Framing;
 pub use metered::Received;
 pub use pool::{Cause, Failure, Lease, Loan, Pool};
-pub use probe::{ProbeResult, probe, probe_after_break};
+pub use probe::{ProbeResult, ask, probe, probe_after_break};
 pub use server::{Handle, Limits, UnreadRequest, serve};
 pub use tunnel::{Tunnel, TunnelError, accept_tunnel, open_tunnel, tunnel_target};
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -15,6 +15,93 @@
 pub(crate) const CHECK_DELAY_MS: Millis = 500;
 /// The shortest time between two checks, in milliseconds.
 const CHECK_INTERVAL_MS: Millis = 1_000;
+/// How long nothing may arrive from an upstream with open requests until it counts as silent, in milliseconds.
+const SILENT_MS: Millis = 300;
+/// How long before a run is overdue its silent upstream is probed, in milliseconds, so that the result is known in time.
+const PROBE_LEAD_MS: Millis = 500;
+/// How long the result of a probe holds, in milliseconds.
+const PROBE_VALID_MS: Millis = 700;
+
+/// What a probe told about an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// It answers other requests.
+    Answers,
+    /// Its host accepts connections, and it does not answer.
+    Silent,
+    /// Its process has ended, or its host is not reached.
+    Gone,
+}
+
+/// What to do with a run from which nothing arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Wait for this long, in milliseconds, and decide again.
+    Wait(Millis),
+    /// Probe the upstream, and decide again.
+    Probe,
+    /// Give the run up. Another upstream may run the request.
+    GiveUp,
+}
+
+/// Whether an upstream answers at all, as far as this gateway knows.
+///
+/// A process that is suspended or overloaded notices that a run was given up only when it goes on. Until then its run may
+/// not be replaced: both would be under way at once. So a run is given up only if its upstream answers other requests,
+/// and thus notices, or is gone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contact {
+    /// When something last arrived from the upstream.
+    heard: Millis,
+    /// When it went on after it had been silent.
+    resumed: Millis,
+    /// The result of the last probe, and when it came.
+    probed: Option<(Probe, Millis)>,
+}
+
+impl Contact {
+    /// Records that bytes arrived, after a stream had waited for them for `gap_ms`.
+    pub fn record_answer(&mut self, gap_ms: Millis, now: Millis) {
+        let was_silent = gap_ms >= SILENT_MS && now.saturating_sub(self.heard) >= SILENT_MS;
+        if was_silent || self.is_known_silent() {
+            self.resumed = now;
+        }
+        self.heard = now;
+        self.probed = None;
+    }
+
+    /// Records the result of a probe.
+    pub fn record_probe(&mut self, probe: Probe, now: Millis) {
+        if probe == Probe::Answers && self.is_known_silent() {
+            self.resumed = now;
+        }
+        self.probed = Some((probe, now));
+    }
+
+    fn is_known_silent(&self) -> bool {
+        matches!(self.probed, Some((Probe::Silent, _)))
+    }
+
+    /// Decides on a run from which nothing has arrived since `since`, and which is overdue after `patience_ms`. The time
+    /// for which the upstream was silent does not count.
+    pub fn decide(&self, since: Millis, patience_ms: Millis, now: Millis) -> Decision {
+        let due = since.max(self.resumed).saturating_add(patience_ms);
+        let probe_at = due.saturating_sub(PROBE_LEAD_MS);
+        if now < probe_at {
+            return Decision::Wait(probe_at - now);
+        }
+        let is_silent = now.saturating_sub(since.max(self.heard)) >= SILENT_MS;
+        let has_time = now < due;
+        match self.probed.filter(|(_, at)| now.saturating_sub(*at) < PROBE_VALID_MS) {
+            _ if !is_silent && has_time => Decision::Wait(due - now),
+            _ if !is_silent => Decision::GiveUp,
+            None => Decision::Probe,
+            Some((Probe::Silent, at)) => Decision::Wait(at + PROBE_VALID_MS - now),
+            Some((Probe::Answers | Probe::Gone, _)) if has_time => Decision::Wait(due - now),
+            Some((Probe::Answers | Probe::Gone, _)) => Decision::GiveUp,
+        }
+    }
+}
 
 /// Notices that no upstream answers any more. Connections that a partition has left without a reset give no other
 /// sign.
