A silent stream that no other upstream may run is kept

The repeat is taken out of the budget before the run is given up, as for lost paths. If the upstream is gone the run ends at once as before, so that its caller can take the stream up elsewhere.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -83,7 +83,7 @@
         let since = node.now();
         loop {
             match self.contact.decide(since, patience.as_millis() as Millis, node.now()) {
-                Decision::GiveUp => return,
+                Decision::GiveUp | Decision::Gone => return,
                 Decision::Wait(ms) => exec::sleep(Duration::from_millis(ms).min(CHECK_INTERVAL)).await,
                 Decision::Probe => self.probe(node).await,
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -295,7 +295,9 @@
         let (peer, route, now) = (&stream.slot.peer, &self.job.request.route, self.job.node.now());
         let patience_ms = stall_ms(route.target_ms, route.gap_ms);
         match peer.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
-            Decision::GiveUp => true,
+            Decision::Gone => true,
+            // It may still go on by itself, which is better than no run at all.
+            Decision::GiveUp => self.job.may_resume() && self.job.reserve_repeat("stalled"),
             Decision::Wait(_) => false,
             Decision::Probe => {
                 let (peer, node) = (peer.clone(), self.job.node.clone());
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -40,8 +40,10 @@
     Wait(Millis),
     /// Probe the upstream, and decide again.
     Probe,
-    /// Give the run up. Another upstream may run the request.
+    /// Give the run up if another upstream may run the request.
     GiveUp,
+    /// Give the run up. Its upstream is gone.
+    Gone,
 }
 
 /// Whether an upstream answers at all, as far as this gateway knows.
@@ -98,7 +100,8 @@
             None => Decision::Probe,
             Some((Probe::Silent, at)) => Decision::Wait(at + PROBE_VALID_MS - now),
             Some((Probe::Answers | Probe::Gone, _)) if has_time => Decision::Wait(due - now),
-            Some((Probe::Answers | Probe::Gone, _)) => Decision::GiveUp,
+            Some((Probe::Answers, _)) => Decision::GiveUp,
+            Some((Probe::Gone, _)) => Decision::Gone,
         }
     }
 }
--- a/crates/route/tests/silence.rs
+++ b/crates/route/tests/silence.rs
@@ -22,7 +22,7 @@
             probing = None;
         }
         match contact.decide(0, PATIENCE, now) {
-            Decision::GiveUp => return Some(now),
+            Decision::GiveUp | Decision::Gone => return Some(now),
             Decision::Probe if probing.is_none() => probing = Some(now + 100),
             Decision::Probe | Decision::Wait(_) => {}
         }
