--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at an upstream, up to the first answer.
 
 use crate::brittle;
-use crate::contact::Peer;
+use crate::contact::Upstream;
 use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
 use crate::limits;
@@ -231,7 +231,7 @@
         connection: Connection<'_>,
         sending: impl Future<Output = Result<(http::Response<Received>, net::Lease), net::Failure>>,
     ) -> FirstAnswer<W, S> {
-        let peer = slot.peer.clone();
+        let upstream = slot.upstream.clone();
         let mut reading = pin!(async {
             let mut slot = slot;
             let outcome = {
@@ -260,7 +260,7 @@
         let clock = &self.node.clock;
         let result = match self.kind() {
             RouteKind::ResumableStream if may_try_elsewhere => {
-                let given_up = pin!(self.until_given_up(&peer, patience));
+                let given_up = pin!(self.until_given_up(&upstream, patience));
                 match clock.timeout(self.remaining(), select(reading.as_mut(), given_up)).await {
                     Some(Either::Left((done, _))) => Some(done),
                     Some(Either::Right(_)) | None => None,
@@ -295,13 +295,13 @@
     }
 
     /// Waits until a run may be given up that another one is to follow. Once it is overdue, it counts so.
-    async fn until_given_up(&self, peer: &Peer, patience: Duration) {
+    async fn until_given_up(&self, upstream: &Upstream, patience: Duration) {
         let counted = async {
             exec::sleep(patience).await;
-            let _overdue = OverdueGuard::new(&self.node, &peer.upstream);
+            let _overdue = OverdueGuard::new(&self.node, &upstream.name);
             std::future::pending().await
         };
-        smol::future::or(peer.until_given_up(&self.node, patience), counted).await;
+        smol::future::or(upstream.until_given_up(&self.node, patience), counted).await;
     }
 
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
@@ -353,7 +353,7 @@
             }
         };
         self.node.reach.record_answer(&lease, self.node.now());
-        slot.peer.contact.record_answer(0, self.node.now());
+        slot.upstream.contact.record_answer(0, self.node.now());
         let (head, body) = response.into_parts();
         let is_closed = Framing::of(&head) == Framing::Closed;
         if !lease.tells_end() && !body.is_end_stream() && is_closed {
@@ -391,7 +391,7 @@
     /// Applies what an upstream says about its own state, before its answer is passed on.
     fn apply_upstream_state(&self, slot: &UpstreamSlot<W, S>, head: &response::Parts, check: ResponseCheck) {
         let node = &self.node;
-        let upstream = slot.peer.upstream.as_str();
+        let upstream = slot.upstream.name.as_str();
         if node.wire.is_leaving(head) && node.placer().mark_leaving(upstream, node.now()) {
             log::info!(
                 "upstream: event=leaves upstream={upstream} told-by=answer request={}",
--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -21,7 +21,7 @@
 /// The longest time between two decisions on a run. Timers are late by the time for which the VM was suspended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The contact with one upstream.
+/// The contact with one upstream, which its runs share.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
     state: Mutex<silence::Contact>,
@@ -68,16 +68,16 @@
     }
 }
 
-/// An upstream and its contact, as a run needs them.
+/// The upstream of a run, which may no longer be listed.
 #[derive(Clone, Debug)]
-pub(crate) struct Peer {
-    pub upstream: String,
+pub(crate) struct Upstream {
+    pub name: String,
     pub address: SocketAddr,
     pub health_path: Option<String>,
     pub contact: Arc<Contact>,
 }
 
-impl Peer {
+impl Upstream {
     /// Waits until a run from which nothing arrives may be given up. It is overdue after `patience`.
     pub(crate) async fn until_given_up<W: Wire, S: Rows>(&self, node: &Node<W, S>, patience: Duration) {
         let since = node.now();
@@ -108,7 +108,7 @@
         self.contact.state().record_probe(probe, node.now());
         drop(probing);
         node.metrics.silent_upstreams.with_label_values(&[result.name()]).inc();
-        log::warn!("upstream: event=silent upstream={} address={}", self.upstream, result.name());
+        log::warn!("upstream: event=silent upstream={} address={}", self.name, result.name());
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request, and the guards that release what it holds.
 
-use crate::contact::Peer;
+use crate::contact::Upstream;
 use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::ports::{Ask, Dispatch, Listing, Wire};
@@ -109,13 +109,13 @@
     }
 
     /// A listed upstream of the request's service.
-    fn peer(&self, upstream: &str, listing: &Listing) -> Peer {
+    fn upstream(&self, name: &str, listing: &Listing) -> Upstream {
         let service = self.request.manifest.services.get(&self.request.service);
-        Peer {
-            upstream: upstream.to_owned(),
+        Upstream {
+            name: name.to_owned(),
             address: listing.address,
             health_path: service.and_then(|service| service.health_path.clone()),
-            contact: self.node.contacts.of(upstream),
+            contact: self.node.contacts.of(name),
         }
     }
 
@@ -246,8 +246,7 @@
     node: Arc<Node<W, S>>,
     request: String,
     service: String,
-    /// The upstream, which may no longer be listed.
-    pub peer: Peer,
+    pub upstream: Upstream,
     /// The software version of the upstream.
     pub version: Version,
     pub dispatched: Millis,
@@ -271,7 +270,7 @@
             node,
             request: job.request.ask.id.clone(),
             service: job.request.service.clone(),
-            peer: job.peer(&chosen.upstream, listing),
+            upstream: job.upstream(&chosen.upstream, listing),
             version: Version::of(&listing.version),
             dispatched: now,
             dispatch_id,
@@ -282,7 +281,7 @@
     /// Records that the upstream has read the prompt, as its first answer shows.
     pub(crate) fn mark_prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_prompt_read, true) {
-            self.node.placer().record_first_answer(&self.peer.upstream, self.dispatch_id, self.node.now());
+            self.node.placer().record_first_answer(&self.upstream.name, self.dispatch_id, self.node.now());
         }
     }
 }
@@ -293,11 +292,11 @@
         log::info!(
             "request: id={} event=run-ended upstream={} ms={} answered={}",
             self.request,
-            self.peer.upstream,
+            self.upstream.name,
             now.saturating_sub(self.dispatched),
             self.is_prompt_read
         );
-        self.node.placer().end(&self.peer.upstream, self.dispatch_id, now);
+        self.node.placer().end(&self.upstream.name, self.dispatch_id, now);
         self.node.places.free(&self.service);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -205,7 +205,7 @@
         };
         let (sender, receiver) = async_channel::bounded(1);
         let (job, upstream, address) =
-            (self.job.clone(), stream.slot.peer.upstream.clone(), stream.slot.peer.address);
+            (self.job.clone(), stream.slot.upstream.name.clone(), stream.slot.upstream.address);
         exec::spawn(async move {
             let _ = sender.send(quarantine::has_terminated(&job.node, &upstream, address).await).await;
         })
@@ -241,7 +241,7 @@
     fn record_answer(&self, now: f64) {
         if let State::Streaming(stream) = &self.state {
             let gap_ms = self.reading.silence(now) as Millis;
-            stream.slot.peer.contact.record_answer(gap_ms, now as Millis);
+            stream.slot.upstream.contact.record_answer(gap_ms, now as Millis);
             self.job.node.reach.record_answer(&stream.lease, now as Millis);
         }
     }
@@ -249,7 +249,7 @@
     /// Updates the estimated event pace of the upstream with the time since the last event.
     fn observe(&mut self, now: f64) {
         let State::Streaming(stream) = &self.state else { return };
-        let upstream = &stream.slot.peer.upstream;
+        let upstream = &stream.slot.upstream.name;
         match self.pauses.record(now) {
             PauseKind::Baseline(ms) => self.job.node.placer().record_baseline_pause(upstream, ms),
             PauseKind::Long(ms) => self.job.node.placer().record_pause(upstream, ms, self.job.node.now()),
@@ -259,7 +259,7 @@
 
     fn complete(&mut self) -> Step {
         if let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) {
-            self.job.node.placer().record_success(&stream.slot.peer.upstream, None);
+            self.job.node.placer().record_success(&stream.slot.upstream.name, None);
             self.job.record_survival();
             if !self.has_survived_prompt {
                 self.job.record_prompt_survival();
@@ -292,16 +292,16 @@
         if self.job.kind() != RouteKind::ResumableStream {
             return false;
         }
-        let (peer, route, now) = (&stream.slot.peer, &self.job.request.route, self.job.node.now());
+        let (upstream, route, now) = (&stream.slot.upstream, &self.job.request.route, self.job.node.now());
         let patience_ms = stall_ms(route.target_ms, route.gap_ms);
-        match peer.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
+        match upstream.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
             Decision::Gone => true,
             // It may still go on by itself, which is better than no run at all.
             Decision::GiveUp => self.job.may_resume() && self.job.reserve_repeat("stalled"),
             Decision::Wait(_) => false,
             Decision::Probe => {
-                let (peer, node) = (peer.clone(), self.job.node.clone());
-                exec::spawn(async move { peer.probe(&node).await }).detach();
+                let (upstream, node) = (upstream.clone(), self.job.node.clone());
+                exec::spawn(async move { upstream.probe(&node).await }).detach();
                 false
             }
         }
@@ -320,7 +320,7 @@
             return self.resume_elsewhere("the path to the upstream is silent");
         }
         if let State::Streaming(stream) = &self.state {
-            self.job.release_place(&stream.slot.peer.upstream, stream.slot.dispatch_id);
+            self.job.release_place(&stream.slot.upstream.name, stream.slot.dispatch_id);
         }
         Step::Continue
     }
@@ -328,7 +328,7 @@
     /// Resumes a stream that its upstream broke off.
     fn start_resume(&mut self, reason: &str) -> Step {
         if let State::Streaming(stream) = &self.state {
-            self.job.node.placer().record_failure(&stream.slot.peer.upstream, self.job.node.now());
+            self.job.node.placer().record_failure(&stream.slot.upstream.name, self.job.node.now());
         }
         self.resume_elsewhere(reason)
     }
@@ -338,7 +338,7 @@
         let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Ended) else {
             return Step::Fail(reason.to_owned());
         };
-        let upstream = stream.slot.peer.upstream.clone();
+        let upstream = stream.slot.upstream.name.clone();
         let run = BrokenRun {
             dispatched: stream.slot.dispatched,
             begun: Some(self.run_began),
