A run that broke at once is held against a part as often as chance puts it there

Cause: a run that is dispatched to an engine that has just crashed breaks within 5 ms, and was held to have been present for those 5 ms only, which chance hardly explains. Whether it has a part depends on how many requests have it. Now chance puts the part there as often as it is among the runs that engines were running when they crashed. A part that crashes engines at once is not among those, so it is found as before; a new test guards that.

--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -466,19 +466,36 @@
 
     /// For each crash, the share of the time before it in which its upstream ran prompts with the signature: if that
     /// is harmless, the crash fell into this time by chance. The time begins with the start of the upstream, or with the
-    /// last run with the `part` that an upstream survived.
+    /// last run with the `part` that an upstream survived. A run that broke at once may have met a crashed upstream: then
+    /// chance puts the part there as often as other lost runs have it.
     fn chances(&self, part: PartId, support: &Support<'_>) -> Chances {
         let survived = self.survived(part).unwrap_or(0);
+        let frequency = self.frequency(part);
         let share = |(crash, losses): &(&Crash, SmallVec<[&Loss; 2]>)| {
             let Some(up_since) = self.history.up_since(&crash.upstream, crash.started) else { return 0.0 };
             let before = crash.at.saturating_sub(up_since.max(survived));
             let dispatched = losses.iter().map(|loss| loss.dispatched).min().unwrap_or(crash.at);
-            let ran = crash.at.saturating_sub(dispatched).max(UNNOTICED_MS);
-            ran as f64 / before.max(1) as f64
+            let ran = crash.at.saturating_sub(dispatched);
+            let share = ran.max(UNNOTICED_MS) as f64 / before.max(1) as f64;
+            // The upstream may have crashed before the run was dispatched.
+            if ran < UNNOTICED_MS { share.max(frequency) } else { share }
         };
         support.crashes.iter().map(share).collect()
     }
 
+    /// The share of the runs with a part among those that upstreams were running when they crashed.
+    fn frequency(&self, part: PartId) -> f64 {
+        let (mut with_part, mut all) = (0, 0);
+        for crash in &self.crashes {
+            let ran = crash.losses.iter().filter(|loss| loss.dispatched + UNNOTICED_MS <= crash.at);
+            for loss in ran {
+                with_part += u32::from(loss.run.parts.contains(&part));
+                all += 1;
+            }
+        }
+        f64::from(with_part) / f64::from(all.max(1))
+    }
+
     /// The signature with one more part that is supported by the most crashes. Parts that upstreams have survived since
     /// the first of the crashes are not needed.
     fn extension<'a>(
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -38,9 +38,13 @@
     }
 
     fn lose(&mut self, at: u64, request: u64, parts: &[u64]) {
+        self.lose_after(RUN_MS, at, request, parts);
+    }
+
+    fn lose_after(&mut self, run_ms: u64, at: u64, request: u64, parts: &[u64]) {
         let run = Run { request, parts: parts.iter().copied().collect() };
         let upstream = format!("engine-{}", self.upstreams);
-        let dispatched = at.saturating_sub(RUN_MS);
+        let dispatched = at.saturating_sub(run_ms);
         let loss = Loss { upstream, started: self.started, run, dispatched, at, is_firsthand: true };
         assert!(self.tracker.record_loss(&loss, at));
     }
@@ -55,6 +59,20 @@
     }
 }
 
+/// Guards against parts that are taken for chance because their runs break as quickly as at an upstream that has crashed.
+#[test]
+fn a_part_that_crashes_upstreams_at_once_is_found() {
+    let mut scene = Scene::default();
+    for round in 1..=5 {
+        let at = 2_000 * round;
+        scene.upstreams += 1;
+        scene.lose_after(2, at, 2 * round, &[COMMON, BAD]);
+        scene.lose(at, 2 * round + 1, &[COMMON, OTHER]);
+        scene.survive(at + 1, &[COMMON, OTHER]);
+    }
+    assert_eq!(scene.cause(), Some(vec![BAD]));
+}
+
 #[test]
 fn the_last_part_of_a_prompt_is_never_suspected() {
     assert_eq!(shared_parts([9, 3, 9, 7]).as_slice(), [3, 9]);
