--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -167,6 +167,34 @@
     });
 }
 
+/// Guards against an upstream that stays hidden, because another writer put an entry with a later start under its name.
+#[test]
+fn an_entry_with_a_start_in_the_far_future_hides_its_upstream_for_a_short_time_only() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        let node = followed(&rows);
+        until(&node, "all are listed", 3).await;
+        let address = node.listings()["engine-1"].address;
+        put(&rows, &format!("engines {address} started=100"));
+        put(&rows, &format!("engines 127.0.0.1:1 started={}", u64::MAX));
+        let listed = || node.listings().get("engine-1").and_then(|listing| listing.started);
+        let state = async |started: u64| {
+            for _ in 0..1_000 {
+                if listed() == Some(started) {
+                    return;
+                }
+                exec::sleep(Duration::from_millis(10)).await;
+            }
+            panic!("{started}: {:?}", node.listings().get("engine-1"));
+        };
+        state(u64::MAX).await;
+        put(&rows, &format!("engines {address} started=100"));
+        state(100).await;
+        assert_eq!(node.listings()["engine-1"].address, address);
+    });
+}
+
 async fn evacuated(node: &Node<PlainTextWire, TableRows>, what: &str, expected: &[&str]) {
     for _ in 0..300 {
         if node.placer().evacuated().eq(expected.iter().copied()) {
