Log and count by what the version of a stream that is taken up was found

The hypotheses differ in whether a wrong take-up had a record, and nothing said so. Adds request: event=located (by a record, by the sole version, or by nothing; gateways asked and answered) and tallypaddle_located_streams_total. No logic is changed.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     pub store_calls: IntCounterVec,
     /// Streams that callers take up, by outcome.
     pub resumptions: IntCounterVec,
+    pub located: IntCounterVec,
     /// The number of streams whose origin is known.
     pub origins: IntGauge,
     /// Streams whose software version was written to the store.
@@ -190,6 +191,11 @@
                 "Streams that callers take up, by whether the software version that began them is known.",
                 &["outcome"],
             ),
+            located: counters(
+                "tallypaddle_located_streams_total",
+                "What the software version of a stream that its caller takes up was found by.",
+                &["basis"],
+            ),
             origins: gauge(
                 "tallypaddle_origins",
                 "Streams of which this gateway knows the software version that began them.",
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -296,7 +296,9 @@
     limit: Duration,
 ) -> Result<Version, Refusal> {
     let stream = resumption.attempt.as_deref().map(|attempt| Stream::of(service, team, attempt));
+    let began = node.now();
     let found = find_origin(node, service, stream).await;
+    found.report(node, stream, node.now() - began);
     let mut located = found.version(node, service);
     if let (Ok(version), Some(stream)) = (located, stream) {
         match runs::release(node, stream, found.runner, limit).await {
@@ -309,14 +311,51 @@
     located
 }
 
+/// What the version of a stream was found by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Basis {
+    /// A record of this gateway or another one.
+    Record,
+    /// The only version that this gateway and those that it asked have seen.
+    Sole,
+    /// Nothing.
+    Nothing,
+}
+
+impl Basis {
+    /// The name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Basis::Record => "record",
+            Basis::Sole => "sole-version",
+            Basis::Nothing => "nothing",
+        }
+    }
+}
+
 /// What was found out about a stream.
 struct Found {
     origin: Origin,
+    basis: Basis,
+    /// The gateways that were asked, and those that answered.
+    asked: usize,
+    answered: usize,
     /// The gateway that ran it last, if that is known to be another one.
     runner: Option<SocketAddr>,
 }
 
 impl Found {
+    fn report<W: Wire, S: Rows>(&self, node: &Node<W, S>, stream: Option<Stream>, ms: Millis) {
+        node.metrics.located.with_label_values(&[self.basis.name()]).inc();
+        log::info!(
+            "request: event=located stream={} by={} asked={} answered={} ms={ms}",
+            stream.map_or("-".to_owned(), |stream| stream.to_string()),
+            self.basis.name(),
+            self.asked,
+            self.answered,
+        );
+    }
+
     /// The version at which the stream has to go on.
     fn version<W: Wire, S: Rows>(&self, node: &Node<W, S>, service: &str) -> Result<Version, Refusal> {
         match self.origin {
@@ -339,7 +378,8 @@
     let own = origins.knowledge(service, stream, lifetime, now);
     // Nobody was told of a stream that its caller doesn't name.
     if stream.is_none() && matches!(own.seen, Seen::Sole(_)) {
-        return Found { origin: resolve(own, &[]), runner: None };
+        let origin = resolve(own, &[]);
+        return Found { origin, basis: Basis::Sole, asked: 0, answered: 0, runner: None };
     }
     let peers = node.hints.peers();
     let ranked_by = stream.unwrap_or_else(|| Stream::of(service, "", &node.holder));
@@ -370,8 +410,17 @@
     let told = others.iter().find_map(|(_, runner)| *runner);
     let runner = told.or_else(|| origins.record(stream, lifetime, now)?.runner);
     let known: Vec<Knowledge> = others.into_iter().map(|(known, _)| known).collect();
+    let origin = resolve(own, &known);
+    let is_recorded = std::iter::once(&own).chain(&known).any(|known| known.version.is_some());
     Found {
-        origin: resolve(own, &known),
+        origin,
+        basis: match origin {
+            Origin::Unknown => Basis::Nothing,
+            Origin::At(_) if is_recorded => Basis::Record,
+            Origin::At(_) => Basis::Sole,
+        },
+        asked: asked.len(),
+        answered: known.len(),
         runner: runner.filter(|runner| *runner != node.settings.listen.peers),
     }
 }
