A stream without a record goes on only after a read of the store that began after its caller came

Cause: a gateway that finds no record takes the only version in its list for the stream's. The list counted as current for 2 s after an answer of the store was handled, so another version may have joined; and a gateway that had read the list of gateways while it was alone in it had nobody to ask who knew the record.

Now such a take-up waits for reads that began after it came (route::barrier, gateway::barrier): the changes of the list of upstreams, and in fleets of up to 64 the list of gateways, whose keepers are then asked too. The store's answers are linearizable, so they hold all that had happened. Requests share reads, and a fleet makes at most 500 a second. If the reads fail, the stream is refused with 503: it did not run. A gateway that is asked says "only version" only after such a read of its own if the asker needs that.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 //! [`ports`] is the interface to callers, upstreams and operators, which an adapter implements.
 
 mod attempt;
+mod barrier;
 mod body;
 mod brittle;
 mod budget_state;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -115,6 +115,16 @@
     }
 }
 
+/// Reads the addresses of the other gateways.
+///
+/// # Errors
+/// The store does not answer.
+pub(crate) async fn list<W: Wire, S: Rows>(node: &Node<W, S>) -> Result<Vec<SocketAddr>, store::Error> {
+    let page = node.rows.list(TABLE, "").await?;
+    let others = page.records.iter().filter(|record| record.name != node.settings.name);
+    Ok(others.filter_map(|record| Some(decode::<Heartbeat>(record)?.peers)).collect())
+}
+
 /// The heartbeat interval in a fleet of the current size, in milliseconds.
 fn heartbeat_interval_ms<W: Wire, S: Rows>(node: &Node<W, S>) -> u64 {
     HEARTBEAT_INTERVAL_MS.max(node.fleet_size() * 1_000 / MAX_HEARTBEATS_PER_S)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     /// Streams that callers take up, by outcome.
     pub resumptions: IntCounterVec,
     pub located: IntCounterVec,
+    pub barriers: IntCounterVec,
     /// The number of streams whose origin is known.
     pub origins: IntGauge,
     /// Streams whose software version was written to the store.
@@ -196,6 +197,11 @@
                 "What the software version of a stream that its caller takes up was found by.",
                 &["basis"],
             ),
+            barriers: counters(
+                "tallypaddle_barriers_total",
+                "Reads of the store that bring the list of upstreams up to the present, by outcome.",
+                &["outcome"],
+            ),
             origins: gauge(
                 "tallypaddle_origins",
                 "Streams of which this gateway knows the software version that began them.",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway that its tasks share.
 
+use crate::barrier::Barrier;
 use crate::contact::Contacts;
 use crate::failover::Failover;
 use crate::hints::Hints;
@@ -86,6 +87,7 @@
     pub hints: Arc<Hints>,
     pub owners: Owners,
     pub origins: Arc<Origins>,
+    pub barrier: Barrier,
     /// The longest time that a stream and its resumptions take.
     stream_lifetime: Mutex<Lifetime>,
     pub peer_reservations: Arc<PeerReservations>,
@@ -156,6 +158,7 @@
             load,
             hints: Arc::default(),
             origins: Arc::default(),
+            barrier: Barrier::default(),
             stream_lifetime: Mutex::default(),
             places: Places::default(),
             contacts: Contacts::default(),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -3,14 +3,16 @@
 //!
 //! [`route::origin`] decides whom to tell and to ask, and whether the answers suffice.
 
+use crate::barrier::{self, Passed};
 use crate::hints::Hints;
 use crate::job::Job;
 use crate::node::Node;
 use crate::ports::{Resumption, Wire};
 use crate::refusal::Refusal;
-use crate::runs;
-use futures::StreamExt;
+use crate::runs::{self, Runners};
+use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::{Body, Client, exec};
@@ -19,6 +21,7 @@
 use route::origin_log::Log;
 use route::version::{Seen, Version, Versions};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -32,6 +35,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long the first one may take before the others are asked as well.
 const FIRST_ASK_TIMEOUT: Duration = Duration::from_millis(40);
+/// How long the gateway that is asked may take to learn from the store whether its list is behind.
+const ANSWER_DELAY: Duration = Duration::from_millis(100);
 /// The number of unused connections to a gateway that are kept, and for how long.
 const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
 /// The largest message, in bytes.
@@ -59,6 +64,8 @@
     service: String,
     /// `None` if the caller did not name it.
     stream: Option<Stream>,
+    /// Whether the list of upstreams has to be brought up to the present for the answer.
+    needs_list: bool,
 }
 
 /// What a gateway knows of a stream, and which one ran it last.
@@ -297,11 +304,11 @@
 ) -> Result<Version, Refusal> {
     let stream = resumption.attempt.as_deref().map(|attempt| Stream::of(service, team, attempt));
     let began = node.now();
-    let found = find_origin(node, service, stream).await;
+    let found = find_origin(node, service, stream, limit).await;
     found.report(node, stream, node.now() - began);
     let mut located = found.version(node, service);
     if let (Ok(version), Some(stream)) = (located, stream) {
-        match runs::release(node, stream, found.runner, limit).await {
+        match runs::release(node, stream, found.runners, limit).await {
             Ok(()) => node.origins.begin_again(node, service, stream, version),
             Err(refusal) => located = Err(refusal),
         }
@@ -340,8 +347,8 @@
     /// The gateways that were asked, and those that answered.
     asked: usize,
     answered: usize,
-    /// The gateway that ran it last, if that is known to be another one.
-    runner: Option<SocketAddr>,
+    /// The gateways that ran it, as far as they are known and not this one.
+    runners: Runners,
 }
 
 impl Found {
@@ -368,60 +375,125 @@
     }
 }
 
+/// Finds out where a stream began. Without a record the list of upstreams has to tell, which takes up to `limit`.
 async fn find_origin<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     service: &str,
     stream: Option<Stream>,
+    limit: Duration,
 ) -> Found {
-    let origins = &node.origins;
-    let (lifetime, now) = (node.stream_lifetime(), node.now());
-    let own = origins.knowledge(service, stream, lifetime, now);
+    let lifetime = node.stream_lifetime();
+    let own = node.origins.knowledge(service, stream, lifetime, node.now());
+    let needs_list = !matches!(own.seen, Seen::Sole(_));
+    let mut survey = Survey::new(node, Question { service: service.to_owned(), stream, needs_list });
     // Nobody was told of a stream that its caller doesn't name.
-    if stream.is_none() && matches!(own.seen, Seen::Sole(_)) {
-        let origin = resolve(own, &[]);
-        return Found { origin, basis: Basis::Sole, asked: 0, answered: 0, runner: None };
-    }
+    let may_be_known = stream.is_some() || needs_list;
     let peers = node.hints.peers();
-    let ranked_by = stream.unwrap_or_else(|| Stream::of(service, "", &node.holder));
-    let asked = keepers(ranked_by, peers.iter().map(|peer| (*peer, key(*peer))), ASKED);
-    let question = Question { service: service.to_owned(), stream };
-    let question = bincode::serialize(&question).expect("a question serializes to bincode");
-    let mut others: Vec<Answer> = vec![];
-    // The first keeper knows most streams, and who ran them last. If it does not answer soon, the others are asked beside
-    // it.
-    let mut answers: FuturesUnordered<_> =
-        asked.iter().take(1).map(|peer| origins.ask(*peer, question.clone())).collect();
-    let has_record = |others: &[Answer]| others.last().is_some_and(|(known, _)| known.version.is_some());
-    if let Some(first) = exec::timeout(FIRST_ASK_TIMEOUT, answers.next()).await {
-        others.extend(first.flatten());
-    }
-    if own.version.is_none() && !has_record(&others) {
-        answers.extend(asked.iter().skip(1).map(|peer| origins.ask(*peer, question.clone())));
+    if may_be_known {
+        survey.ask_first(&peers).await;
+    }
+    let mut is_present = false;
+    if own.version.is_none() && !survey.has_record() {
+        // If several versions serve, the list decides nothing.
+        let is_list_useful = own.seen != Seen::Several || peers.is_empty();
+        let passing =
+            async { if is_list_useful { barrier::pass(node, limit).await } else { Passed::Unknown } };
+        let asking = async {
+            if may_be_known {
+                survey.ask(&peers).await;
+            }
+        };
+        if let (Passed::Known(gateways), ()) = futures::future::join(passing, asking).await {
+            is_present = true;
+            if may_be_known {
+                // Some may have started since this gateway last read which there are.
+                survey.ask(&gateways).await;
+            }
+        }
+    }
+    let own = node.origins.knowledge(service, stream, lifetime, node.now()).at_present(is_present);
+    let record = node.origins.record(stream, lifetime, node.now());
+    survey.conclude(own, record.and_then(|record| record.runner))
+}
+
+/// Asks other gateways what they know of a stream.
+struct Survey<'a, W: Wire, S: Rows> {
+    node: &'a Node<W, S>,
+    ranked_by: Stream,
+    question: Vec<u8>,
+    asked: SmallVec<[SocketAddr; ASKED]>,
+    answers: Vec<Answer>,
+    /// Those that have not answered yet.
+    pending: FuturesUnordered<BoxFuture<'a, Option<Answer>>>,
+}
+
+impl<'a, W: Wire, S: Rows> Survey<'a, W, S> {
+    fn new(node: &'a Node<W, S>, question: Question) -> Survey<'a, W, S> {
+        Survey {
+            node,
+            ranked_by: question.stream.unwrap_or_else(|| Stream::of(&question.service, "", &node.holder)),
+            question: bincode::serialize(&question).expect("a question serializes to bincode"),
+            asked: SmallVec::new(),
+            answers: vec![],
+            pending: FuturesUnordered::new(),
+        }
+    }
+
+    fn has_record(&self) -> bool {
+        self.answers.iter().any(|(known, _)| known.version.is_some())
+    }
+
+    /// Sends the question to the first `count` keepers of the stream among `gateways`, unless they have been asked.
+    fn send(&mut self, gateways: &[SocketAddr], count: usize) {
+        for gateway in keepers(self.ranked_by, gateways.iter().map(|peer| (*peer, key(*peer))), count) {
+            if !self.asked.contains(&gateway) {
+                self.asked.push(gateway);
+                self.pending.push(self.node.origins.ask(gateway, self.question.clone()).boxed());
+            }
+        }
+    }
+
+    /// Asks the first keeper, which knows most streams, and who ran them last. If it does not answer soon, the others are
+    /// asked beside it.
+    async fn ask_first(&mut self, gateways: &[SocketAddr]) {
+        self.send(gateways, 1);
+        if let Some(Some(first)) = exec::timeout(FIRST_ASK_TIMEOUT, self.pending.next()).await {
+            self.answers.extend(first);
+        }
+    }
+
+    /// Asks the keepers of the stream among `gateways`, until one has a record.
+    async fn ask(&mut self, gateways: &[SocketAddr]) {
+        self.send(gateways, ASKED);
         let collecting = async {
-            while let Some(answer) = answers.next().await {
-                others.extend(answer);
-                if has_record(&others) {
-                    break;
-                }
+            while !self.has_record() {
+                let Some(answer) = self.pending.next().await else { return };
+                self.answers.extend(answer);
             }
         };
         exec::timeout(ASK_TIMEOUT, collecting).await;
     }
-    let told = others.iter().find_map(|(_, runner)| *runner);
-    let runner = told.or_else(|| origins.record(stream, lifetime, now)?.runner);
-    let known: Vec<Knowledge> = others.into_iter().map(|(known, _)| known).collect();
-    let origin = resolve(own, &known);
-    let is_recorded = std::iter::once(&own).chain(&known).any(|known| known.version.is_some());
-    Found {
-        origin,
-        basis: match origin {
-            Origin::Unknown => Basis::Nothing,
-            Origin::At(_) if is_recorded => Basis::Record,
-            Origin::At(_) => Basis::Sole,
-        },
-        asked: asked.len(),
-        answered: known.len(),
-        runner: runner.filter(|runner| *runner != node.settings.listen.peers),
+
+    /// Decides where the stream began. `runner` is the gateway that ran it, as far as this one knows.
+    fn conclude(self, own: Knowledge, runner: Option<SocketAddr>) -> Found {
+        let known: Vec<Knowledge> = self.answers.iter().map(|(known, _)| *known).collect();
+        let origin = resolve(own, &known);
+        let is_recorded = own.version.is_some() || self.has_record();
+        let this = self.node.settings.listen.peers;
+        let mut runners: Runners = self.answers.iter().filter_map(|(_, runner)| *runner).collect();
+        runners.extend(runner);
+        runners.retain(|runner| *runner != this);
+        Found {
+            origin,
+            basis: match origin {
+                Origin::Unknown => Basis::Nothing,
+                Origin::At(_) if is_recorded => Basis::Record,
+                Origin::At(_) => Basis::Sole,
+            },
+            asked: self.asked.len(),
+            answered: known.len(),
+            runners,
+        }
     }
 }
 
@@ -431,14 +503,22 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let bytes = net::collect(request.into_body(), MESSAGE_LIMIT).await.unwrap_or_default();
-    let Ok(Question { service, stream }) = bincode::deserialize(&bytes) else {
+    // A gateway of an earlier build does not say whether it needs the list.
+    let unsaid = || bincode::deserialize(&bytes).map(|(service, stream)| (service, stream, true));
+    let question: Result<(String, Option<Stream>, bool), _> =
+        bincode::deserialize(&bytes).or_else(|_| unsaid());
+    let Ok((service, stream, needs_list)) = question else {
         let mut response = Response::new(Body::empty());
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
-    let (lifetime, now) = (node.stream_lifetime(), node.now());
-    let known = node.origins.knowledge(&service, stream, lifetime, now);
-    let record = node.origins.record(stream, lifetime, now);
+    let lifetime = node.stream_lifetime();
+    let mut known = node.origins.knowledge(&service, stream, lifetime, node.now());
+    if let Knowledge { version: None, seen: Seen::Sole(_) } = known {
+        let is_present = needs_list && matches!(barrier::pass(&node, ANSWER_DELAY).await, Passed::Known(_));
+        known = node.origins.knowledge(&service, stream, lifetime, node.now()).at_present(is_present);
+    }
+    let record = node.origins.record(stream, lifetime, node.now());
     let runner = record.map(|record| record.runner.unwrap_or(node.settings.listen.peers));
     let answer: Answer = (known, runner);
     Response::new(Body::from(bincode::serialize(&answer).expect("an answer serializes to bincode")))
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -67,6 +67,9 @@
     }
 }
 
+/// Gateways that ran a stream.
+pub(crate) type Runners = SmallVec<[SocketAddr; 4]>;
+
 /// A run that is not known to be over.
 #[derive(Clone, Debug)]
 struct Run {
@@ -242,31 +245,29 @@
     }
 }
 
-/// Ends the earlier runs of a stream that its caller takes up, here and at the gateway that ran it last, and waits until
-/// their upstreams have noticed.
+/// Ends the earlier runs of a stream that its caller takes up, here and at the gateways that ran it, and waits until their
+/// upstreams have noticed.
 ///
 /// # Errors
 /// Refuses the request if an upstream has not noticed within `limit`.
 pub(crate) async fn release<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     stream: Stream,
-    runner: Option<SocketAddr>,
+    runners: Runners,
     limit: Duration,
 ) -> Result<(), Refusal> {
     node.runs.take_over(stream);
     let here = node.runs.until_over(node, stream);
-    let elsewhere = async {
-        if let Some(runner) = runner {
-            node.runs.until_over_at(runner, stream).await;
-        }
-    };
+    let named: Vec<String> = runners.iter().map(SocketAddr::to_string).collect();
+    let elsewhere =
+        futures::future::join_all(runners.iter().map(|runner| node.runs.until_over_at(*runner, stream)));
     let began = node.now();
     let released = exec::timeout(limit, futures::future::join(here, elsewhere)).await;
     let ms = node.now() - began;
     node.metrics.release_time.observe(ms as f64 / 1_000.0);
     log::info!(
-        "request: event=released stream={stream} runner={} ms={ms} over={}",
-        runner.map_or("-".to_owned(), |runner| runner.to_string()),
+        "request: event=released stream={stream} runners={} ms={ms} over={}",
+        if named.is_empty() { "-".to_owned() } else { named.join(",") },
         released.is_some()
     );
     released.map(|_| ()).ok_or(Refusal::StillRunning)
@@ -285,5 +286,5 @@
     };
     node.runs.take_over(stream);
     let is_over = exec::timeout(ANSWER_DELAY, node.runs.until_over(&node, stream)).await.is_some();
-    Response::new(Body::from(bincode::serialize(&is_over).expect("a truth value serializes to bincode")))
+    Response::new(Body::from(bincode::serialize(&is_over).expect("an answer serializes to bincode")))
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -377,6 +377,7 @@
         log::info!("upstream: event=started-from-snapshot version={}", snapshot.version);
         follower.after = Some(snapshot.version);
         apply_snapshot(&node, &mut list, snapshot);
+        node.barrier.set_applied(follower.after);
     }
     loop {
         let wait_ms = if list.vanished.is_empty() { FEED_WAIT_MS } else { VANISH_FEED_WAIT_MS };
@@ -410,6 +411,7 @@
             }
             Step::Restart(_) | Step::Failed => {}
         }
+        node.barrier.set_applied(follower.after);
         resolve_vanished(&node, &mut list);
         if let Some((count, first)) = list.malformed.take() {
             log::warn!("upstream: event=unfit entries={count} {first}");
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod assignment;
+pub mod barrier;
 mod brittle;
 mod connections;
 mod dispatcher;
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -189,6 +189,16 @@
     pub seen: Seen,
 }
 
+impl Knowledge {
+    /// What is known at present, which the list tells only if it holds all that has happened.
+    pub fn at_present(self, is_list_present: bool) -> Knowledge {
+        match is_list_present {
+            true => self,
+            false => Knowledge { seen: self.seen.behind(), ..self },
+        }
+    }
+}
+
 /// Whether a stream can be taken up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
--- a/crates/route/src/version.rs
+++ b/crates/route/src/version.rs
@@ -35,6 +35,16 @@
     Several,
 }
 
+impl Seen {
+    /// What is known at present, if the list may be behind: another version may have joined.
+    pub fn behind(self) -> Seen {
+        match self {
+            Seen::Sole(_) => Seen::Unknown,
+            Seen::Several | Seen::Unknown => self,
+        }
+    }
+}
+
 /// The versions of one service.
 #[derive(Clone, Debug, Default)]
 struct Service {
@@ -70,7 +80,7 @@
     /// Records that the list is known as of `now`, with all versions that were listed since the last time.
     pub fn confirm_changes(&mut self, now: Millis) {
         self.since.get_or_insert(now);
-        self.confirmed = Some(now);
+        self.confirmed = self.confirmed.max(Some(now));
     }
 
     /// Records versions that were listed before this gateway started. Call it before upstreams are added.
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -229,6 +229,17 @@
     }));
 }
 
+/// Guards against streams that go on at another version, because a list that is behind counts as the present one.
+#[test]
+fn a_list_that_may_be_behind_leaves_a_stream_without_a_record_unknown() {
+    let sole = Knowledge { version: None, seen: Seen::Sole(version("v1")) };
+    assert_eq!(resolve(sole.at_present(true), &[]), Origin::At(version("v1")));
+    assert_eq!(resolve(sole.at_present(false), &[sole.at_present(false)]), Origin::Unknown);
+    assert_eq!(resolve(sole.at_present(false), &[sole.at_present(true)]), Origin::At(version("v1")));
+    let recorded = Knowledge { version: Some(version("v2")), ..sole };
+    assert_eq!(resolve(recorded.at_present(false), &[]), Origin::At(version("v2")));
+}
+
 /// Of each stream, the gateway that began it and the one that takes it up are missing from the lists of the others.
 #[test]
 fn gateways_that_tell_and_ask_agree_on_the_keepers() {
