A gateway that releases a stream names the one that took it up from there

Cause: the gateway that runs a stream tells its keepers by datagram. One that does not know the sender yet, or misses the datagram, names the runner before; that one says that its runs are over, and the stream goes on beside the run in between.

Now the request to release a stream says where it goes on. The gateway that is asked records that, and its answer names the one it had recorded before, which is asked next. A gateway also records whom it has asked, in case its own request is refused. All runners that any answer or the own record names are asked, not only the first. Both messages end with the new fields, so earlier builds read the part they know.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -249,6 +249,24 @@
         self.flush(&node.hints);
     }
 
+    /// Records the gateway that ran a stream last, as far as this one knows.
+    pub(crate) fn record_runner(&self, told: Told, runner: SocketAddr, now: Millis) {
+        self.streams().record(told.stream, Record { version: told.version, runner: Some(runner) }, now);
+    }
+
+    /// Records that another gateway takes a stream up. Returns the one that had done so before, if it was not this one.
+    pub(crate) fn pass_on(
+        &self,
+        told: Told,
+        to: SocketAddr,
+        lifetime: Millis,
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        let before = self.record(Some(told.stream), lifetime, now);
+        self.record_runner(told, to, now);
+        before?.runner
+    }
+
     async fn ask(&self, peer: SocketAddr, question: Vec<u8>) -> Option<Answer> {
         let request = Request::post(format!("http://{peer}{PATH}")).body(Body::from(question)).ok()?;
         let answer = self.client.exchange("origin", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
@@ -308,7 +326,7 @@
     found.report(node, stream, node.now() - began);
     let mut located = found.version(node, service);
     if let (Ok(version), Some(stream)) = (located, stream) {
-        match runs::release(node, stream, found.runners, limit).await {
+        match runs::release(node, Told { stream, version }, found.runners, limit).await {
             Ok(()) => node.origins.begin_again(node, service, stream, version),
             Err(refusal) => located = Err(refusal),
         }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -6,6 +6,7 @@
 
 use crate::contact::Upstream;
 use crate::node::Node;
+use crate::origins::Told;
 use crate::ports::Wire;
 use crate::refusal::Refusal;
 use event_listener::{Event, EventListener};
@@ -14,6 +15,7 @@
 use net::{Body, Client, exec};
 use route::Millis;
 use route::origin::Stream;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -70,6 +72,23 @@
 /// Gateways that ran a stream.
 pub(crate) type Runners = SmallVec<[SocketAddr; 4]>;
 
+/// Asks a gateway to end its runs of a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Release {
+    told: Told,
+    /// The gateway at which the stream goes on.
+    to: SocketAddr,
+}
+
+/// What a gateway says that was asked to release a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Released {
+    /// Whether its runs are over.
+    is_over: bool,
+    /// The gateway that took the stream up from there before.
+    next: Option<SocketAddr>,
+}
+
 /// A run that is not known to be over.
 #[derive(Clone, Debug)]
 struct Run {
@@ -197,25 +216,52 @@
         self.state().streams.get(&stream)?.iter().find(|run| is_selected(run)).cloned()
     }
 
-    /// Asks another gateway to release a stream. Returns whether its runs there are over; `None` if there is no answer.
-    async fn ask(&self, runner: SocketAddr, stream: Stream) -> Option<bool> {
-        let question = bincode::serialize(&stream).expect("a stream serializes to bincode");
+    /// Asks another gateway to release a stream; `None` if there is no answer.
+    async fn ask(&self, runner: SocketAddr, request: Release) -> Option<Released> {
+        let question = bincode::serialize(&request).expect("a request serializes to bincode");
         let request = Request::post(format!("http://{runner}{PATH}")).body(Body::from(question)).ok()?;
         let answer = self.client.exchange("release", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
-        bincode::deserialize(answer.body()).ok()
+        // A gateway of an earlier build names no other one.
+        let unnamed = || Some(Released { is_over: bincode::deserialize(answer.body()).ok()?, next: None });
+        bincode::deserialize(answer.body()).ok().or_else(unnamed)
     }
 
-    /// Waits until the runs of a stream at another gateway are over, or that gateway does not answer.
-    async fn until_over_at(&self, runner: SocketAddr, stream: Stream) {
-        let mut unanswered = 0;
+    /// Waits until the runs of a stream at another gateway are over, or that gateway does not answer. Returns the gateway
+    /// that took the stream up from there.
+    async fn until_over_at(&self, runner: SocketAddr, request: Release) -> Option<SocketAddr> {
+        let (mut unanswered, mut next) = (0, None);
         while unanswered < MAX_UNANSWERED {
-            match self.ask(runner, stream).await {
-                Some(true) => return,
-                Some(false) => unanswered = 0,
+            match self.ask(runner, request).await {
+                Some(released) => {
+                    unanswered = 0;
+                    next = next.or(released.next);
+                    if released.is_over {
+                        return next;
+                    }
+                }
                 None => unanswered += 1,
             }
         }
         log::warn!("request: event=not-released gateway={runner}");
+        next
+    }
+
+    /// Waits until the runs of a stream are over at `runners`, and at those that took it up from there.
+    async fn until_over_elsewhere<W: Wire, S: Rows>(
+        &self,
+        node: &Node<W, S>,
+        runners: Runners,
+        request: Release,
+    ) {
+        let (mut pending, mut asked) = (runners, Runners::new());
+        while let Some(runner) = pending.pop() {
+            if runner != request.to && !asked.contains(&runner) {
+                asked.push(runner);
+                // If this request is refused, the next gateway that is asked to take the stream up learns it from here.
+                node.origins.record_runner(request.told, runner, node.now());
+                pending.extend(self.until_over_at(runner, request).await);
+            }
+        }
     }
 }
 
@@ -252,15 +298,16 @@
 /// Refuses the request if an upstream has not noticed within `limit`.
 pub(crate) async fn release<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
-    stream: Stream,
+    told: Told,
     runners: Runners,
     limit: Duration,
 ) -> Result<(), Refusal> {
+    let stream = told.stream;
     node.runs.take_over(stream);
     let here = node.runs.until_over(node, stream);
     let named: Vec<String> = runners.iter().map(SocketAddr::to_string).collect();
-    let elsewhere =
-        futures::future::join_all(runners.iter().map(|runner| node.runs.until_over_at(*runner, stream)));
+    let request = Release { told, to: node.settings.listen.peers };
+    let elsewhere = node.runs.until_over_elsewhere(node, runners, request);
     let began = node.now();
     let released = exec::timeout(limit, futures::future::join(here, elsewhere)).await;
     let ms = node.now() - began;
@@ -279,12 +326,20 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let bytes = net::collect(request.into_body(), MESSAGE_LIMIT).await.unwrap_or_default();
-    let Ok(stream) = bincode::deserialize::<Stream>(&bytes) else {
+    // A gateway of an earlier build does not say where the stream goes on.
+    let release = bincode::deserialize::<Release>(&bytes).ok();
+    let stream = release.map(|release| release.told.stream).or_else(|| bincode::deserialize(&bytes).ok());
+    let Some(stream) = stream else {
         let mut response = Response::new(Body::empty());
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
     node.runs.take_over(stream);
+    let next = release.and_then(|Release { told, to }| {
+        node.origins.pass_on(told, to, node.stream_lifetime(), node.now()).filter(|next| *next != to)
+    });
     let is_over = exec::timeout(ANSWER_DELAY, node.runs.until_over(&node, stream)).await.is_some();
-    Response::new(Body::from(bincode::serialize(&is_over).expect("an answer serializes to bincode")))
+    // An earlier build reads the first byte only.
+    let released = Released { is_over, next };
+    Response::new(Body::from(bincode::serialize(&released).expect("an answer serializes to bincode")))
 }
