An entry with an earlier start is applied once it has stayed for three heartbeats

Requests no longer reached an upstream after another writer had once put an entry with a larger start time under its name: each later entry of the upstream counted as a late one, for good. Cause: the start time alone decided which entry is the newest, while the rows' versions already order them; only the writes of an instance that has ended come late.

A running upstream replaces an entry that is not its own with its next heartbeat.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,13 +11,15 @@
 use yaml::{ConfigError, Reader};
 
 /// The keys that the settings may contain, as listed in error messages.
-const KNOWN_KEYS: &str = "name, data-centre, region, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, first-start, bounds";
+const KNOWN_KEYS: &str = "name, data-centre, region, listen, store, store-writes-per-s, threads, cpu-share, memory-mb, link-mbps, record-ms, first-start, upstream-heartbeat-ms, bounds";
 /// The default time that charges may wait for settlement, in milliseconds. Notes already protect the charges,
 /// so that settlement only keeps the record up to date.
 const DEFAULT_RECORD_MS: u64 = 8_000;
 /// The default for the writes per second that the store accepts: the number that the smallest deployments
 /// have.
 const DEFAULT_STORE_WRITES_PER_S: u64 = 600;
+/// The default interval at which upstreams write their entries, in milliseconds.
+const DEFAULT_UPSTREAM_HEARTBEAT_MS: u64 = 1_200;
 
 /// The capacity up to which a link counts as narrow, in Mbit/s. A prompt of 12,000 tokens takes 1 ms on it, so
 /// that several of them at once do not delay the messages between gateways.
@@ -51,6 +53,8 @@
     pub record_ms: u64,
     /// Whether the whole system starts for the first time, so that no stream can have begun before.
     pub first_start: bool,
+    /// The interval at which upstreams write their entries of the list, in milliseconds.
+    pub upstream_heartbeat_ms: u64,
     /// The bounds that the operators have agreed with the platform.
     pub bounds: Bounds,
 }
@@ -109,6 +113,8 @@
             let link_mbps = reader.take::<f64>(&mut root, "link-mbps");
             let record_ms = reader.take::<u64>(&mut root, "record-ms").unwrap_or(DEFAULT_RECORD_MS);
             let first_start = reader.take::<bool>(&mut root, "first-start").unwrap_or_default();
+            let heartbeat = reader.take::<u64>(&mut root, "upstream-heartbeat-ms");
+            let upstream_heartbeat_ms = heartbeat.unwrap_or(DEFAULT_UPSTREAM_HEARTBEAT_MS);
             let bounds = reader.take::<Bounds>(&mut root, "bounds").unwrap_or_default();
             for key in root.keys().filter_map(|key| key.as_str()) {
                 reader.add(&[key], format!("unknown key; known are {KNOWN_KEYS}"));
@@ -117,6 +123,9 @@
             if store_writes_per_s == 0 {
                 reader.add(&["store-writes-per-s"], "must be at least 1");
             }
+            if upstream_heartbeat_ms == 0 {
+                reader.add(&["upstream-heartbeat-ms"], "must be at least 1");
+            }
             if !(cpu_share > 0.0 && cpu_share.is_finite()) {
                 reader.add(&["cpu-share"], "must be above 0");
             }
@@ -139,6 +148,7 @@
                 link_mbps,
                 record_ms,
                 first_start,
+                upstream_heartbeat_ms,
                 bounds,
             })
         })?;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -47,6 +47,9 @@
 /// of the store entries expire together, whereas upstreams leave a few at a time.
 const EXPIRED_RATIO: f64 = 0.34;
 
+/// The number of heartbeats that an upstream may miss before the platform removes its entry.
+const MAX_MISSED_HEARTBEATS: u64 = 3;
+
 /// The number of rows of the list that have to change within [`BURST_WINDOW_MS`] for a burst: a start of the
 /// platform, or the end of an outage. The snapshot takes a tenth of the bytes of the changed rows.
 pub(crate) const BURST_ROWS: usize = 256;
@@ -337,11 +340,21 @@
     regained_at: Option<Millis>,
     /// The latest start of each upstream, in milliseconds of its own clock.
     started: HashMap<String, u64>,
+    /// Entries that seem late, by the names of their upstreams.
+    late: HashMap<String, Late>,
     burst: Burst,
     /// The number of malformed entries since they were last logged, and the first of them.
     malformed: Option<(u64, String)>,
 }
 
+/// An entry with an earlier start than one before it. An upstream that had started again since would soon replace it.
+struct Late {
+    /// When it is applied, unless it has been replaced.
+    until: Millis,
+    version: u64,
+    listing: Listing,
+}
+
 /// The rows that changed recently.
 #[derive(Default)]
 struct Burst {
@@ -413,6 +426,7 @@
         }
         node.barrier.set_applied(follower.after);
         resolve_vanished(&node, &mut list);
+        resolve_late(&node, &mut list);
         if let Some((count, first)) = list.malformed.take() {
             log::warn!("upstream: event=unfit entries={count} {first}");
         }
@@ -514,6 +528,7 @@
     }
     *version = record.version;
     let Some(bytes) = record.value.as_deref() else {
+        list.late.remove(&record.name);
         return vanish(node, list, &record.name);
     };
     match node.wire.decode_listing(bytes) {
@@ -525,26 +540,43 @@
             let first = || (0, format!("upstream={} {error}", record.name));
             list.malformed.get_or_insert_with(first).0 += 1;
             list.vanished.remove(&record.name);
+            list.late.remove(&record.name);
             remove(node, list, &record.name);
         }
     }
 }
 
-/// Applies an upstream's entry, unless it is a late one from before the upstream's latest start.
+/// Applies an upstream's entry. One that seems to be a late one, from before the upstream's latest start, is kept for now.
 fn list_upstream<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     list: &mut UpstreamRows,
     name: &str,
     version: u64,
     listing: Listing,
+) {
+    let known_late = list.late.remove(name);
+    let newest = list.started.get(name).copied();
+    if let (Some(started), Some(newest)) = (listing.started, newest)
+        && started < newest
+    {
+        log::warn!("upstream: event=late-entry upstream={name} started={started} newest={newest}");
+        let until = known_late.map_or_else(|| node.now() + late_period_ms(node), |late| late.until);
+        list.late.insert(name.to_owned(), Late { until, version, listing });
+        return;
+    }
+    apply_listing(node, list, name, version, listing);
+}
+
+fn apply_listing<W: Wire, S: Rows>(
+    node: &Arc<Node<W, S>>,
+    list: &mut UpstreamRows,
+    name: &str,
+    version: u64,
+    listing: Listing,
 ) {
     if let Some(started) = listing.started {
-        let newest = list.started.entry(name.to_owned()).or_insert(started);
-        if started < *newest {
-            log::warn!("upstream: event=late-entry upstream={name} started={started} newest={newest}",);
-            return;
-        }
-        let has_restarted = started > std::mem::replace(newest, started);
+        let has_restarted =
+            list.started.insert(name.to_owned(), started).is_some_and(|before| before != started);
         let former = if has_restarted { node.listings().remove(name) } else { None };
         if let Some(former) = former {
             node.origins.versions().remove(&former.service, Version::of(&former.version), node.now());
@@ -561,6 +593,21 @@
     set_listing(node, name, version, listing);
 }
 
+/// The time within which a running upstream replaces an entry that is not its own, in milliseconds.
+fn late_period_ms<W: Wire, S: Rows>(node: &Node<W, S>) -> Millis {
+    node.settings.upstream_heartbeat_ms.saturating_mul(MAX_MISSED_HEARTBEATS)
+}
+
+/// Applies the entries that seemed late and that nobody has replaced: their starts are right, and a later one was wrong.
+fn resolve_late<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, list: &mut UpstreamRows) {
+    let now = node.now();
+    let due: Vec<(String, Late)> = list.late.extract_if(|_, late| late.until <= now).collect();
+    for (name, Late { version, listing, .. }) in due {
+        log::warn!("upstream: event=late-entry-stays upstream={name} started={:?}", listing.started);
+        apply_listing(node, list, &name, version, listing);
+    }
+}
+
 fn set_listing<W: Wire, S: Rows>(node: &Node<W, S>, name: &str, version: u64, listing: Listing) {
     let mut listings = node.listings();
     let warmup_ms = listing.warmup_ms;
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -112,6 +112,7 @@
         link_mbps,
         record_ms: 200,
         first_start: true,
+        upstream_heartbeat_ms: 1_200,
         bounds: Bounds::default(),
     };
     let (note_requests, _) = async_channel::bounded(1);
