--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -57,7 +57,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The row that describes the snapshot.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug, Default, Deserialize, Serialize)]
 struct Head {
     /// The version of the list that the snapshot represents. Readers follow the changes after it.
     version: u64,
@@ -67,6 +67,16 @@
     edition: u64,
     /// The number of rows that contain its bytes.
     chunks: usize,
+    /// Whether it names all software versions that were listed while streams that began then may be open.
+    #[serde(default)]
+    knows_past: bool,
+}
+
+impl Head {
+    /// Describes the bytes of a snapshot.
+    fn of(bytes: &[u8]) -> Head {
+        Head { edition: xxh3_64(bytes), chunks: bytes.len().div_ceil(CHUNK_BYTES), ..Head::default() }
+    }
 }
 
 /// The row of the gateway that is about to write a snapshot.
@@ -186,6 +196,8 @@
 #[derive(Debug)]
 pub(crate) struct Snapshot {
     pub version: u64,
+    /// Whether all software versions are known that were listed while streams that began then may be open.
+    pub knows_past: bool,
     pub upstreams: Vec<Upstream>,
 }
 
@@ -227,6 +239,7 @@
 pub(crate) async fn load<W: Wire, S: Rows>(node: &Node<W, S>) -> Option<Snapshot> {
     let page = node.rows.list(TABLE, PART).await.ok()?;
     node.set_store_clock(page.now_ms);
+    learn_past(node, &page);
     read(&page)
 }
 
@@ -243,7 +256,7 @@
     matches!(node.rows.commit(&change).await, Ok(Commit::Applied(_)))
 }
 
-/// Learns which software versions upstreams had before this gateway started. An old snapshot tells some of them: a
+/// Learns which software versions upstreams had that this gateway has not seen. An old snapshot tells some of them: a
 /// version that is no longer listed may have left at any time since.
 fn learn_past<W: Wire, S: Rows>(node: &Node<W, S>, page: &Page) {
     let head = page.records.iter().find(|record| record.name == HEAD);
@@ -259,7 +272,8 @@
     if page.now_ms > head.written_ms + MAX_AGE_MS {
         return None;
     }
-    Some(Snapshot { version: head.version, upstreams: read_contents(page, &head)?.upstreams()? })
+    let upstreams = read_contents(page, &head)?.upstreams()?;
+    Some(Snapshot { version: head.version, knows_past: head.knows_past, upstreams })
 }
 
 /// Decodes the contents of the snapshot that `head` describes, if they are complete.
@@ -338,7 +352,9 @@
         self.has_burst = false;
         let mut contents = Contents::default();
         upstreams.for_each(|(name, version, listing)| contents.add(name, version, listing));
-        contents.add_former(node.origins.versions().former(node.stream_lifetime(), node.now()));
+        let (lifetime, now) = (node.stream_lifetime(), node.now());
+        contents.add_former(node.origins.versions().former(lifetime, now));
+        let knows_past = node.origins.versions().covers(lifetime, now);
         contents.entries.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         let bytes = match compress(&contents) {
             Ok(bytes) => bytes,
@@ -353,7 +369,8 @@
         let (node, written) = (node.clone(), self.written.clone());
         exec::spawn(async move {
             let before = *written.lock().expect("the lock is not poisoned");
-            let (change, edition) = change(version, node.store_now(), &bytes, before);
+            let head = Head { version, written_ms: node.store_now(), knows_past, ..Head::of(&bytes) };
+            let (change, edition) = change(head, &bytes, before);
             let result = node.rows.commit(&change).await;
             let now_written = match &result {
                 Ok(Commit::Applied(version)) => Some((edition, *version)),
@@ -373,10 +390,9 @@
 
 /// The change that writes a snapshot, and the snapshot's edition. `before` is the last edition that this
 /// gateway wrote, and the version of the row that describes it.
-fn change(version: u64, written_ms: u64, bytes: &[u8], before: Option<(u64, u64)>) -> (Change, u64) {
-    let edition = xxh3_64(bytes);
-    let chunks = bytes.len().div_ceil(CHUNK_BYTES);
-    let head = (Key::new(TABLE, HEAD), encode(&Head { version, written_ms, edition, chunks }));
+fn change(head: Head, bytes: &[u8], before: Option<(u64, u64)>) -> (Change, u64) {
+    let edition = head.edition;
+    let head = (Key::new(TABLE, HEAD), encode(&head));
     let mut change = Change { part: PART.to_owned(), puts: vec![head], ..Change::default() };
     match before {
         // Only that row is written, on condition that no other gateway has written a snapshot since.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -383,10 +383,13 @@
     let mut must_write = matches!(start, Start::ReadAndWrite);
     // Before the first start of the whole system there were no upstreams.
     let mut is_beginning = node.settings.first_start && !matches!(start, Start::FromSnapshot(_));
-    if is_beginning || matches!(start, Start::FromSnapshot(_)) {
+    if is_beginning {
         node.origins.versions().trust_past();
     }
     if let Start::FromSnapshot(snapshot) = start {
+        if snapshot.knows_past || node.settings.first_start {
+            node.origins.versions().trust_past();
+        }
         log::info!("upstream: event=started-from-snapshot version={}", snapshot.version);
         follower.after = Some(snapshot.version);
         apply_snapshot(&node, &mut list, snapshot);
@@ -450,8 +453,11 @@
         exec::sleep(BURST_READ_INTERVAL).await;
         let newer = |snapshot: &Snapshot| follower.after.is_some_and(|after| snapshot.version > after);
         let Some(snapshot) = snapshot::load(node).await.filter(newer) else { return };
-        let version = snapshot.version;
+        let (version, knows_past) = (snapshot.version, snapshot.knows_past);
         let changed = apply_snapshot(node, list, snapshot);
+        if !knows_past {
+            node.origins.versions().confirm(node.now());
+        }
         log::info!(
             "upstream: event=burst-skipped after={:?} version={version} changed={changed}",
             follower.after
--- a/crates/gateway/tests/unit/snapshot.rs
+++ b/crates/gateway/tests/unit/snapshot.rs
@@ -204,7 +204,7 @@
 /// The page with a snapshot of `count` upstreams.
 fn page(count: usize, written_ms: u64) -> Page {
     let bytes = compress(&contents(count)).expect("the snapshot is small enough");
-    let (change, _) = change(100_000, written_ms, &bytes, None);
+    let (change, _) = change(Head { version: 100_000, written_ms, ..Head::of(&bytes) }, &bytes, None);
     let records = change.puts.into_iter().map(|(key, value)| store::rows::Record {
         table: key.table,
         name: key.name,
@@ -262,9 +262,10 @@
 
 #[test]
 fn bytes_that_did_not_change_are_written_once() {
-    let (first, edition) = change(7, 100, b"bytes", None);
-    let (same, _) = change(9, 200, b"bytes", Some((edition, 41)));
-    let (other, _) = change(9, 200, b"others", Some((edition, 41)));
+    let head = |version, written_ms, bytes| Head { version, written_ms, ..Head::of(bytes) };
+    let (first, edition) = change(head(7, 100, b"bytes"), b"bytes", None);
+    let (same, _) = change(head(9, 200, b"bytes"), b"bytes", Some((edition, 41)));
+    let (other, _) = change(head(9, 200, b"others"), b"others", Some((edition, 41)));
     let shape = |change: &Change| (change.puts.len(), change.checks.clone());
     insta::assert_debug_snapshot!([shape(&first), shape(&same), shape(&other)]);
 }
--- a/crates/route/src/version.rs
+++ b/crates/route/src/version.rs
@@ -67,13 +67,10 @@
 }
 
 impl Versions {
-    /// Records that the list is known as of `now`. If it was not for some time, or never, versions may have come and gone
-    /// unseen.
+    /// Records that the list is known as of `now`. Other versions may have come and gone unseen before.
     pub fn confirm(&mut self, now: Millis) {
-        if !self.is_current(now) {
-            self.since = Some(now);
-            self.knows_past = false;
-        }
+        self.since = Some(now);
+        self.knows_past = false;
         self.confirm_changes(now);
     }
 
@@ -83,10 +80,13 @@
         self.confirmed = self.confirmed.max(Some(now));
     }
 
-    /// Records versions that were listed before this gateway started. Call it before upstreams are added.
+    /// Records versions that were listed before, unseen by this gateway.
     pub fn learn_former<'a>(&mut self, former: impl IntoIterator<Item = (&'a str, Version)>, now: Millis) {
         for (service, version) in former {
-            self.service(service).former.insert(version, now);
+            let service = self.service(service);
+            if !service.listed.contains_key(&version) {
+                service.former.insert(version, now);
+            }
         }
     }
 
@@ -149,7 +149,7 @@
     }
 
     /// Whether all versions that were listed within `lifetime` are known.
-    fn covers(&self, lifetime: Millis, now: Millis) -> bool {
+    pub fn covers(&self, lifetime: Millis, now: Millis) -> bool {
         self.since.is_some_and(|since| self.knows_past || now.saturating_sub(since) >= lifetime)
     }
 
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -58,7 +58,7 @@
     fresh.add("engines", version("v2"));
     fresh.confirm(100);
     assert_eq!(fresh.seen("engines", LIFETIME, 200), Seen::Unknown);
-    (100..100 + LIFETIME).step_by(1_000).for_each(|now| fresh.confirm(now));
+    (100..100 + LIFETIME).step_by(1_000).for_each(|now| fresh.confirm_changes(now));
     assert_eq!(fresh.seen("engines", LIFETIME, 100 + LIFETIME), Seen::Sole(version("v2")));
     let mut informed = Versions::default();
     informed.learn_former([("engines", version("v1")), ("engines", version("v2"))], 0);
@@ -67,7 +67,7 @@
     informed.confirm_changes(100);
     assert_eq!(informed.seen("engines", LIFETIME, 200), Seen::Several, "v1 may just have left");
     assert_eq!(informed.former(LIFETIME, 200).collect::<Vec<_>>(), [("engines", version("v1"))]);
-    (100..1 + LIFETIME).step_by(1_000).for_each(|now| informed.confirm(now));
+    (100..1 + LIFETIME).step_by(1_000).for_each(|now| informed.confirm_changes(now));
     assert_eq!(informed.seen("engines", LIFETIME, 1 + LIFETIME), Seen::Sole(version("v2")));
 }
 
@@ -81,10 +81,29 @@
     versions.add("engines", version("v1"));
     versions.confirm(10);
     assert_eq!(versions.seen("engines", LIFETIME, 10), Seen::Unknown, "v2 may have come and gone");
-    (10..10 + LIFETIME).step_by(1_000).for_each(|now| versions.confirm(now));
+    (10..10 + LIFETIME).step_by(1_000).for_each(|now| versions.confirm_changes(now));
     assert_eq!(versions.seen("engines", LIFETIME, 10 + LIFETIME), Seen::Sole(version("v1")));
 }
 
+/// Guards against streams that go on at another version, because a short gap in what was seen of the list counts as none.
+#[test]
+fn versions_may_have_come_and_gone_in_a_gap_however_short() {
+    let mut versions = versions(&["v1"]);
+    assert_eq!(versions.seen("engines", LIFETIME, 10), Seen::Sole(version("v1")));
+    versions.confirm(20);
+    assert_eq!(versions.seen("engines", LIFETIME, 20), Seen::Unknown);
+    assert!(!versions.covers(LIFETIME, 20));
+}
+
+#[test]
+fn a_version_that_is_learned_late_counts_unless_it_is_listed() {
+    let mut versions = versions(&["v1"]);
+    versions.learn_former([("engines", version("v1"))], 10);
+    assert_eq!(versions.seen("engines", LIFETIME, 10), Seen::Sole(version("v1")));
+    versions.learn_former([("engines", version("v2"))], 10);
+    assert_eq!(versions.seen("engines", LIFETIME, 10), Seen::Several);
+}
+
 #[test]
 fn a_snapshot_that_is_too_old_to_follow_tells_only_some_of_the_past() {
     let mut versions = Versions::default();
