An upstream that accepts no connection is not taken for gone at once

A stream went on at a second engine while the first one was suspended and still had its run (TWICE). Cause: a probe that got no connection counted as a host that is gone. The kernel drops connection attempts to a process whose queue of connections is full as well, and a suspended one accepts none.

Such a probe now has a result of its own. A run that is open is kept: its connection breaks by itself if the host is gone (TCP_USER_TIMEOUT, keepalive). A run that was closed counts as over once the host has answered no attempt for 3.5 s, the time in which an open connection breaks. Where the gateway's own path to the upstream is known to be lost, nothing changes: it does not reach that upstream.

What it costs: a stream that waits for its first event from a host that is lost goes on when the connection breaks, up to 3.5 s, not when the probe fails.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -123,6 +123,7 @@
         let probe = match result {
             ProbeResult::Answers => Probe::Answers,
             ProbeResult::Listens => Probe::Silent,
+            ProbeResult::Silent if node.reach.reaches_directly(&self.name, node.now()) => Probe::Unreached,
             ProbeResult::Refuses | ProbeResult::Silent => Probe::Gone,
         };
         self.contact.state().record_probe(probe, began, node.now());
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -98,6 +98,12 @@
         self.state().status() == Status::Isolated
     }
 
+    /// Whether this gateway's own path to an upstream is not known to be lost.
+    pub(crate) fn reaches_directly(&self, upstream: &str, now: Millis) -> bool {
+        let state = self.state();
+        state.status() == Status::Direct && state.plan(upstream, now) != Plan::RelayFirst
+    }
+
     /// Whether this gateway reaches upstreams directly.
     pub(crate) fn is_direct(&self) -> bool {
         self.state().status() == Status::Direct
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -21,6 +21,9 @@
 const PROBE_LEAD_MS: Millis = 500;
 /// How long the result of a probe holds, in milliseconds.
 const PROBE_VALID_MS: Millis = 700;
+/// How long a host may answer no connection attempt until it counts as gone, in milliseconds. Open connections to a host that
+/// is gone break in this time, so one that is suspended with a full queue of connections is told apart where there is one.
+const UNREACHED_MS: Millis = 3_500;
 /// How long bytes of an upstream may have been on their way when they are read, in milliseconds: the way through a region,
 /// and the delay of a process on a busy VM.
 const IN_FLIGHT_MS: Millis = 50;
@@ -32,7 +35,9 @@
     Answers,
     /// Its host accepts connections, and it does not answer.
     Silent,
-    /// Its process has ended, or its host is not reached.
+    /// Its host answers no connection attempt: it is gone, or the queue of connections of a suspended process is full.
+    Unreached,
+    /// Its process has ended, or this gateway's path to it is lost.
     Gone,
 }
 
@@ -64,6 +69,8 @@
     probed: Option<(Probe, Millis)>,
     /// When the last probe began that was answered.
     answered: Option<Millis>,
+    /// When the first probe began since which the host has answered none.
+    unreached: Option<Millis>,
 }
 
 impl Contact {
@@ -75,6 +82,7 @@
         }
         self.heard = now;
         self.probed = None;
+        self.unreached = None;
     }
 
     /// Records the result of a probe that began at `began`.
@@ -85,18 +93,27 @@
         if probe == Probe::Answers {
             self.answered = self.answered.max(Some(began));
         }
+        self.unreached = (probe == Probe::Unreached).then(|| self.unreached.unwrap_or(began));
         self.probed = Some((probe, now));
     }
 
     /// Whether the upstream has noticed that a connection was closed at `closed`: it has answered since, or is gone.
     pub fn has_noticed(&self, closed: Millis) -> bool {
-        let is_gone = matches!(self.probed, Some((Probe::Gone, _)));
         let has_answered = self.answered.is_some_and(|began| began >= closed);
-        is_gone || has_answered || self.heard >= closed.saturating_add(IN_FLIGHT_MS)
+        self.is_gone() || has_answered || self.heard >= closed.saturating_add(IN_FLIGHT_MS)
+    }
+
+    /// Whether its process has ended, or its host has answered nothing for long.
+    fn is_gone(&self) -> bool {
+        match (self.probed, self.unreached) {
+            (Some((Probe::Gone, _)), _) => true,
+            (Some((Probe::Unreached, at)), Some(since)) => at.saturating_sub(since) >= UNREACHED_MS,
+            _ => false,
+        }
     }
 
     fn is_known_silent(&self) -> bool {
-        matches!(self.probed, Some((Probe::Silent, _)))
+        matches!(self.probed, Some((Probe::Silent | Probe::Unreached, _)))
     }
 
     /// Decides on a run from which nothing has arrived since `since`, and which is overdue after `patience_ms`. The time
@@ -113,7 +130,8 @@
             _ if !is_silent && has_time => Decision::Wait(due - now),
             _ if !is_silent => Decision::GiveUp,
             None => Decision::Probe,
-            Some((Probe::Silent, at)) => Decision::Wait(at + PROBE_VALID_MS - now),
+            // The connection of a run to a host that is gone breaks by itself.
+            Some((Probe::Silent | Probe::Unreached, at)) => Decision::Wait(at + PROBE_VALID_MS - now),
             Some((Probe::Answers | Probe::Gone, _)) if has_time => Decision::Wait(due - now),
             Some((Probe::Answers, _)) => Decision::GiveUp,
             Some((Probe::Gone, _)) => Decision::Gone,
--- a/crates/route/tests/silence.rs
+++ b/crates/route/tests/silence.rs
@@ -85,3 +85,17 @@
     contact.record_answer(0, 1_700);
     assert!(contact.has_noticed(1_600), "others are answered");
 }
+
+/// Guards against an upstream that is taken for gone because its queue of connections is full while it is suspended.
+#[test]
+fn an_upstream_that_accepts_no_connection_is_taken_for_gone_late() {
+    assert_eq!(given_up_at(&[], |_| Probe::Unreached, 60_000), None, "its open connection would break");
+    let mut contact = Contact::default();
+    for began in (1_000..4_500).step_by(350) {
+        contact.record_probe(Probe::Unreached, began, began + 250);
+        assert_eq!(contact.has_noticed(900), began + 250 >= 4_500, "{began}");
+    }
+    contact.record_probe(Probe::Silent, 5_000, 5_250);
+    contact.record_probe(Probe::Unreached, 5_300, 5_550);
+    assert!(!contact.has_noticed(900), "its host has answered since");
+}
