The pause between two barriers follows from the writes that the store accepts

At 1,400 gateways a gateway waited 2.8 s from one read to the next, longer than callers do, whatever the store bears. The fleet now reads at most half as often as the store accepts writes: 0.7 s at 4,000 writes a second and 1,400 gateways, 27 ms at 600 and 8 (computed).

--- a/crates/gateway/src/barrier.rs
+++ b/crates/gateway/src/barrier.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 use store::rows::{Feed, FeedQuery, Rows};
 
-/// The pause between two reads of a gateway, for each gateway of the fleet, in milliseconds: 500 reads a second in all.
-const PAUSE_PER_GATEWAY_MS: u64 = 2;
+/// The reads that all gateways make together, as a fraction of the writes that the store accepts. It accepts more reads.
+const READS_RATIO: f64 = 0.5;
 /// The largest fleet whose list of gateways is read. It takes 16 KB.
 const MAX_LISTED: u64 = 64;
 /// How long a read may take, and how long the changes that it shows may take to be applied.
@@ -103,11 +103,16 @@
 async fn read_and_end<W: Wire, S: Rows>(node: Arc<Node<W, S>>, number: u64) {
     let has_succeeded = exec::timeout(READ_LIMIT, read(&node)).await.flatten().is_some();
     node.metrics.barriers.with_label_values(&[if has_succeeded { "passed" } else { "failed" }]).inc();
-    let pause_ms = node.fleet_size() * PAUSE_PER_GATEWAY_MS;
+    let pause_ms = pause_ms(node.fleet_size(), node.settings.store_writes_per_s);
     node.barrier.state().decision.end(number, has_succeeded, pause_ms, node.now());
     node.barrier.ended.notify(usize::MAX);
 }
 
+/// The pause between two reads of a gateway, in milliseconds.
+fn pause_ms(gateways: u64, store_writes_per_s: u64) -> Millis {
+    (gateways as f64 * 1_000.0 / (store_writes_per_s as f64 * READS_RATIO)) as Millis
+}
+
 /// Reads what has changed; `None` if the store does not tell.
 async fn read<W: Wire, S: Rows>(node: &Node<W, S>) -> Option<()> {
     let after = node.barrier.state().applied?;
