--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -585,11 +585,7 @@
             list.started.insert(name.to_owned(), started).is_some_and(|before| before != started);
         let former = if has_restarted { node.listings().remove(name) } else { None };
         if let Some(former) = former {
-            node.origins.versions().remove(&former.service, Version::of(&former.version), node.now());
-            node.quarantine().record_gone(name, former.started, node.now());
-            if !node.placer().has_announced_leaving(name) {
-                quarantine::observe_replacement(node, name);
-            }
+            record_gone(node, name, &former);
             // What was measured before the restart no longer holds.
             node.placer().forget(name);
             log::info!("upstream: event=started-again upstream={name} started={started}");
@@ -716,15 +712,20 @@
     expired.map(|(service, _)| service.to_owned()).collect()
 }
 
+/// Records that the process of an upstream that was listed has ended, or is replaced by another one.
+fn record_gone<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, name: &str, listing: &Listing) {
+    node.origins.versions().remove(&listing.service, Version::of(&listing.version), node.now());
+    node.quarantine().record_gone(name, listing.started, node.now());
+    if !node.placer().has_announced_leaving(name) {
+        quarantine::observe_replacement(node, name);
+    }
+}
+
 fn remove<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, list: &UpstreamRows, name: &str) {
     let removed = node.listings().remove(name);
     if let Some(listing) = removed {
-        node.quarantine().record_gone(name, listing.started, node.now());
-        if !node.placer().has_announced_leaving(name) {
-            quarantine::observe_replacement(node, name);
-        }
+        record_gone(node, name, &listing);
         node.placer().remove(name);
-        node.origins.versions().remove(&listing.service, Version::of(&listing.version), node.now());
         let version = list.versions.get(name).copied().unwrap_or(0);
         log::info!("upstream: event=gone upstream={name} row-version={version}");
     }
