--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,7 +7,6 @@
 use crate::job::{Admitted, Job, Run, TokenMeter};
 use crate::manifest::{Lookup, RouteKind};
 use crate::node::{Node, Phase};
-use crate::origins;
 use crate::peer_reservations::{self, Cost, Denial};
 use crate::ports::{Ask, Resumption, Wire};
 use crate::quarantine;
@@ -15,6 +14,7 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::returns::{self, Caller};
+use crate::take_up;
 use crate::team_budget::Reservation;
 use budget::ledger::Level;
 use http::header::{CONNECTION, HeaderValue};
@@ -146,7 +146,7 @@
         Some(resumption) => {
             let limit = Duration::from_millis(stall_ms(route.target_ms, route.gap_ms));
             let team = caller.unwrap_or_default();
-            origins::take_up(node, &service, team, resumption, limit).await.map(Some)
+            take_up::prepare(node, &service, team, resumption, limit).await.map(Some)
         }
         None => Ok(None),
     };
