Imports between the modules of streams that are taken up go one way

runs imported a type of origins, which imports job, which imports runs. The request to release a stream now has its own fields, in the same order on the wire. No behaviour is changed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! - `handle` admits it and decides what to do when a dispatch fails.
 //! - `receive` reads its body.
-//! - `origins` keeps where streams began, and tells others. `take_up` finds the software version at which a stream that its
-//!   caller takes up has to go on, and `barrier` whether the list of upstreams is up to date.
+//! - `take_up` finds the software version at which a stream that its caller takes up has to go on. `origins` keeps where
+//!   streams began, and `barrier` brings the list of upstreams up to the present.
 //! - `returns` tells the callers of refused requests when to return.
 //! - `relay` forwards a streamed answer.
 //! - `attempt` is a single dispatch, and `first_answer` reads what comes first.
@@ -196,7 +196,7 @@
         peer_reservations::RESERVE_PATH
         | peer_reservations::REPORT_PATH
         | peer_reservations::HAND_OVER_PATH => peer_reservations::answer(node.clone(), request).await,
-        take_up::PATH => take_up::answer(node.clone(), request).await,
+        origins::PATH => take_up::answer(node.clone(), request).await,
         runs::PATH => runs::answer(node.clone(), request).await,
         tunnel::TUNNEL_PATH | tunnel::LOAN_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -7,7 +7,6 @@
 use crate::job::Job;
 use crate::node::Node;
 use crate::ports::Wire;
-use crate::take_up::{self, Answer};
 use http::Request;
 use net::{Body, Client, exec};
 use route::Millis;
@@ -21,6 +20,11 @@
 use std::time::Duration;
 use store::rows::Rows;
 
+/// The path of questions between gateways.
+pub(crate) const PATH: &str = "/origin";
+/// How long the gateways that are asked may take to answer: round trips between data centres, and the delay of a
+/// process on a busy VM.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// The number of unused connections to a gateway that are kept, and for how long.
 const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
 /// The largest message, in bytes.
@@ -42,6 +46,9 @@
     pub runner: SocketAddr,
 }
 
+/// What a gateway knows of a stream, and which one ran it last.
+pub(crate) type Answer = (Knowledge, Option<SocketAddr>);
+
 /// What this gateway knows of the software versions of upstreams, and of the streams that they began.
 #[derive(Debug)]
 pub(crate) struct Origins {
@@ -227,29 +234,14 @@
     }
 
     /// Records the gateway that ran a stream last, as far as this one knows.
-    pub(crate) fn record_runner(&self, told: Told, runner: SocketAddr, now: Millis) {
-        self.streams().record(told.stream, Record { version: told.version, runner: Some(runner) }, now);
-    }
-
-    /// Records that another gateway takes a stream up. Returns the one that had done so before, if it was not this one.
-    pub(crate) fn pass_on(
-        &self,
-        told: Told,
-        to: SocketAddr,
-        lifetime: Millis,
-        now: Millis,
-    ) -> Option<SocketAddr> {
-        let before = self.record(Some(told.stream), lifetime, now);
-        self.record_runner(told, to, now);
-        before?.runner
+    pub(crate) fn record_runner(&self, stream: Stream, version: Version, runner: SocketAddr, now: Millis) {
+        self.streams().record(stream, Record { version, runner: Some(runner) }, now);
     }
 
     /// Asks another gateway what it knows of a stream; `None` if there is no answer.
     pub(crate) async fn ask(&self, peer: SocketAddr, question: Vec<u8>) -> Option<Answer> {
-        let request =
-            Request::post(format!("http://{peer}{}", take_up::PATH)).body(Body::from(question)).ok()?;
-        let answer =
-            self.client.exchange("origin", request, MESSAGE_LIMIT, take_up::ASK_TIMEOUT).await.ok()?;
+        let request = Request::post(format!("http://{peer}{PATH}")).body(Body::from(question)).ok()?;
+        let answer = self.client.exchange("origin", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
         // A gateway of an earlier build does not name the runner.
         let unnamed = || Some((bincode::deserialize(answer.body()).ok()?, None));
         bincode::deserialize(answer.body()).ok().or_else(unnamed)
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -6,7 +6,6 @@
 
 use crate::contact::Upstream;
 use crate::node::Node;
-use crate::origins::Told;
 use crate::ports::Wire;
 use crate::refusal::Refusal;
 use event_listener::{Event, EventListener};
@@ -15,6 +14,7 @@
 use net::{Body, Client, exec};
 use route::Millis;
 use route::origin::Stream;
+use route::version::Version;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -75,7 +75,8 @@
 /// Asks a gateway to end its runs of a stream.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 struct Release {
-    told: Told,
+    stream: Stream,
+    version: Version,
     /// The gateway at which the stream goes on.
     to: SocketAddr,
 }
@@ -258,7 +259,7 @@
             if runner != request.to && !asked.contains(&runner) {
                 asked.push(runner);
                 // If this request is refused, the next gateway that is asked to take the stream up learns it from here.
-                node.origins.record_runner(request.told, runner, node.now());
+                node.origins.record_runner(request.stream, request.version, runner, node.now());
                 pending.extend(self.until_over_at(runner, request).await);
             }
         }
@@ -298,15 +299,15 @@
 /// Refuses the request if an upstream has not noticed within `limit`.
 pub(crate) async fn release<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
-    told: Told,
+    stream: Stream,
+    version: Version,
     runners: Runners,
     limit: Duration,
 ) -> Result<(), Refusal> {
-    let stream = told.stream;
     node.runs.take_over(stream);
     let here = node.runs.until_over(node, stream);
     let named: Vec<String> = runners.iter().map(SocketAddr::to_string).collect();
-    let request = Release { told, to: node.settings.listen.peers };
+    let request = Release { stream, version, to: node.settings.listen.peers };
     let elsewhere = node.runs.until_over_elsewhere(node, runners, request);
     let began = node.now();
     let released = exec::timeout(limit, futures::future::join(here, elsewhere)).await;
@@ -328,18 +329,25 @@
     let bytes = net::collect(request.into_body(), MESSAGE_LIMIT).await.unwrap_or_default();
     // A gateway of an earlier build does not say where the stream goes on.
     let release = bincode::deserialize::<Release>(&bytes).ok();
-    let stream = release.map(|release| release.told.stream).or_else(|| bincode::deserialize(&bytes).ok());
+    let stream = release.map(|release| release.stream).or_else(|| bincode::deserialize(&bytes).ok());
     let Some(stream) = stream else {
         let mut response = Response::new(Body::empty());
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
     node.runs.take_over(stream);
-    let next = release.and_then(|Release { told, to }| {
-        node.origins.pass_on(told, to, node.stream_lifetime(), node.now()).filter(|next| *next != to)
-    });
+    let next = release.and_then(|release| pass_on(&node, release));
     let is_over = exec::timeout(ANSWER_DELAY, node.runs.until_over(&node, stream)).await.is_some();
     // An earlier build reads the first byte only.
     let released = Released { is_over, next };
     Response::new(Body::from(bincode::serialize(&released).expect("an answer serializes to bincode")))
 }
+
+/// Records where a stream goes on. Returns the gateway that had taken it up from here before.
+fn pass_on<W: Wire, S: Rows>(node: &Node<W, S>, release: Release) -> Option<SocketAddr> {
+    let Release { stream, version, to } = release;
+    let now = node.now();
+    let before = node.origins.record(Some(stream), node.stream_lifetime(), now);
+    node.origins.record_runner(stream, version, to, now);
+    before?.runner.filter(|runner| *runner != to)
+}
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -4,7 +4,7 @@
 
 use crate::barrier::{self, Passed};
 use crate::node::Node;
-use crate::origins::{MESSAGE_LIMIT, Told, key};
+use crate::origins::{ASK_TIMEOUT, Answer, MESSAGE_LIMIT, key};
 use crate::ports::{Resumption, Wire};
 use crate::refusal::Refusal;
 use crate::runs::{self, Runners};
@@ -24,11 +24,6 @@
 use std::time::Duration;
 use store::rows::Rows;
 
-/// The path of questions between gateways.
-pub(crate) const PATH: &str = "/origin";
-/// How long the gateways that are asked may take to answer: round trips between data centres, and the delay of a
-/// process on a busy VM.
-pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long the first one may take before the others are asked as well.
 const FIRST_ASK_TIMEOUT: Duration = Duration::from_millis(40);
 /// How long the gateway that is asked may take to learn from the store whether its list is behind.
@@ -43,9 +38,6 @@
     needs_list: bool,
 }
 
-/// What a gateway knows of a stream, and which one ran it last.
-pub(crate) type Answer = (Knowledge, Option<SocketAddr>);
-
 /// Finds the software version at which a stream that its caller takes up has to go on, and ends its earlier runs.
 ///
 /// # Errors
@@ -64,7 +56,7 @@
     found.report(node, stream, node.now() - began);
     let mut located = found.version(node, service);
     if let (Ok(version), Some(stream)) = (located, stream) {
-        match runs::release(node, Told { stream, version }, found.runners, limit).await {
+        match runs::release(node, stream, version, found.runners, limit).await {
             Ok(()) => node.origins.begin_again(node, service, stream, version),
             Err(refusal) => located = Err(refusal),
         }
