A late entry is applied only after the store has shown what upstreams write for three heartbeats

Two faults of the change to late entries, found while reading it. During an outage of the store an entry of an earlier instance was applied, since nobody could replace it; now the three heartbeats begin again when the store is back.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -429,7 +429,10 @@
         }
         node.barrier.set_applied(follower.after);
         resolve_vanished(&node, &mut list);
-        resolve_late(&node, &mut list);
+        // While the store does not answer, its list does not show what upstreams write.
+        if follower.lost_at.is_none() {
+            resolve_late(&node, &mut list);
+        }
         if let Some((count, first)) = list.malformed.take() {
             log::warn!("upstream: event=unfit entries={count} {first}");
         }
@@ -503,7 +506,8 @@
     let rows = listings.iter().filter(|(name, _)| !list.vanished.contains_key(*name));
     let versions = rows.map(|(name, listing)| {
         let version = list.versions.get(name).copied().unwrap_or(0);
-        (name.as_str(), version, listing)
+        // The snapshot stands for the rows, whichever of them seems late here.
+        (name.as_str(), version, list.late.get(name).map_or(listing, |late| &late.listing))
     });
     writer.write(node, version, versions);
 }
@@ -602,8 +606,9 @@
 
 /// Applies the entries that seemed late and that nobody has replaced: their starts are right, and a later one was wrong.
 fn resolve_late<W: Wire, S: Rows>(node: &Arc<Node<W, S>>, list: &mut UpstreamRows) {
-    let now = node.now();
-    let due: Vec<(String, Late)> = list.late.extract_if(|_, late| late.until <= now).collect();
+    let (now, period_ms) = (node.now(), late_period_ms(node));
+    let until = |late: &Late| late.until.max(list.regained_at.map_or(0, |regained| regained + period_ms));
+    let due: Vec<(String, Late)> = list.late.extract_if(|_, late| until(late) <= now).collect();
     for (name, Late { version, listing, .. }) in due {
         log::warn!("upstream: event=late-entry-stays upstream={name} started={:?}", listing.started);
         apply_listing(node, list, &name, version, listing);
--- a/crates/gateway/tests/unit/watch.rs
+++ b/crates/gateway/tests/unit/watch.rs
@@ -195,6 +195,57 @@
     });
 }
 
+/// Guards against an entry of an earlier instance that is applied because the store did not show the later one's writes.
+#[test]
+fn a_late_entry_is_not_applied_during_an_outage_nor_soon_after_it() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 3);
+        let node = followed(&rows);
+        until(&node, "all are listed", 3).await;
+        let address = node.listings()["engine-1"].address;
+        put(&rows, &format!("engines {address} started=200"));
+        put(&rows, &format!("engines {address} started=100"));
+        exec::sleep(Duration::from_millis(300)).await;
+        rows.set_fault(RowsFault::Down);
+        exec::sleep(Duration::from_millis(late_period_ms(&node) + 300)).await;
+        assert_eq!(node.listings()["engine-1"].started, Some(200));
+        rows.set_fault(RowsFault::None);
+        exec::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(node.listings()["engine-1"].started, Some(200));
+        put(&rows, &format!("engines {address} leaving started=200"));
+        exec::sleep(Duration::from_millis(late_period_ms(&node))).await;
+        assert_eq!(node.listings()["engine-1"].started, Some(200));
+        assert!(node.listings()["engine-1"].leaving);
+    });
+}
+
+/// Guards against an upstream that a starting gateway does not list, because a snapshot left out an entry that seemed late.
+#[test]
+fn a_snapshot_holds_an_entry_that_seems_late() {
+    exec::block_on(async {
+        let rows = TableRows::default();
+        list(&rows, 1);
+        let node = node("vm-1", 1, &rows);
+        let mut known = UpstreamRows::default();
+        let listing = |started| {
+            let text = format!("engines 127.0.0.1:9000 started={started}");
+            node.wire.decode_listing(text.as_bytes()).expect("an entry")
+        };
+        list_upstream(&node, &mut known, "engine-0", 1, listing(u64::MAX));
+        list_upstream(&node, &mut known, "engine-0", 2, listing(100));
+        write_snapshot(&node, &known, &mut Writer::default(), 2);
+        for _ in 0..200 {
+            if let Some(snapshot) = snapshot::load(&node).await {
+                assert_eq!(snapshot.upstreams[0].listing.started, Some(100));
+                return;
+            }
+            exec::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("no snapshot was written");
+    });
+}
+
 async fn evacuated(node: &Node<PlainTextWire, TableRows>, what: &str, expected: &[&str]) {
     for _ in 0..300 {
         if node.placer().evacuated().eq(expected.iter().copied()) {
