Log each answer of an upstream that is no success, with the request that it names

Needed to tell the hypotheses of the incident apart: an answer without an identifier left no trace, and a status of an upstream's own looked like a promise. The line says which request the answer names, what was made of it, and whether the connection was used before or leads through another gateway.

--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -112,6 +112,18 @@
             return ReadOutcome::Other(Outcome::NoValidAnswer(reason.to_owned()));
         }
         let check = self.node.wire.check_response(&head, &self.request.ask.id);
+        if check != ResponseCheck::Valid || !head.status.is_success() {
+            log::info!(
+                "request: id={} event=odd-answer upstream={} status={} answers={} check={} reused={} relayed={}",
+                self.request.ask.id,
+                slot.upstream.name,
+                head.status.as_u16(),
+                self.node.wire.answered_request(&head).unwrap_or("-"),
+                check.name(),
+                lease.is_reused(),
+                lease.is_relayed()
+            );
+        }
         if check != ResponseCheck::WrongUpstream {
             self.apply_upstream_state(slot, &head, check);
         }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -106,6 +106,18 @@
     Mismatched,
 }
 
+impl ResponseCheck {
+    /// The name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            ResponseCheck::Valid => "valid",
+            ResponseCheck::NotRun => "not-run",
+            ResponseCheck::WrongUpstream => "wrong-upstream",
+            ResponseCheck::Mismatched => "mismatched",
+        }
+    }
+}
+
 /// An upstream as listed by the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
@@ -171,6 +183,9 @@
     /// The headers of a request that is dispatched, derived from those of the caller.
     fn dispatch_headers(&self, caller: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// The request that the head of an upstream's answer names, if it names one.
+    fn answered_request<'a>(&self, head: &'a response::Parts) -> Option<&'a str>;
+
     /// Checks what the head of an upstream's answer says about the request `id`.
     fn check_response(&self, head: &response::Parts, id: &str) -> ResponseCheck;
 
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -58,6 +58,10 @@
         caller.clone()
     }
 
+    fn answered_request<'a>(&self, _: &'a response::Parts) -> Option<&'a str> {
+        None
+    }
+
     fn check_response(&self, _: &response::Parts, _: &str) -> ResponseCheck {
         ResponseCheck::Valid
     }
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -130,7 +130,7 @@
         };
         if !is_wanted(line.way) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
-            Lease { pool: self.0.clone(), peer, line: Some(line), until }.keep();
+            Lease { pool: self.0.clone(), peer, line: Some(line), is_reused: reused, until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
             return Err(Failure { error, reused, cause: Cause::Withdrawn });
@@ -147,7 +147,7 @@
         })?;
         let until = self.0.clock.now() + idle_time(answer.headers());
         let meter = line.meter.clone();
-        let lease = Lease { pool: self.0.clone(), peer, line: Some(line), until };
+        let lease = Lease { pool: self.0.clone(), peer, line: Some(line), is_reused: reused, until };
         Ok((answer.map(|body| Received::new(body, meter)), lease))
     }
 
@@ -311,10 +311,16 @@
     pool: Arc<Shared>,
     peer: SocketAddr,
     line: Option<Line>,
+    is_reused: bool,
     until: Duration,
 }
 
 impl Lease {
+    /// Whether the connection served another request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Closes the connection instead of keeping it.
     pub fn close(mut self) {
         self.line = None;
