An answer counts only if it names its request, and only an upstream's word says that a request did not run

Callers saw requests that must run once run twice, at another upstream or by their own hand after a promise. Cause: an answer without an identifier passed for the due one, 421 alone for "not run", and a status of an upstream's own (408, 421, 429, 503) reached callers, who take it for a promise. An extra answer also counted as a sign of life of a suspended upstream, so that a stream went on beside its earlier run.

The platform's folder now reads what an answer claims, and route::answer decides: an answer that does not name its request is none, its connection is closed and nothing it says is applied; a promise that the upstream did not make becomes 502.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -265,6 +265,7 @@
         match closed {
             Closed::Whole(head, bytes) => Outcome::whole(head, bytes),
             Closed::BeforeEvent(head) => Outcome::Empty(head),
+            Closed::FalsePromise(status) => Outcome::FalsePromise(status),
         }
     }
 
@@ -326,7 +327,7 @@
                 placer.record_success(&chosen.upstream, None);
                 false
             }
-            Outcome::ServerError(..) => {
+            Outcome::ServerError(..) | Outcome::FalsePromise(_) => {
                 placer.record_error(&chosen.upstream);
                 false
             }
@@ -343,7 +344,7 @@
             | Outcome::TimedOut => placer.record_failure(&chosen.upstream, now),
         };
         drop(placer);
-        if let Outcome::Complete(..) | Outcome::ServerError(..) = outcome {
+        if let Outcome::Complete(..) | Outcome::ServerError(..) | Outcome::FalsePromise(_) = outcome {
             self.record_survival();
         }
         if let Outcome::Complete(head, bytes) = outcome
--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -4,7 +4,7 @@
 use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::job::{Job, UpstreamSlot};
 use crate::limits;
-use crate::ports::{Malformed, ResponseCheck, Wire};
+use crate::ports::{Malformed, Wire};
 use http::header::{CONNECTION, CONTENT_TYPE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, StatusCode};
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use net::{Cause, Framing, Received};
+use route::answer::{Mismatch, Verdict};
 use store::rows::Rows;
 
 /// The media type of a stream.
@@ -47,6 +48,8 @@
     NoConnection(String),
     /// The upstream answered with a server error.
     ServerError(response::Parts, Bytes),
+    /// The upstream ran the request, and its status would promise the caller that it did not.
+    FalsePromise(StatusCode),
     /// The upstream may have run the request, and the connection broke before the answer was complete.
     ConnectionBroken(String),
     /// The upstream may have run the request, and no valid answer arrived.
@@ -81,6 +84,8 @@
     Whole(response::Parts, Bytes),
     /// A stream without an event.
     BeforeEvent(response::Parts),
+    /// One whose status would promise the caller that the request did not run.
+    FalsePromise(StatusCode),
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
@@ -104,39 +109,30 @@
             }
         };
         self.node.reach.record_answer(&lease, self.node.now());
-        slot.upstream.contact.record_answer(0, self.node.now());
         let (head, body) = response.into_parts();
+        let verdict = match self.judge(&head, &lease, &slot.upstream.name) {
+            Ok(verdict) => verdict,
+            Err(mismatch) => {
+                let reason = format!("the answer is none to this request: {mismatch}");
+                return ReadOutcome::Other(Outcome::NoValidAnswer(reason));
+            }
+        };
+        slot.upstream.contact.record_answer(0, self.node.now());
         let is_closed = Framing::of(&head) == Framing::Closed;
         if !lease.tells_end() && !body.is_end_stream() && is_closed {
             let reason = "an answer that ends with its connection may be cut off by the relay";
             return ReadOutcome::Other(Outcome::NoValidAnswer(reason.to_owned()));
         }
-        let check = self.node.wire.check_response(&head, &self.request.ask.id);
-        if check != ResponseCheck::Valid || !head.status.is_success() {
-            log::info!(
-                "request: id={} event=odd-answer upstream={} status={} answers={} check={} reused={} relayed={}",
-                self.request.ask.id,
-                slot.upstream.name,
-                head.status.as_u16(),
-                self.node.wire.answered_request(&head).unwrap_or("-"),
-                check.name(),
-                lease.is_reused(),
-                lease.is_relayed()
-            );
+        if verdict != Verdict::WrongUpstream {
+            self.apply_upstream_state(slot, &head, verdict);
         }
-        if check != ResponseCheck::WrongUpstream {
-            self.apply_upstream_state(slot, &head, check);
-        }
-        match check {
-            ResponseCheck::Mismatched => {
-                ReadOutcome::Other(Outcome::NoValidAnswer("the answer belongs to another request".to_owned()))
-            }
-            ResponseCheck::WrongUpstream => {
+        match verdict {
+            Verdict::WrongUpstream => {
                 slot.mark_over();
                 self.drain(lease, body).await;
                 ReadOutcome::Other(Outcome::NotRun("the address belongs to another upstream".to_owned()))
             }
-            ResponseCheck::NotRun => {
+            Verdict::NotRun => {
                 slot.mark_over();
                 self.drain(lease, body).await;
                 ReadOutcome::Other(Outcome::NotRun(format!(
@@ -144,17 +140,48 @@
                     head.status.as_u16()
                 )))
             }
-            ResponseCheck::Valid
+            Verdict::Due
                 if self.kind().is_stream() && head.status == StatusCode::OK && is_event_stream(&head) =>
             {
                 self.read_events(head, body, lease, slot, splitter).await
             }
-            ResponseCheck::Valid => self.read_whole(head, body, lease, slot).await,
+            Verdict::Due => self.read_whole(head, body, lease, slot).await,
+            Verdict::FalsePromise => {
+                let status = head.status;
+                match self.read_whole(head, body, lease, slot).await {
+                    ReadOutcome::Closed(_) => ReadOutcome::Closed(Closed::FalsePromise(status)),
+                    ReadOutcome::Other(Outcome::Complete(..) | Outcome::ServerError(..)) => {
+                        ReadOutcome::Other(Outcome::FalsePromise(status))
+                    }
+                    broken => broken,
+                }
+            }
+        }
+    }
+
+    /// Decides what an answer says about this request. Each that is no success is logged.
+    fn judge(&self, head: &response::Parts, lease: &net::Lease, upstream: &str) -> Result<Verdict, Mismatch> {
+        let node = &self.node;
+        let verdict = node.wire.read_claims(head, &self.request.head.headers, upstream).verdict();
+        let name = verdict.map_or_else(Mismatch::name, Verdict::name);
+        if !matches!(verdict, Ok(Verdict::Due | Verdict::NotRun | Verdict::WrongUpstream)) {
+            node.metrics.rejected_answers.with_label_values(&[name]).inc();
+        }
+        if verdict != Ok(Verdict::Due) || !head.status.is_success() {
+            log::info!(
+                "request: id={} event=odd-answer upstream={upstream} status={} answers={} verdict={name} reused={} relayed={}",
+                self.request.ask.id,
+                head.status.as_u16(),
+                node.wire.answered_request(head).unwrap_or("-"),
+                lease.is_reused(),
+                lease.is_relayed()
+            );
         }
+        verdict
     }
 
     /// Applies what an upstream says about its own state, before its answer is passed on.
-    fn apply_upstream_state(&self, slot: &UpstreamSlot<W, S>, head: &response::Parts, check: ResponseCheck) {
+    fn apply_upstream_state(&self, slot: &UpstreamSlot<W, S>, head: &response::Parts, verdict: Verdict) {
         let node = &self.node;
         let upstream = slot.upstream.name.as_str();
         if node.wire.is_leaving(head) && node.placer().mark_leaving(upstream, node.now()) {
@@ -184,10 +211,10 @@
         {
             brittle::observe(node, upstream, tolerated_per_s);
         }
-        if check == ResponseCheck::NotRun && head.status == StatusCode::SERVICE_UNAVAILABLE {
+        if verdict == Verdict::NotRun && head.status == StatusCode::SERVICE_UNAVAILABLE {
             brittle::record_rejection(node, upstream);
         }
-        let is_success = check == ResponseCheck::Valid && head.status.is_success();
+        let is_success = verdict == Verdict::Due && head.status.is_success();
         match node.wire.limit_per_s(head) {
             // A refusal may come from only a part of the upstream, so only a successful answer can end a
             // limit.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -303,6 +303,11 @@
             job.log_end("upstream-error", format_args!("status={}", head.status.as_u16()));
             Next::Answer(whole_answer(head, bytes))
         }
+        Outcome::FalsePromise(_) if may_run_again => Next::TryElsewhere(refuse(Refusal::Failed)),
+        Outcome::FalsePromise(status) => {
+            job.log_end("upstream-error", format_args!("status={}", status.as_u16()));
+            Next::Answer(refuse(Refusal::Failed))
+        }
         Outcome::NotSent(_) => {
             let refusal = if ran == 0 { Refusal::NotRun } else { Refusal::Failed };
             Next::TryElsewhere(refuse(refusal))
@@ -443,6 +448,7 @@
         let (ran, reason) = match outcome {
             Outcome::Complete(..) | Outcome::Stream(..) => (true, None),
             Outcome::ServerError(head, _) => (true, Some(format!("status {}", head.status.as_u16()))),
+            Outcome::FalsePromise(status) => (true, Some(format!("status {}", status.as_u16()))),
             Outcome::NotSent(reason) => {
                 self.record_not_sent(upstream, reason);
                 return;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub limits_named: IntCounter,
     /// Answers of upstreams with a header that can't be decoded.
     pub unreadable_answers: IntCounter,
+    /// Answers of upstreams that are not passed on, by reason.
+    pub rejected_answers: IntCounterVec,
     /// Runs that broke because their upstream terminated.
     pub runs_lost: IntCounter,
     /// The memory of the bodies that callers are sending, in bytes.
@@ -234,6 +236,11 @@
                 "tallypaddle_upstream_answers_unreadable_total",
                 "Answers of upstreams with a header that can't be read, which is ignored, or with too large an event.",
             ),
+            rejected_answers: counters(
+                "tallypaddle_upstream_answers_rejected_total",
+                "Answers that are none to the request for which they came, or whose status is a false promise.",
+                &["reason"],
+            ),
             runs_lost: counter(
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -5,6 +5,7 @@
 
 use crate::manifest::Manifest;
 use http::{HeaderMap, request, response};
+use route::answer::Claims;
 use route::placement::PromptPart;
 use smallvec::SmallVec;
 use std::net::SocketAddr;
@@ -93,31 +94,6 @@
     pub after_event: Option<u64>,
 }
 
-/// What the head of an upstream's answer says about the request that it answers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ResponseCheck {
-    /// It is an answer to the request.
-    Valid,
-    /// The upstream says that it did not run the request.
-    NotRun,
-    /// The address now belongs to another upstream, which did not run the request.
-    WrongUpstream,
-    /// It is not an answer to this request.
-    Mismatched,
-}
-
-impl ResponseCheck {
-    /// The name in logs.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            ResponseCheck::Valid => "valid",
-            ResponseCheck::NotRun => "not-run",
-            ResponseCheck::WrongUpstream => "wrong-upstream",
-            ResponseCheck::Mismatched => "mismatched",
-        }
-    }
-}
-
 /// An upstream as listed by the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
@@ -186,8 +162,8 @@
     /// The request that the head of an upstream's answer names, if it names one.
     fn answered_request<'a>(&self, head: &'a response::Parts) -> Option<&'a str>;
 
-    /// Checks what the head of an upstream's answer says about the request `id`.
-    fn check_response(&self, head: &response::Parts, id: &str) -> ResponseCheck;
+    /// Reads what the head of an answer claims that came for a request with the headers `request`, sent to `upstream`.
+    fn read_claims(&self, head: &response::Parts, request: &HeaderMap, upstream: &str) -> Claims;
 
     /// Whether the head of an upstream's answer says that the upstream is leaving.
     fn is_leaving(&self, head: &response::Parts) -> bool;
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -3,9 +3,10 @@
 use crate::manifest::{Manifest, Route, RouteKind, Team};
 use crate::node::Node;
 use crate::notes::{Recovery, RecoveryProgress};
-use crate::ports::{Ask, Dispatch, Listing, Malformed, ResponseCheck, Wire};
+use crate::ports::{Ask, Dispatch, Listing, Malformed, Wire};
 use crate::settings::{Bounds, Listen, Settings};
 use http::{HeaderMap, request, response};
+use route::answer::{Claims, Status, Subject};
 use standin::TableRows;
 use std::sync::Arc;
 
@@ -62,8 +63,14 @@
         None
     }
 
-    fn check_response(&self, _: &response::Parts, _: &str) -> ResponseCheck {
-        ResponseCheck::Valid
+    fn read_claims(&self, _: &response::Parts, _: &HeaderMap, _: &str) -> Claims {
+        Claims {
+            subject: Subject::Request,
+            status: Status::Success,
+            not_run: false,
+            other_upstream: false,
+            signed: true,
+        }
     }
 
     fn is_leaving(&self, _: &response::Parts) -> bool {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert!(matches!(pool.pick(&request, 1), Pick::Wait));
 //! ```
 
+pub mod answer;
 mod assignment;
 pub mod barrier;
 mod brittle;
