--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -49,6 +49,7 @@
     let ask = match node.wire.decode_request(&head) {
         Ok(ask) => ask,
         Err(error) => {
+            node.metrics.requests.with_label_values(&["-", Refusal::Malformed.name()]).inc();
             log::warn!("request: event=refused reason=malformed {error}");
             return finish_answer(&node, "", refuse(Refusal::Malformed));
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -383,7 +383,7 @@
     /// The tokens used so far.
     pub(crate) fn tokens(&self) -> u64 {
         match self.started {
-            true => self.input + self.output.min(self.events * self.stride),
+            true => self.input.saturating_add(self.output.min(self.events.saturating_mul(self.stride))),
             false => 0,
         }
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -60,7 +60,7 @@
 impl Prompt {
     /// The most tokens that may be generated, rounded up to whole events of `stride` tokens each.
     pub fn max_output_in_events(&self, stride: u64) -> u64 {
-        self.output.div_ceil(stride.max(1)) * stride.max(1)
+        self.output.div_ceil(stride.max(1)).saturating_mul(stride.max(1))
     }
 
     /// The expected number of generated tokens: the caller's estimate, or else half of the maximum.
@@ -75,7 +75,7 @@
 
     /// The most tokens that the request may use, prompt included.
     pub fn max_tokens(&self, stride: u64) -> u64 {
-        self.input + self.max_output_in_events(stride)
+        self.input.saturating_add(self.max_output_in_events(stride))
     }
 }
 
