The router takes a refusal that names no run for one only after a cancel

Engines repeat x-run-id; an answer that names another run is none, and one that names no run is confirmed with a cancel, which engines answer with whether they have seen the run.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -82,7 +82,14 @@
         };
         let outcome = match Box::pin(smol::future::or(starting, caller_gone)).await {
             None => return Box::pin(self.cancel_abandoned(started_run)).await,
-            Some(Ok(Reply::Refused { status, body })) => self.handle_refusal(&started_run, status, &body),
+            Some(Ok(Reply::Refused { is_named, status, body })) => {
+                if !is_named && !self.is_unseen(&started_run).await {
+                    let reason = format!("status {status}, in an answer that names no run");
+                    self.record_run_failure(&started_run, &reason);
+                    return Box::pin(self.cancel_uncertain(model, started_run, reason)).await;
+                }
+                self.handle_refusal(&started_run, status, &body)
+            }
             Some(Ok(Reply::Whole(bytes))) => self.complete_answer(&started_run, bytes),
             Some(Ok(Reply::Stream(events))) => {
                 return self.relay_stream(model, started_run, events, progress.arrived).await;
@@ -101,6 +108,12 @@
         outcome
     }
 
+    /// Cancels a run, which tells whether its engine has seen it.
+    async fn is_unseen(&self, started_run: &StartedRun) -> bool {
+        let outcome = self.node.engine.cancel(started_run.address, &started_run.run).await;
+        matches!(outcome, Ok(CancelOutcome::Unseen))
+    }
+
     fn record_run_failure(&self, started_run: &StartedRun, reason: &str) {
         self.node.record_step(&self.admitted.id, format!("{} failed: {reason}", started_run.slot.upstream));
         log::warn!("upstream: request={} run={} {reason}", self.admitted.id, started_run.run);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// The header with the id of a run, in requests and answers.
+const RUN_ID: &str = "x-run-id";
+
 /// A fault of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Fault {
@@ -75,6 +78,8 @@
     Break(usize),
     /// Like [`Fault::Break`], but streams can't be resumed.
     BreakPermanently(usize),
+    /// Runs go on, but are answered with a refusal that names no run, as if it had been sent before.
+    Misattribute,
     /// Answers that are not streamed name no length, and end in order after this many bytes. The run itself ends.
     Truncate(usize),
 }
@@ -278,8 +283,20 @@
 }
 
 async fn start(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
+    let run = request.headers().get(RUN_ID).cloned();
+    let mut response = run_request(state.clone(), request).await;
+    if lock(&state).fault == Fault::Misattribute {
+        return error_response(StatusCode::SERVICE_UNAVAILABLE, "refusing");
+    }
+    if let Some(run) = run {
+        response.headers_mut().insert(RUN_ID, run);
+    }
+    response
+}
+
+async fn run_request(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
     let chat = request.uri().path().contains("/chat/");
-    let Some(run) = header(&request, "x-run-id") else {
+    let Some(run) = header(&request, RUN_ID) else {
         return error_response(StatusCode::BAD_REQUEST, "x-run-id is missing");
     };
     let router = header(&request, "x-router").unwrap_or_default();
--- a/crates/upstream/src/http_adapter.rs
+++ b/crates/upstream/src/http_adapter.rs
@@ -12,6 +12,8 @@
 
 /// The maximum size of an answer that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
+/// The header with the id of a run, which engines repeat in their answers.
+const RUN_ID: &str = "x-run-id";
 /// The media type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -115,7 +117,7 @@
         let mut request = build("start", peer, Method::POST, &call.path, Body::from(call.body.clone()))?;
         let headers = request.headers_mut();
         let texts =
-            [("x-run-id", &call.run), ("x-router", &self.router), ("x-priority", &call.priority.to_string())];
+            [(RUN_ID, &call.run), ("x-router", &self.router), ("x-priority", &call.priority.to_string())];
         for (name, text) in texts {
             if let Ok(value) = text.parse() {
                 headers.insert(name, value);
@@ -123,6 +125,11 @@
         }
         let answer = self.begin(peer, request).await?;
         let unknown = |reason: String| Error { step: "answer", peer, fault: Fault::Unknown, reason };
+        let named = answer.headers().get(RUN_ID);
+        let is_named = named.is_some();
+        if named.is_some_and(|named| named.as_bytes() != call.run.as_bytes()) {
+            return Err(unknown("the answer belongs to another run".to_owned()));
+        }
         match answer.status().as_u16() {
             200 if is_stream(&answer) => Ok(Reply::Stream(Events::new(peer, answer.into_body()))),
             200 => {
@@ -133,7 +140,7 @@
             // Engines return a 4xx or a 503 only before they start any work.
             status @ (400..=499 | 503) => {
                 let body = net::collect(answer.into_body(), MAX_ANSWER_BYTES).await.map_err(unknown)?;
-                Ok(Reply::Refused { status, body })
+                Ok(Reply::Refused { is_named, status, body })
             }
             status => Err(unknown(format!("status {status}"))),
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -60,8 +60,10 @@
 /// The engine's answer to the start of a run.
 #[derive(Debug)]
 pub enum Reply {
-    /// The engine rejected the run before doing any work.
+    /// The engine rejected a run before doing any work.
     Refused {
+        /// Whether the answer names the run. One that does not may belong to another run on the same connection.
+        is_named: bool,
         /// The HTTP status.
         status: u16,
         /// The body.
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -71,6 +71,26 @@
     });
 }
 
+/// Guards against a refusal that names no run and is taken for that of a run which goes on.
+#[test]
+fn a_refusal_that_names_no_run_does_not_make_a_request_run_twice() {
+    run(async {
+        let mut fleet = start_fleet(Plan::small()).await;
+        fleet.engines.iter().for_each(|engine| engine.set_fault(Fault::Misattribute));
+        for index in 0..10 {
+            let request = ChatRequest::new("hail-flag", &format!("Hail on quarter {index}?"), 200);
+            let answer = fleet.caller(index % 3).send_chat(&request).await;
+            let runs = executions(&fleet, &request.prompt);
+            assert!(runs <= 1, "the request ran {runs} times: {answer:?}");
+            assert!(runs == 0 || answer.execution != "not-run", "the request ran: {answer:?}");
+        }
+        assert_eq!(open_runs(&fleet), 0, "no run is left open");
+        let consumed = crate::support::consumed(&fleet);
+        stop_all(&mut fleet).await;
+        assert_eq!(harness::audit(&fleet)["storm-desk/main"].spent, consumed);
+    });
+}
+
 #[test]
 fn a_run_that_stalls_before_its_first_token_is_stopped_and_run_elsewhere() {
     run(async {
