A usage note allows one request ahead while notes take longer than requests wait

Callers got 503 budget-away though their gateway held thousands of tokens: the usage note allowed less than one request, the request had the next note written, and was refused before it was acknowledged; the note then served the next request, and so on. Cause: a note counts on the demand of 100 ms or of two notes, and on a new note being written while the request waits, which fails as soon as notes take longer than that (66 ms of a target of 300 ms), as on a slow store or a busy machine.

While notes take longer than requests wait, a note allows an average request more, and the next note is requested as soon as what is left does not cover one request and the demand until it is acknowledged. Faster notes are as before, so the bounds on what a crash loses (budget's tests/outages.rs) hold unchanged. Neither the wait nor a constant changed.

--- a/crates/budget/src/exposure.rs
+++ b/crates/budget/src/exposure.rs
@@ -31,8 +31,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A new note allows the demand of at least this time, in milliseconds, in addition to the tokens that
-/// requests wait for. The time is short because a crash loses these tokens; as long as the store answers, a
-/// request that needs more has a new note written first.
+/// requests wait for. The time is short because a crash loses these tokens; as long as the store answers in
+/// time, a request that needs more has a new note written first.
 const MIN_NOTE_WINDOW_MS: u64 = 100;
 /// If notes take longer to be acknowledged, this time is this multiple of their latency: for the note in
 /// progress and the next one.
@@ -129,15 +129,39 @@
     pub owners: u64,
     /// The average number of tokens consumed per second.
     pub rate: f64,
+    /// The tokens that an average request reserves, if notes take longer than requests wait for them; else 0. A note
+    /// then has to be written before the request comes.
+    pub request: u64,
     /// The time until a note is acknowledged, in milliseconds.
     pub note_latency_ms: u64,
 }
 
+impl ScheduleInput {
+    /// The tokens that are used until a note that is written now is acknowledged, and by one request then.
+    fn used_until_noted(&self) -> u64 {
+        self.request.saturating_add((self.rate * self.note_latency_ms as f64 / 1_000.0) as u64)
+    }
+
+    /// Whether a note has to be written ahead of the next request, if the last one allows `left` more tokens now.
+    pub fn is_note_due(&self, left: u64) -> bool {
+        self.request > 0 && left < self.used_until_noted()
+    }
+}
+
 impl Schedule {
     /// The schedule of a note that is about to be written.
     pub fn plan(input: &ScheduleInput) -> Schedule {
-        let ScheduleInput { used, charged, waiting, available, unspent, owners, rate, note_latency_ms } =
-            *input;
+        let ScheduleInput {
+            used,
+            charged,
+            waiting,
+            available,
+            unspent,
+            owners,
+            rate,
+            request,
+            note_latency_ms,
+        } = *input;
         let share = unspent / owners.max(1);
         let window_ms =
             (NOTE_WINDOW_LATENCIES * note_latency_ms).clamp(MIN_NOTE_WINDOW_MS, MAX_NOTE_WINDOW_MS);
@@ -147,6 +171,7 @@
             used,
             charged,
             allowance: waiting
+                + request
                 + window_demand
                 + available / NOTE_AVAILABLE_DIVISOR
                 + growth(first_per_s, EARLY_GROWTH_AFTER_MS - FIRST_GROWTH_AFTER_MS),
--- a/crates/budget/tests/outages.rs
+++ b/crates/budget/tests/outages.rs
@@ -72,6 +72,7 @@
         unspent: (prepaid * UNSPENT_FRACTION) as u64,
         owners: 1,
         rate,
+        request: 0,
         note_latency_ms: 5,
     };
     let schedule = Schedule::plan(&input);
--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -37,6 +37,8 @@
 /// The largest fraction of a budget that may be idle on other gateways although none of it can be had. If
 /// less than this would be left beside a denied request, the budget counts as spent.
 const IDLE_ELSEWHERE_RATIO: f64 = 0.03;
+/// The weight of a request in the average number of tokens that requests reserve.
+const REQUEST_WEIGHT: f64 = 0.2;
 /// The shortest interval between two recalls of one budget, in milliseconds: right after a recall the other
 /// gateways have no idle tokens left.
 const RECALL_INTERVAL_MS: u64 = 1_000;
@@ -86,6 +88,11 @@
     use_growth: Demand,
     /// The highest use seen when `use_growth` was updated.
     max_used: u64,
+    /// The average number of tokens that a request reserves; 0 before the first one.
+    request_tokens: f64,
+    /// How long a note takes to be acknowledged, and how long the last request may wait for tokens, in milliseconds.
+    note_ms: u64,
+    request_wait_ms: u64,
     /// The use of the budget by priority, as far as this gateway reserves its tokens.
     pub mix: Mix,
     pub level: Level,
@@ -123,6 +130,9 @@
             demand: Demand::default(),
             use_growth: Demand::default(),
             max_used: 0,
+            request_tokens: 0.0,
+            note_ms: 0,
+            request_wait_ms: u64::MAX,
             mix: Mix::default(),
             level,
             is_level_lowered: false,
@@ -198,8 +208,13 @@
 
     /// The schedule of the next note, which takes about `note_ms` to be acknowledged. `owners` is the number
     /// of gateways that own the budget.
-    pub(crate) fn schedule(&self, note_ms: u64, owners: u64) -> Schedule {
-        Schedule::plan(&ScheduleInput {
+    pub(crate) fn schedule(&mut self, note_ms: u64, owners: u64) -> Schedule {
+        self.note_ms = note_ms;
+        Schedule::plan(&self.schedule_input(owners))
+    }
+
+    fn schedule_input(&self, owners: u64) -> ScheduleInput {
+        ScheduleInput {
             used: self.grant.used(),
             charged: self.grant.charged(),
             waiting: self.waiting_tokens,
@@ -207,8 +222,26 @@
             unspent: self.unspent(),
             owners,
             rate: self.rate(),
-            note_latency_ms: note_ms,
-        })
+            request: if self.note_ms >= self.request_wait_ms { self.request_tokens as u64 } else { 0 },
+            note_latency_ms: self.note_ms,
+        }
+    }
+
+    /// Whether a new note has to be written now, so that the next request does not wait for it.
+    pub(crate) fn is_note_due(&self) -> bool {
+        let left = self.note_limit().saturating_sub(self.grant.used());
+        // A note can't allow the use of tokens that this gateway does not hold.
+        left < self.grant.available() && self.schedule_input(1).is_note_due(left)
+    }
+
+    /// Records a request that is going to reserve tokens, and may wait for them for `wait_ms`.
+    pub(crate) fn record_request(&mut self, tokens: u64, wait_ms: u64, now: u64) {
+        self.demand.record_request(now);
+        self.request_wait_ms = wait_ms;
+        self.request_tokens = match self.request_tokens {
+            0.0 => tokens as f64,
+            average => average + REQUEST_WEIGHT * (tokens as f64 - average),
+        };
     }
 
     /// The tokens used per second here.
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -160,7 +160,7 @@
         let now = self.now();
         let begun = {
             let mut state = self.lock();
-            state.demand.record_request(now);
+            state.record_request(tokens, timeout.as_millis() as u64, now);
             let is_fresh = now.saturating_sub(state.latest_settlement.began_ms) < DENIAL_REUSE_MS;
             let withheld = self.withheld_reason(&state, tokens, priority);
             // If the pool lacked tokens, other gateways may have returned some since. Without a settlement
@@ -172,6 +172,9 @@
             }
             state.mix.record(priority, tokens);
             if withheld.is_none() && state.reserve(tokens) {
+                if state.is_note_due() {
+                    let _ = self.note_requests.try_send(());
+                }
                 return Ok(Reservation::local(self, state.generation, tokens));
             }
             let is_conclusive = |denied: &DenialReason| match denied {
