--- a/crates/emulator/src/restart.rs
+++ b/crates/emulator/src/restart.rs
@@ -152,8 +152,10 @@
 
 /// Dispatches a request by the gateway's own choice.
 fn choose_by_ring(placer: &mut Placer, now: u64) -> Option<usize> {
-    let chosen = placer
-        .choose(&PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None }, now)?;
+    let chosen = placer.choose(
+        &PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None, only: None },
+        now,
+    )?;
     let ticket = placer.begin(&chosen, None, now);
     placer.end(&chosen.upstream, ticket, now);
     chosen.upstream["engine-".len()..].parse().ok()
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -296,7 +296,7 @@
             return;
         }
         let placement_request =
-            PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None };
+            PlacementRequest { service: SERVICE, prompt: None, avoid: &[], version: None, only: None };
         let Some(placement) = self.routers[router].choose(&placement_request, self.now as Millis) else {
             return;
         };
@@ -409,8 +409,13 @@
             target_ms: kind.target_ms,
             gap_ms: kind.gap_ms,
         };
-        let placement_request =
-            PlacementRequest { service: SERVICE, prompt: Some(prompt), avoid: &[], version: None };
+        let placement_request = PlacementRequest {
+            service: SERVICE,
+            prompt: Some(prompt),
+            avoid: &[],
+            version: None,
+            only: None,
+        };
         let now = self.now as Millis;
         let placer = &mut self.routers[router];
         let Some(placement) = placer.choose(&placement_request, now) else { return };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at an upstream, up to the first answer.
 
-use crate::contact::Upstream;
+use crate::contact::{GivenUp, Upstream};
 use crate::event::EventSplitter;
 use crate::first_answer::{Closed, OpenStream, Outcome, ReadOutcome, strip_hop_by_hop};
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
@@ -10,6 +10,7 @@
 use crate::quarantine::{self, BrokenRun};
 use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
+use crate::runs;
 use futures::channel::oneshot;
 use futures::future::{Either, select};
 use http::header::{CONTENT_LENGTH, HOST};
@@ -135,12 +136,17 @@
         // While the request waits for a connection, the upstream may announce that it leaves or ask for a
         // back-off, the request may be denied, and a repeat that waits is sent in another window than it was
         // counted in.
-        let is_wanted = |way| {
-            if way == Way::Direct {
+        let connection = slot.connection().cloned();
+        let is_wanted = |path: net::Path<'_>| {
+            if path.way == Way::Direct {
                 let _ = sent.send(node.now());
             }
             let admits = node.placer().admits(&chosen.upstream, node.now());
-            admits && self.may_run() && self.confirm_repeat()
+            let is_wanted = admits && self.may_run() && self.confirm_repeat();
+            if let Some(connection) = connection.filter(|_| is_wanted) {
+                connection.record_sent(path.closing);
+            }
+            is_wanted
         };
         let sending = async {
             let dialer = Dialer { node, upstream: &chosen.upstream };
@@ -185,6 +191,7 @@
         sending: impl Future<Output = Result<(http::Response<Received>, net::Lease), net::Failure>>,
     ) -> FirstAnswer<W, S> {
         let upstream = slot.upstream.clone();
+        let connection_of_run = slot.connection().cloned();
         let mut reading = pin!(async {
             let mut slot = slot;
             let outcome = {
@@ -211,17 +218,28 @@
         let began = self.node.now();
         let patience = self.first_answer_timeout(chosen);
         let clock = &self.node.clock;
-        let result = match self.kind() {
-            RouteKind::ResumableStream if may_try_elsewhere => {
+        let mut is_asked_to_end = false;
+        let result = match connection_of_run {
+            Some(connection) if may_try_elsewhere => {
                 let given_up = pin!(self.until_given_up(&upstream, patience));
                 match clock.timeout(self.remaining(), select(reading.as_mut(), given_up)).await {
                     Some(Either::Left((done, _))) => Some(done),
+                    Some(Either::Right((GivenUp::Overdue, _))) if connection.is_sent() => {
+                        is_asked_to_end = self.ask_to_end(&upstream, &connection);
+                        let _overdue = OverdueGuard::new(&self.node, &upstream.name);
+                        clock.timeout(self.remaining(), reading.as_mut()).await
+                    }
                     Some(Either::Right(_)) | None => None,
                 }
             }
             _ => clock.timeout(patience.min(self.remaining()), reading.as_mut()).await,
         };
         let (outcome, slot) = match result {
+            Some((outcome, _)) if is_asked_to_end && outcome.is_broken() => {
+                self.node.placer().record_error(&chosen.upstream);
+                let reason = format!("no answer within {} ms", self.node.now() - began);
+                return FirstAnswer::Known(Outcome::NoValidAnswer(reason));
+            }
             Some(done) => done,
             None if may_try_elsewhere && self.kind().is_repeatable() && !self.remaining().is_zero() => {
                 self.node.placer().record_error(&chosen.upstream);
@@ -248,13 +266,24 @@
     }
 
     /// Waits until a run may be given up that another one is to follow. Once it is overdue, it counts so.
-    async fn until_given_up(&self, upstream: &Upstream, patience: Duration) {
+    async fn until_given_up(&self, upstream: &Upstream, patience: Duration) -> GivenUp {
         let counted = async {
             exec::sleep(patience).await;
             let _overdue = OverdueGuard::new(&self.node, &upstream.name);
             std::future::pending().await
         };
-        smol::future::or(upstream.until_given_up(&self.node, patience), counted).await;
+        smol::future::or(upstream.until_given_up(&self.node, patience), counted).await
+    }
+
+    /// Asks the upstream of an overdue run to end it. If it does not, its answer is still read.
+    fn ask_to_end(&self, upstream: &Upstream, connection: &runs::Connection) -> bool {
+        let is_asked = connection.ask_to_end();
+        log::warn!(
+            "request: id={} event=asked-to-end upstream={} asked={is_asked}",
+            self.request.ask.id,
+            upstream.name
+        );
+        is_asked
     }
 
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -2,11 +2,12 @@
 //!
 //! The decision is in [`route::silence::Contact`].
 
+use crate::manifest::Service;
 use crate::node::Node;
 use crate::ports::Wire;
 use net::{ProbeResult, exec};
 use route::Millis;
-use route::silence::{self, Decision, Probe};
+use route::silence::{self, ClosedRun, Decision, Probe, Proof, RunState};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -71,6 +72,15 @@
     }
 }
 
+/// Why a run is given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum GivenUp {
+    /// It is overdue, and its upstream answers others.
+    Overdue,
+    /// Its upstream is gone.
+    Gone,
+}
+
 /// The upstream of a run, which may no longer be listed.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
@@ -81,29 +91,62 @@
 }
 
 impl Upstream {
+    /// An upstream of a service.
+    pub(crate) fn of<W: Wire, S: Rows>(
+        node: &Node<W, S>,
+        service: Option<&Service>,
+        name: &str,
+        address: SocketAddr,
+    ) -> Upstream {
+        Upstream {
+            name: name.to_owned(),
+            address,
+            health_path: service.and_then(|service| service.health_path.clone()),
+            contact: node.contacts.of(name),
+        }
+    }
+
     /// Waits until a run from which nothing arrives may be given up. It is overdue after `patience`.
-    pub(crate) async fn until_given_up<W: Wire, S: Rows>(&self, node: &Node<W, S>, patience: Duration) {
+    pub(crate) async fn until_given_up<W: Wire, S: Rows>(
+        &self,
+        node: &Node<W, S>,
+        patience: Duration,
+    ) -> GivenUp {
         let since = node.now();
         loop {
             match self.contact.decide(since, patience.as_millis() as Millis, node.now()) {
-                Decision::GiveUp | Decision::Gone => return,
+                Decision::GiveUp => return GivenUp::Overdue,
+                Decision::Gone => return GivenUp::Gone,
                 Decision::Wait(ms) => exec::sleep(Duration::from_millis(ms).min(CHECK_INTERVAL)).await,
                 Decision::Probe => self.probe(node).await,
             }
         }
     }
 
-    /// Whether the upstream has noticed that a connection to it was closed at `closed`. One without a health check is
-    /// not asked.
-    fn has_noticed(&self, closed: Millis) -> bool {
-        self.health_path.is_none() || self.contact.state().has_noticed(closed)
+    /// What is known of a run whose connection was closed. An upstream without a health check is not asked.
+    fn state_of<W: Wire, S: Rows>(&self, node: &Node<W, S>, run: &ClosedRun) -> RunState {
+        match self.contact.state().state_of(run, node.now()) {
+            RunState::Alive | RunState::Unknown if self.is_replaced(node) => RunState::Over(Proof::Gone),
+            RunState::Unknown if self.health_path.is_none() => RunState::Alive,
+            state => state,
+        }
+    }
+
+    /// Whether another upstream is listed at its address, and this one is not listed any more.
+    fn is_replaced<W: Wire, S: Rows>(&self, node: &Node<W, S>) -> bool {
+        let listings = node.listings();
+        !listings.contains_key(&self.name) && listings.values().any(|other| other.address == self.address)
     }
 
-    /// Waits until the upstream has noticed that a connection to it was closed at `closed`, or is gone.
-    pub(crate) async fn until_noticed<W: Wire, S: Rows>(&self, node: &Node<W, S>, closed: Millis) {
-        while !self.has_noticed(closed) {
+    /// Waits until a run whose connection was closed is over, or its upstream is known to go on.
+    pub(crate) async fn until_known<W: Wire, S: Rows>(&self, node: &Node<W, S>, run: &ClosedRun) -> RunState {
+        loop {
+            let state = self.state_of(node, run);
+            if state != RunState::Unknown {
+                return state;
+            }
             self.probe(node).await;
-            if !self.has_noticed(closed) {
+            if self.state_of(node, run) == RunState::Unknown {
                 exec::sleep(PROBE_PAUSE).await;
             }
         }
--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -78,6 +78,16 @@
     Other(Outcome<W, S>),
 }
 
+impl<W: Wire, S: Rows> ReadOutcome<W, S> {
+    /// Whether the upstream ended its answer before an event.
+    pub(crate) fn is_broken(&self) -> bool {
+        matches!(
+            self,
+            ReadOutcome::Closed(Closed::BeforeEvent(_)) | ReadOutcome::Other(Outcome::ConnectionBroken(_))
+        )
+    }
+}
+
 /// An answer that ended with its connection.
 pub(crate) enum Closed {
     /// One that is no stream.
@@ -98,8 +108,10 @@
         let (response, lease) = match sending.await {
             Ok(answer) => answer,
             Err(failure) => {
-                slot.mark_over();
                 let reason = failure.error.to_string();
+                if (failure.cause, failure.error.fault) != (Cause::Connection, net::Fault::Unknown) {
+                    slot.mark_over();
+                }
                 return ReadOutcome::Other(match (failure.cause, failure.error.fault) {
                     (Cause::Withdrawn, _) => Outcome::NotSent(reason),
                     (Cause::NoConnection, _) => Outcome::NoConnection(reason),
@@ -118,6 +130,7 @@
             }
         };
         slot.upstream.contact.record_answer(0, self.node.now());
+        slot.record_read(self.deadline);
         let is_closed = Framing::of(&head) == Framing::Closed;
         if !lease.tells_end() && !body.is_end_stream() && is_closed {
             let reason = "an answer that ends with its connection may be cut off by the relay";
@@ -291,7 +304,7 @@
         let framing = Framing::of(&head);
         loop {
             let frame = body.frame().await;
-            if !matches!(frame, Some(Ok(_))) {
+            if frame.is_none() && framing != Framing::Closed {
                 slot.mark_over();
             }
             match frame {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -14,6 +14,7 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::returns::{self, Caller};
+use crate::runs::Place;
 use crate::take_up;
 use crate::team_budget::Reservation;
 use budget::ledger::Level;
@@ -147,12 +148,13 @@
         Some(resumption) => {
             let limit = Duration::from_millis(stall_ms(route.target_ms, route.gap_ms));
             let team = caller.unwrap_or_default();
-            take_up::prepare(node, &service, team, resumption, limit).await.map(Some)
+            let located = take_up::prepare(node, &service, team, resumption, limit).await;
+            located.map(|(version, place)| (Some(version), place))
         }
-        None => Ok(None),
+        None => Ok((None, Place::Any)),
     };
-    let software = match located {
-        Ok(software) => software,
+    let (software, place) = match located {
+        Ok(located) => located,
         Err(refusal) => {
             let resumes = resumption.map_or("-", Resumption::name);
             let detail = format!("team={} route={} resumes={resumes}", caller.unwrap_or("-"), route.name);
@@ -179,8 +181,19 @@
     if let (Some(team), Some(_)) = (caller, &reservation) {
         node.returns().record_admitted(Group::Team(team), node.now());
     }
-    let admitted =
-        Admitted { ask, head, body, _held: held, manifest, route, team, service, version: software, arrived };
+    let admitted = Admitted {
+        ask,
+        head,
+        body,
+        _held: held,
+        manifest,
+        route,
+        team,
+        service,
+        version: software,
+        place,
+        arrived,
+    };
     Ok((Arc::new(Job::new(node.clone(), admitted)), reservation))
 }
 
@@ -215,7 +228,9 @@
 async fn run<W: Wire, S: Rows>(job: Arc<Job<W, S>>, reservation: Option<Reservation>) -> Reply<W, S> {
     let mut meter = Some(TokenMeter::new(&*job, reservation));
     let mut last = None;
-    while let Some(chosen) = job.choose_or_wait().await {
+    while job.find_place().await
+        && let Some(chosen) = job.choose_or_wait().await
+    {
         if let Some(refusal) = job.quarantine_refusal() {
             if job.progress().ran > 0 {
                 break;
@@ -223,9 +238,6 @@
             job.log_end(refusal.name(), "");
             return refuse(refusal);
         }
-        if !job.until_runs_over().await {
-            break;
-        }
         if job.progress().sent > 0 && !job.take_repeat("retry") {
             break;
         }
@@ -248,7 +260,7 @@
             break;
         }
     }
-    if let Some(refusal) = job.unavailable() {
+    if let Some(refusal) = job.refusal_of_place().or_else(|| job.unavailable()) {
         job.log_end(refusal.name(), "");
         return refuse(refusal);
     }
@@ -352,14 +364,22 @@
 }
 
 impl<W: Wire, S: Rows> Job<W, S> {
-    /// Waits until the upstreams that this request was sent to have ended their runs of it. Returns whether they have
-    /// before the deadline.
-    pub(crate) async fn until_runs_over(&self) -> bool {
-        if self.kind() != RouteKind::ResumableStream {
+    /// Waits until it is known where the request may run next, after the runs that it has begun. Returns whether that is
+    /// known before the deadline.
+    pub(crate) async fn find_place(&self) -> bool {
+        if self.kind() != RouteKind::ResumableStream || self.progress().sent == 0 {
             return true;
         }
-        let over = self.node.runs.until_own_over(&self.node, self.stream(), &self.takeover);
-        exec::timeout(self.remaining(), over).await.is_some()
+        let earlier = &self.request.place;
+        let finding = self.node.runs.find_next_place(&self.node, self.stream(), &self.takeover, earlier);
+        let Some(place) = exec::timeout(self.remaining(), finding).await else { return false };
+        let mut progress = self.progress();
+        if let Some(only) = place.only() {
+            log::info!("request: id={} event=pinned upstream={only}", self.request.ask.id);
+            progress.excluded.retain(|upstream| upstream != only);
+        }
+        progress.place = place;
+        true
     }
 
     /// Takes one repeat out of the service's retry budget; `false` if none is left. The event is logged
@@ -424,6 +444,12 @@
         is_allowed
     }
 
+    /// The refusal of a request that no upstream ran, if its stream may go on at one upstream only, which can't run it now.
+    fn refusal_of_place(&self) -> Option<Refusal> {
+        let progress = self.progress();
+        (progress.ran == 0 && progress.place != Place::Any).then_some(Refusal::StillRunning)
+    }
+
     /// The refusal of a request that no upstream ran, if all upstreams of its service are backing off or at
     /// their request limits. It names the time until the first one accepts requests again.
     fn unavailable(&self) -> Option<Refusal> {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::ports::{Ask, Dispatch, Listing, Wire};
 use crate::receive::Held;
-use crate::runs::{self, Takeover};
+use crate::runs::{self, Connection, Place, Takeover};
 use crate::team_budget::Reservation;
 use http::request::Parts;
 use hyper::body::Bytes;
@@ -55,6 +55,8 @@
     pub empty: u32,
     /// The only software version at which the request may run: the one that began its stream.
     pub version: Option<Version>,
+    /// Where the request may run, as earlier runs of its stream allow it.
+    pub place: Place,
     /// Whether the next dispatch has been taken out of the retry budget.
     pub is_repeat_taken: bool,
     /// When the last dispatch was taken out of the retry budget.
@@ -81,6 +83,8 @@
     pub service: String,
     /// The version that began the stream, if the caller takes one up.
     pub version: Option<Version>,
+    /// Where the stream may go on, if the caller takes one up.
+    pub place: Place,
     /// When the request arrived.
     pub arrived: Millis,
 }
@@ -89,7 +93,8 @@
     pub(crate) fn new(node: Arc<Node<W, S>>, request: Admitted) -> Job<W, S> {
         let timeout_ms = request.ask.wait_ms.unwrap_or(u64::MAX).min(request.route.timeout_ms);
         let deadline = request.arrived.saturating_add(timeout_ms);
-        let progress = Progress { version: request.version, ..Progress::default() };
+        let progress =
+            Progress { version: request.version, place: request.place.clone(), ..Progress::default() };
         Job {
             deadline,
             _open: OpenGuard::new(&node),
@@ -121,12 +126,7 @@
     /// A listed upstream of the request's service.
     fn upstream(&self, name: &str, listing: &Listing) -> Upstream {
         let service = self.request.manifest.services.get(&self.request.service);
-        Upstream {
-            name: name.to_owned(),
-            address: listing.address,
-            health_path: service.and_then(|service| service.health_path.clone()),
-            contact: self.node.contacts.of(name),
-        }
+        Upstream::of(&self.node, service, name, listing.address)
     }
 
     /// Chooses an upstream that has not been tried yet.
@@ -137,6 +137,7 @@
             prompt: self.prompt(),
             avoid: &progress.excluded,
             version: progress.version,
+            only: progress.place.only(),
         };
         self.node.placer().choose(&request, self.node.now())
     }
@@ -301,6 +302,48 @@
         }
     }
 
+    /// The connection of the run, if the request is for a stream that may be resumed.
+    pub(crate) fn connection(&self) -> Option<&Arc<Connection>> {
+        self.run.as_ref().map(runs::Guard::connection)
+    }
+
+    /// Asks the upstream to end the run, which goes on if it does not.
+    pub(crate) fn ask_to_end(&self) {
+        let is_asked = self.connection().is_some_and(|connection| connection.ask_to_end());
+        log::warn!(
+            "request: id={} event=asked-to-end upstream={} asked={is_asked}",
+            self.request,
+            self.upstream.name
+        );
+    }
+
+    /// Whether the upstream has been asked to end the run.
+    pub(crate) fn is_asked_to_end(&self) -> bool {
+        self.connection().is_some_and(|connection| connection.is_asked_to_end())
+    }
+
+    /// Records that the upstream has read the request, whose time is over at `deadline`.
+    pub(crate) fn record_read(&self, deadline: Millis) {
+        if let Some(connection) = self.connection() {
+            let told_ms = deadline.saturating_sub(self.dispatched);
+            connection.record_read(self.node.now().saturating_add(told_ms));
+        }
+    }
+
+    /// Reports whether the upstream closes its end of the connection of a run that was closed.
+    fn report_end(&self, connection: Option<Arc<Connection>>) -> impl Future<Output = ()> + use<W, S> {
+        let (node, request, upstream) = (self.node.clone(), self.request.clone(), self.upstream.name.clone());
+        let closed = node.now();
+        async move {
+            let Some(connection) = connection else { return };
+            let Some(end) = connection.end().await else { return };
+            let name = end.name();
+            node.metrics.closed_runs.with_label_values(&[name]).inc();
+            let ms = node.now().saturating_sub(closed);
+            log::info!("request: id={request} event=run-closed upstream={upstream} by={name} ms={ms}");
+        }
+    }
+
     /// Records that the upstream has read the prompt, as its first answer shows.
     pub(crate) fn mark_prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_prompt_read, true) {
@@ -320,9 +363,11 @@
             self.is_prompt_read
         );
         self.node.placer().end(&self.upstream.name, self.dispatch_id, now);
+        let connection = self.connection().cloned();
         if self.run.take().is_some_and(|run| run.end(now)) {
             // The caller may take the stream up elsewhere at once.
             self.node.origins.flush(&self.node.hints);
+            exec::spawn(self.report_end(connection)).detach();
         }
         self.node.places.free(&self.service);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     pub unreadable_answers: IntCounter,
     /// Answers of upstreams that are not passed on, by reason.
     pub rejected_answers: IntCounterVec,
+    /// Runs of streams that were closed before their end, by who closed the connection last.
+    pub closed_runs: IntCounterVec,
     /// Runs that broke because their upstream terminated.
     pub runs_lost: IntCounter,
     /// The memory of the bodies that callers are sending, in bytes.
@@ -241,6 +243,11 @@
                 "Answers that are none to the request for which they came, or whose status is a false promise.",
                 &["reason"],
             ),
+            closed_runs: counters(
+                "tallypaddle_closed_runs_total",
+                "Runs of resumable streams that were closed before their end, by whether the upstream closed its end.",
+                &["by"],
+            ),
             runs_lost: counter(
                 "tallypaddle_runs_lost_total",
                 "Runs that broke off because their upstream ended.",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -179,7 +179,7 @@
     }
 
     fn handle_frame(&mut self, frame: Option<Result<http_body::Frame<Bytes>, hyper::Error>>) -> Step {
-        if !matches!(frame, Some(Ok(_))) {
+        if frame.is_none() && self.framing != Framing::Closed {
             self.mark_over();
         }
         match frame {
@@ -215,6 +215,9 @@
             }
             Some(Err(error)) => self.start_resume(&format!("could not read the stream: {error}")),
             None if self.splitter.is_inside_event() => self.start_resume("the stream ended inside an event"),
+            None if self.framing == Framing::Closed && self.is_asked_to_end() => {
+                self.start_resume("the upstream stalled")
+            }
             None if self.framing == Framing::Closed => self.inspect_closed(),
             None => self.complete(),
         }
@@ -306,7 +309,7 @@
             return Poll::Ready(Step::Fail("the deadline passed".to_owned()));
         }
         let silence_ms = self.reading.silence(self.job.node.now_exact()) as Millis;
-        if self.is_given_up(silence_ms) {
+        if self.is_gone(silence_ms) {
             return Poll::Ready(self.start_resume("the upstream stalled"));
         }
         if self.is_path_lost(silence_ms) {
@@ -315,8 +318,14 @@
         Poll::Ready(Step::Continue)
     }
 
-    /// Whether the run is to be replaced by one at another upstream, after `silence_ms` without an event.
-    fn is_given_up(&self, silence_ms: Millis) -> bool {
+    /// Whether the upstream has been asked to end the run.
+    fn is_asked_to_end(&self) -> bool {
+        matches!(&self.state, State::Streaming(stream) if stream.slot.is_asked_to_end())
+    }
+
+    /// Whether the upstream of the run is gone, after `silence_ms` without an event. One that answers others is asked to
+    /// end the run if the stream may be resumed; until it does, the run may still go on by itself.
+    fn is_gone(&self, silence_ms: Millis) -> bool {
         let State::Streaming(stream) = &self.state else { return false };
         if self.job.kind() != RouteKind::ResumableStream {
             return false;
@@ -325,8 +334,13 @@
         let patience_ms = stall_ms(route.target_ms, route.gap_ms);
         match upstream.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
             Decision::Gone => true,
-            // It may still go on by itself, which is better than no run at all.
-            Decision::GiveUp => self.job.may_resume() && self.job.reserve_repeat("stalled"),
+            Decision::GiveUp => {
+                let may_ask = !stream.slot.is_asked_to_end() && self.job.may_resume();
+                if may_ask && self.job.reserve_repeat("stalled") {
+                    stream.slot.ask_to_end();
+                }
+                false
+            }
             Decision::Wait(_) => false,
             Decision::Probe => {
                 let (upstream, node) = (upstream.clone(), self.job.node.clone());
@@ -487,7 +501,7 @@
         let empty_before = self.progress().empty;
         let empty = || self.progress().empty - empty_before;
         loop {
-            if !self.until_runs_over().await {
+            if !self.find_place().await {
                 return None;
             }
             if self.runs_left() == 0 {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -1,8 +1,9 @@
 //! The runs of resumable streams that this gateway has sent to upstreams, until these are known to have ended them.
 //!
-//! A run that this gateway closes goes on until its upstream notices, which a suspended process does late. The stream
-//! must not go on at another upstream before, whether this gateway resumes it or its caller takes it up, here or at
-//! another gateway. [`route::silence::Contact`] decides whether an upstream has noticed.
+//! A run that this gateway closes goes on until its upstream notices, which it may do late or never. The stream must not
+//! go on at another upstream before, whether this gateway resumes it or its caller takes it up, here or at another gateway.
+//! [`route::silence::Contact`] decides what is known of such a run. While its upstream is alive and may still work on it,
+//! the stream goes on at that upstream only.
 
 use crate::contact::Upstream;
 use crate::node::Node;
@@ -11,16 +12,17 @@
 use event_listener::{Event, EventListener};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use net::{Body, Client, exec};
+use net::{Body, Client, Closing, End, exec};
 use route::Millis;
 use route::origin::Stream;
+use route::silence::{ClosedRun, RunState};
 use route::version::Version;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 use store::rows::Rows;
 
@@ -35,7 +37,11 @@
 /// The number of unused connections to a gateway that are kept, and for how long.
 const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
 /// The largest message, in bytes.
-const MESSAGE_LIMIT: usize = 64;
+const MESSAGE_LIMIT: usize = 512;
+/// How long a connection that this gateway closes may take to end.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+/// The pause before the runs of a stream are looked at again, of which two may go on at different upstreams.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Tells a request that its caller takes its stream up with another request.
 #[derive(Debug, Default)]
@@ -82,12 +88,89 @@
 }
 
 /// What a gateway says that was asked to release a stream.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct Released {
     /// Whether its runs are over.
     is_over: bool,
     /// The gateway that took the stream up from there before.
     next: Option<SocketAddr>,
+    /// A run that may still be under way, at an upstream that is alive.
+    alive: Option<Alive>,
+}
+
+/// A run that may still be under way.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Alive {
+    upstream: String,
+    address: SocketAddr,
+    /// In how many milliseconds it stops by itself, if that is known.
+    stops_in: Option<Millis>,
+}
+
+/// The upstreams at which a stream may go on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Place {
+    /// Any: no run is under way.
+    #[default]
+    Any,
+    /// Only this one, at which an earlier run may still be under way.
+    Only(String),
+}
+
+impl Place {
+    /// The only upstream, if there is one.
+    pub(crate) fn only(&self) -> Option<&str> {
+        match self {
+            Place::Any => None,
+            Place::Only(upstream) => Some(upstream),
+        }
+    }
+}
+
+/// The connection of a run.
+#[derive(Debug, Default)]
+pub(crate) struct Connection {
+    /// Unset until the request is sent; `None` if another gateway sent it.
+    closing: OnceLock<Option<Closing>>,
+    /// When the upstream stops by itself, once it has read the request.
+    stops_at: OnceLock<Millis>,
+}
+
+impl Connection {
+    /// Records that the request is sent on a connection.
+    pub(crate) fn record_sent(&self, closing: &Closing) {
+        closing.set_awaited(true);
+        let _ = self.closing.set(Some(closing.clone()));
+    }
+
+    /// Records when the upstream stops, which has read the request.
+    pub(crate) fn record_read(&self, stops_at: Millis) {
+        let _ = self.stops_at.set(stops_at);
+    }
+
+    /// Whether the request has been sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.closing.get().is_some()
+    }
+
+    /// Closes this gateway's end, which has an upstream end the run that notices closes. Returns whether it can be closed
+    /// so.
+    pub(crate) fn ask_to_end(&self) -> bool {
+        self.closing.get().and_then(Option::as_ref).is_some_and(Closing::half_close)
+    }
+
+    /// Whether the upstream has been asked to end the run.
+    pub(crate) fn is_asked_to_end(&self) -> bool {
+        self.closing.get().and_then(Option::as_ref).is_some_and(Closing::is_half_closed)
+    }
+
+    /// How the connection ended, if the request was sent.
+    pub(crate) async fn end(&self) -> Option<End> {
+        match self.closing.get()? {
+            Some(closing) => Some(exec::timeout(END_TIMEOUT, closing.wait()).await.unwrap_or(End::Unknown)),
+            None => Some(End::Unknown),
+        }
+    }
 }
 
 /// A run that is not known to be over.
@@ -97,9 +180,20 @@
     upstream: Upstream,
     /// When this gateway closed it; `None` while its request is open.
     closed: Option<Millis>,
+    connection: Arc<Connection>,
     takeover: Arc<Takeover>,
 }
 
+impl Run {
+    /// What is known of a run that was closed.
+    async fn state<W: Wire, S: Rows>(&self, node: &Node<W, S>, closed: Millis) -> Option<RunState> {
+        let is_closed_by_upstream = self.connection.end().await? == End::Peer;
+        let stops_at = self.connection.stops_at.get().copied();
+        let run = ClosedRun { closed, is_closed_by_upstream, stops_at };
+        Some(self.upstream.until_known(node, &run).await)
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     streams: HashMap<Stream, SmallVec<[Run; 1]>>,
@@ -147,12 +241,36 @@
         upstream: Upstream,
         takeover: &Arc<Takeover>,
     ) -> Guard {
+        let connection = Arc::new(Connection::default());
+        let number = self.add(stream, upstream, None, &connection, takeover);
+        Guard { runs: self.clone(), stream, number, connection, is_over: false }
+    }
+
+    /// Registers a run that another gateway closed, and that may still be under way.
+    fn inherit(&self, stream: Stream, upstream: Upstream, stops_at: Option<Millis>, now: Millis) {
+        let connection = Connection::default();
+        let _ = connection.closing.set(None);
+        if let Some(stops_at) = stops_at {
+            connection.record_read(stops_at);
+        }
+        self.add(stream, upstream, Some(now), &Arc::new(connection), &Arc::default());
+    }
+
+    fn add(
+        &self,
+        stream: Stream,
+        upstream: Upstream,
+        closed: Option<Millis>,
+        connection: &Arc<Connection>,
+        takeover: &Arc<Takeover>,
+    ) -> u64 {
         let mut state = self.state();
         state.last_number += 1;
         let number = state.last_number;
-        let run = Run { number, upstream, closed: None, takeover: takeover.clone() };
+        let (connection, takeover) = (connection.clone(), takeover.clone());
+        let run = Run { number, upstream, closed, connection, takeover };
         state.streams.entry(stream).or_default().push(run);
-        Guard { runs: self.clone(), stream, number, is_over: false }
+        number
     }
 
     /// Forgets the runs that were closed before `limit`: their callers return no more.
@@ -179,42 +297,72 @@
         runs.filter(|run| run.closed.is_none()).for_each(|run| run.takeover.take());
     }
 
-    /// Waits until all runs of a stream that began here are over.
-    async fn until_over<W: Wire, S: Rows>(&self, node: &Node<W, S>, stream: Stream) {
-        self.until_none(node, stream, |_| true).await;
+    /// Waits until it is known where a stream may go on, as far as runs that began here decide it.
+    async fn find_place<W: Wire, S: Rows>(&self, node: &Node<W, S>, stream: Stream) -> Place {
+        self.settle(node, stream, |_| true).await
     }
 
-    /// Waits until the runs of a stream that one request began are over.
-    pub(crate) async fn until_own_over<W: Wire, S: Rows>(
+    /// Waits until it is known where a stream may go on, after the runs that one request began and those that had been
+    /// closed before it.
+    pub(crate) async fn find_next_place<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
         stream: Stream,
         takeover: &Arc<Takeover>,
-    ) {
-        self.until_none(node, stream, |run| Arc::ptr_eq(&run.takeover, takeover)).await;
+        earlier: &Place,
+    ) -> Place {
+        let is_earlier = |run: &Run| {
+            run.closed.is_some() && earlier.only().is_some_and(|upstream| run.upstream.name == upstream)
+        };
+        self.settle(node, stream, |run| Arc::ptr_eq(&run.takeover, takeover) || is_earlier(run)).await
     }
 
-    async fn until_none<W: Wire, S: Rows>(
+    async fn settle<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
         stream: Stream,
         is_selected: impl Fn(&Run) -> bool,
-    ) {
+    ) -> Place {
         loop {
             let changed = self.changed.listen();
-            let Some(run) = self.find(stream, &is_selected) else { return };
-            match run.closed {
-                Some(closed) => {
-                    run.upstream.until_noticed(node, closed).await;
-                    self.state().remove(stream, run.number);
+            let runs = self.find(stream, &is_selected);
+            if runs.iter().any(|run| run.closed.is_none()) {
+                changed.await;
+                continue;
+            }
+            let mut alive: SmallVec<[&str; 1]> = SmallVec::new();
+            for run in &runs {
+                let closed = run.closed.unwrap_or_default();
+                match run.state(node, closed).await {
+                    Some(RunState::Alive | RunState::Unknown) => alive.push(&run.upstream.name),
+                    Some(RunState::Over(_)) | None => self.state().remove(stream, run.number),
                 }
-                None => changed.await,
+            }
+            alive.dedup();
+            match alive[..] {
+                [] => return Place::Any,
+                [upstream] => return Place::Only(upstream.to_owned()),
+                _ => exec::sleep(CONFLICT_PAUSE).await,
             }
         }
     }
 
-    fn find(&self, stream: Stream, is_selected: impl Fn(&Run) -> bool) -> Option<Run> {
-        self.state().streams.get(&stream)?.iter().find(|run| is_selected(run)).cloned()
+    fn find(&self, stream: Stream, is_selected: impl Fn(&Run) -> bool) -> SmallVec<[Run; 1]> {
+        let state = self.state();
+        let runs = state.streams.get(&stream).into_iter().flatten();
+        runs.filter(|run| is_selected(run)).cloned().collect()
+    }
+
+    /// The runs of a stream at an upstream, as other gateways are told of them.
+    fn describe(&self, stream: Stream, upstream: &str, now: Millis) -> Option<Alive> {
+        let runs = self.find(stream, |run| run.upstream.name == upstream);
+        let stops_at = runs.iter().map(|run| run.connection.stops_at.get().copied());
+        let stops_at: Option<SmallVec<[Millis; 1]>> = stops_at.collect();
+        Some(Alive {
+            upstream: upstream.to_owned(),
+            address: runs.first()?.upstream.address,
+            stops_in: stops_at.and_then(|all| all.into_iter().max()).map(|at| at.saturating_sub(now)),
+        })
     }
 
     /// Asks another gateway to release a stream; `None` if there is no answer.
@@ -222,45 +370,67 @@
         let question = bincode::serialize(&request).expect("a request serializes to bincode");
         let request = Request::post(format!("http://{runner}{PATH}")).body(Body::from(question)).ok()?;
         let answer = self.client.exchange("release", request, MESSAGE_LIMIT, ASK_TIMEOUT).await.ok()?;
-        // A gateway of an earlier build names no other one.
-        let unnamed = || Some(Released { is_over: bincode::deserialize(answer.body()).ok()?, next: None });
-        bincode::deserialize(answer.body()).ok().or_else(unnamed)
+        // Gateways of earlier builds name no run, or no other gateway either.
+        let bytes = answer.body();
+        let runless = || {
+            let (is_over, next) = bincode::deserialize(bytes).ok()?;
+            Some(Released { is_over, next, alive: None })
+        };
+        let unnamed =
+            || Some(Released { is_over: bincode::deserialize(bytes).ok()?, next: None, alive: None });
+        bincode::deserialize(bytes).ok().or_else(runless).or_else(unnamed)
     }
 
-    /// Waits until the runs of a stream at another gateway are over, or that gateway does not answer. Returns the gateway
-    /// that took the stream up from there.
-    async fn until_over_at(&self, runner: SocketAddr, request: Release) -> Option<SocketAddr> {
+    /// Waits until the runs of a stream at another gateway are over or known to go on, or that gateway does not answer.
+    /// Returns the gateway that took the stream up from there, and a run that may go on.
+    async fn until_released_by(
+        &self,
+        runner: SocketAddr,
+        request: Release,
+    ) -> (Option<SocketAddr>, Option<Alive>) {
         let (mut unanswered, mut next) = (0, None);
         while unanswered < MAX_UNANSWERED {
             match self.ask(runner, request).await {
                 Some(released) => {
                     unanswered = 0;
                     next = next.or(released.next);
-                    if released.is_over {
-                        return next;
+                    if released.is_over || released.alive.is_some() {
+                        return (next, released.alive);
                     }
                 }
                 None => unanswered += 1,
             }
         }
         log::warn!("request: event=not-released gateway={runner}");
-        next
+        (next, None)
     }
 
-    /// Waits until the runs of a stream are over at `runners`, and at those that took it up from there.
-    async fn until_over_elsewhere<W: Wire, S: Rows>(
+    /// Waits until the runs of a stream are over or known to go on at `runners`, and at those that took it up from there.
+    /// Runs that may go on are registered here.
+    async fn until_released_elsewhere<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
+        service: &str,
         runners: Runners,
         request: Release,
     ) {
         let (mut pending, mut asked) = (runners, Runners::new());
         while let Some(runner) = pending.pop() {
-            if runner != request.to && !asked.contains(&runner) {
-                asked.push(runner);
-                // If this request is refused, the next gateway that is asked to take the stream up learns it from here.
-                node.origins.record_runner(request.stream, request.version, runner, node.now());
-                pending.extend(self.until_over_at(runner, request).await);
+            if runner == request.to || asked.contains(&runner) {
+                continue;
+            }
+            asked.push(runner);
+            // If this request is refused, the next gateway that is asked to take the stream up learns it from here.
+            node.origins.record_runner(request.stream, request.version, runner, node.now());
+            let (next, alive) = self.until_released_by(runner, request).await;
+            pending.extend(next);
+            if let Some(Alive { upstream, address, stops_in }) = alive {
+                let now = node.now();
+                let manifest = node.manifest();
+                let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
+                let upstream = Upstream::of(node, service, &upstream, address);
+                let stops_at = stops_in.map(|ms| now.saturating_add(ms));
+                self.inherit(request.stream, upstream, stops_at, now);
             }
         }
     }
@@ -272,10 +442,16 @@
     runs: Arc<Runs>,
     stream: Stream,
     number: u64,
+    connection: Arc<Connection>,
     is_over: bool,
 }
 
 impl Guard {
+    /// The connection of the run.
+    pub(crate) fn connection(&self) -> &Arc<Connection> {
+        &self.connection
+    }
+
     /// Records that the upstream has ended the run.
     pub(crate) fn mark_over(&mut self) {
         self.is_over = true;
@@ -292,33 +468,39 @@
     }
 }
 
-/// Ends the earlier runs of a stream that its caller takes up, here and at the gateways that ran it, and waits until their
-/// upstreams have noticed.
+/// Ends the earlier runs of a stream that its caller takes up, here and at the gateways that ran it, and waits until it is
+/// known where the stream may go on.
 ///
 /// # Errors
-/// Refuses the request if an upstream has not noticed within `limit`.
+/// Refuses the request if that is not known within `limit`.
 pub(crate) async fn release<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
-    stream: Stream,
-    version: Version,
+    service: &str,
+    (stream, version): (Stream, Version),
     runners: Runners,
     limit: Duration,
-) -> Result<(), Refusal> {
+) -> Result<Place, Refusal> {
     node.runs.take_over(stream);
-    let here = node.runs.until_over(node, stream);
     let named: Vec<String> = runners.iter().map(SocketAddr::to_string).collect();
     let request = Release { stream, version, to: node.settings.listen.peers };
-    let elsewhere = node.runs.until_over_elsewhere(node, runners, request);
+    let releasing = async {
+        let here = node.runs.find_place(node, stream);
+        let elsewhere = node.runs.until_released_elsewhere(node, service, runners, request);
+        futures::future::join(here, elsewhere).await;
+        // Runs may have been registered meanwhile that go on elsewhere.
+        node.runs.find_place(node, stream).await
+    };
     let began = node.now();
-    let released = exec::timeout(limit, futures::future::join(here, elsewhere)).await;
+    let place = exec::timeout(limit, releasing).await;
     let ms = node.now() - began;
     node.metrics.release_time.observe(ms as f64 / 1_000.0);
     log::info!(
-        "request: event=released stream={stream} runners={} ms={ms} over={}",
+        "request: event=released stream={stream} runners={} ms={ms} over={} only={}",
         if named.is_empty() { "-".to_owned() } else { named.join(",") },
-        released.is_some()
+        place.is_some(),
+        place.as_ref().and_then(Place::only).unwrap_or("-"),
     );
-    released.map(|_| ()).ok_or(Refusal::StillRunning)
+    place.ok_or(Refusal::StillRunning)
 }
 
 /// Answers another gateway's request to release a stream, which its caller takes up there.
@@ -337,9 +519,11 @@
     };
     node.runs.take_over(stream);
     let next = release.and_then(|release| pass_on(&node, release));
-    let is_over = exec::timeout(ANSWER_DELAY, node.runs.until_over(&node, stream)).await.is_some();
-    // An earlier build reads the first byte only.
-    let released = Released { is_over, next };
+    let place = exec::timeout(ANSWER_DELAY, node.runs.find_place(&node, stream)).await;
+    let only = place.as_ref().and_then(Place::only);
+    let alive = only.and_then(|upstream| node.runs.describe(stream, upstream, node.now()));
+    // Earlier builds read a part of it.
+    let released = Released { is_over: place == Some(Place::Any), next, alive };
     Response::new(Body::from(bincode::serialize(&released).expect("an answer serializes to bincode")))
 }
 
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -7,7 +7,7 @@
 use crate::origins::{ASK_TIMEOUT, Answer, MESSAGE_LIMIT, key};
 use crate::ports::{Resumption, Wire};
 use crate::refusal::Refusal;
-use crate::runs::{self, Runners};
+use crate::runs::{self, Place, Runners};
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
@@ -38,30 +38,34 @@
     needs_list: bool,
 }
 
-/// Finds the software version at which a stream that its caller takes up has to go on, and ends its earlier runs.
+/// Finds the software version at which a stream that its caller takes up has to go on, ends its earlier runs, and finds
+/// where it may go on.
 ///
 /// # Errors
-/// The stream is refused if the version is not known, if no upstream of it is listed, or if an earlier run is not known to
-/// have ended within `limit`.
+/// The stream is refused if the version is not known, if no upstream of it is listed, or if nothing is known of an earlier
+/// run within `limit`.
 pub(crate) async fn prepare<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     service: &str,
     team: &str,
     resumption: &Resumption,
     limit: Duration,
-) -> Result<Version, Refusal> {
+) -> Result<(Version, Place), Refusal> {
     let stream = resumption.attempt.as_deref().map(|attempt| Stream::of(service, team, attempt));
     let began = node.now();
     let found = find_origin(node, service, stream, limit).await;
     found.report(node, stream, node.now() - began);
-    let mut located = found.version(node, service);
-    if let (Ok(version), Some(stream)) = (located, stream) {
-        match runs::release(node, stream, version, found.runners, limit).await {
-            Ok(()) => node.origins.begin_again(node, service, stream, version),
-            Err(refusal) => located = Err(refusal),
+    let located = match (found.version(node, service), stream) {
+        (Ok(version), Some(stream)) => {
+            let released = runs::release(node, service, (stream, version), found.runners, limit).await;
+            if released.is_ok() {
+                node.origins.begin_again(node, service, stream, version);
+            }
+            released.map(|place| (version, place))
         }
-    }
-    let outcome = located.err().map_or("located", Refusal::name);
+        (version, _) => version.map(|version| (version, Place::Any)),
+    };
+    let outcome = located.as_ref().err().map_or("located", |refusal| refusal.name());
     node.metrics.resumptions.with_label_values(&[outcome]).inc();
     located
 }
--- a/crates/gateway/tests/unit/contact.rs
+++ b/crates/gateway/tests/unit/contact.rs
@@ -25,7 +25,9 @@
             health_path: Some("/health".to_owned()),
             contact: Arc::default(),
         };
-        let waiting = upstream.until_noticed(&node, node.now() + 1);
+        let closed = node.now() + 1;
+        let run = ClosedRun { closed, is_closed_by_upstream: false, stops_at: None };
+        let waiting = upstream.until_known(&node, &run);
         assert!(exec::timeout(Duration::from_secs(1), waiting).await.is_none(), "it answers nothing");
         let probes = probes.load(Ordering::Relaxed);
         assert!((2..=20).contains(&probes), "{probes} probes in a second");
--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -9,8 +9,8 @@
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 
 /// The number of reads after which other tasks get their turn.
@@ -48,11 +48,21 @@
     }
 }
 
+/// How the bytes of a connection ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReadEnd {
+    /// The other end closed the connection.
+    InOrder,
+    /// The connection broke.
+    Broken,
+}
+
 /// Bounds the bytes that are read for one answer.
 #[derive(Debug, Default)]
 pub(crate) struct Meter {
     read: AtomicU64,
     allowed: AtomicU64,
+    read_end: OnceLock<ReadEnd>,
 }
 
 impl Meter {
@@ -71,6 +81,18 @@
         self.allowed.fetch_add(bytes as u64 * (1 + FRAMING_FACTOR), Ordering::Relaxed);
     }
 
+    /// Records that a connection broke, if a write on it failed for another reason than its own half-close.
+    fn record_written(&self, written: &io::Result<usize>) {
+        if written.as_ref().is_err_and(|error| error.kind() != ErrorKind::BrokenPipe) {
+            let _ = self.read_end.set(ReadEnd::Broken);
+        }
+    }
+
+    /// How the bytes ended, if they have.
+    pub(crate) fn read_end(&self) -> Option<ReadEnd> {
+        self.read_end.get().copied()
+    }
+
     /// Records that bytes have been read.
     ///
     /// # Errors
@@ -109,7 +131,13 @@
         let mut bytes = [const { MaybeUninit::uninit() }; READ_BUFFER];
         let size = buffer.remaining().min(READ_BUFFER);
         let mut read = ReadBuf::uninit(&mut bytes[..size]);
-        ready!(turn.poll(context, |context| Pin::new(io).poll_read(context, read.unfilled())))?;
+        let polled = ready!(turn.poll(context, |context| Pin::new(io).poll_read(context, read.unfilled())));
+        match &polled {
+            Ok(()) if read.filled().is_empty() && size > 0 => _ = meter.read_end.set(ReadEnd::InOrder),
+            Ok(()) => {}
+            Err(_) => _ = meter.read_end.set(ReadEnd::Broken),
+        }
+        polled?;
         buffer.put_slice(read.filled());
         Poll::Ready(meter.record_read(read.filled().len()))
     }
@@ -117,7 +145,10 @@
 
 impl<T: Unpin + Write> Write for Metered<T> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().io).poll_write(context, bytes)
+        let Metered { io, meter, .. } = self.get_mut();
+        let written = ready!(Pin::new(io).poll_write(context, bytes));
+        meter.record_written(&written);
+        Poll::Ready(written)
     }
 
     fn poll_write_vectored(
@@ -125,7 +156,10 @@
         context: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().io).poll_write_vectored(context, bytes)
+        let Metered { io, meter, .. } = self.get_mut();
+        let written = ready!(Pin::new(io).poll_write_vectored(context, bytes));
+        meter.record_written(&written);
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::body::Body;
 use crate::client::{Error, Fault};
 use crate::clock::Clock;
+use crate::closing::Closing;
 use crate::dial::{Dial, Transport, Way};
 use crate::exec;
 use crate::metered::{Meter, Metered, Received};
@@ -43,9 +44,19 @@
     tells_end: bool,
     opened: Duration,
     meter: Arc<Meter>,
+    closing: Closing,
     count: Arc<OpenConnection>,
 }
 
+/// The connection that a request is about to be sent on.
+#[derive(Clone, Copy, Debug)]
+pub struct Path<'a> {
+    /// How it reaches the peer.
+    pub way: Way,
+    /// Tells how it ends.
+    pub closing: &'a Closing,
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
@@ -110,8 +121,8 @@
     /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. Otherwise one is
     /// borrowed. The caller returns the connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
-    /// As soon as a connection is available, `is_wanted` is called with its way: the reason to send the request may
-    /// no longer hold by then. If it returns `false`, the request is withdrawn.
+    /// As soon as a connection is available, `is_wanted` is called with it: the reason to send the request may no longer
+    /// hold by then. If it returns `false`, the request is withdrawn.
     ///
     /// # Errors
     /// [`Failure`] says whether the request may have reached the peer, and whether it was withdrawn.
@@ -122,13 +133,13 @@
         max_connections: usize,
         dialer: &impl Dial,
         request: Request<Body>,
-        is_wanted: impl FnOnce(Way) -> bool,
+        is_wanted: impl FnOnce(Path<'_>) -> bool,
     ) -> Result<(Response<Received>, Lease), Failure> {
         let (mut line, reused) = match self.take(peer, dialer.way()) {
             Some(line) => (line, true),
             None => (self.open(step, peer, max_connections, dialer).await?, false),
         };
-        if !is_wanted(line.way) {
+        if !is_wanted(Path { way: line.way, closing: &line.closing }) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
             Lease { pool: self.0.clone(), peer, line: Some(line), is_reused: reused, until }.keep();
             let reason = "the request was withdrawn before it was sent".to_owned();
@@ -231,24 +242,36 @@
             }
         };
         let meter = Arc::new(Meter::default());
-        let (way, tells_end, sender) = match transport {
+        let (way, tells_end, closing, sender) = match transport {
             Transport::Direct(stream) => {
+                let closing = Closing::of(Some(stream.clone()));
                 let io = Metered::new(FuturesIo::new(stream), meter.clone());
-                (Way::Direct, true, handshake(io, &count).await)
+                let ending = Ending { meter: meter.clone(), closing: closing.clone(), tells_end: true };
+                (Way::Direct, true, closing, handshake(io, ending, &count).await)
             }
             Transport::Relayed(tunnel) => {
-                let tells_end = tunnel.tells_end();
-                (Way::Relayed, tells_end, handshake(Metered::new(tunnel, meter.clone()), &count).await)
+                let (tells_end, closing) = (tunnel.tells_end(), Closing::of(None));
+                let io = Metered::new(tunnel, meter.clone());
+                let ending = Ending { meter: meter.clone(), closing: closing.clone(), tells_end };
+                (Way::Relayed, tells_end, closing, handshake(io, ending, &count).await)
             }
         };
         let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
-        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), meter, count })
+        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), meter, closing, count })
     }
 }
 
+/// What is needed to tell how a connection ended.
+struct Ending {
+    meter: Arc<Meter>,
+    closing: Closing,
+    tells_end: bool,
+}
+
 /// Begins HTTP on an open connection, which counts until it ends.
 async fn handshake(
     io: impl Read + Send + Unpin + Write + 'static,
+    ending: Ending,
     count: &Arc<OpenConnection>,
 ) -> hyper::Result<SendRequest<Body>> {
     let (sender, connection) = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await?;
@@ -256,6 +279,8 @@
     exec::spawn(async move {
         // Whoever waits for an answer gets the error as well. If nobody does, the connection was idle.
         let _ = connection.await;
+        let Ending { meter, closing, tells_end } = ending;
+        closing.finish(&meter, tells_end).await;
         count.end();
     })
     .detach();
@@ -341,6 +366,10 @@
     /// the complete answer.
     pub fn keep(mut self) {
         let Some(mut line) = self.line.take() else { return };
+        line.closing.set_awaited(false);
+        if line.closing.is_half_closed() {
+            return;
+        }
         if line.way == Way::Relayed {
             self.until = self.until.min(line.opened + TUNNEL_REUSE_TIME);
         }
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -101,6 +101,8 @@
     pub avoid: &'a [String],
     /// The only software version at which the request may run, if it takes up a stream.
     pub version: Option<Version>,
+    /// The only upstream that may be chosen.
+    pub only: Option<&'a str>,
 }
 
 /// The chosen upstream, and the estimates that decided.
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -193,6 +193,7 @@
         let upstream = self.upstreams.get(name)?;
         let is_serving = !upstream.leaving
             && request.version.is_none_or(|version| upstream.info.version == version)
+            && request.only.is_none_or(|only| only == name)
             && !self.is_evacuated(upstream)
             && self.signals.admits(name, now)
             && self.has_capacity(name, upstream, limited_from, now)
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -48,17 +48,61 @@
     Wait(Millis),
     /// Probe the upstream, and decide again.
     Probe,
-    /// Give the run up if another upstream may run the request.
+    /// Ask the upstream to end the run, if another one may run the request.
     GiveUp,
     /// Give the run up. Its upstream is gone.
     Gone,
 }
 
+/// A run whose connection was closed by this gateway, or broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClosedRun {
+    /// When the connection was closed or broke.
+    pub closed: Millis,
+    /// Whether the upstream has closed its end of the connection.
+    pub is_closed_by_upstream: bool,
+    /// When the upstream stops by itself: the end of the time that it was told, if it has read the request.
+    pub stops_at: Option<Millis>,
+}
+
+/// What is known of a run whose connection was closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunState {
+    /// It is over.
+    Over(Proof),
+    /// Its upstream goes on, and may still work on it. The stream must go on at no other upstream.
+    Alive,
+    /// Its upstream has not been heard since.
+    Unknown,
+}
+
+/// What proves that a run is over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Proof {
+    /// The upstream closed its end of the connection.
+    ClosedByUpstream,
+    /// The time that the upstream was told has passed.
+    Deadline,
+    /// The upstream is gone.
+    Gone,
+}
+
+impl Proof {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Proof::ClosedByUpstream => "closed",
+            Proof::Deadline => "deadline",
+            Proof::Gone => "gone",
+        }
+    }
+}
+
 /// Whether an upstream answers at all, as far as this gateway knows.
 ///
-/// A process that is suspended or overloaded notices that a run was given up only when it goes on. Until then its run may
-/// not be replaced: both would be under way at once. So a run is given up only if its upstream answers other requests,
-/// and thus notices, or is gone.
+/// A process that is suspended or overloaded notices that a connection was closed only when it goes on, and one that goes
+/// on may notice late or never. Until the run is known to be over it may not be replaced at another upstream: both would
+/// be under way at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
     /// When something last arrived from the upstream.
@@ -97,10 +141,22 @@
         self.probed = Some((probe, now));
     }
 
-    /// Whether the upstream has noticed that a connection was closed at `closed`: it has answered since, or is gone.
-    pub fn has_noticed(&self, closed: Millis) -> bool {
-        let has_answered = self.answered.is_some_and(|began| began >= closed);
-        self.is_gone() || has_answered || self.heard >= closed.saturating_add(IN_FLIGHT_MS)
+    /// What is known at `now` of a run whose connection was closed.
+    pub fn state_of(&self, run: &ClosedRun, now: Millis) -> RunState {
+        let has_stopped = run.stops_at.is_some_and(|at| now >= at.saturating_add(IN_FLIGHT_MS));
+        match () {
+            () if run.is_closed_by_upstream => RunState::Over(Proof::ClosedByUpstream),
+            () if self.is_gone() => RunState::Over(Proof::Gone),
+            () if has_stopped => RunState::Over(Proof::Deadline),
+            () if self.has_answered_since(run.closed) => RunState::Alive,
+            () => RunState::Unknown,
+        }
+    }
+
+    /// Whether the upstream has answered anything that was asked after `closed`.
+    fn has_answered_since(&self, closed: Millis) -> bool {
+        self.answered.is_some_and(|began| began >= closed)
+            || self.heard >= closed.saturating_add(IN_FLIGHT_MS)
     }
 
     /// Whether its process has ended, or its host has answered nothing for long.
--- a/crates/route/tests/brittle.rs
+++ b/crates/route/tests/brittle.rs
@@ -80,7 +80,13 @@
             let placer = &mut placers[gateway];
             let (mut avoid, mut rejected) = (vec![], vec![]);
             while let Some(chosen) = placer.choose(
-                &PlacementRequest { service: "narrator", prompt: None, avoid: &avoid, version: None },
+                &PlacementRequest {
+                    service: "narrator",
+                    prompt: None,
+                    avoid: &avoid,
+                    version: None,
+                    only: None,
+                },
                 now,
             ) {
                 let index = (0..UPSTREAMS).find(|index| upstream(*index) == chosen.upstream).expect("listed");
@@ -149,7 +155,8 @@
 fn the_place_of_a_request_on_a_lost_connection_is_free_and_freed_once() {
     let mut placer = gateways(1).remove(0);
     placer.record_brittle_hint("narrator", TOLERATED as f64, 20_000);
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     let mut begun = vec![];
     while let Some(chosen) = placer.choose(&request, 20_000) {
         begun.push((placer.begin(&chosen, None, 20_000), chosen.upstream));
@@ -195,7 +202,8 @@
         let mut served = 0;
         for now in (4_000..7_000).step_by(SMALL_RUN_MS as usize) {
             placer.record_brittle_hint("narrator", 5.0, now);
-            let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+            let request =
+                PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
             let mut begun = vec![];
             while let Some(chosen) = placer.choose(&request, now) {
                 begun.push((placer.begin(&chosen, None, now), chosen.upstream));
--- a/crates/route/tests/connections.rs
+++ b/crates/route/tests/connections.rs
@@ -64,7 +64,8 @@
 
 #[test]
 fn a_gateway_chooses_only_upstreams_that_it_may_connect_to() {
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     for gateways in [87, 1_400] {
         for index in (0..gateways).step_by(10) {
             let mut placer = gateway(index, gateways, |_| true);
@@ -82,7 +83,7 @@
 /// have none.
 #[test]
 fn a_gateway_has_an_upstream_even_if_the_connections_do_not_suffice() {
-    let request = PlacementRequest { service: "tiles", prompt: None, avoid: &[], version: None };
+    let request = PlacementRequest { service: "tiles", prompt: None, avoid: &[], version: None, only: None };
     for index in 0..1_400 {
         let mut placer = gateway(index, 1_400, |_| true);
         let info = UpstreamInfo {
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -75,7 +75,8 @@
 /// Sends as many requests as a gateway may. Returns the number that each upstream received.
 pub(crate) fn send(placer: &mut Placer, now: Millis) -> [u32; UPSTREAMS] {
     let mut sent = [0; UPSTREAMS];
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     while let Some(chosen) = placer.choose(&request, now) {
         let index: usize = chosen.upstream["engine-".len()..].parse().expect("a number");
         sent[index] += 1;
--- a/crates/route/tests/herd.rs
+++ b/crates/route/tests/herd.rs
@@ -15,7 +15,7 @@
 const READ_INTERVAL: Millis = 60_000;
 
 const CALL: PlacementRequest<'static> =
-    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None };
+    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None, only: None };
 
 fn data_centre(index: usize) -> String {
     format!("dc-{}", index % DATA_CENTRES)
--- a/crates/route/tests/joining.rs
+++ b/crates/route/tests/joining.rs
@@ -140,7 +140,8 @@
         loop {
             let last_start = *self.starts.iter().max().expect("a gateway");
             let Gateway { placer, started, served, .. } = &mut gateways[number];
-            let request = PlacementRequest { service: SERVICE, prompt: None, avoid: &avoid, version: None };
+            let request =
+                PlacementRequest { service: SERVICE, prompt: None, avoid: &avoid, version: None, only: None };
             let Some(chosen) = placer.choose(&request, now) else { break };
             let index =
                 (0..self.upstreams).find(|index| upstream(*index) == chosen.upstream).expect("listed");
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -51,7 +51,10 @@
 
 fn can_dispatch(placer: &Placer, now: Millis) -> bool {
     placer
-        .choose(&PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None }, now)
+        .choose(
+            &PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None },
+            now,
+        )
         .is_some()
 }
 
@@ -226,6 +229,7 @@
         prompt: None,
         avoid: &[upstream(1), upstream(2)],
         version: None,
+        only: None,
     };
     for _ in 0..4 {
         let chosen = placer.choose(&request, 5_000).expect("an upstream");
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -31,7 +31,7 @@
 
 /// A call to a plain service.
 const CALL: PlacementRequest<'static> =
-    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None };
+    PlacementRequest { service: "engines", prompt: None, avoid: &[], version: None, only: None };
 
 fn choose(placer: &Placer, now: u64) -> Placement {
     placer.choose(&PlacementRequest { prompt: Some(PROMPT), ..CALL }, now).expect("an upstream")
--- a/crates/route/tests/silence.rs
+++ b/crates/route/tests/silence.rs
@@ -1,7 +1,7 @@
 //! When a run from which nothing arrives is given up.
 
 use route::Millis;
-use route::silence::{Contact, Decision, Probe};
+use route::silence::{ClosedRun, Contact, Decision, Probe, Proof, RunState};
 
 /// How long a run may be overdue, in milliseconds.
 const PATIENCE: Millis = 1_000;
@@ -67,23 +67,39 @@
     assert!(ended.is_some_and(|ended| (2_000..2_900).contains(&ended)), "{ended:?}");
 }
 
-/// Guards against a second run that begins before the upstream of the first one has noticed that it was closed.
+/// What is known of a run that was closed at `closed`, of which the upstream has not ended the connection.
+fn state(contact: &Contact, closed: Millis, now: Millis) -> RunState {
+    contact.state_of(&ClosedRun { closed, is_closed_by_upstream: false, stops_at: None }, now)
+}
+
+/// Guards against a second run that begins while the first one may go on, because its upstream answers others.
 #[test]
-fn an_upstream_has_noticed_a_close_once_it_has_answered_after_it() {
+fn an_upstream_that_answers_after_a_close_is_alive_and_its_run_is_not_over() {
     let mut contact = Contact::default();
     contact.record_answer(0, 1_010);
-    assert!(!contact.has_noticed(1_000), "the bytes may have been on their way");
+    assert_eq!(state(&contact, 1_000, 1_010), RunState::Unknown, "the bytes may have been on their way");
     contact.record_probe(Probe::Silent, 1_100, 1_350);
-    assert!(!contact.has_noticed(1_000), "it is suspended");
-    contact.record_probe(Probe::Answers, 999, 1_200);
-    assert!(!contact.has_noticed(1_000), "the probe may have been answered before");
-    contact.record_probe(Probe::Answers, 1_000, 1_400);
-    assert!(contact.has_noticed(1_000));
-    assert!(!contact.has_noticed(1_300));
-    contact.record_probe(Probe::Gone, 1_500, 1_501);
-    assert!(contact.has_noticed(1_300), "it is gone");
+    assert_eq!(state(&contact, 1_000, 1_350), RunState::Unknown, "it is suspended");
+    contact.record_probe(Probe::Answers, 999, 1_400);
+    assert_eq!(state(&contact, 1_000, 1_400), RunState::Unknown, "it may have been answered before");
+    contact.record_probe(Probe::Answers, 1_000, 1_450);
+    assert_eq!(state(&contact, 1_000, 1_450), RunState::Alive);
+    assert_eq!(state(&contact, 1_300, 1_450), RunState::Unknown);
     contact.record_answer(0, 1_700);
-    assert!(contact.has_noticed(1_600), "others are answered");
+    assert_eq!(state(&contact, 1_600, 60_000), RunState::Alive, "others are answered");
+    contact.record_probe(Probe::Gone, 1_800, 1_801);
+    assert_eq!(state(&contact, 1_600, 1_801), RunState::Over(Proof::Gone));
+}
+
+#[test]
+fn a_closed_run_is_over_once_its_upstream_closes_the_connection_or_its_time_has_passed() {
+    let mut contact = Contact::default();
+    let mut run = ClosedRun { closed: 1_000, is_closed_by_upstream: true, stops_at: None };
+    assert_eq!(contact.state_of(&run, 1_001), RunState::Over(Proof::ClosedByUpstream));
+    run = ClosedRun { closed: 1_000, is_closed_by_upstream: false, stops_at: Some(3_000) };
+    contact.record_probe(Probe::Answers, 1_500, 1_510);
+    assert_eq!(contact.state_of(&run, 3_000), RunState::Alive, "it read the request a little later");
+    assert_eq!(contact.state_of(&run, 3_050), RunState::Over(Proof::Deadline));
 }
 
 /// Guards against an upstream that is taken for gone because its queue of connections is full while it is suspended.
@@ -92,10 +108,12 @@
     assert_eq!(given_up_at(&[], |_| Probe::Unreached, 60_000), None, "its open connection would break");
     let mut contact = Contact::default();
     for began in (1_000..4_500).step_by(350) {
-        contact.record_probe(Probe::Unreached, began, began + 250);
-        assert_eq!(contact.has_noticed(900), began + 250 >= 4_500, "{began}");
+        let now = began + 250;
+        contact.record_probe(Probe::Unreached, began, now);
+        let is_over = state(&contact, 900, now) == RunState::Over(Proof::Gone);
+        assert_eq!(is_over, now >= 4_500, "{began}");
     }
     contact.record_probe(Probe::Silent, 5_000, 5_250);
     contact.record_probe(Probe::Unreached, 5_300, 5_550);
-    assert!(!contact.has_noticed(900), "its host has answered since");
+    assert_eq!(state(&contact, 900, 5_550), RunState::Unknown, "its host has answered since");
 }
--- a/crates/route/tests/warmup.rs
+++ b/crates/route/tests/warmup.rs
@@ -79,7 +79,8 @@
 #[test]
 fn a_warm_up_ends_after_the_maximum_even_if_a_day_is_reported() {
     let mut placer = placer_with_warmup(PER_S);
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     for index in 0..UPSTREAMS {
         placer.warm_up(&upstream(index), 86_400_000, 1_000);
     }
@@ -104,6 +105,7 @@
         prompt: None,
         avoid,
         version: None,
+        only: None,
     };
     let chosen = |placer: &Placer, now| placer.choose(&request(&[]), now).map(|chosen| chosen.upstream);
     (1..UPSTREAMS).for_each(|index| placer.warm_up(&upstream(index), 2_000, 1_200));
@@ -128,14 +130,16 @@
     for index in 0..UPSTREAMS {
         (0..3).for_each(|_| _ = placer.record_failure(&upstream(index), 100));
     }
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     assert!(placer.choose(&request, 1_200).is_some(), "this gateway has read no list and has no part");
 }
 
 #[test]
 fn an_evacuated_data_centre_gets_no_requests_and_warms_up_when_it_is_restored() {
     let mut placer = placer_with_warmup(PER_S);
-    let request = PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None };
+    let request =
+        PlacementRequest { service: "narrator", prompt: None, avoid: &[], version: None, only: None };
     assert!(placer.evacuate("here") && !placer.evacuate("here"));
     assert_eq!(placer.choose(&request, 0), None);
     assert!(!placer.admits("engine-0", 0));
--- a/examples/bench/placement.rs
+++ b/examples/bench/placement.rs
@@ -36,7 +36,7 @@
         ];
         let prompt = Prompt { parts: &parts, input: 11_992, events: 32, target_ms: 800, gap_ms: 800 };
         let prompt = has_prompt.then_some(prompt);
-        let request = PlacementRequest { service: "engines", prompt, avoid: &[], version: None };
+        let request = PlacementRequest { service: "engines", prompt, avoid: &[], version: None, only: None };
         let chosen = black_box(placer.choose(&request, round)).expect("an upstream");
         let dispatch = placer.begin(&chosen, prompt.as_ref(), round);
         placer.record_first_answer(&chosen.upstream, dispatch, round + 300);
