A run whose time has passed is over once its upstream has answered since; the soak's servers notice closes late

Found by the soak, whose servers now notice a close soon (65 of 100 runs), at intervals of 700 ms (10), when they write (15) or never (10), and stop when the time that they were told has passed. Now the end of its time counts once the upstream answers something that was asked after it.

--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -81,7 +81,7 @@
 pub enum Proof {
     /// The upstream closed its end of the connection.
     ClosedByUpstream,
-    /// The time that the upstream was told has passed.
+    /// The time that the upstream was told has passed, and it has answered since.
     Deadline,
     /// The upstream is gone.
     Gone,
@@ -143,13 +143,14 @@
 
     /// What is known at `now` of a run whose connection was closed.
     pub fn state_of(&self, run: &ClosedRun, now: Millis) -> RunState {
-        let has_stopped = run.stops_at.is_some_and(|at| now >= at.saturating_add(IN_FLIGHT_MS));
-        match () {
-            () if run.is_closed_by_upstream => RunState::Over(Proof::ClosedByUpstream),
-            () if self.is_gone() => RunState::Over(Proof::Gone),
-            () if has_stopped => RunState::Over(Proof::Deadline),
-            () if self.has_answered_since(run.closed) => RunState::Alive,
-            () => RunState::Unknown,
+        let stopped_at = run.stops_at.map(|at| at.saturating_add(IN_FLIGHT_MS)).filter(|at| now >= *at);
+        match stopped_at {
+            _ if run.is_closed_by_upstream => RunState::Over(Proof::ClosedByUpstream),
+            _ if self.is_gone() => RunState::Over(Proof::Gone),
+            // A process that is suspended stops when it goes on.
+            Some(at) if self.has_answered_since(at) => RunState::Over(Proof::Deadline),
+            None if self.has_answered_since(run.closed) => RunState::Alive,
+            Some(_) | None => RunState::Unknown,
         }
     }
 
--- a/crates/route/tests/silence.rs
+++ b/crates/route/tests/silence.rs
@@ -99,7 +99,15 @@
     run = ClosedRun { closed: 1_000, is_closed_by_upstream: false, stops_at: Some(3_000) };
     contact.record_probe(Probe::Answers, 1_500, 1_510);
     assert_eq!(contact.state_of(&run, 3_000), RunState::Alive, "it read the request a little later");
-    assert_eq!(contact.state_of(&run, 3_050), RunState::Over(Proof::Deadline));
+    assert_eq!(contact.state_of(&run, 3_050), RunState::Unknown, "it may be suspended");
+    contact.record_probe(Probe::Answers, 3_040, 3_060);
+    assert_eq!(
+        contact.state_of(&run, 3_060),
+        RunState::Unknown,
+        "it may have been asked before its time was over"
+    );
+    contact.record_probe(Probe::Answers, 3_060, 3_070);
+    assert_eq!(contact.state_of(&run, 3_070), RunState::Over(Proof::Deadline));
 }
 
 /// Guards against an upstream that is taken for gone because its queue of connections is full while it is suspended.
