All answers of upstreams together are bounded by the VM's memory

What callers saw: a faulty plain server sends answers without end; the gateway holds up to 16 MB of each, and with many of them it runs out of memory, which ends the requests of all its callers.

Cause: each answer was bounded, their sum was not.

Change: answers together take at most a fifth of the VM's memory, counted until their callers have read them and together with the bodies of running requests. While that is used up, answers over 16 KiB fail (502, reason crowded), small ones are read.

--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -1,5 +1,6 @@
 //! Reads the first answer of an upstream to a request: a whole one, or the first events of a stream.
 
+use crate::answers;
 use crate::brittle;
 use crate::event::{EVENT_TOO_LARGE, EventSplitter};
 use crate::job::{Job, UpstreamSlot};
@@ -17,8 +18,6 @@
 
 /// The media type of a stream.
 const EVENT_STREAM: &str = "text/event-stream";
-/// The largest answer that is not a stream, in bytes.
-const ANSWER_LIMIT: usize = 16 << 20;
 
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 6] =
@@ -259,7 +258,7 @@
 
     /// Reads a short answer to its end, so that the connection can be reused.
     async fn drain(&self, lease: net::Lease, body: Received) {
-        match net::collect(body, ANSWER_LIMIT).await {
+        match self.node.answers.collect(body).await {
             Ok(_) => lease.keep(),
             Err(reason) => {
                 log::debug!("request: id={} event=connection-closed reason={reason}", self.request.ask.id)
@@ -275,7 +274,7 @@
         slot: &mut UpstreamSlot<W, S>,
     ) -> ReadOutcome<W, S> {
         let is_closed = Framing::of(&head) == Framing::Closed && !body.is_end_stream();
-        match net::collect(body, ANSWER_LIMIT).await {
+        match self.node.answers.collect(body).await {
             Ok(bytes) => {
                 lease.keep();
                 slot.mark_over();
@@ -286,9 +285,17 @@
                     false => ReadOutcome::Other(Outcome::whole(head, bytes)),
                 }
             }
-            Err(reason) => {
-                let reason = format!("could not read the answer: {reason}");
-                ReadOutcome::Other(Outcome::ConnectionBroken(reason))
+            Err(failure) => {
+                let reason = format!("could not read the answer: {failure}");
+                ReadOutcome::Other(match failure {
+                    answers::Failure::Crowded => {
+                        self.node.metrics.rejected_answers.with_label_values(&["crowded"]).inc();
+                        Outcome::NoValidAnswer(reason)
+                    }
+                    answers::Failure::TooLarge | answers::Failure::Broken(_) => {
+                        Outcome::ConnectionBroken(reason)
+                    }
+                })
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 //!
 //! [`ports`] is the interface to callers, upstreams and operators, which an adapter implements.
 
+mod answers;
 mod attempt;
 mod barrier;
 mod body;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway that its tasks share.
 
+use crate::answers;
 use crate::barrier::Barrier;
 use crate::contact::Contacts;
 use crate::failover::Failover;
@@ -14,7 +15,7 @@
 use crate::places::Places;
 use crate::ports::{Listing, Wire};
 use crate::reach::Reach;
-use crate::receive::ByteBudget;
+use crate::receive::{ByteBudget, MEGABYTE};
 use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::store_metrics::MeteredRows;
@@ -82,6 +83,8 @@
     pub load: Load,
     /// The memory for the bodies that callers are sending.
     pub receiving: ByteBudget,
+    /// The memory that answers of upstreams may take.
+    pub answers: answers::Budget,
     /// Paces large bodies on this VM's link.
     pub link: Link,
     pub hints: Arc<Hints>,
@@ -136,6 +139,7 @@
         let link = Link::new(settings.link_mbps, clock.clone(), load.unpaced().clone());
         let failover = Failover::new(rows);
         let holder = format!("{}#{incarnation}", settings.name);
+        let receiving = ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone());
         Node {
             owners: Owners::new(&settings.name, settings.cores()),
             peer_reservations: Arc::new(PeerReservations::new(&holder)),
@@ -148,7 +152,8 @@
             reach: Reach::default(),
             tunnels: Arc::default(),
             clock,
-            receiving: ByteBudget::new(settings.memory_mb, metrics.receiving_bytes.clone()),
+            answers: answers::Budget::new(settings.memory_mb.map(|mb| mb * MEGABYTE), &receiving),
+            receiving,
             metrics,
             fleet_size: Arc::new(AtomicU64::new(INITIAL_FLEET_SIZE)),
             fleet_read_ms: AtomicU64::new(0),
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -33,7 +33,7 @@
 /// has ended: it may be sent again, or turn out to have crashed its upstream.
 const TOTAL_MEMORY_SHARE: f64 = 0.7;
 /// The bytes of a megabyte.
-const MEGABYTE: f64 = 1e6;
+pub(crate) const MEGABYTE: f64 = 1e6;
 
 /// The memory that bodies may take: those that are being received, and those that are held for running requests.
 #[derive(Debug)]
@@ -66,6 +66,11 @@
         ByteBudget { limit, used: AtomicUsize::new(0), gauge, total_limit, held: Arc::default() }
     }
 
+    /// The memory of bodies of running requests, and of what else is counted with them.
+    pub(crate) fn held(&self) -> &Arc<AtomicUsize> {
+        &self.held
+    }
+
     /// Counts a body that has been received for as long as its request runs.
     pub(crate) fn hold(&self, bytes: usize) -> Held {
         self.held.fetch_add(bytes, Ordering::Relaxed);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -335,7 +335,9 @@
         match upstream.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
             Decision::Gone => true,
             Decision::GiveUp => {
-                let may_ask = !stream.slot.is_asked_to_end() && self.job.may_resume();
+                // The end of a run behind a relay can't be told from that of the relay.
+                let may_ask = !stream.slot.is_asked_to_end() && !stream.lease.is_relayed();
+                let may_ask = may_ask && self.job.may_resume();
                 if may_ask && self.job.reserve_repeat("stalled") {
                     stream.slot.ask_to_end();
                 }
