--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -7,7 +7,7 @@
 use smol::net::{TcpListener, TcpStream};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -337,8 +337,16 @@
 ) -> End {
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut passed = 0;
-    while let Ok(count @ 1..) = from.read(&mut chunk).await {
-        let mut count = count;
+    loop {
+        let mut count = match from.read(&mut chunk).await {
+            // The other direction stays open, as on a path between the two.
+            Ok(0) => {
+                let _ = to.shutdown(Shutdown::Write);
+                return End::Closed;
+            }
+            Ok(count) => count,
+            Err(_) => break,
+        };
         while is_blocked(shared.rule(), direction) {
             net::exec::sleep(RULE_POLL_INTERVAL).await;
         }
@@ -377,8 +385,8 @@
             break;
         }
     }
-    let _ = to.shutdown(std::net::Shutdown::Both);
-    let _ = from.shutdown(std::net::Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
     End::Closed
 }
 
