--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,6 @@
 use crate::quarantine::{self, BrokenRun};
 use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
-use crate::runs;
 use futures::channel::oneshot;
 use futures::future::{Either, select};
 use http::header::{CONTENT_LENGTH, HOST};
@@ -225,7 +224,7 @@
                 match clock.timeout(self.remaining(), select(reading.as_mut(), given_up)).await {
                     Some(Either::Left((done, _))) => Some(done),
                     Some(Either::Right((GivenUp::Overdue, _))) if connection.is_sent() => {
-                        is_asked_to_end = self.ask_to_end(&upstream, &connection);
+                        is_asked_to_end = connection.ask_to_end(&self.request.ask.id, &upstream.name);
                         let _overdue = OverdueGuard::new(&self.node, &upstream.name);
                         clock.timeout(self.remaining(), reading.as_mut()).await
                     }
@@ -275,17 +274,6 @@
         smol::future::or(upstream.until_given_up(&self.node, patience), counted).await
     }
 
-    /// Asks the upstream of an overdue run to end it. If it does not, its answer is still read.
-    fn ask_to_end(&self, upstream: &Upstream, connection: &runs::Connection) -> bool {
-        let is_asked = connection.ask_to_end();
-        log::warn!(
-            "request: id={} event=asked-to-end upstream={} asked={is_asked}",
-            self.request.ask.id,
-            upstream.name
-        );
-        is_asked
-    }
-
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
     async fn inspect_closed(&self, upstream: &str, address: SocketAddr, closed: Closed) -> Outcome<W, S> {
         if quarantine::has_terminated(&self.node, upstream, address).await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -309,12 +309,9 @@
 
     /// Asks the upstream to end the run, which goes on if it does not.
     pub(crate) fn ask_to_end(&self) {
-        let is_asked = self.connection().is_some_and(|connection| connection.ask_to_end());
-        log::warn!(
-            "request: id={} event=asked-to-end upstream={} asked={is_asked}",
-            self.request,
-            self.upstream.name
-        );
+        if let Some(connection) = self.connection() {
+            connection.ask_to_end(&self.request, &self.upstream.name);
+        }
     }
 
     /// Whether the upstream has been asked to end the run.
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -153,10 +153,12 @@
         self.closing.get().is_some()
     }
 
-    /// Closes this gateway's end, which has an upstream end the run that notices closes. Returns whether it can be closed
-    /// so.
-    pub(crate) fn ask_to_end(&self) -> bool {
-        self.closing.get().and_then(Option::as_ref).is_some_and(Closing::half_close)
+    /// Asks the upstream to end the run of a request: closes this gateway's end of the connection. An upstream that does not
+    /// notice goes on, and its answer is still read. Returns whether the connection can be closed so.
+    pub(crate) fn ask_to_end(&self, request: &str, upstream: &str) -> bool {
+        let is_asked = self.closing.get().and_then(Option::as_ref).is_some_and(Closing::half_close);
+        log::warn!("request: id={request} event=asked-to-end upstream={upstream} asked={is_asked}");
+        is_asked
     }
 
     /// Whether the upstream has been asked to end the run.
--- a/crates/route/tests/places.rs
+++ b/crates/route/tests/places.rs
@@ -113,6 +113,22 @@
     assert_eq!(placer.choose(&PlacementRequest { service: "tiles", ..CALL }, 0), None);
 }
 
+/// Guards against a stream that goes on at another upstream than the one that may still run it.
+#[test]
+fn a_stream_that_may_go_on_at_one_upstream_only_gets_that_one_or_none() {
+    let mut placer = placer_with(3);
+    let pinned = PlacementRequest { only: Some("e-2"), ..CALL };
+    assert_eq!(placer.choose(&pinned, 0).map(|chosen| chosen.upstream), Some("e-2".to_owned()));
+    let info = UpstreamInfo {
+        service: "engines".into(),
+        data_centre: "here".into(),
+        slots: 8,
+        version: Version::default(),
+    };
+    placer.set("e-2", info, true);
+    assert_eq!(placer.choose(&pinned, 0), None, "it leaves");
+}
+
 #[test]
 fn a_leaving_signal_outlasts_the_list_entry_but_not_the_instance() {
     let mut placer = placer_with(2);
