A stream whose last runner is gone is asked for at all gateways of a small fleet

What callers saw: TWICE. A stream is taken up at a second gateway, goes on at its engine only, and is taken up at a third gateway after the second was killed. The third one asked the second one, heard nothing, and went on at another engine, beside the first run, of which the first gateway knew.

--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use net::{Body, Client, Closing, End, exec};
 use route::Millis;
-use route::origin::Stream;
+use route::origin::{Record, Stream};
 use route::silence::{ClosedRun, RunState};
 use route::version::Version;
 use serde::{Deserialize, Serialize};
@@ -38,6 +38,8 @@
 const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
 /// The largest message, in bytes.
 const MESSAGE_LIMIT: usize = 512;
+/// The largest number of other gateways that are asked about a stream whose runner has forgotten it.
+const MAX_ASKED: usize = 64;
 /// How long a connection that this gateway closes may take to end.
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 /// The pause before the runs of a stream are looked at again, of which two may go on at different upstreams.
@@ -96,6 +98,8 @@
     next: Option<SocketAddr>,
     /// A run that may still be under way, at an upstream that is alive.
     alive: Option<Alive>,
+    /// Whether the gateway remembers the stream. One that was restarted may have forgotten runs.
+    is_known: bool,
 }
 
 /// A run that may still be under way.
@@ -376,20 +380,17 @@
         let bytes = answer.body();
         let runless = || {
             let (is_over, next) = bincode::deserialize(bytes).ok()?;
-            Some(Released { is_over, next, alive: None })
+            Some(Released { is_over, next, alive: None, is_known: true })
+        };
+        let unnamed = || {
+            let is_over = bincode::deserialize(bytes).ok()?;
+            Some(Released { is_over, next: None, alive: None, is_known: true })
         };
-        let unnamed =
-            || Some(Released { is_over: bincode::deserialize(bytes).ok()?, next: None, alive: None });
         bincode::deserialize(bytes).ok().or_else(runless).or_else(unnamed)
     }
 
     /// Waits until the runs of a stream at another gateway are over or known to go on, or that gateway does not answer.
-    /// Returns the gateway that took the stream up from there, and a run that may go on.
-    async fn until_released_by(
-        &self,
-        runner: SocketAddr,
-        request: Release,
-    ) -> (Option<SocketAddr>, Option<Alive>) {
+    async fn until_released_by(&self, runner: SocketAddr, request: Release) -> Option<Released> {
         let (mut unanswered, mut next) = (0, None);
         while unanswered < MAX_UNANSWERED {
             match self.ask(runner, request).await {
@@ -397,18 +398,19 @@
                     unanswered = 0;
                     next = next.or(released.next);
                     if released.is_over || released.alive.is_some() {
-                        return (next, released.alive);
+                        return Some(Released { next, ..released });
                     }
                 }
                 None => unanswered += 1,
             }
         }
         log::warn!("request: event=not-released gateway={runner}");
-        (next, None)
+        None
     }
 
     /// Waits until the runs of a stream are over or known to go on at `runners`, and at those that took it up from there.
-    /// Runs that may go on are registered here.
+    /// Runs that may go on are registered here. If one of these gateways does not answer or has forgotten the stream, the
+    /// others are asked, of which one may have run it before.
     async fn until_released_elsewhere<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
@@ -417,6 +419,7 @@
         request: Release,
     ) {
         let (mut pending, mut asked) = (runners, Runners::new());
+        let mut is_forgotten = false;
         while let Some(runner) = pending.pop() {
             if runner == request.to || asked.contains(&runner) {
                 continue;
@@ -424,17 +427,42 @@
             asked.push(runner);
             // If this request is refused, the next gateway that is asked to take the stream up learns it from here.
             node.origins.record_runner(request.stream, request.version, runner, node.now());
-            let (next, alive) = self.until_released_by(runner, request).await;
-            pending.extend(next);
-            if let Some(Alive { upstream, address, stops_in }) = alive {
-                let now = node.now();
-                let manifest = node.manifest();
-                let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
-                let upstream = Upstream::of(node, service, &upstream, address);
-                let stops_at = stops_in.map(|ms| now.saturating_add(ms));
-                self.inherit(request.stream, upstream, stops_at, now);
+            match self.until_released_by(runner, request).await {
+                Some(released) => {
+                    is_forgotten |= !released.is_known;
+                    pending.extend(released.next);
+                    self.inherit_from(node, service, request, released);
+                }
+                None => is_forgotten = true,
             }
         }
+        let peers = node.hints.peers();
+        if is_forgotten && peers.len() <= MAX_ASKED {
+            let others = peers.iter().filter(|peer| !asked.contains(peer) && **peer != request.to);
+            let asking = others.map(async |peer| {
+                if let Some(released) = self.until_released_by(*peer, request).await {
+                    self.inherit_from(node, service, request, released);
+                }
+            });
+            futures::future::join_all(asking).await;
+        }
+    }
+
+    /// Registers a run of another gateway that may go on.
+    fn inherit_from<W: Wire, S: Rows>(
+        &self,
+        node: &Node<W, S>,
+        service: &str,
+        request: Release,
+        released: Released,
+    ) {
+        let Some(Alive { upstream, address, stops_in }) = released.alive else { return };
+        let now = node.now();
+        let manifest = node.manifest();
+        let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
+        let upstream = Upstream::of(node, service, &upstream, address);
+        let stops_at = stops_in.map(|ms| now.saturating_add(ms));
+        self.inherit(request.stream, upstream, stops_at, now);
     }
 }
 
@@ -520,20 +548,22 @@
         return response;
     };
     node.runs.take_over(stream);
-    let next = release.and_then(|release| pass_on(&node, release));
+    let before = release.and_then(|release| pass_on(&node, release));
+    let next = before.and_then(|before| before.runner);
+    let next = next.filter(|runner| release.is_none_or(|release| *runner != release.to));
     let place = exec::timeout(ANSWER_DELAY, node.runs.find_place(&node, stream)).await;
     let only = place.as_ref().and_then(Place::only);
     let alive = only.and_then(|upstream| node.runs.describe(stream, upstream, node.now()));
     // Earlier builds read a part of it.
-    let released = Released { is_over: place == Some(Place::Any), next, alive };
+    let released = Released { is_over: place == Some(Place::Any), next, alive, is_known: before.is_some() };
     Response::new(Body::from(bincode::serialize(&released).expect("an answer serializes to bincode")))
 }
 
-/// Records where a stream goes on. Returns the gateway that had taken it up from here before.
-fn pass_on<W: Wire, S: Rows>(node: &Node<W, S>, release: Release) -> Option<SocketAddr> {
+/// Records where a stream goes on. Returns what this gateway knew of it.
+fn pass_on<W: Wire, S: Rows>(node: &Node<W, S>, release: Release) -> Option<Record> {
     let Release { stream, version, to } = release;
     let now = node.now();
     let before = node.origins.record(Some(stream), node.stream_lifetime(), now);
     node.origins.record_runner(stream, version, to, now);
-    before?.runner.filter(|runner| *runner != to)
+    before
 }
