--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod receive;
 mod refusal;
 mod relay;
+mod release;
 mod returns;
 mod rulings;
 mod runs;
@@ -198,7 +199,7 @@
         | peer_reservations::REPORT_PATH
         | peer_reservations::HAND_OVER_PATH => peer_reservations::answer(node.clone(), request).await,
         origins::PATH => take_up::answer(node.clone(), request).await,
-        runs::PATH => runs::answer(node.clone(), request).await,
+        release::PATH => release::answer(node.clone(), request).await,
         tunnel::TUNNEL_PATH | tunnel::LOAN_PATH => tunnel::answer(node.clone(), request).await,
         _ => node.failover.clone().answer(request).await,
     };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::ports::{Listing, Wire};
 use crate::reach::Reach;
 use crate::receive::{ByteBudget, MEGABYTE};
+use crate::release::Releases;
 use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::store_metrics::MeteredRows;
@@ -98,6 +99,7 @@
     pub places: Places,
     pub contacts: Contacts,
     pub runs: Arc<Runs>,
+    pub releases: Releases,
     /// Notified when a budget is opened.
     pub budget_opened: Event,
     /// The newest version of the table of denied requests that this gateway has read, or that another one has
@@ -168,6 +170,7 @@
             places: Places::default(),
             contacts: Contacts::default(),
             runs: Arc::default(),
+            releases: Releases::default(),
             budget_opened: Event::new(),
             quarantine_version: AtomicU64::new(0),
             quarantine_changed: Event::new(),
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -7,7 +7,8 @@
 use crate::origins::{ASK_TIMEOUT, Answer, MESSAGE_LIMIT, key};
 use crate::ports::{Resumption, Wire};
 use crate::refusal::Refusal;
-use crate::runs::{self, Place, Runners};
+use crate::release::{self, Runners};
+use crate::runs::Place;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
@@ -57,7 +58,7 @@
     found.report(node, stream, node.now() - began);
     let located = match (found.version(node, service), stream) {
         (Ok(version), Some(stream)) => {
-            let released = runs::release(node, service, (stream, version), found.runners, limit).await;
+            let released = release::release(node, service, (stream, version), found.runners, limit).await;
             if released.is_ok() {
                 node.origins.begin_again(node, service, stream, version);
             }
