--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -259,6 +259,7 @@
         self.settle(node, stream, |run| Arc::ptr_eq(&run.takeover, takeover) || is_earlier(run)).await
     }
 
+    /// Waits until the selected runs of a stream are over, or those that may go on are all at one upstream.
     async fn settle<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
