The last lines of a gateway's log are written before it exits

They waited up to 50 ms for others and were lost with the process, event=drained and event=stop among them, so the log did not tell which requests a stopping gateway cuts off.

--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -25,9 +25,18 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long the writer waits for further lines of a batch, so that it wakes up less often.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
+/// How long a flush waits for the lines before it to be written. The output may block.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What the queue holds.
+enum Entry {
+    Line(String),
+    /// All lines before it have to be written now. The sender is dropped once they are.
+    Flush(SyncSender<()>),
+}
 
 struct Logger {
-    lines: SyncSender<String>,
+    entries: SyncSender<Entry>,
     level: LevelFilter,
     started: Instant,
     second: AtomicU64,
@@ -39,9 +48,9 @@
 
 /// Starts logging to `output`. Later calls have no effect.
 pub fn start(output: impl Write + Send + 'static, level: LevelFilter) {
-    let (lines, queue) = sync_channel(QUEUE_CAPACITY);
+    let (entries, queue) = sync_channel(QUEUE_CAPACITY);
     let logger = Logger {
-        lines,
+        entries,
         level,
         started: Instant::now(),
         second: AtomicU64::new(0),
@@ -90,12 +99,18 @@
             name(record.level()),
             record.args()
         );
-        if self.lines.try_send(line).is_err() {
+        if self.entries.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines so far are written, but not for long: the output may block.
+    fn flush(&self) {
+        let (sender, written) = sync_channel(0);
+        if self.entries.try_send(Entry::Flush(sender)).is_ok() {
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
 fn name(level: Level) -> &'static str {
@@ -107,20 +122,26 @@
     }
 }
 
-fn write(mut output: impl Write, queue: &Receiver<String>) {
+fn write(mut output: impl Write, queue: &Receiver<Entry>) {
     loop {
-        let mut batch = match queue.recv_timeout(CHECK_INTERVAL) {
-            Ok(line) => line,
-            Err(RecvTimeoutError::Timeout) => String::new(),
+        let mut next = match queue.recv_timeout(CHECK_INTERVAL) {
+            Ok(entry) => Some(entry),
+            Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        if !batch.is_empty() {
+        if let Some(Entry::Line(_)) = next {
             std::thread::sleep(BATCH_DELAY);
         }
-        while batch.len() < BATCH_BYTES
-            && let Ok(line) = queue.try_recv()
-        {
-            batch.push_str(&line);
+        let (mut batch, mut flushed) = (String::new(), None);
+        while let Some(entry) = next {
+            match entry {
+                Entry::Line(line) => batch.push_str(&line),
+                Entry::Flush(sender) => {
+                    flushed = Some(sender);
+                    break;
+                }
+            }
+            next = if batch.len() < BATCH_BYTES { queue.try_recv().ok() } else { None };
         }
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
@@ -129,5 +150,6 @@
         // A failed write, for example to a closed standard output, can't be reported anywhere. The lines are
         // lost, but requests are not affected.
         let _ = output.write_all(batch.as_bytes()).and_then(|()| output.flush());
+        drop(flushed);
     }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -31,6 +31,7 @@
                 .await
                 .map_err(|source| Error::Run { step: "wait for a signal", source })?;
             running.stop().await;
+            log::logger().flush();
             Ok(())
         })
     }
