A stopping gateway dispatches only what can end before it does

What callers saw: LOST.

Cause: a stopping gateway accepts requests while callers still come, and nothing compared the time that a run takes with the time until it cuts off what is open.

Now it refuses such a request as not run (stopping, 503), and one whose body has not arrived when it accepts no more.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -104,15 +104,16 @@
         log::warn!("request: id={} event=refused reason={} {detail}", ask.id, refusal.name());
         refusal
     };
-    let body = match receive::body(node, &ask, &head, body, arrived).await {
+    let stopping = async {
+        node.until_draining().await;
+        Err((Refusal::Stopping, String::new()))
+    };
+    let body = match smol::future::or(stopping, receive::body(node, &ask, &head, body, arrived)).await {
         Ok(body) => body,
         Err((refusal, detail)) => return Err(refused(refusal, &detail)),
     };
     let held = node.receiving.hold(body.len());
     node.load.record_received(body.len());
-    if node.phase() == Phase::Draining {
-        return Err(refused(Refusal::Stopping, ""));
-    }
     if node.reach.is_isolated() {
         return Err(refused(Refusal::Isolated, ""));
     }
@@ -248,6 +249,10 @@
                 return refuse(refusal);
             }
         };
+        if !job.ends_before_gateway(&chosen) {
+            job.log_end(Refusal::Stopping.name(), format_args!("lasts-ms={:.0}", chosen.lasts_ms));
+            return refuse(Refusal::Stopping);
+        }
         let may_try_elsewhere = job.progress().ran + 1 < job.request.route.attempts;
         let mut splitter = EventSplitter::default();
         let outcome = job.attempt(&chosen, turn, &mut splitter, None, may_try_elsewhere).await;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -142,6 +142,15 @@
         self.node.placer().choose(&request, self.node.now())
     }
 
+    /// Whether this gateway goes on for as long as the request may take at the chosen upstream. One that may have run already
+    /// is not refused any more.
+    pub(crate) fn ends_before_gateway(&self, chosen: &Placement) -> bool {
+        let Some(drain) = self.node.drain() else { return true };
+        let lasts_ms =
+            if chosen.lasts_ms > 0.0 { chosen.lasts_ms } else { self.request.route.target_ms as f64 };
+        self.progress().ran > 0 || drain.admits(lasts_ms, self.deadline, self.node.now())
+    }
+
     /// Like [`Job::choose`]. While all places at brittle upstreams are taken, waits for one, as long as the request may
     /// still be refused early.
     pub(crate) async fn choose_or_wait(&self) -> Option<Placement> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -310,13 +310,14 @@
     }
 
     /// Stops gracefully. The gateway reports not ready at once, and accepts no new requests once the balancer
-    /// has noticed. It finishes the open requests as far as the grace period allows, and returns unused
-    /// tokens.
+    /// has noticed; before, those that can end within the grace period. It finishes the open requests as far as that
+    /// allows, and returns unused tokens.
     pub async fn stop(self) {
         let node = &self.node;
         log::info!("gateway: event=stopping open={}", node.open_requests.load(Ordering::Relaxed));
         let began = std::time::Instant::now();
-        node.set_phase(Phase::Leaving);
+        let drain_limit = node.settings.grace_period().saturating_sub(SETTLE_RESERVE);
+        node.begin_stop(drain_limit);
         let delay = DEREGISTRATION_DELAY.min(node.settings.grace_period() / 2);
         peer_reservations::hand_over(node, delay / 2).await;
         node.owners.exclude_self();
@@ -325,7 +326,6 @@
         exec::sleep(delay.saturating_sub(began.elapsed())).await;
         node.set_phase(Phase::Draining);
         self.callers.stop();
-        let drain_limit = node.settings.grace_period().saturating_sub(SETTLE_RESERVE);
         let has_work = || self.callers.open_connections() + node.tunnels.load(Ordering::Relaxed) > 0;
         while has_work() && began.elapsed() < drain_limit {
             exec::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use budget::ledger::Level;
 use event_listener::Event;
 use net::{Clock, Pool};
+use route::drain::Drain;
 use route::placement::Placer;
 use route::poison::Loss;
 use route::quarantine::Quarantine;
@@ -33,7 +34,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 use store::rows::{Progress, Rows};
 
@@ -120,6 +121,10 @@
     returns: Mutex<Returns>,
     budgets: Mutex<HashMap<String, Arc<TeamBudget>>>,
     phase: AtomicU8,
+    /// Set when this gateway begins to stop.
+    drain: OnceLock<Drain>,
+    /// Notified when the phase changes.
+    phase_changed: Event,
     /// Requests a new usage note.
     note_requests: async_channel::Sender<()>,
     /// The last known time of the store's clock, in milliseconds, and when it arrived on this gateway's
@@ -183,6 +188,8 @@
             returns: Mutex::default(),
             budgets: Mutex::default(),
             phase: AtomicU8::new(Phase::Serving as u8),
+            drain: OnceLock::new(),
+            phase_changed: Event::new(),
             note_requests,
             store_clock: Mutex::default(),
             settings,
@@ -382,7 +389,7 @@
     }
 
     pub(crate) fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::Relaxed) {
+        match self.phase.load(Ordering::SeqCst) {
             0 => Phase::Serving,
             1 => Phase::Leaving,
             _ => Phase::Draining,
@@ -390,7 +397,30 @@
     }
 
     pub(crate) fn set_phase(&self, phase: Phase) {
-        self.phase.store(phase as u8, Ordering::Relaxed);
+        self.phase.store(phase as u8, Ordering::SeqCst);
+        self.phase_changed.notify(usize::MAX);
+    }
+
+    /// Waits until this gateway accepts no new requests.
+    pub(crate) async fn until_draining(&self) {
+        loop {
+            let changed = self.phase_changed.listen();
+            if self.phase() == Phase::Draining {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Begins a stop, which cuts off what is still open after `limit`.
+    pub(crate) fn begin_stop(&self, limit: Duration) {
+        let _ = self.drain.set(Drain::until(self.now().saturating_add(limit.as_millis() as Millis)));
+        self.set_phase(Phase::Leaving);
+    }
+
+    /// The stop that is under way, if there is one.
+    pub(crate) fn drain(&self) -> Option<Drain> {
+        self.drain.get().copied()
     }
 
     /// Whether the balancer may send callers to this gateway: it is not stopping, it knows a manifest and
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -156,7 +156,7 @@
 
     /// Whether a part of the request's body may be left unread, so that the connection has to be closed.
     fn leaves_body_unread(self) -> bool {
-        matches!(self, Refusal::BodyTimedOut | Refusal::BodyTooLarge | Refusal::Crowded)
+        matches!(self, Refusal::BodyTimedOut | Refusal::BodyTooLarge | Refusal::Crowded | Refusal::Stopping)
     }
 
     /// The cause, if it refuses many callers at once, who then have to return one after another.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -24,6 +24,7 @@
 mod connections;
 mod dispatcher;
 mod division;
+pub mod drain;
 mod engine;
 mod health;
 mod hint_filter;
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -123,7 +123,7 @@
     pub is_reserved: bool,
     /// The time between two events while the upstream reads no prompt, in milliseconds, if it is known.
     pub event_ms: Option<f64>,
-    /// The expected duration of the run, in milliseconds.
+    /// The expected duration of the run, in milliseconds; 0 for a call at an upstream of which none is known.
     pub lasts_ms: f64,
     /// The expected duration of the run's events if the upstream reads no prompt meanwhile, in milliseconds.
     pub events_ms: f64,
--- a/crates/route/src/placement/estimate.rs
+++ b/crates/route/src/placement/estimate.rs
@@ -101,7 +101,7 @@
         _ => 1.0,
     };
     let cost = CALL_COST * ((1.0 + f64::from(upstream.open)) * slowness - 1.0);
-    Estimate { cost, first_ms: cost, ..Estimate::default() }
+    Estimate { cost, first_ms: cost, lasts_ms: upstream.call_ms, ..Estimate::default() }
 }
 
 /// The median of the known call times, in milliseconds; 0 if fewer than two are known.
