A connection that an upstream closes after the gateway, and an address that refuses, prove no end of a run

Cause: both signs tell of the connection or the listener, not of the run; what serves connections need not be what runs requests. Class: the end of something at another machine, inferred from something that is not it.

Now only a close of the upstream's own accord counts, and a refusing address not while the run's connection is open, which an ending process would break, nor for a leaving upstream whose connection the gateway closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at an upstream, up to the first answer.
 
-use crate::contact::{GivenUp, Upstream};
+use crate::contact::Upstream;
 use crate::event::EventSplitter;
 use crate::first_answer::{Closed, OpenStream, Outcome, ReadOutcome, strip_hop_by_hop};
 use crate::job::{Job, OverdueGuard, UpstreamSlot};
@@ -10,6 +10,7 @@
 use crate::quarantine::{self, BrokenRun};
 use crate::reach::{self, Dialer};
 use crate::refusal::Refusal;
+use crate::runs;
 use futures::channel::oneshot;
 use futures::future::{Either, select};
 use http::header::{CONTENT_LENGTH, HOST};
@@ -217,28 +218,17 @@
         let began = self.node.now();
         let patience = self.first_answer_timeout(chosen);
         let clock = &self.node.clock;
-        let mut is_asked_to_end = false;
         let result = match connection_of_run {
             Some(connection) if may_try_elsewhere => {
-                let given_up = pin!(self.until_given_up(&upstream, patience));
+                let given_up = pin!(self.until_given_up(&upstream, &connection, patience));
                 match clock.timeout(self.remaining(), select(reading.as_mut(), given_up)).await {
                     Some(Either::Left((done, _))) => Some(done),
-                    Some(Either::Right((GivenUp::Overdue, _))) if connection.is_sent() => {
-                        is_asked_to_end = connection.ask_to_end(&self.request.ask.id, &upstream.name);
-                        let _overdue = OverdueGuard::new(&self.node, &upstream.name);
-                        clock.timeout(self.remaining(), reading.as_mut()).await
-                    }
                     Some(Either::Right(_)) | None => None,
                 }
             }
             _ => clock.timeout(patience.min(self.remaining()), reading.as_mut()).await,
         };
         let (outcome, slot) = match result {
-            Some((outcome, _)) if is_asked_to_end && outcome.is_broken() => {
-                self.node.placer().record_error(&chosen.upstream);
-                let reason = format!("no answer within {} ms", self.node.now() - began);
-                return FirstAnswer::Known(Outcome::NoValidAnswer(reason));
-            }
             Some(done) => done,
             None if may_try_elsewhere && self.kind().is_repeatable() && !self.remaining().is_zero() => {
                 self.node.placer().record_error(&chosen.upstream);
@@ -265,13 +255,14 @@
     }
 
     /// Waits until a run may be given up that another one is to follow. Once it is overdue, it counts so.
-    async fn until_given_up(&self, upstream: &Upstream, patience: Duration) -> GivenUp {
+    async fn until_given_up(&self, upstream: &Upstream, connection: &runs::Connection, patience: Duration) {
         let counted = async {
             exec::sleep(patience).await;
             let _overdue = OverdueGuard::new(&self.node, &upstream.name);
             std::future::pending().await
         };
-        smol::future::or(upstream.until_given_up(&self.node, patience), counted).await
+        let given_up = upstream.until_given_up(&self.node, patience, || connection.is_sent());
+        smol::future::or(given_up, counted).await;
     }
 
     /// Decides whether an answer that ended with its connection is whole: the process of its upstream must still listen.
--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -72,15 +72,6 @@
     }
 }
 
-/// Why a run is given up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum GivenUp {
-    /// It is overdue, and its upstream answers others.
-    Overdue,
-    /// Its upstream is gone.
-    Gone,
-}
-
 /// The upstream of a run, which may no longer be listed.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
@@ -106,17 +97,19 @@
         }
     }
 
-    /// Waits until a run from which nothing arrives may be given up. It is overdue after `patience`.
+    /// Waits until a run from which nothing arrives may be given up: once its upstream is gone, or if the run is overdue
+    /// after `patience` and its request has not been sent.
     pub(crate) async fn until_given_up<W: Wire, S: Rows>(
         &self,
         node: &Node<W, S>,
         patience: Duration,
-    ) -> GivenUp {
+        is_sent: impl Fn() -> bool,
+    ) {
         let since = node.now();
         loop {
             match self.contact.decide(since, patience.as_millis() as Millis, node.now()) {
-                Decision::GiveUp => return GivenUp::Overdue,
-                Decision::Gone => return GivenUp::Gone,
+                Decision::Overdue if is_sent() => exec::sleep(CHECK_INTERVAL).await,
+                Decision::Overdue | Decision::Gone => return,
                 Decision::Wait(ms) => exec::sleep(Duration::from_millis(ms).min(CHECK_INTERVAL)).await,
                 Decision::Probe => self.probe(node).await,
             }
@@ -138,6 +131,11 @@
         !listings.contains_key(&self.name) && listings.values().any(|other| other.address == self.address)
     }
 
+    /// Whether it is leaving, or not listed any more.
+    pub(crate) fn is_leaving<W: Wire, S: Rows>(&self, node: &Node<W, S>) -> bool {
+        node.listings().get(&self.name).is_none_or(|listing| listing.leaving)
+    }
+
     /// Waits until a run whose connection was closed is over, or its upstream is known to go on.
     pub(crate) async fn until_known<W: Wire, S: Rows>(&self, node: &Node<W, S>, run: &ClosedRun) -> RunState {
         loop {
@@ -167,7 +165,8 @@
             ProbeResult::Answers => Probe::Answers,
             ProbeResult::Listens => Probe::Silent,
             ProbeResult::Silent if node.reach.reaches_directly(&self.name, node.now()) => Probe::Unreached,
-            ProbeResult::Refuses | ProbeResult::Silent => Probe::Gone,
+            ProbeResult::Refuses => Probe::Refuses,
+            ProbeResult::Silent => Probe::Lost,
         };
         self.contact.state().record_probe(probe, began, node.now());
         drop(probing);
--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -77,16 +77,6 @@
     Other(Outcome<W, S>),
 }
 
-impl<W: Wire, S: Rows> ReadOutcome<W, S> {
-    /// Whether the upstream ended its answer before an event.
-    pub(crate) fn is_broken(&self) -> bool {
-        matches!(
-            self,
-            ReadOutcome::Closed(Closed::BeforeEvent(_)) | ReadOutcome::Other(Outcome::ConnectionBroken(_))
-        )
-    }
-}
-
 /// An answer that ended with its connection.
 pub(crate) enum Closed {
     /// One that is no stream.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -316,18 +316,6 @@
         self.run.as_ref().map(runs::Guard::connection)
     }
 
-    /// Asks the upstream to end the run, which goes on if it does not.
-    pub(crate) fn ask_to_end(&self) {
-        if let Some(connection) = self.connection() {
-            connection.ask_to_end(&self.request, &self.upstream.name);
-        }
-    }
-
-    /// Whether the upstream has been asked to end the run.
-    pub(crate) fn is_asked_to_end(&self) -> bool {
-        self.connection().is_some_and(|connection| connection.is_asked_to_end())
-    }
-
     /// Records that the upstream has read the request, whose time is over at `deadline`.
     pub(crate) fn record_read(&self, deadline: Millis) {
         if let Some(connection) = self.connection() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -215,9 +215,6 @@
             }
             Some(Err(error)) => self.start_resume(&format!("could not read the stream: {error}")),
             None if self.splitter.is_inside_event() => self.start_resume("the stream ended inside an event"),
-            None if self.framing == Framing::Closed && self.is_asked_to_end() => {
-                self.start_resume("the upstream stalled")
-            }
             None if self.framing == Framing::Closed => self.inspect_closed(),
             None => self.complete(),
         }
@@ -318,13 +315,8 @@
         Poll::Ready(Step::Continue)
     }
 
-    /// Whether the upstream has been asked to end the run.
-    fn is_asked_to_end(&self) -> bool {
-        matches!(&self.state, State::Streaming(stream) if stream.slot.is_asked_to_end())
-    }
-
-    /// Whether the upstream of the run is gone, after `silence_ms` without an event. One that answers others is asked to
-    /// end the run if the stream may be resumed; until it does, the run may still go on by itself.
+    /// Whether the upstream of the run is gone, after `silence_ms` without an event. While it answers others, the run may
+    /// still go on by itself.
     fn is_gone(&self, silence_ms: Millis) -> bool {
         let State::Streaming(stream) = &self.state else { return false };
         if self.job.kind() != RouteKind::ResumableStream {
@@ -334,16 +326,7 @@
         let patience_ms = stall_ms(route.target_ms, route.gap_ms);
         match upstream.contact.decide(now.saturating_sub(silence_ms), patience_ms, now) {
             Decision::Gone => true,
-            Decision::GiveUp => {
-                // The end of a run behind a relay can't be told from that of the relay.
-                let may_ask = !stream.slot.is_asked_to_end() && !stream.lease.is_relayed();
-                let may_ask = may_ask && self.job.may_resume();
-                if may_ask && self.job.reserve_repeat("stalled") {
-                    stream.slot.ask_to_end();
-                }
-                false
-            }
-            Decision::Wait(_) => false,
+            Decision::Overdue | Decision::Wait(_) => false,
             Decision::Probe => {
                 let (upstream, node) = (upstream.clone(), self.job.node.clone());
                 exec::spawn(async move { upstream.probe(&node).await }).detach();
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -12,7 +12,7 @@
 use net::{Closing, End, exec};
 use route::Millis;
 use route::origin::Stream;
-use route::silence::{ClosedRun, RunState};
+use route::silence::{Close, ClosedRun, RunState};
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -104,19 +104,6 @@
         self.closing.get().is_some()
     }
 
-    /// Asks the upstream to end the run of a request: closes this gateway's end of the connection. An upstream that does not
-    /// notice goes on, and its answer is still read. Returns whether the connection can be closed so.
-    pub(crate) fn ask_to_end(&self, request: &str, upstream: &str) -> bool {
-        let is_asked = self.closing.get().and_then(Option::as_ref).is_some_and(Closing::half_close);
-        log::warn!("request: id={request} event=asked-to-end upstream={upstream} asked={is_asked}");
-        is_asked
-    }
-
-    /// Whether the upstream has been asked to end the run.
-    pub(crate) fn is_asked_to_end(&self) -> bool {
-        self.closing.get().and_then(Option::as_ref).is_some_and(Closing::is_half_closed)
-    }
-
     /// How the connection ended, if the request was sent.
     pub(crate) async fn end(&self) -> Option<End> {
         match self.closing.get()? {
@@ -140,9 +127,13 @@
 impl Run {
     /// What is known of a run that was closed.
     async fn state<W: Wire, S: Rows>(&self, node: &Node<W, S>, closed: Millis) -> Option<RunState> {
-        let is_closed_by_upstream = self.connection.end().await? == End::Peer;
+        let close = match self.connection.end().await? {
+            End::Peer => Close::ByUpstream,
+            End::Broken => Close::Broken,
+            End::Followed | End::Unknown => Close::ByGateway,
+        };
         let stops_at = self.connection.stops_at.get().copied();
-        let run = ClosedRun { closed, is_closed_by_upstream, stops_at };
+        let run = ClosedRun { closed, close, is_leaving: self.upstream.is_leaving(node), stops_at };
         Some(self.upstream.until_known(node, &run).await)
     }
 }
--- a/crates/gateway/tests/unit/contact.rs
+++ b/crates/gateway/tests/unit/contact.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::support::node;
+use route::silence::Close;
 use smol::net::TcpListener;
 use standin::TableRows;
 use std::sync::atomic::AtomicU32;
@@ -26,7 +27,7 @@
             contact: Arc::default(),
         };
         let closed = node.now() + 1;
-        let run = ClosedRun { closed, is_closed_by_upstream: false, stops_at: None };
+        let run = ClosedRun { closed, close: Close::ByGateway, is_leaving: false, stops_at: None };
         let waiting = upstream.until_known(&node, &run);
         assert!(exec::timeout(Duration::from_secs(1), waiting).await.is_none(), "it answers nothing");
         let probes = probes.load(Ordering::Relaxed);
--- a/crates/net/src/closing.rs
+++ b/crates/net/src/closing.rs
@@ -1,7 +1,7 @@
-//! How a connection ends: whether its peer has closed its own end, which shows that the peer is done with it.
+//! How a connection ends: whether its peer closed its own end first, which shows that the peer is done with it.
 //!
-//! Closing a connection tells nothing about the peer, which may notice that when it next writes, or never. So the end
-//! of this process is closed first, and the peer has a short time to close its own.
+//! Closing a connection tells nothing about the peer's work, even if the peer closes its end in turn: what serves its
+//! connections need not be what does the work.
 
 use crate::exec;
 use crate::metered::{Meter, ReadEnd};
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-/// How long a peer may take to close its end: some round trips between data centres.
+/// How long a peer may take to close its end after this process: some round trips between data centres.
 const LINGER_TIME: Duration = Duration::from_millis(250);
 /// The most bytes that are read and discarded meanwhile.
 const MAX_DISCARDED: usize = 256 * 1024;
@@ -24,9 +24,13 @@
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
-    /// The peer closed its end.
+    /// The peer closed its end, of its own accord.
     Peer,
-    /// It broke, or its peer did not close its end in time. What the peer does is not known.
+    /// The peer closed its end after this process had closed its own.
+    Followed,
+    /// It broke.
+    Broken,
+    /// Its peer did not close its end in time, or it leads to a relay.
     Unknown,
 }
 
@@ -35,6 +39,8 @@
     pub fn name(self) -> &'static str {
         match self {
             End::Peer => "peer",
+            End::Followed => "followed",
+            End::Broken => "broken",
             End::Unknown => "unknown",
         }
     }
@@ -46,7 +52,6 @@
     stream: Mutex<Option<TcpStream>>,
     /// Whether a peer that closes its end late is waited for.
     is_awaited: AtomicBool,
-    is_half_closed: AtomicBool,
     end: OnceLock<End>,
     ended: Event,
 }
@@ -61,28 +66,11 @@
         Closing(Arc::new(Shared { stream: Mutex::new(stream), ..Shared::default() }))
     }
 
-    fn stream(&self) -> Option<TcpStream> {
-        self.0.stream.lock().expect("no thread panics while it holds the stream").clone()
-    }
-
     /// Sets whether the peer is given time to close its end when this process closes the connection.
     pub fn set_awaited(&self, is_awaited: bool) {
         self.0.is_awaited.store(is_awaited, Ordering::Relaxed);
     }
 
-    /// Closes this process's end. A peer that notices closes its own, and one that does not goes on: what it sends is
-    /// still read. Returns whether the connection is a direct one, which can be closed so.
-    pub fn half_close(&self) -> bool {
-        let Some(stream) = self.stream() else { return false };
-        self.0.is_half_closed.store(true, Ordering::Relaxed);
-        stream.shutdown(Shutdown::Write).is_ok()
-    }
-
-    /// Whether this process has closed its end.
-    pub fn is_half_closed(&self) -> bool {
-        self.0.is_half_closed.load(Ordering::Relaxed)
-    }
-
     /// How the connection ended; `None` while it has not.
     pub fn end(&self) -> Option<End> {
         self.0.end.get().copied()
@@ -104,6 +92,7 @@
         let stream = self.0.stream.lock().expect("no thread panics while it holds the stream").take();
         let end = match (meter.read_end(), stream) {
             (Some(ReadEnd::InOrder), _) if tells_end => End::Peer,
+            (Some(ReadEnd::Broken), Some(_)) => End::Broken,
             (None, Some(stream)) if self.0.is_awaited.load(Ordering::Relaxed) => until_closed(stream).await,
             _ => End::Unknown,
         };
@@ -119,7 +108,7 @@
         let (mut buffer, mut discarded) = ([0; DISCARD_BUFFER], 0);
         while discarded < MAX_DISCARDED {
             match stream.read(&mut buffer).await {
-                Ok(0) => return End::Peer,
+                Ok(0) => return End::Followed,
                 Ok(count) => discarded += count,
                 Err(_) => return End::Unknown,
             }
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -367,9 +367,6 @@
     pub fn keep(mut self) {
         let Some(mut line) = self.line.take() else { return };
         line.closing.set_awaited(false);
-        if line.closing.is_half_closed() {
-            return;
-        }
         if line.way == Way::Relayed {
             self.until = self.until.min(line.opened + TUNNEL_REUSE_TIME);
         }
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -37,8 +37,10 @@
     Silent,
     /// Its host answers no connection attempt: it is gone, or the queue of connections of a suspended process is full.
     Unreached,
-    /// Its process has ended, or this gateway's path to it is lost.
-    Gone,
+    /// Its address refuses connections: its process has ended, or listens no more before it has finished.
+    Refuses,
+    /// This gateway's path to it is lost.
+    Lost,
 }
 
 /// What to do with a run from which nothing arrives.
@@ -48,19 +50,32 @@
     Wait(Millis),
     /// Probe the upstream, and decide again.
     Probe,
-    /// Ask the upstream to end the run, if another one may run the request.
-    GiveUp,
-    /// Give the run up. Its upstream is gone.
+    /// The run is overdue, and its upstream goes on.
+    Overdue,
+    /// Give the run up. Its upstream is not reached any more.
     Gone,
 }
 
-/// A run whose connection was closed by this gateway, or broke.
+/// How the connection of a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Close {
+    /// The upstream closed its end of its own accord.
+    ByUpstream,
+    /// It broke.
+    Broken,
+    /// A gateway closed it. That the upstream closed its end in turn tells nothing of the run.
+    ByGateway,
+}
+
+/// A run whose connection has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClosedRun {
-    /// When the connection was closed or broke.
+    /// When the connection ended.
     pub closed: Millis,
-    /// Whether the upstream has closed its end of the connection.
-    pub is_closed_by_upstream: bool,
+    /// How.
+    pub close: Close,
+    /// Whether its upstream is leaving, or not listed any more. It may have stopped listening before it has finished.
+    pub is_leaving: bool,
     /// When the upstream stops by itself: the end of the time that it was told, if it has read the request.
     pub stops_at: Option<Millis>,
 }
@@ -79,11 +94,11 @@
 /// What proves that a run is over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Proof {
-    /// The upstream closed its end of the connection.
+    /// The upstream closed its end of the connection of its own accord.
     ClosedByUpstream,
     /// The time that the upstream was told has passed, and it has answered since.
     Deadline,
-    /// The upstream is gone.
+    /// The upstream is gone, or this gateway does not reach it.
     Gone,
 }
 
@@ -145,11 +160,11 @@
     pub fn state_of(&self, run: &ClosedRun, now: Millis) -> RunState {
         let stopped_at = run.stops_at.map(|at| at.saturating_add(IN_FLIGHT_MS)).filter(|at| now >= *at);
         match stopped_at {
-            _ if run.is_closed_by_upstream => RunState::Over(Proof::ClosedByUpstream),
-            _ if self.is_gone() => RunState::Over(Proof::Gone),
+            _ if run.close == Close::ByUpstream => RunState::Over(Proof::ClosedByUpstream),
+            _ if self.is_gone(run) => RunState::Over(Proof::Gone),
             // A process that is suspended stops when it goes on.
             Some(at) if self.has_answered_since(at) => RunState::Over(Proof::Deadline),
-            None if self.has_answered_since(run.closed) => RunState::Alive,
+            None if self.has_answered_since(run.closed) || self.refuses() => RunState::Alive,
             Some(_) | None => RunState::Unknown,
         }
     }
@@ -160,17 +175,23 @@
             || self.heard >= closed.saturating_add(IN_FLIGHT_MS)
     }
 
-    /// Whether its process has ended, or its host has answered nothing for long.
-    fn is_gone(&self) -> bool {
+    /// Whether its process has ended, its host has answered nothing for long, or the path to it is lost. A process that ends
+    /// breaks its connections.
+    fn is_gone(&self, run: &ClosedRun) -> bool {
         match (self.probed, self.unreached) {
-            (Some((Probe::Gone, _)), _) => true,
+            (Some((Probe::Lost, _)), _) => true,
+            (Some((Probe::Refuses, _)), _) => run.close == Close::Broken || !run.is_leaving,
             (Some((Probe::Unreached, at)), Some(since)) => at.saturating_sub(since) >= UNREACHED_MS,
             _ => false,
         }
     }
 
+    fn refuses(&self) -> bool {
+        matches!(self.probed, Some((Probe::Refuses, _)))
+    }
+
     fn is_known_silent(&self) -> bool {
-        matches!(self.probed, Some((Probe::Silent | Probe::Unreached, _)))
+        matches!(self.probed, Some((Probe::Silent | Probe::Unreached | Probe::Refuses, _)))
     }
 
     /// Decides on a run from which nothing has arrived since `since`, and which is overdue after `patience_ms`. The time
@@ -185,13 +206,15 @@
         let has_time = now < due;
         match self.probed.filter(|(_, at)| now.saturating_sub(*at) < PROBE_VALID_MS) {
             _ if !is_silent && has_time => Decision::Wait(due - now),
-            _ if !is_silent => Decision::GiveUp,
+            _ if !is_silent => Decision::Overdue,
             None => Decision::Probe,
-            // The connection of a run to a host that is gone breaks by itself.
-            Some((Probe::Silent | Probe::Unreached, at)) => Decision::Wait(at + PROBE_VALID_MS - now),
-            Some((Probe::Answers | Probe::Gone, _)) if has_time => Decision::Wait(due - now),
-            Some((Probe::Answers, _)) => Decision::GiveUp,
-            Some((Probe::Gone, _)) => Decision::Gone,
+            // The connection of a run to a host or a process that is gone breaks by itself.
+            Some((Probe::Silent | Probe::Unreached | Probe::Refuses, at)) => {
+                Decision::Wait(at + PROBE_VALID_MS - now)
+            }
+            Some((Probe::Answers | Probe::Lost, _)) if has_time => Decision::Wait(due - now),
+            Some((Probe::Answers, _)) => Decision::Overdue,
+            Some((Probe::Lost, _)) => Decision::Gone,
         }
     }
 }
