A team's priority does not overflow when it is combined with that of the route

What callers saw: no answer while the configuration names a team's priority beyond a third of 2^32 (a panic with overflow checks; without them, by reading, such a team's requests become urgent).

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -195,7 +195,8 @@
         after_event: Option<u64>,
     ) -> Dispatch<'a> {
         let team = self.request.team.as_deref();
-        let priority = team.map_or(0, |team| team.priority) * ROUTE_PRIORITIES + self.request.route.priority;
+        let priority = team.map_or(0, |team| team.priority.saturating_mul(ROUTE_PRIORITIES));
+        let priority = priority.saturating_add(self.request.route.priority);
         Dispatch {
             upstream,
             remaining_ms: self.remaining().as_millis() as u64,
