--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -72,7 +72,7 @@
 pub struct ClosedRun {
     /// When the connection ended.
     pub closed: Millis,
-    /// How.
+    /// How it ended.
     pub close: Close,
     /// Whether its upstream is leaving, or not listed any more. It may have stopped listening before it has finished.
     pub is_leaving: bool,
