The log of an odd answer names its connection

Two refusals of one request on one connection are a refusal and its copy; on two connections they are two refusals.

--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -171,10 +171,11 @@
         }
         if verdict != Ok(Verdict::Due) || !head.status.is_success() {
             log::info!(
-                "request: id={} event=odd-answer upstream={upstream} status={} answers={} verdict={name} reused={} relayed={}",
+                "request: id={} event=odd-answer upstream={upstream} status={} answers={} verdict={name} connection={} reused={} relayed={}",
                 self.request.ask.id,
                 head.status.as_u16(),
                 node.wire.answered_request(head).unwrap_or("-"),
+                lease.number(),
                 lease.is_reused(),
                 lease.is_relayed()
             );
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -36,6 +36,7 @@
 /// An open connection.
 #[derive(Debug)]
 struct Line {
+    number: u64,
     sender: SendRequest<Body>,
     way: Way,
     /// Whether another process opened it as one of its own connections.
@@ -75,6 +76,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     clock: Clock,
+    /// The number of connections opened so far.
+    opened: AtomicU64,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
 }
 
@@ -113,7 +116,7 @@
 impl Pool {
     /// Creates a pool whose idle connections expire by `clock`.
     pub fn new(clock: Clock) -> Pool {
-        Pool(Arc::new(Shared { clock, peers: Mutex::default() }))
+        Pool(Arc::new(Shared { clock, ..Shared::default() }))
     }
 
     /// Sends `request` to `peer` and waits for the head of the answer.
@@ -257,7 +260,9 @@
             }
         };
         let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
-        Ok(Line { sender, way, is_borrowed, tells_end, opened: self.0.clock.now(), meter, closing, count })
+        let number = self.0.opened.fetch_add(1, Ordering::Relaxed);
+        let opened = self.0.clock.now();
+        Ok(Line { number, sender, way, is_borrowed, tells_end, opened, meter, closing, count })
     }
 }
 
@@ -341,6 +346,11 @@
 }
 
 impl Lease {
+    /// The number of the connection in its pool, for logs.
+    pub fn number(&self) -> u64 {
+        self.line.as_ref().map_or(0, |line| line.number)
+    }
+
     /// Whether the connection served another request before.
     pub fn is_reused(&self) -> bool {
         self.is_reused
