A connection carries each identifier once

What callers saw: a request that ran was answered 503, or was sent on and ran again; a stream ran beside itself at one engine. Cause: a refusal names its request, and its copy came on the same connection while the same request was under way again. The pool returned the connection of the refusal, since names are excluded after a refusal and connections belong to addresses: another instance at the address, the only upstream at which a stream may go on, and a caller that repeats under its identifier all lead back to it.

The pool remembers the identifiers that each connection has carried, and takes another connection for a request that comes again, or opens one in place of an idle one. The identifier in an answer then names one dispatch. Refusals of other requests keep their connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use futures::future::{Either, select};
 use http::header::{CONTENT_LENGTH, HOST};
 use http::{Request, Uri};
-use net::{Received, Way, exec};
+use net::{Destination, Identifiers, Received, Way, exec};
 use route::placement::Placement;
 use route::version::Version;
 use route::{Millis, pacing};
@@ -150,10 +150,14 @@
         };
         let sending = async {
             let dialer = Dialer { node, upstream: &chosen.upstream };
-            let sent = node
-                .pool
-                .send("dispatch", listing.address, max_connections, &dialer, request, is_wanted)
-                .await;
+            let identifiers = Identifiers::new(node.wire.identifiers(&self.request.head.headers));
+            let destination = Destination {
+                step: "dispatch",
+                peer: listing.address,
+                max_connections,
+                identifiers: &identifiers,
+            };
+            let sent = node.pool.send(destination, &dialer, request, is_wanted).await;
             // The upstream may answer before it has read all of the body. A request that is dropped before that
             // drops the writing too.
             if let Some(writing) = writing {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -159,6 +159,9 @@
     /// The headers of a request that is dispatched, derived from those of the caller.
     fn dispatch_headers(&self, caller: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// The identifiers by which answers name a request with these headers.
+    fn identifiers<'a>(&self, request: &'a HeaderMap) -> SmallVec<[&'a [u8]; 1]>;
+
     /// The request that the head of an upstream's answer names, if it names one.
     fn answered_request<'a>(&self, head: &'a response::Parts) -> Option<&'a str>;
 
--- a/crates/gateway/tests/unit/link.rs
+++ b/crates/gateway/tests/unit/link.rs
@@ -187,12 +187,19 @@
         };
         let server = net::serve(standin::loopback(), net::Limits::default(), echo).await.expect("an address");
         let pool = net::Pool::new(Clock::default());
-        for _ in 0..2 {
+        for name in ["first", "second"] {
             let turn = take(&link, &body(bytes.len() as u64, 1e6)).await;
             let (body, writing) = turn.send(bytes.clone());
             writing.expect("it is sent in pieces").detach();
             let request = Request::post("/").header("host", "upstream").body(body).expect("a request");
-            let sent = pool.send("test", server.address(), 1, &net::Direct, request, |_| true).await;
+            let identifiers = net::Identifiers::new([name.as_bytes()]);
+            let destination = net::Destination {
+                step: "test",
+                peer: server.address(),
+                max_connections: 1,
+                identifiers: &identifiers,
+            };
+            let sent = pool.send(destination, &net::Direct, request, |_| true).await;
             let (response, lease) = sent.expect("an answer");
             assert_eq!(response.headers()["request-length"], "72000");
             let echoed = net::collect(response.into_body(), usize::MAX).await.expect("the whole answer");
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -7,6 +7,7 @@
 use crate::settings::{Bounds, Listen, Settings};
 use http::{HeaderMap, request, response};
 use route::answer::{Claims, Status, Subject};
+use smallvec::SmallVec;
 use standin::TableRows;
 use std::sync::Arc;
 
@@ -59,6 +60,10 @@
         caller.clone()
     }
 
+    fn identifiers<'a>(&self, _: &'a HeaderMap) -> SmallVec<[&'a [u8]; 1]> {
+        SmallVec::new()
+    }
+
     fn answered_request<'a>(&self, _: &'a response::Parts) -> Option<&'a str> {
         None
     }
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::closing::Closing;
 use crate::dial::{Dial, Transport, Way};
 use crate::exec;
+use crate::identifiers::{Carried, Identifiers};
 use crate::metered::{Meter, Metered, Received};
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response};
@@ -47,6 +48,21 @@
     meter: Arc<Meter>,
     closing: Closing,
     count: Arc<OpenConnection>,
+    carried: Box<Carried>,
+}
+
+/// Where a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination<'a> {
+    /// The operation that the request belongs to, for errors.
+    pub step: &'static str,
+    /// The address.
+    pub peer: SocketAddr,
+    /// The most connections to the address that may be open.
+    pub max_connections: usize,
+    /// The identifiers by which the answer names the request. A connection carries each one once, so that an answer on it
+    /// can't be the copy of an answer to an earlier request with the same identifier.
+    pub identifiers: &'a Identifiers,
 }
 
 /// The connection that a request is about to be sent on.
@@ -73,6 +89,27 @@
     open: usize,
 }
 
+impl Peer {
+    /// Takes out the last used idle connection that may carry a request, and drops those that have ended since.
+    fn take_idle(&mut self, now: Duration, identifiers: &Identifiers) -> Option<Line> {
+        for index in (0..self.idle.len()).rev() {
+            let Idle { line, until } = &self.idle[index];
+            if *until <= now || !line.sender.is_ready() {
+                self.idle.remove(index);
+            } else if !line.carried.contains(identifiers) {
+                return Some(self.idle.remove(index).line);
+            }
+        }
+        None
+    }
+
+    /// Takes out the first idle connection that this process opened as one of its own.
+    fn take_own_idle(&mut self) -> Option<Idle> {
+        let index = self.idle.iter().position(|idle| !idle.line.is_borrowed)?;
+        Some(self.idle.remove(index))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     clock: Clock,
@@ -119,10 +156,10 @@
         Pool(Arc::new(Shared { clock, ..Shared::default() }))
     }
 
-    /// Sends `request` to `peer` and waits for the head of the answer.
+    /// Sends `request` and waits for the head of the answer.
     ///
-    /// A new connection is opened with `dialer`, and only if fewer than `max_connections` are open. Otherwise one is
-    /// borrowed. The caller returns the connection to the pool with [`Lease::keep`] once it has read the complete answer.
+    /// If no idle connection may carry the request, a new one is opened with `dialer`: instead of an idle one if as many are
+    /// open as may be, or a borrowed one if all are in use. The caller returns the connection to the pool with [`Lease::keep`] once it has read the complete answer.
     ///
     /// As soon as a connection is available, `is_wanted` is called with it: the reason to send the request may no longer
     /// hold by then. If it returns `false`, the request is withdrawn.
@@ -131,16 +168,15 @@
     /// [`Failure`] says whether the request may have reached the peer, and whether it was withdrawn.
     pub async fn send(
         &self,
-        step: &'static str,
-        peer: SocketAddr,
-        max_connections: usize,
+        destination: Destination<'_>,
         dialer: &impl Dial,
         request: Request<Body>,
         is_wanted: impl FnOnce(Path<'_>) -> bool,
     ) -> Result<(Response<Received>, Lease), Failure> {
-        let (mut line, reused) = match self.take(peer, dialer.way()) {
+        let Destination { step, peer, .. } = destination;
+        let (mut line, reused) = match self.take(&destination, dialer.way()) {
             Some(line) => (line, true),
-            None => (self.open(step, peer, max_connections, dialer).await?, false),
+            None => (self.open(&destination, dialer).await?, false),
         };
         if !is_wanted(Path { way: line.way, closing: &line.closing }) {
             let until = self.0.clock.now() + DEFAULT_IDLE_TIME.saturating_sub(IDLE_MARGIN);
@@ -149,6 +185,7 @@
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
             return Err(Failure { error, reused, cause: Cause::Withdrawn });
         }
+        line.carried.insert(destination.identifiers);
         line.meter.begin_answer();
         let answer = line.sender.try_send_request(request).await.map_err(|mut failure| {
             let fault = match failure.take_message() {
@@ -182,13 +219,11 @@
         let replaced = {
             let mut peers = self.0.peers.lock().expect("the pool's lock");
             let entry = peers.entry(peer).or_default();
-            let own: Vec<usize> =
-                (0..entry.idle.len()).filter(|index| !entry.idle[*index].line.is_borrowed).collect();
-            if entry.open.saturating_sub(own.len()) + kept >= max_connections {
+            let own = entry.idle.iter().filter(|idle| !idle.line.is_borrowed).count();
+            if entry.open.saturating_sub(own) + kept >= max_connections {
                 return None;
             }
-            let is_replaced = entry.open >= max_connections;
-            own.first().filter(|_| is_replaced).map(|index| entry.idle.remove(*index))
+            (entry.open >= max_connections).then(|| entry.take_own_idle()).flatten()
         };
         // The connection ends later, but no longer counts.
         if let Some(idle) = replaced {
@@ -207,35 +242,28 @@
         peers.retain(|_, peer| peer.open > 0 || !peer.idle.is_empty());
     }
 
-    /// Takes an idle connection of this way or a borrowed one, and closes those of the other way.
-    fn take(&self, peer: SocketAddr, way: Way) -> Option<Line> {
+    /// Takes an idle connection of this way or a borrowed one that may carry the request, and closes those of the other way.
+    fn take(&self, destination: &Destination<'_>, way: Way) -> Option<Line> {
         let now = self.0.clock.now();
         let mut peers = self.0.peers.lock().expect("the pool's lock");
-        let entry = peers.get_mut(&peer)?;
+        let entry = peers.get_mut(&destination.peer)?;
         let is_other_way = |idle: &mut Idle| idle.line.way != way && !idle.line.is_borrowed;
         let other_way: Vec<Idle> = entry.idle.extract_if(.., is_other_way).collect();
-        let taken = std::iter::from_fn(|| entry.idle.pop())
-            .find(|idle| idle.until > now && idle.line.sender.is_ready())
-            .map(|idle| idle.line);
+        let taken = entry.take_idle(now, destination.identifiers);
         drop(peers);
         // The connections end later, but no longer count.
         other_way.iter().for_each(|idle| idle.line.count.end());
         taken
     }
 
-    async fn open(
-        &self,
-        step: &'static str,
-        peer: SocketAddr,
-        max_connections: usize,
-        dialer: &impl Dial,
-    ) -> Result<Line, Failure> {
+    async fn open(&self, destination: &Destination<'_>, dialer: &impl Dial) -> Result<Line, Failure> {
+        let Destination { step, peer, max_connections, .. } = *destination;
         let unsent = |cause, reason: String| {
             let error = Error { step, peer: peer.to_string(), fault: Fault::Unsent, reason };
             Failure { error, reused: false, cause }
         };
         let failed = |error: io::Error| unsent(Cause::Connection, error.to_string());
-        let (count, transport, is_borrowed) = match OpenConnection::new(&self.0, peer, max_connections) {
+        let (count, transport, is_borrowed) = match self.count(peer, max_connections) {
             Some(count) => (count, dialer.dial(peer).await.map_err(failed)?, false),
             None => {
                 let in_use =
@@ -262,7 +290,17 @@
         let sender = sender.map_err(|error| unsent(Cause::Connection, error.to_string()))?;
         let number = self.0.opened.fetch_add(1, Ordering::Relaxed);
         let opened = self.0.clock.now();
-        Ok(Line { number, sender, way, is_borrowed, tells_end, opened, meter, closing, count })
+        let carried = Box::default();
+        Ok(Line { number, sender, way, is_borrowed, tells_end, opened, meter, closing, count, carried })
+    }
+
+    /// Counts a connection that is opened, instead of an idle one if as many are open as may be.
+    fn count(&self, peer: SocketAddr, max_connections: usize) -> Option<Arc<OpenConnection>> {
+        OpenConnection::new(&self.0, peer, max_connections).or_else(|| {
+            let replaced = self.0.peers.lock().expect("the pool's lock").get_mut(&peer)?.take_own_idle()?;
+            replaced.line.count.end();
+            OpenConnection::new(&self.0, peer, max_connections)
+        })
     }
 }
 
@@ -380,7 +418,7 @@
         if line.way == Way::Relayed {
             self.until = self.until.min(line.opened + TUNNEL_REUSE_TIME);
         }
-        if self.until <= self.pool.clock.now() {
+        if self.until <= self.pool.clock.now() || line.carried.is_full() {
             return;
         }
         if line.sender.is_ready() {
--- a/crates/net/tests/closing.rs
+++ b/crates/net/tests/closing.rs
@@ -1,7 +1,7 @@
 //! What the end of a connection tells about its peer.
 
 use http::Request;
-use net::{Body, Direct, End, Pool, exec};
+use net::{Body, Destination, Direct, End, Identifiers, Pool, exec};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
@@ -70,8 +70,11 @@
         *observed.lock().expect("the lock is not poisoned") = Some(path.closing.clone());
         true
     };
+    let identifiers = Identifiers::new([]);
+    let destination =
+        Destination { step: "ask", peer: address, max_connections: 1, identifiers: &identifiers };
     let (answer, lease) =
-        pool.send("ask", address, 1, &Direct, request, observe).await.expect("the head of an answer");
+        pool.send(destination, &Direct, request, observe).await.expect("the head of an answer");
     let closing = observed.into_inner().expect("the lock is not poisoned").expect("a connection");
     finish(answer).await;
     drop(lease);
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Pooled connections, aborted servers and connection probes.
 
 use http::{Request, Response};
-use net::{Body, Cause, Clock, Direct, Fault, Limits, Pool, ProbeResult, exec};
+use net::{Body, Cause, Clock, Destination, Direct, Fault, Identifiers, Limits, Pool, ProbeResult, exec};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -23,6 +23,15 @@
     (handle, count)
 }
 
+/// A destination of a request with one identifier.
+fn destination(peer: SocketAddr, max_connections: usize, identifiers: &Identifiers) -> Destination<'_> {
+    Destination { step: "ask", peer, max_connections, identifiers }
+}
+
+fn identifiers(name: &str) -> Identifiers {
+    Identifiers::new([name.as_bytes()])
+}
+
 fn request() -> Request<Body> {
     Request::get("/").body(Body::empty()).expect("a request")
 }
@@ -65,8 +74,10 @@
         let (server, _) = serve().await;
         let (clock, peer) = (Clock::default(), server.address());
         let pool = Pool::new(clock.clone());
-        let (answer, lease) =
-            pool.send("ask", peer, 1, &Direct, request(), |_| true).await.expect("an answer");
+        let (answer, lease) = pool
+            .send(destination(peer, 1, &identifiers("a")), &Direct, request(), |_| true)
+            .await
+            .expect("an answer");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         exec::sleep(Duration::from_millis(50)).await;
@@ -84,14 +95,16 @@
         let (server, count) = serve().await;
         let (pool, peer) = (Pool::default(), server.address());
         let failure = pool
-            .send("ask", peer, 1, &Direct, request(), |_| false)
+            .send(destination(peer, 1, &identifiers("a")), &Direct, request(), |_| false)
             .await
             .expect_err("the request is withdrawn");
         assert!(failure.cause == Cause::Withdrawn && failure.error.fault == Fault::Unsent, "{failure:?}");
         assert_eq!((count.load(Ordering::Relaxed), pool.open_connections(peer)), (0, 1));
         // The connection returns to the pool only after its task has run.
         wait_until(|| pool.has_room(peer, 1)).await;
-        assert!(pool.send("ask", peer, 1, &Direct, request(), |_| true).await.is_ok());
+        assert!(
+            pool.send(destination(peer, 1, &identifiers("a")), &Direct, request(), |_| true).await.is_ok()
+        );
         assert_eq!(count.load(Ordering::Relaxed), 1);
     });
 }
@@ -101,8 +114,10 @@
     exec::block_on(async {
         let (server, _) = serve().await;
         let (pool, peer) = (Pool::default(), server.address());
-        let (answer, lease) =
-            pool.send("ask", peer, 2, &Direct, request(), |_| true).await.expect("an answer");
+        let (answer, lease) = pool
+            .send(destination(peer, 2, &identifiers("a")), &Direct, request(), |_| true)
+            .await
+            .expect("an answer");
         assert!(pool.lend(peer, 2, 1).is_none(), "one is in use, and one is kept");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
@@ -118,6 +133,79 @@
     });
 }
 
+/// Sends a request, and returns the number of the connection that carried it.
+async fn send(pool: &Pool, peer: SocketAddr, max_connections: usize, name: &str) -> u64 {
+    let identifiers = identifiers(name);
+    let destination = destination(peer, max_connections, &identifiers);
+    let (answer, lease) = pool.send(destination, &Direct, request(), |_| true).await.expect("an answer");
+    net::collect(answer.into_body(), 100).await.expect("an empty body");
+    let number = lease.number();
+    lease.keep();
+    // The connection returns to the pool only after its task has run.
+    exec::sleep(Duration::from_millis(20)).await;
+    number
+}
+
+/// Guards against the copy of an answer that names the request which its connection carries again.
+#[test]
+fn a_connection_carries_each_identifier_once() {
+    exec::block_on(async {
+        let (server, count) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let mut numbers = vec![];
+        for name in ["a", "b", "a", "b", "c", "a", ""] {
+            numbers.push(send(&pool, peer, 2, name).await);
+            assert!(pool.open_connections(peer) <= 2);
+        }
+        assert_eq!(
+            numbers,
+            [0, 0, 1, 1, 1, 2, 2],
+            "the last used connection that has not carried the identifier"
+        );
+        assert_eq!(count.load(Ordering::Relaxed), 7);
+    });
+}
+
+/// Guards against requests without an identifier that can't be told apart on one connection.
+#[test]
+fn a_connection_carries_one_request_without_an_identifier() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let unnamed = Identifiers::new([]);
+        let mut numbers = vec![];
+        for _ in 0..2 {
+            let destination = destination(peer, 1, &unnamed);
+            let (_, lease) = pool.send(destination, &Direct, request(), |_| true).await.expect("an answer");
+            numbers.push(lease.number());
+            lease.keep();
+            exec::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(numbers, [0, 1]);
+    });
+}
+
+/// Guards against memory that grows with the requests of a connection.
+#[test]
+fn a_connection_ends_after_many_requests() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let mut last = 0;
+        for number in 0..1_500 {
+            let identifiers = identifiers(&number.to_string());
+            let destination = destination(peer, 1, &identifiers);
+            let (answer, lease) =
+                pool.send(destination, &Direct, request(), |_| true).await.expect("an answer");
+            net::collect(answer.into_body(), 100).await.expect("an empty body");
+            last = lease.number();
+            lease.keep();
+            wait_until(|| pool.has_room(peer, 1)).await;
+        }
+        assert_eq!(last, 1, "one connection followed another");
+    });
+}
+
 #[test]
 fn an_aborted_server_refuses_connections_at_once() {
     exec::block_on(async {
@@ -125,7 +213,10 @@
         let address = server.address();
         assert_eq!(net::probe(address, PROBE_TIMEOUT).await, ProbeResult::Listens);
         let pool = Pool::default();
-        let (_, lease) = pool.send("ask", address, 1, &Direct, request(), |_| true).await.expect("an answer");
+        let (_, lease) = pool
+            .send(destination(address, 1, &identifiers("a")), &Direct, request(), |_| true)
+            .await
+            .expect("an answer");
         lease.keep();
         server.abort();
         exec::sleep(Duration::from_millis(50)).await;
