A caller's Connection header removes nothing that the gateway sets

What callers saw: a request with 'Connection: X-Tallypaddle-Attempt-Id, ...' was answered 502 though it ran. What else it did: the upstream got neither team, instance, deadline nor priority, so that it would have run the request for no team, also as another instance at the same address. Cause: the headers that Connection names were removed after the gateway had set its own.

They are removed from the caller's headers before, and the platform's own headers, which are meant for the other end, are never removed (also in answers: a signature that an upstream names so).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -301,11 +301,10 @@
     }
 
     fn build_request(&self, upstream: &str, after_event: Option<u64>, body: net::Body) -> Request<net::Body> {
-        let mut headers = self
-            .node
-            .wire
-            .dispatch_headers(&self.request.head.headers, &self.dispatch_details(upstream, after_event));
-        strip_hop_by_hop(&mut headers);
+        let wire = &self.node.wire;
+        let mut headers = self.request.head.headers.clone();
+        strip_hop_by_hop(&mut headers, |name| wire.is_end_to_end(name));
+        let mut headers = wire.dispatch_headers(&headers, &self.dispatch_details(upstream, after_event));
         headers.remove(CONTENT_LENGTH);
         headers.insert(
             HOST,
--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -270,7 +270,7 @@
                 lease.keep();
                 slot.mark_over();
                 slot.mark_prompt_read();
-                detach(&mut head);
+                self.detach(&mut head);
                 match is_closed {
                     true => ReadOutcome::Closed(Closed::Whole(head, bytes)),
                     false => ReadOutcome::Other(Outcome::whole(head, bytes)),
@@ -291,6 +291,13 @@
         }
     }
 
+    /// Removes from the head of an answer what applies only to the upstream's connection: the hop-by-hop headers, and the
+    /// version of the protocol, which decides how the body is framed for the caller.
+    fn detach(&self, head: &mut response::Parts) {
+        strip_hop_by_hop(&mut head.headers, |name| self.node.wire.is_end_to_end(name));
+        head.version = http::Version::HTTP_11;
+    }
+
     async fn read_events(
         &self,
         mut head: response::Parts,
@@ -315,7 +322,7 @@
                     }
                     if !events.is_empty() {
                         slot.mark_prompt_read();
-                        detach(&mut head);
+                        self.detach(&mut head);
                         return ReadOutcome::Stream(head, framing, body, lease, events);
                     }
                 }
@@ -329,12 +336,12 @@
                     return ReadOutcome::Other(Outcome::ConnectionBroken(reason));
                 }
                 None if framing == Framing::Closed => {
-                    detach(&mut head);
+                    self.detach(&mut head);
                     return ReadOutcome::Closed(Closed::BeforeEvent(head));
                 }
                 None => {
                     lease.keep();
-                    detach(&mut head);
+                    self.detach(&mut head);
                     return ReadOutcome::Other(Outcome::Complete(head, Bytes::new()));
                 }
             }
@@ -348,21 +355,15 @@
     media_type.is_none_or(|text| text.trim_ascii_start().to_ascii_lowercase().starts_with(EVENT_STREAM))
 }
 
-/// Removes from the head of an answer what applies only to the upstream's connection: the hop-by-hop headers, and the
-/// version of the protocol, which decides how the body is framed for the caller.
-fn detach(head: &mut response::Parts) {
-    strip_hop_by_hop(&mut head.headers);
-    head.version = http::Version::HTTP_11;
-}
-
-/// Removes the hop-by-hop headers, including those that `Connection` names.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the hop-by-hop headers, including those that `Connection` names and `is_end_to_end` does not.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap, is_end_to_end: impl Fn(&HeaderName) -> bool) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !is_end_to_end(name))
         .collect();
     for name in HOP_BY_HOP.iter().chain(&named) {
         headers.remove(name);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,7 +4,7 @@
 //! itself knows HTTP, but no names of headers, tables or fields.
 
 use crate::manifest::Manifest;
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, HeaderName, request, response};
 use route::answer::Claims;
 use route::placement::PromptPart;
 use smallvec::SmallVec;
@@ -156,6 +156,9 @@
     /// Returns [`Malformed`] with the header that is wrong.
     fn decode_request(&self, head: &request::Parts) -> Result<Ask, Malformed>;
 
+    /// Whether a header is never one of a single connection, also if `Connection` names it.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
     /// The headers of a request that is dispatched, derived from those of the caller.
     fn dispatch_headers(&self, caller: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
--- a/crates/gateway/tests/unit/support.rs
+++ b/crates/gateway/tests/unit/support.rs
@@ -5,7 +5,7 @@
 use crate::notes::{Recovery, RecoveryProgress};
 use crate::ports::{Ask, Dispatch, Listing, Malformed, Wire};
 use crate::settings::{Bounds, Listen, Settings};
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, HeaderName, request, response};
 use route::answer::{Claims, Status, Subject};
 use smallvec::SmallVec;
 use standin::TableRows;
@@ -60,6 +60,10 @@
         caller.clone()
     }
 
+    fn is_end_to_end(&self, _: &HeaderName) -> bool {
+        false
+    }
+
     fn identifiers<'a>(&self, _: &'a HeaderMap) -> SmallVec<[&'a [u8]; 1]> {
         SmallVec::new()
     }
