The length that an answer in chunks names is not passed on

In a debug build the server's check of the length also ended a worker thread's task. Cause: the chunks are read as they should be, and the length went on to the caller in the head.

hop_by_hop::an_answer_in_chunks_that_names_a_length_too_is_whole_or_fails, four forms: before, one cut answer that looked complete and three broken connections, now four whole answers.

--- a/crates/gateway/src/first_answer.rs
+++ b/crates/gateway/src/first_answer.rs
@@ -6,7 +6,7 @@
 use crate::job::{Job, UpstreamSlot};
 use crate::limits;
 use crate::ports::{Malformed, Wire};
-use http::header::{CONNECTION, CONTENT_TYPE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::response;
 use http::{HeaderMap, HeaderName, StatusCode};
 use http_body::Body as _;
@@ -291,9 +291,12 @@
         }
     }
 
-    /// Removes from the head of an answer what applies only to the upstream's connection: the hop-by-hop headers, and the
-    /// version of the protocol, which decides how the body is framed for the caller.
+    /// Removes from the head of an answer what applies only to the upstream's connection: the hop-by-hop headers, a length
+    /// beside chunks, and the version of the protocol, which decides how the body is framed for the caller.
     fn detach(&self, head: &mut response::Parts) {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            head.headers.remove(CONTENT_LENGTH);
+        }
         strip_hop_by_hop(&mut head.headers, |name| self.node.wire.is_end_to_end(name));
         head.version = http::Version::HTTP_11;
     }
