Tests of identifiers that connections share, and of the pool's bookkeeping

A connection carries no two requests that share one of several identifiers; two that are open at once get two connections; a withdrawn request leaves its identifier unused; connections that eight tasks replace at once, beside loans and expiry, keep to the limit, and none counts afterwards. A late answer to a call of net::Client is not taken for the next one.

--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -59,3 +59,47 @@
         assert_eq!(answer, Err("no answer within 300 ms".to_owned()));
     });
 }
+
+/// Answers the requests on each connection with the path, the one for `/late` after the time limit.
+async fn echo(listener: TcpListener) -> std::io::Result<()> {
+    loop {
+        let (mut stream, _) = listener.accept().await?;
+        exec::spawn(async move {
+            let mut bytes = [0; 1_024];
+            while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+                let text = String::from_utf8_lossy(&bytes[..count]).into_owned();
+                let path = text.split(' ').nth(1).unwrap_or_default();
+                if path == "/late" {
+                    exec::sleep(PAUSE_LIMIT * 2).await;
+                }
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .detach();
+    }
+}
+
+/// Guards against an answer that comes after its time limit and is taken for that to the next request.
+#[test]
+fn an_answer_that_is_late_is_not_taken_for_that_to_the_next_request() {
+    exec::block_on(async {
+        exec::start(2);
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        exec::spawn(echo(listener)).detach();
+        let client = Client::new();
+        let mut answers = vec![];
+        for path in ["/1", "/late", "/2", "/late", "/late", "/3"] {
+            let request =
+                http::Request::get(format!("http://{address}{path}")).body(Body::empty()).expect("a request");
+            let answer = client.exchange("ask", request, 1 << 20, PAUSE_LIMIT).await;
+            answers.push(
+                answer.map_or("-".to_owned(), |answer| String::from_utf8_lossy(answer.body()).into_owned()),
+            );
+        }
+        assert_eq!(answers, ["/1", "-", "/2", "-", "-", "/3"]);
+    });
+}
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -185,6 +185,105 @@
     });
 }
 
+/// Guards against the copy of an answer that names a request by only one of its identifiers.
+#[test]
+fn a_connection_carries_no_two_requests_that_share_one_of_several_identifiers() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let mut numbers = vec![];
+        for names in [&["a", "b"][..], &["c"], &["d", "b"], &["B", "a b"], &["a"]] {
+            let identifiers = Identifiers::new(names.iter().map(|name| name.as_bytes()));
+            let destination = destination(peer, 1, &identifiers);
+            let (_, lease) = pool.send(destination, &Direct, request(), |_| true).await.expect("an answer");
+            numbers.push(lease.number());
+            lease.keep();
+            exec::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(numbers, [0, 0, 1, 1, 1]);
+    });
+}
+
+/// Guards against two requests with one identifier that are open at once and then share a connection.
+#[test]
+fn requests_with_one_identifier_that_are_open_at_once_never_share_a_connection() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let same = identifiers("a");
+        let (_, first) =
+            pool.send(destination(peer, 2, &same), &Direct, request(), |_| true).await.expect("an answer");
+        let (_, second) =
+            pool.send(destination(peer, 2, &same), &Direct, request(), |_| true).await.expect("an answer");
+        assert_eq!((first.number(), second.number()), (0, 1));
+        first.keep();
+        second.keep();
+        exec::sleep(Duration::from_millis(20)).await;
+        assert_eq!(send(&pool, peer, 2, "a").await, 2);
+        assert_eq!(pool.open_connections(peer), 2);
+    });
+}
+
+/// Guards against a new connection for a request that was withdrawn before it was sent.
+#[test]
+fn a_withdrawn_request_leaves_its_identifier_unused() {
+    exec::block_on(async {
+        let (server, count) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        assert_eq!(send(&pool, peer, 1, "a").await, 0);
+        let withdrawn = identifiers("b");
+        let failure = pool.send(destination(peer, 1, &withdrawn), &Direct, request(), |_| false).await;
+        assert_eq!(failure.expect_err("it is withdrawn").cause, Cause::Withdrawn);
+        exec::sleep(Duration::from_millis(20)).await;
+        assert_eq!(send(&pool, peer, 1, "b").await, 0);
+        assert_eq!(count.load(Ordering::Relaxed), 2);
+    });
+}
+
+/// Guards against a pool that locks itself or opens too many connections while idle ones are replaced.
+#[test]
+fn connections_that_are_replaced_at_once_keep_to_the_limit() {
+    const MAX_CONNECTIONS: usize = 3;
+    const TASKS: usize = 8;
+    const REQUESTS: usize = 150;
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let clock = Clock::default();
+        let (pool, peer) = (Pool::new(clock.clone()), server.address());
+        let task = async |task: usize| {
+            let mut sent = 0;
+            for number in 0..REQUESTS {
+                // A few names, so that most requests come again.
+                let name = identifiers(&(number % 3).to_string());
+                let destination = destination(peer, MAX_CONNECTIONS, &name);
+                match pool.send(destination, &Direct, request(), |_| true).await {
+                    Ok((answer, lease)) => {
+                        net::collect(answer.into_body(), 100).await.expect("an empty body");
+                        lease.keep();
+                        sent += 1;
+                    }
+                    Err(failure) => assert_eq!(failure.cause, Cause::NoConnection, "{failure:?}"),
+                }
+                match (number + task) % 10 {
+                    0 => drop(pool.lend(peer, MAX_CONNECTIONS, 1)),
+                    5 => pool.evict_expired(),
+                    _ => {}
+                }
+                assert!(pool.open_connections(peer) <= MAX_CONNECTIONS);
+                exec::sleep(Duration::from_micros(200)).await;
+            }
+            sent
+        };
+        let tasks = futures::future::join_all((0..TASKS).map(task));
+        let sent = exec::timeout(Duration::from_secs(60), tasks).await.expect("the pool is not locked");
+        assert!(sent.iter().all(|sent| *sent > 0), "each task gets connections: {sent:?}");
+        wait_until(|| pool.has_room(peer, 1)).await;
+        clock.advance(Duration::from_secs(10));
+        pool.evict_expired();
+        wait_until(|| pool.open_connections(peer) == 0).await;
+    });
+}
+
 /// Guards against memory that grows with the requests of a connection.
 #[test]
 fn a_connection_ends_after_many_requests() {
