--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -32,7 +32,7 @@
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     };
     let loan = match request.uri().path() {
-        LOAN_PATH => lend(&node, name, &listing).map(Some),
+        LOAN_PATH => lend(&node, name, &listing).await.map(Some),
         _ if node.load.is_shedding() => None,
         _ => Some(None),
     };
@@ -48,13 +48,13 @@
 }
 
 /// Counts a connection for another gateway, unless this gateway is busy or needs the rest itself.
-fn lend<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, listing: &Listing) -> Option<Loan> {
+async fn lend<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, listing: &Listing) -> Option<Loan> {
     if !node.load.has_spare_capacity() {
         return None;
     }
     let manifest = node.manifest()?;
     let max = node.max_connections_to(upstream, &listing.service, &manifest);
-    node.pool.lend(listing.address, max, route::kept(max))
+    node.pool.lend(listing.address, max, route::kept(max)).await
 }
 
 fn refuse(status: StatusCode) -> Response<Body> {
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -82,6 +82,16 @@
     until: Duration,
 }
 
+impl Idle {
+    /// Closes the connection, and waits until the peer has closed its end.
+    async fn close(self) {
+        let closing = self.line.closing.clone();
+        closing.set_awaited(true);
+        drop(self);
+        closing.wait().await;
+    }
+}
+
 /// The connections to one peer.
 #[derive(Debug, Default)]
 struct Peer {
@@ -214,8 +224,8 @@
     }
 
     /// Counts a connection to `peer` that this process opens on behalf of another one, instead of an idle one if
-    /// `max_connections` are open. Returns `None` if no more than `kept` of them would be left.
-    pub fn lend(&self, peer: SocketAddr, max_connections: usize, kept: usize) -> Option<Loan> {
+    /// `max_connections` are open, which has ended then. Returns `None` if no more than `kept` of them would be left.
+    pub async fn lend(&self, peer: SocketAddr, max_connections: usize, kept: usize) -> Option<Loan> {
         let replaced = {
             let mut peers = self.0.peers.lock().expect("the pool's lock");
             let entry = peers.entry(peer).or_default();
@@ -225,11 +235,14 @@
             }
             (entry.open >= max_connections).then(|| entry.take_own_idle()).flatten()
         };
-        // The connection ends later, but no longer counts.
-        if let Some(idle) = replaced {
+        if let Some(idle) = &replaced {
             idle.line.count.end();
         }
-        OpenConnection::new(&self.0, peer, max_connections).map(|count| Loan { _count: count })
+        let loan = OpenConnection::new(&self.0, peer, max_connections).map(|count| Loan { _count: count });
+        if let Some(idle) = replaced {
+            idle.close().await;
+        }
+        loan
     }
 
     /// Closes idle connections that have expired, and removes peers without connections.
@@ -304,10 +317,7 @@
         // The place is taken again at once, so that no other request gets it meanwhile.
         replaced.line.count.end();
         let count = OpenConnection::new(&self.0, peer, max_connections);
-        let closing = replaced.line.closing.clone();
-        closing.set_awaited(true);
-        drop(replaced);
-        closing.wait().await;
+        replaced.close().await;
         count
     }
 }
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -120,15 +120,15 @@
             .send(destination(peer, 2, &identifiers("a")), &Direct, request(), |_| true)
             .await
             .expect("an answer");
-        assert!(pool.lend(peer, 2, 1).is_none(), "one is in use, and one is kept");
+        assert!(pool.lend(peer, 2, 1).await.is_none(), "one is in use, and one is kept");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         wait_until(|| pool.has_room(peer, 1)).await;
-        let loan = pool.lend(peer, 2, 1).expect("one is idle");
-        assert!(pool.lend(peer, 2, 1).is_none(), "the idle one is kept");
+        let loan = pool.lend(peer, 2, 1).await.expect("one is idle");
+        assert!(pool.lend(peer, 2, 1).await.is_none(), "the idle one is kept");
         assert_eq!(pool.open_connections(peer), 2);
         drop(loan);
-        let loan = pool.lend(peer, 1, 0).expect("the idle one is replaced");
+        let loan = pool.lend(peer, 1, 0).await.expect("the idle one is replaced");
         assert_eq!(pool.open_connections(peer), 1);
         drop(loan);
         assert_eq!(pool.open_connections(peer), 0);
@@ -267,7 +267,7 @@
                     Err(failure) => assert_eq!(failure.cause, Cause::NoConnection, "{failure:?}"),
                 }
                 match (number + task) % 10 {
-                    0 => drop(pool.lend(peer, MAX_CONNECTIONS, 1)),
+                    0 => drop(pool.lend(peer, MAX_CONNECTIONS, 1).await),
                     5 => pool.evict_expired(),
                     _ => {}
                 }
@@ -325,6 +325,25 @@
     });
 }
 
+/// Guards against a borrowed connection that a peer resets, because the lender's own one has not ended yet.
+#[test]
+fn a_connection_is_lent_once_the_one_that_it_replaces_has_ended() {
+    exec::block_on(async {
+        let (peer, most) = count_connections().await;
+        let pool = Pool::default();
+        for number in 0..50 {
+            send(&pool, peer, 1, &number.to_string()).await;
+            let loan = pool.lend(peer, 1, 0).await.expect("the idle one is replaced");
+            let mut stream = net::connect(peer).await.expect("a connection");
+            stream.close().await.expect("it is closed");
+            // The peer closes its end once it has noticed.
+            let _ = stream.read(&mut [0]).await;
+            drop(loan);
+        }
+        assert_eq!(most.load(Ordering::Relaxed), 1, "connections at once");
+    });
+}
+
 /// Guards against memory that grows with the requests of a connection.
 #[test]
 fn a_connection_ends_after_many_requests() {
