An answer is not whole because the next upstream at its address listens

What callers saw: 200 with a part of the body, where an upstream without framing ended inside its answer and another one was listed at its address when the gateway looked, 100 ms later. Cause, of the class of the incident: a process that listens at an address was credited to the upstream that had answered.

Whether an upstream that is not listed any more has been replaced at its address counts as well, as it does for closed runs and for lost ones. Where the list does not say so yet, the part still counts as whole.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -125,10 +125,8 @@
         }
     }
 
-    /// Whether another upstream is listed at its address, and this one is not listed any more.
     fn is_replaced<W: Wire, S: Rows>(&self, node: &Node<W, S>) -> bool {
-        let listings = node.listings();
-        !listings.contains_key(&self.name) && listings.values().any(|other| other.address == self.address)
+        is_replaced(node, &self.name, self.address)
     }
 
     /// Whether it is leaving, or not listed any more.
@@ -175,6 +173,12 @@
     }
 }
 
+/// Whether another upstream is listed at the address of one that is not listed any more.
+pub(crate) fn is_replaced<W: Wire, S: Rows>(node: &Node<W, S>, upstream: &str, address: SocketAddr) -> bool {
+    let listings = node.listings();
+    !listings.contains_key(upstream) && listings.values().any(|other| other.address == address)
+}
+
 /// Marks an upstream as being probed until it is dropped.
 struct Probing<'a>(&'a Contact);
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! [`route::notice`] decides which gateways are told of what, and [`rulings`](crate::rulings) carries out what is
 //! decided.
 
+use crate::contact;
 use crate::job::{Admitted, Job};
 use crate::node::Node;
 use crate::ports::{Ask, Wire};
@@ -359,14 +360,15 @@
     }
 }
 
-/// Whether the process of an upstream at `address` has terminated, with or without notice.
+/// Whether the process of an upstream at `address` has terminated, with or without notice. Another one may listen there.
 pub(crate) async fn has_terminated<W: Wire, S: Rows>(
     node: &Arc<Node<W, S>>,
     upstream: &str,
     address: SocketAddr,
 ) -> bool {
-    net::probe_after_break(address).await == ProbeResult::Refuses
-        && !reach::is_reached_by_others(node, upstream).await
+    let probed = net::probe_after_break(address).await;
+    contact::is_replaced(node, upstream, address)
+        || (probed == ProbeResult::Refuses && !reach::is_reached_by_others(node, upstream).await)
 }
 
 /// Tells the other gateways what they need to know, and schedules the decisions that are due.
