--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -82,6 +82,16 @@
     until: Duration,
 }
 
+impl Idle {
+    /// Closes the connection, and waits until the peer has closed its end.
+    async fn close(self) {
+        let closing = self.line.closing.clone();
+        closing.set_awaited(true);
+        drop(self);
+        closing.wait().await;
+    }
+}
+
 /// The connections to one peer.
 #[derive(Debug, Default)]
 struct Peer {
@@ -214,8 +224,8 @@
     }
 
     /// Counts a connection to `peer` that this process opens on behalf of another one, instead of an idle one if
-    /// `max_connections` are open. Returns `None` if no more than `kept` of them would be left.
-    pub fn lend(&self, peer: SocketAddr, max_connections: usize, kept: usize) -> Option<Loan> {
+    /// `max_connections` are open, which has ended then. Returns `None` if no more than `kept` of them would be left.
+    pub async fn lend(&self, peer: SocketAddr, max_connections: usize, kept: usize) -> Option<Loan> {
         let replaced = {
             let mut peers = self.0.peers.lock().expect("the pool's lock");
             let entry = peers.entry(peer).or_default();
@@ -225,11 +235,14 @@
             }
             (entry.open >= max_connections).then(|| entry.take_own_idle()).flatten()
         };
-        // The connection ends later, but no longer counts.
-        if let Some(idle) = replaced {
+        if let Some(idle) = &replaced {
             idle.line.count.end();
         }
-        OpenConnection::new(&self.0, peer, max_connections).map(|count| Loan { _count: count })
+        let loan = OpenConnection::new(&self.0, peer, max_connections).map(|count| Loan { _count: count });
+        if let Some(idle) = replaced {
+            idle.close().await;
+        }
+        loan
     }
 
     /// Closes idle connections that have expired, and removes peers without connections.
@@ -263,7 +276,7 @@
             Failure { error, reused: false, cause }
         };
         let failed = |error: io::Error| unsent(Cause::Connection, error.to_string());
-        let (count, transport, is_borrowed) = match self.count(peer, max_connections) {
+        let (count, transport, is_borrowed) = match self.count(peer, max_connections).await {
             Some(count) => (count, dialer.dial(peer).await.map_err(failed)?, false),
             None => {
                 let in_use =
@@ -294,13 +307,18 @@
         Ok(Line { number, sender, way, is_borrowed, tells_end, opened, meter, closing, count, carried })
     }
 
-    /// Counts a connection that is opened, instead of an idle one if as many are open as may be.
-    fn count(&self, peer: SocketAddr, max_connections: usize) -> Option<Arc<OpenConnection>> {
-        OpenConnection::new(&self.0, peer, max_connections).or_else(|| {
-            let replaced = self.0.peers.lock().expect("the pool's lock").get_mut(&peer)?.take_own_idle()?;
-            replaced.line.count.end();
-            OpenConnection::new(&self.0, peer, max_connections)
-        })
+    /// Counts a connection that is opened, instead of an idle one if as many are open as may be. That one has ended then:
+    /// a peer that has not noticed its end might reset the new one.
+    async fn count(&self, peer: SocketAddr, max_connections: usize) -> Option<Arc<OpenConnection>> {
+        if let Some(count) = OpenConnection::new(&self.0, peer, max_connections) {
+            return Some(count);
+        }
+        let replaced = self.0.peers.lock().expect("the pool's lock").get_mut(&peer)?.take_own_idle()?;
+        // The place is taken again at once, so that no other request gets it meanwhile.
+        replaced.line.count.end();
+        let count = OpenConnection::new(&self.0, peer, max_connections);
+        replaced.close().await;
+        count
     }
 }
 
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -1,7 +1,9 @@
 //! Pooled connections, aborted servers and connection probes.
 
+use futures::{AsyncReadExt, AsyncWriteExt};
 use http::{Request, Response};
 use net::{Body, Cause, Clock, Destination, Direct, Fault, Identifiers, Limits, Pool, ProbeResult, exec};
+use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -118,15 +120,15 @@
             .send(destination(peer, 2, &identifiers("a")), &Direct, request(), |_| true)
             .await
             .expect("an answer");
-        assert!(pool.lend(peer, 2, 1).is_none(), "one is in use, and one is kept");
+        assert!(pool.lend(peer, 2, 1).await.is_none(), "one is in use, and one is kept");
         net::collect(answer.into_body(), 100).await.expect("an empty body");
         lease.keep();
         wait_until(|| pool.has_room(peer, 1)).await;
-        let loan = pool.lend(peer, 2, 1).expect("one is idle");
-        assert!(pool.lend(peer, 2, 1).is_none(), "the idle one is kept");
+        let loan = pool.lend(peer, 2, 1).await.expect("one is idle");
+        assert!(pool.lend(peer, 2, 1).await.is_none(), "the idle one is kept");
         assert_eq!(pool.open_connections(peer), 2);
         drop(loan);
-        let loan = pool.lend(peer, 1, 0).expect("the idle one is replaced");
+        let loan = pool.lend(peer, 1, 0).await.expect("the idle one is replaced");
         assert_eq!(pool.open_connections(peer), 1);
         drop(loan);
         assert_eq!(pool.open_connections(peer), 0);
@@ -185,6 +187,163 @@
     });
 }
 
+/// Guards against the copy of an answer that names a request by only one of its identifiers.
+#[test]
+fn a_connection_carries_no_two_requests_that_share_one_of_several_identifiers() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let mut numbers = vec![];
+        for names in [&["a", "b"][..], &["c"], &["d", "b"], &["B", "a b"], &["a"]] {
+            let identifiers = Identifiers::new(names.iter().map(|name| name.as_bytes()));
+            let destination = destination(peer, 1, &identifiers);
+            let (_, lease) = pool.send(destination, &Direct, request(), |_| true).await.expect("an answer");
+            numbers.push(lease.number());
+            lease.keep();
+            exec::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(numbers, [0, 0, 1, 1, 1]);
+    });
+}
+
+/// Guards against two requests with one identifier that are open at once and then share a connection.
+#[test]
+fn requests_with_one_identifier_that_are_open_at_once_never_share_a_connection() {
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        let same = identifiers("a");
+        let (_, first) =
+            pool.send(destination(peer, 2, &same), &Direct, request(), |_| true).await.expect("an answer");
+        let (_, second) =
+            pool.send(destination(peer, 2, &same), &Direct, request(), |_| true).await.expect("an answer");
+        assert_eq!((first.number(), second.number()), (0, 1));
+        first.keep();
+        second.keep();
+        exec::sleep(Duration::from_millis(20)).await;
+        assert_eq!(send(&pool, peer, 2, "a").await, 2);
+        assert_eq!(pool.open_connections(peer), 2);
+    });
+}
+
+/// Guards against a new connection for a request that was withdrawn before it was sent.
+#[test]
+fn a_withdrawn_request_leaves_its_identifier_unused() {
+    exec::block_on(async {
+        let (server, count) = serve().await;
+        let (pool, peer) = (Pool::default(), server.address());
+        assert_eq!(send(&pool, peer, 1, "a").await, 0);
+        let withdrawn = identifiers("b");
+        let failure = pool.send(destination(peer, 1, &withdrawn), &Direct, request(), |_| false).await;
+        assert_eq!(failure.expect_err("it is withdrawn").cause, Cause::Withdrawn);
+        exec::sleep(Duration::from_millis(20)).await;
+        assert_eq!(send(&pool, peer, 1, "b").await, 0);
+        assert_eq!(count.load(Ordering::Relaxed), 2);
+    });
+}
+
+/// Guards against a pool that locks itself or opens too many connections while idle ones are replaced.
+#[test]
+fn connections_that_are_replaced_at_once_keep_to_the_limit() {
+    const MAX_CONNECTIONS: usize = 3;
+    const TASKS: usize = 8;
+    const REQUESTS: usize = 150;
+    exec::block_on(async {
+        let (server, _) = serve().await;
+        let clock = Clock::default();
+        let (pool, peer) = (Pool::new(clock.clone()), server.address());
+        let task = async |task: usize| {
+            let mut sent = 0;
+            for number in 0..REQUESTS {
+                // A few names, so that most requests come again.
+                let name = identifiers(&(number % 3).to_string());
+                let destination = destination(peer, MAX_CONNECTIONS, &name);
+                match pool.send(destination, &Direct, request(), |_| true).await {
+                    Ok((answer, lease)) => {
+                        net::collect(answer.into_body(), 100).await.expect("an empty body");
+                        lease.keep();
+                        sent += 1;
+                    }
+                    Err(failure) => assert_eq!(failure.cause, Cause::NoConnection, "{failure:?}"),
+                }
+                match (number + task) % 10 {
+                    0 => drop(pool.lend(peer, MAX_CONNECTIONS, 1).await),
+                    5 => pool.evict_expired(),
+                    _ => {}
+                }
+                assert!(pool.open_connections(peer) <= MAX_CONNECTIONS);
+                exec::sleep(Duration::from_micros(200)).await;
+            }
+            sent
+        };
+        let tasks = futures::future::join_all((0..TASKS).map(task));
+        let sent = exec::timeout(Duration::from_secs(60), tasks).await.expect("the pool is not locked");
+        assert!(sent.iter().all(|sent| *sent > 0), "each task gets connections: {sent:?}");
+        wait_until(|| pool.has_room(peer, 1)).await;
+        clock.advance(Duration::from_secs(10));
+        pool.evict_expired();
+        wait_until(|| pool.open_connections(peer) == 0).await;
+    });
+}
+
+/// Counts the connections that a peer has at once, as the peer sees them. Returns the address and the most so far.
+async fn count_connections() -> (SocketAddr, Arc<AtomicU32>) {
+    exec::start(2);
+    let listener = TcpListener::bind(SocketAddr::from(LOOPBACK)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (open, most) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let counted = most.clone();
+    exec::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_max(open.fetch_add(1, Ordering::Relaxed) + 1, Ordering::Relaxed);
+            let open = open.clone();
+            exec::spawn(async move {
+                let mut bytes = [0; 1_024];
+                while let Ok(1..) = stream.read(&mut bytes).await {
+                    let answered = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+                    answered.expect("the answer is sent");
+                }
+                open.fetch_sub(1, Ordering::Relaxed);
+            })
+            .detach();
+        }
+    })
+    .detach();
+    (address, most)
+}
+
+/// Guards against a connection that a peer resets, because the one that it replaces has not ended yet.
+#[test]
+fn a_connection_is_opened_once_the_one_that_it_replaces_has_ended() {
+    exec::block_on(async {
+        let (peer, most) = count_connections().await;
+        let pool = Pool::default();
+        for number in 0..50 {
+            assert_eq!(send(&pool, peer, 1, "a").await, number, "each request gets a new connection");
+        }
+        assert_eq!(most.load(Ordering::Relaxed), 1, "connections at once");
+    });
+}
+
+/// Guards against a borrowed connection that a peer resets, because the lender's own one has not ended yet.
+#[test]
+fn a_connection_is_lent_once_the_one_that_it_replaces_has_ended() {
+    exec::block_on(async {
+        let (peer, most) = count_connections().await;
+        let pool = Pool::default();
+        for number in 0..50 {
+            send(&pool, peer, 1, &number.to_string()).await;
+            let loan = pool.lend(peer, 1, 0).await.expect("the idle one is replaced");
+            let mut stream = net::connect(peer).await.expect("a connection");
+            stream.close().await.expect("it is closed");
+            // The peer closes its end once it has noticed.
+            let _ = stream.read(&mut [0]).await;
+            drop(loan);
+        }
+        assert_eq!(most.load(Ordering::Relaxed), 1, "connections at once");
+    });
+}
+
 /// Guards against memory that grows with the requests of a connection.
 #[test]
 fn a_connection_ends_after_many_requests() {
