A connection is polled again once its blocked write succeeds

Cause: hyper 1.12.0 (1.13.0 alike) polls a body's write a second time, and if that is blocked it flushes once more and yields, whatever the flush returns. If the peer has read meanwhile, the flush succeeds: the socket drops the task's registration, and the body was not polled, so nothing wakes the task.

Change: the I/O of servers, pooled and plain clients wakes its task when a write succeeds after one that was blocked.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -11,6 +11,7 @@
 use crate::body::Body;
 use crate::exec::{self, Spawner};
 use crate::metered::Turn;
+use crate::resumption::Resumption;
 use http::{Request, Response, Uri, response};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
@@ -264,7 +265,11 @@
                 .await
                 .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
             stream.set_nodelay(true)?;
-            Ok(TcpConnection { io: FuturesIo::new(stream), turn: Turn::default() })
+            Ok(TcpConnection {
+                io: FuturesIo::new(stream),
+                turn: Turn::default(),
+                resumption: Resumption::default(),
+            })
         })
     }
 }
@@ -276,6 +281,7 @@
         #[pin]
         io: FuturesIo<TcpStream>,
         turn: Turn,
+        resumption: Resumption,
     }
 }
 
@@ -298,7 +304,10 @@
 
 impl Write for TcpConnection {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.project().io.poll_write(context, bytes)
+        let this = self.project();
+        let written = this.io.poll_write(context, bytes);
+        this.resumption.record(context, &written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,6 +18,7 @@
 mod metered;
 mod pool;
 mod probe;
+mod resumption;
 mod server;
 pub mod signal;
 mod tunnel;
--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -4,6 +4,7 @@
 //! single poll, and no time limit takes effect meanwhile. So reads let other tasks have their turn, and a client reads
 //! only a bounded number of bytes that it can't pass on.
 
+use crate::resumption::Resumption;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use std::io::{self, ErrorKind};
@@ -111,12 +112,13 @@
 pub(crate) struct Metered<T> {
     io: T,
     turn: Turn,
+    resumption: Resumption,
     meter: Arc<Meter>,
 }
 
 impl<T> Metered<T> {
     pub(crate) fn new(io: T, meter: Arc<Meter>) -> Metered<T> {
-        Metered { io, turn: Turn::default(), meter }
+        Metered { io, turn: Turn::default(), resumption: Resumption::default(), meter }
     }
 }
 
@@ -126,7 +128,7 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let Metered { io, turn, meter } = self.get_mut();
+        let Metered { io, turn, meter, .. } = self.get_mut();
         // What was read into a cursor can't be told from it.
         let mut bytes = [const { MaybeUninit::uninit() }; READ_BUFFER];
         let size = buffer.remaining().min(READ_BUFFER);
@@ -145,8 +147,10 @@
 
 impl<T: Unpin + Write> Write for Metered<T> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let Metered { io, meter, .. } = self.get_mut();
-        let written = ready!(Pin::new(io).poll_write(context, bytes));
+        let Metered { io, resumption, meter, .. } = self.get_mut();
+        let written = Pin::new(io).poll_write(context, bytes);
+        resumption.record(context, &written);
+        let written = ready!(written);
         meter.record_written(&written);
         Poll::Ready(written)
     }
@@ -156,8 +160,10 @@
         context: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let Metered { io, meter, .. } = self.get_mut();
-        let written = ready!(Pin::new(io).poll_write_vectored(context, bytes));
+        let Metered { io, resumption, meter, .. } = self.get_mut();
+        let written = Pin::new(io).poll_write_vectored(context, bytes);
+        resumption.record(context, &written);
+        let written = ready!(written);
         meter.record_written(&written);
         Poll::Ready(written)
     }
--- a/crates/net/src/watched.rs
+++ b/crates/net/src/watched.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Clock;
 use crate::metered::Turn;
+use crate::resumption::Resumption;
 use futures::Stream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use smol::Timer;
@@ -73,6 +74,7 @@
     lingers: Arc<AtomicBool>,
     /// When the connection is closed, once it was shut down.
     lingering: Option<Timer>,
+    resumption: Resumption,
     turn: Turn,
 }
 
@@ -86,6 +88,7 @@
             blocked: None,
             lingers: Arc::default(),
             lingering: None,
+            resumption: Resumption::default(),
             turn: Turn::default(),
         }
     }
@@ -167,6 +170,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.resumption.record(context, &written);
         self.check(context, written)
     }
 
@@ -176,6 +180,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write_vectored(context, buffers);
+        self.resumption.record(context, &written);
         self.check(context, written)
     }
 
