A request is denied as soon as the pool shows that its budget is spent

Callers of a gateway that had just restarted got 503 budget-away, with the advice to come back, for tokens that no gateway will have.

Change: what is spent or written off never returns, so a request that the rest does not cover is denied without a settlement, and waiting requests look once the rows are read.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -267,8 +267,17 @@
         self.last_tick = Instant::now();
     }
 
-    /// Why `tokens` can't be reserved, if the latest settlement shows that.
+    /// Whether the budget no longer covers `tokens`. A settlement can't change that, since what is spent or written off
+    /// never returns.
+    pub(crate) fn is_spent(&self, tokens: u64) -> bool {
+        self.unspent() < tokens
+    }
+
+    /// Why `tokens` can't be reserved, if the rows or the latest settlement show that.
     pub(crate) fn denial_reason(&self, tokens: u64) -> Option<DenialReason> {
+        if self.is_spent(tokens) {
+            return Some(DenialReason::Spent);
+        }
         let latest = &self.latest_settlement;
         if !latest.succeeded
             || latest.pool_free + self.grant.available() + self.grant.pending_return() >= tokens
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -147,6 +147,8 @@
     if !known {
         let page = rows.list(BUDGETS, &budget.team).await?;
         budget.update_rows(&page.records);
+        // A waiting request may now be known not to fit.
+        budget.changed.notify(usize::MAX);
     }
     let (mut pool, mut account, versions, level, generation) = {
         let state = budget.lock();
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -183,8 +183,9 @@
                 DenialReason::Elsewhere => state.has_recent_recall(now, self.writers()),
                 DenialReason::Spent | DenialReason::Away => true,
             };
+            let is_final = is_fresh || state.is_spent(tokens);
             if let Some(denied) =
-                state.denial_reason(tokens).filter(|denied| is_fresh && is_conclusive(denied))
+                state.denial_reason(tokens).filter(|denied| is_final && is_conclusive(denied))
             {
                 return Err(denied);
             }
@@ -223,6 +224,9 @@
                 if withheld.is_none() && state.reserve(tokens) {
                     return Ok(Reservation::local(self, state.generation, tokens));
                 }
+                if state.is_spent(tokens) {
+                    return Err(DenialReason::Spent);
+                }
                 // Requests only the write that the reservation lacks, and one settlement until the next
                 // recall, since each call to the store has a cost.
                 if state.exceeds_note_limit(tokens) {
--- a/crates/gateway/tests/unit/settle.rs
+++ b/crates/gateway/tests/unit/settle.rs
@@ -101,6 +101,27 @@
     });
 }
 
+/// Guards against callers that are told to come back (`budget-away`) while the store is slow, for tokens that no gateway
+/// will have: a restarted gateway had read that all tokens are spent, and still waited for its first write.
+#[test]
+fn requests_are_denied_as_soon_as_the_pool_shows_that_the_budget_is_spent() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let first = start_gateway("vm-1", &rows, 1, 10_000);
+        let all = budget(&first).reserve(9_900, 0, RESERVE_TIMEOUT).await.expect("tokens");
+        all.charge("r-1", 9_900);
+        wait_for_pool(&rows, "the charge is settled", |pool| pool.spent == 9_900).await;
+
+        let second = start_gateway("vm-2", &rows, 1, 10_000);
+        rows.set_fault(RowsFault::LateWrites);
+        let second = budget(&second);
+        let denied = second.reserve(125, 0, RESERVE_TIMEOUT).await;
+        assert_matches!(denied, Err(DenialReason::Spent), "{}", second.explain(125));
+        let fits = second.reserve(100, 0, Duration::from_millis(50)).await;
+        assert_matches!(fits, Err(DenialReason::Away), "{}", second.explain(100));
+    });
+}
+
 #[test]
 fn a_gateway_returns_idle_tokens_that_another_one_needs() {
     net::exec::block_on(async {
