--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod command_line;
 mod documents;
+mod extra_answers;
 mod framing;
 mod once;
 mod stops;
