Each request of the router to an upstream has a connection of its own

Cause: the answers to a cancellation, a resumed stream, a load report and an order and those of plain services name no request, and were credited by their place on a kept connection.

Change: upstream::Http uses a client that sends each request on a new connection (net::Client::without_reuse).

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -11,7 +11,8 @@
 use crate::body::Body;
 use crate::exec::{self, Spawner};
 use crate::metered::Turn;
-use http::{Request, Response, Uri, response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Uri, response};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -60,10 +61,11 @@
     pub reason: String,
 }
 
-/// An HTTP/1.1 client that reuses connections; cheap to clone.
+/// An HTTP/1.1 client; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool<Connector, Body>,
+    reuses_connections: bool,
 }
 
 impl Default for Client {
@@ -87,7 +89,14 @@
             .pool_timer(SmolTimer::new())
             .http1_max_buf_size(BUFFER_SIZE)
             .build(Connector);
-        Client { pool }
+        Client { pool, reuses_connections: max_connections > 0 }
+    }
+
+    /// Creates a client that sends each request on a new connection and asks the peer to close it after the answer.
+    /// Meant for peers that may send an answer twice or late: on a connection with several requests, nothing but an
+    /// identifier in the answer would tell which of them it belongs to.
+    pub fn without_reuse() -> Client {
+        Client::with_idle_limits(0, IDLE_TIMEOUT)
     }
 
     /// Sends `request` and waits for the head of the answer.
@@ -97,9 +106,12 @@
     pub async fn send(
         &self,
         step: &'static str,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<Incoming>, Error> {
         let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
+        if !self.reuses_connections {
+            request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         self.pool.request(request).await.map_err(|error| Error {
             step,
             peer,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -63,11 +63,9 @@
 /// # Errors
 /// Returns an error if an address can't be bound or the settings hold no valid fleet key.
 pub async fn start_with_http(settings: Settings) -> std::io::Result<Running<OnHttp>> {
-    let client = net::Client::new();
     let time = Duration::from_millis(settings.platform.timeout_ms);
-    let platform = store::Http::new(client.clone(), settings.platform.address, time);
+    let platform = store::Http::new(net::Client::new(), settings.platform.address, time);
     let engine = upstream::Http::new(
-        client,
         settings.name.clone(),
         Duration::from_millis(settings.limits.start_ms),
         Duration::from_millis(settings.limits.call_ms),
--- a/crates/upstream/src/http_adapter.rs
+++ b/crates/upstream/src/http_adapter.rs
@@ -17,7 +17,10 @@
 /// The media type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Calls engines over HTTP.
+/// Calls engines and plain services over HTTP.
+///
+/// Only the answer to the start of a run names what it answers. Each request therefore has a connection of its own, on
+/// which no answer to another request can arrive.
 #[derive(Clone, Debug)]
 pub struct Http {
     client: Client,
@@ -30,8 +33,8 @@
     /// Creates a client that identifies itself as `router`. The answer to a run, a resumed stream or a
     /// forwarded request must begin within `start_timeout`, and the answer to any other call within
     /// `call_timeout`.
-    pub fn new(client: Client, router: String, start_timeout: Duration, call_timeout: Duration) -> Http {
-        Http { client, router, start_timeout, call_timeout }
+    pub fn new(router: String, start_timeout: Duration, call_timeout: Duration) -> Http {
+        Http { client: Client::without_reuse(), router, start_timeout, call_timeout }
     }
 
     async fn begin(&self, peer: SocketAddr, request: Request<Body>) -> Result<Response<Incoming>, Error> {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -62,7 +62,8 @@
 pub enum Reply {
     /// The engine rejected a run before doing any work.
     Refused {
-        /// Whether the answer names the run. One that does not may belong to another run on the same connection.
+        /// Whether the answer names the run. One that does not may come from a server in front of the engine, which
+        /// does not know whether the run has begun.
         is_named: bool,
         /// The HTTP status.
         status: u16,
--- a/crates/upstream/tests/endings.rs
+++ b/crates/upstream/tests/endings.rs
@@ -2,7 +2,7 @@
 //! cut off at any byte by connections that are closed in order.
 
 use assert_matches::assert_matches;
-use net::{Client, exec};
+use net::exec;
 use std::net::SocketAddr;
 use std::time::Duration;
 use upstream::{Call, CancelOutcome, Engine, Error, Event, Fault, Http, Reply};
@@ -24,7 +24,7 @@
 }
 
 fn engine() -> Http {
-    Http::new(Client::new(), "vm-1".to_owned(), WAIT_LIMIT, WAIT_LIMIT)
+    Http::new("vm-1".to_owned(), WAIT_LIMIT, WAIT_LIMIT)
 }
 
 async fn start(status: u16, media: &'static str, body: &str) -> Result<Reply, Error> {
