A test of runs whose engine answers neither them nor their cancellations

In router::attempt::cancel_uncertain a request that may be repeated is run elsewhere while its first run goes on, and one that may not is refused with the outcome unknown after one run.

--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -159,6 +159,56 @@
     });
 }
 
+/// Only a request that may be repeated is, and the first run ends once its engine hears of the cancellation.
+#[test]
+fn a_run_whose_engine_answers_nothing_is_stopped_once_the_engine_answers() {
+    run(async {
+        let mut text = String::new();
+        for model in ["narrator", "hail-flag"] {
+            let mut plan = Plan::small();
+            plan.routers = 1;
+            plan.engine_proxies = true;
+            plan.router_limits.start_ms = 1_500;
+            plan.router_limits.call_ms = 200;
+            plan.limits.retry_share = 1.0;
+            let mut fleet = start_fleet(plan).await;
+            fleet.engines.iter().for_each(|engine| engine.set_fault(Fault::Slow(100.0)));
+            let request = ChatRequest::new(model, "Describe the storm.", 100);
+            let pending = net::exec::spawn({
+                let (caller, request) = (fleet.caller(0), request.clone());
+                async move { caller.send_chat(&request).await }
+            });
+            fleet.wait_until("an engine runs the request", || async { open_runs(&fleet) == 1 }).await;
+            let runs = fleet.engines.iter().map(|engine| engine.record().open_runs.len());
+            let first = runs.into_iter().position(|open| open == 1).expect("an engine");
+            fleet.engine_proxies[first].set_rule(Rule::Hang);
+            let others = fleet.engines.iter().enumerate().filter(|(index, _)| *index != first);
+            others.for_each(|(_, engine)| engine.set_fault(Fault::None));
+            let answer = pending.await;
+            let _ = writeln!(
+                text,
+                "{model}: {}; {} runs, {} of them open",
+                answer_summary(&answer),
+                executions(&fleet, &request.prompt),
+                open_runs(&fleet)
+            );
+            fleet.engine_proxies[first].set_rule(Rule::Pass);
+            fleet.wait_until("the first run is stopped", || async { open_runs(&fleet) == 0 }).await;
+            fleet
+                .wait_until("the engine has reported the usage of the run", || async {
+                    let metrics = fleet.get(0, "/metrics").await.unwrap_or_default();
+                    metrics.lines().any(|line| line == "tallypaddle_unknown_tokens 0")
+                })
+                .await;
+            stop_all(&mut fleet).await;
+            let audit = &harness::audit(&fleet)["storm-desk/main"];
+            let consumed = crate::support::consumed(&fleet);
+            assert!(consumed <= audit.spent + audit.outstanding, "I6: {consumed} {audit:?}");
+        }
+        insta::assert_snapshot!(text);
+    });
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_new_requests_and_finishes_its_runs() {
     run(async {
