--- a/crates/gateway/tests/unit/hints.rs
+++ b/crates/gateway/tests/unit/hints.rs
@@ -3,9 +3,11 @@
 use super::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use route::origin::Stream;
 use route::placement::DispatchTotals;
 use route::poison::{Loss, Parts, Run};
 use route::quarantine::Fingerprint;
+use route::version::Version;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -85,6 +87,19 @@
     assert_eq!(hints().accept(&datagram(5), address(9)).err(), Some(Rejection::UnknownSender));
 }
 
+/// Guards against streams that nobody keeps: the others list a gateway later than it begins streams.
+#[test]
+fn where_streams_began_is_heard_from_a_gateway_that_is_not_listed_yet() {
+    let (stream, version) = (Stream::of("engines", "desk", "s-0"), Version::of("v1"));
+    let told = Hint::Origins(vec![Told { stream, version }]);
+    let handed_over = Hint::HandOver(vec![HandedOver { stream, version, runner: address(9) }]);
+    for hint in [told, handed_over] {
+        let bytes = encode(&NumberedHint { number: 5, hint });
+        assert!(hints().accept(&bytes, address(9)).is_ok(), "{bytes:?}");
+        assert_eq!(hints().accept(&bytes[1..], address(9)).err(), Some(Rejection::Malformed));
+    }
+}
+
 #[test]
 fn a_datagram_of_wrong_length_or_another_version_is_dropped() {
     let whole = datagram(5);
