Streams are found whatever part of the fleet their gateways know

Cause: the gateway that began it told keepers chosen from its own list of gateways, the one that took it up asked those of another list, and keepers dropped what a gateway told that they did not list yet. Five answers of gateways that had not been told counted as proof that there was no run.

If the first five know nothing, up to 64 gateways are asked, of those that the store lists after the caller came: in a fleet of up to 64 the gateway of the stream is one of them. A gateway whose list changes tells the new keepers of its streams, and where streams began is heard from unlisted senders. Further questions are bounded (256 at once, four a second); a stream for which they do not suffice is refused.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -5,7 +5,8 @@
 //! Datagrams can be lost. If a dispatch is not announced, other gateways make a worse choice of upstream, and
 //! nothing else happens. Hints of leaving upstreams, limits and quarantined requests are sent several times,
 //! and denials are also written to the store. A datagram that is malformed, repeated, out of order or from an
-//! unknown sender is dropped and counted.
+//! unknown sender is dropped and counted. Where streams began is heard from unknown senders too: a gateway serves
+//! before all others list it.
 
 use crate::node::Node;
 use crate::origins::{HandedOver, Told};
@@ -107,7 +108,7 @@
 enum Rejection {
     /// It is truncated, altered, or of another version.
     Malformed,
-    /// Its sender is not among the gateways that are known to be alive.
+    /// Its sender is not among the gateways that are known to be alive, and it is not about streams.
     UnknownSender,
     /// It was received already, or after a later one.
     Stale,
@@ -323,15 +324,18 @@
     /// Decodes a datagram, unless it has to be dropped.
     fn accept(&self, bytes: &[u8], from: SocketAddr) -> Result<Hint, Rejection> {
         let mut last_received = self.last_received.lock().expect("the numbers lock is not poisoned");
-        let last = last_received.peers.get_mut(&from).ok_or(Rejection::UnknownSender)?;
         let NumberedHint { number, hint } = decode(bytes)?;
         // Each tells of streams of its own, so an earlier one is as good as a later one.
         let is_ordered = !matches!(hint, Hint::Origins(_) | Hint::HandOver(_));
-        if is_ordered && number <= *last {
-            return Err(Rejection::Stale);
+        match last_received.peers.get_mut(&from) {
+            None if is_ordered => Err(Rejection::UnknownSender),
+            Some(last) if is_ordered && number <= *last => Err(Rejection::Stale),
+            Some(last) => {
+                *last = number.max(*last);
+                Ok(hint)
+            }
+            None => Ok(hint),
         }
-        *last = number.max(*last);
-        Ok(hint)
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -340,7 +340,9 @@
         let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
         self.quarantine().set_routers(peers.len() + 1);
         self.failover.set_peers(&addresses);
+        let before = self.hints.peers();
         self.hints.set_peers(addresses);
+        self.origins.tell_new_keepers(&self.hints, self.settings.listen.peers, before);
         self.reach.set_peers(peers);
         self.owners.set_peers(peers);
         for (team, budget) in self.budgets().iter() {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -10,7 +10,7 @@
 use http::Request;
 use net::{Body, Client, exec};
 use route::Millis;
-use route::origin::{self, FLUSH_MS, Knowledge, Record, Stream, Telling, keepers};
+use route::origin::{self, Asking, FLUSH_MS, Knowledge, Record, Stream, Telling, keepers};
 use route::origin_log::Log;
 use route::version::{Version, Versions};
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,8 @@
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// The number of unused connections to a gateway that are kept, and for how long.
 const IDLE_CONNECTIONS: (usize, Duration) = (1, Duration::from_secs(5));
+/// The number of streams whose new keepers are told at once: ranking a large fleet for them takes some milliseconds.
+const STREAMS_PER_FLUSH: usize = 64;
 /// The largest message, in bytes.
 pub(crate) const MESSAGE_LIMIT: usize = 4 << 10;
 
@@ -56,6 +58,7 @@
     versions: Mutex<Versions>,
     streams: Mutex<origin::Origins>,
     outbox: Mutex<Outbox>,
+    asking: Mutex<Asking>,
     log: Mutex<Log>,
 }
 
@@ -73,6 +76,7 @@
             versions: Mutex::default(),
             streams: Mutex::default(),
             outbox: Mutex::default(),
+            asking: Mutex::default(),
             log: Mutex::default(),
         }
     }
@@ -96,6 +100,11 @@
         self.outbox.lock().expect("no thread panics while it holds the lock")
     }
 
+    /// Whether this gateway may ask so many others beyond the first keepers of a stream.
+    pub(crate) fn may_ask(&self, questions: usize, now: Millis) -> bool {
+        self.asking.lock().expect("no thread panics while it holds the lock").take(questions, now)
+    }
+
     /// The number of streams whose origin is known.
     pub(crate) fn stream_count(&self) -> usize {
         self.streams().len()
@@ -191,6 +200,46 @@
         self.tell_handed_over(hints, known.iter().map(hand_over), now);
     }
 
+    /// Tells those that have become keepers of this gateway's streams since the other gateways were `before`.
+    pub(crate) fn tell_new_keepers(
+        self: &Arc<Self>,
+        hints: &Arc<Hints>,
+        own_address: SocketAddr,
+        before: Arc<Vec<SocketAddr>>,
+    ) {
+        let peers = hints.peers();
+        let joined = peers.iter().filter(|peer| !before.contains(peer)).count();
+        if joined == 0 && peers.len() == before.len() {
+            return;
+        }
+        let own: Vec<(Stream, Version)> = self
+            .streams()
+            .iter()
+            .filter(|(_, record)| record.runner.is_none())
+            .map(|(stream, record)| (stream, record.version))
+            .collect();
+        let (origins, hints) = (self.clone(), hints.clone());
+        exec::spawn(async move {
+            for part in own.chunks(STREAMS_PER_FLUSH) {
+                let count = origins.outbox().telling.keepers(peers.len());
+                let mut pending: HashMap<SocketAddr, Vec<HandedOver>> = HashMap::new();
+                for (stream, version) in part {
+                    let ranked = |gateways: &[SocketAddr]| {
+                        keepers(*stream, gateways.iter().map(|peer| (*peer, key(*peer))), count)
+                    };
+                    let told = ranked(&before);
+                    let handed_over = HandedOver { stream: *stream, version: *version, runner: own_address };
+                    for keeper in ranked(&peers).into_iter().filter(|keeper| !told.contains(keeper)) {
+                        pending.entry(keeper).or_default().push(handed_over);
+                    }
+                }
+                pending.into_iter().for_each(|(keeper, known)| hints.hand_over_origins(keeper, &known));
+                exec::sleep(Duration::from_millis(FLUSH_MS)).await;
+            }
+        })
+        .detach();
+    }
+
     fn tell_handed_over(&self, hints: &Hints, known: impl Iterator<Item = HandedOver>, now: Millis) {
         let peers = hints.peers();
         let mut pending: HashMap<SocketAddr, Vec<HandedOver>> = HashMap::new();
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use net::{Body, exec};
 use route::Millis;
-use route::origin::{ASKED, Knowledge, Origin, Stream, keepers, resolve};
+use route::origin::{ASKED, Knowledge, MAX_ASKED, Origin, Stream, keepers, resolve};
 use route::version::{Seen, Version};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -97,7 +97,8 @@
 struct Found {
     origin: Origin,
     basis: Basis,
-    /// The gateways that were asked, and those that answered.
+    /// The gateways that this one knew, those that were asked, and those that answered.
+    peers: usize,
     asked: usize,
     answered: usize,
     /// The gateways that ran it, as far as they are known and not this one.
@@ -108,9 +109,10 @@
     fn report<W: Wire, S: Rows>(&self, node: &Node<W, S>, stream: Option<Stream>, ms: Millis) {
         node.metrics.located.with_label_values(&[self.basis.name()]).inc();
         log::info!(
-            "request: event=located stream={} by={} asked={} answered={} ms={ms}",
+            "request: event=located stream={} by={} known={} asked={} answered={} ms={ms}",
             stream.map_or("-".to_owned(), |stream| stream.to_string()),
             self.basis.name(),
+            self.peers,
             self.asked,
             self.answered,
         );
@@ -156,12 +158,20 @@
                 survey.ask(&peers).await;
             }
         };
-        if let (Passed::Known(gateways), ()) = futures::future::join(passing, asking).await {
-            is_present = true;
-            if may_be_known {
-                // Some may have started since this gateway last read which there are.
-                survey.ask(&gateways).await;
+        let (passed, ()) = futures::future::join(passing, asking).await;
+        let gateways = match passed {
+            Passed::Known(gateways) => {
+                is_present = true;
+                gateways
             }
+            Passed::Unknown => peers.clone(),
+        };
+        if stream.is_some() {
+            // The gateway that began it may have known others, and have told those.
+            survey.ask_further(&gateways).await;
+        } else if may_be_known {
+            // Some may have started since this gateway last read which there are.
+            survey.ask(&gateways).await;
         }
     }
     let own = node.origins.knowledge(service, stream, lifetime, node.now()).at_present(is_present);
@@ -177,7 +187,11 @@
     asked: SmallVec<[SocketAddr; ASKED]>,
     answers: Vec<Answer>,
     /// Those that have not answered yet.
-    pending: FuturesUnordered<BoxFuture<'a, Option<Answer>>>,
+    pending: FuturesUnordered<BoxFuture<'a, (SocketAddr, Option<Answer>)>>,
+    /// Those that did not answer.
+    silent: Vec<SocketAddr>,
+    /// Whether there are gateways left that have to be asked, and may not be asked now.
+    is_cut_short: bool,
 }
 
 impl<'a, W: Wire, S: Rows> Survey<'a, W, S> {
@@ -189,6 +203,8 @@
             asked: SmallVec::new(),
             answers: vec![],
             pending: FuturesUnordered::new(),
+            silent: vec![],
+            is_cut_short: false,
         }
     }
 
@@ -198,40 +214,75 @@
 
     /// Sends the question to the first `count` keepers of the stream among `gateways`, unless they have been asked.
     fn send(&mut self, gateways: &[SocketAddr], count: usize) {
-        for gateway in keepers(self.ranked_by, gateways.iter().map(|peer| (*peer, key(*peer))), count) {
-            if !self.asked.contains(&gateway) {
-                self.asked.push(gateway);
-                self.pending.push(self.node.origins.ask(gateway, self.question.clone()).boxed());
-            }
+        for gateway in self.unasked(gateways, count) {
+            self.asked.push(gateway);
+            self.send_to(gateway);
+        }
+    }
+
+    /// The first `count` keepers of the stream among `gateways`, without those that have been asked.
+    fn unasked(&self, gateways: &[SocketAddr], count: usize) -> SmallVec<[SocketAddr; ASKED]> {
+        let mut ranked = keepers(self.ranked_by, gateways.iter().map(|peer| (*peer, key(*peer))), count);
+        ranked.retain(|gateway| !self.asked.contains(gateway));
+        ranked
+    }
+
+    fn send_to(&self, gateway: SocketAddr) {
+        let (node, question) = (self.node, self.question.clone());
+        self.pending.push(async move { (gateway, node.origins.ask(gateway, question).await) }.boxed());
+    }
+
+    /// Waits for the next answer. Returns whether one may follow.
+    async fn collect_next(&mut self) -> bool {
+        match self.pending.next().await {
+            Some((_, Some(answer))) => self.answers.push(answer),
+            Some((gateway, None)) => self.silent.push(gateway),
+            None => return false,
         }
+        true
+    }
+
+    /// Collects answers until one has a record.
+    async fn collect(&mut self) {
+        while !self.has_record() && self.collect_next().await {}
     }
 
     /// Asks the first keeper, which knows most streams, and who ran them last. If it does not answer soon, the others are
     /// asked beside it.
     async fn ask_first(&mut self, gateways: &[SocketAddr]) {
         self.send(gateways, 1);
-        if let Some(Some(first)) = exec::timeout(FIRST_ASK_TIMEOUT, self.pending.next()).await {
-            self.answers.extend(first);
-        }
+        exec::timeout(FIRST_ASK_TIMEOUT, self.collect_next()).await;
     }
 
     /// Asks the keepers of the stream among `gateways`, until one has a record.
     async fn ask(&mut self, gateways: &[SocketAddr]) {
         self.send(gateways, ASKED);
-        let collecting = async {
-            while !self.has_record() {
-                let Some(answer) = self.pending.next().await else { return };
-                self.answers.extend(answer);
-            }
-        };
-        exec::timeout(ASK_TIMEOUT, collecting).await;
+        exec::timeout(ASK_TIMEOUT, self.collect()).await;
+    }
+
+    /// Asks as many of the gateways as may be asked, until one has a record. Those that do not answer are asked once more.
+    async fn ask_further(&mut self, gateways: &[SocketAddr]) {
+        if self.has_record() {
+            return;
+        }
+        let further = self.unasked(gateways, MAX_ASKED).len() - self.unasked(gateways, ASKED).len();
+        self.is_cut_short = !self.node.origins.may_ask(further, self.node.now());
+        self.send(gateways, if self.is_cut_short { ASKED } else { MAX_ASKED });
+        self.collect().await;
+        if !self.has_record() {
+            std::mem::take(&mut self.silent).into_iter().for_each(|gateway| self.send_to(gateway));
+            self.collect().await;
+        }
     }
 
     /// Decides where the stream began. `runner` is the gateway that ran it, as far as this one knows.
     fn conclude(self, own: Knowledge, runner: Option<SocketAddr>) -> Found {
         let known: Vec<Knowledge> = self.answers.iter().map(|(known, _)| *known).collect();
-        let origin = resolve(own, &known);
         let is_recorded = own.version.is_some() || self.has_record();
+        let origin = match self.is_cut_short && !is_recorded {
+            true => Origin::Unknown,
+            false => resolve(own, &known),
+        };
         let this = self.node.settings.listen.peers;
         let mut runners: Runners = self.answers.iter().filter_map(|(_, runner)| *runner).collect();
         runners.extend(runner);
@@ -243,6 +294,7 @@
                 Origin::At(_) if is_recorded => Basis::Record,
                 Origin::At(_) => Basis::Sole,
             },
+            peers: self.node.hints.peers().len(),
             asked: self.asked.len(),
             answered: known.len(),
             runners,
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -1,8 +1,8 @@
 //! Which software version began a stream, so that any gateway can take the stream up.
 //!
 //! A gateway that begins a stream tells a few others, its keepers, which rendezvous hashing selects by the stream.
-//! A gateway that is asked to take the stream up asks the keepers. Nothing is agreed on and nothing is repaired: if
-//! no keeper remembers a stream, it is not taken up.
+//! A gateway that is asked to take the stream up asks the keepers. The two may know different gateways: the first one tells
+//! new keepers when its list of gateways changes, and the second one asks further gateways if the keepers know nothing.
 
 use crate::Millis;
 use crate::version::{Seen, Version};
@@ -16,6 +16,12 @@
 
 /// The number of gateways that are asked where a stream began.
 pub const ASKED: usize = 5;
+/// The most gateways that are asked about a stream of which the first [`ASKED`] know nothing.
+pub const MAX_ASKED: usize = 64;
+/// The questions per second to others than the first [`ASKED`]: with headers and connections, some 3 KB.
+const FURTHER_QUESTIONS_PER_S: f64 = 4.0;
+/// The most such questions at once.
+const FURTHER_QUESTIONS_BURST: f64 = 256.0;
 /// The interval at which what there is to tell is sent, in milliseconds.
 pub const FLUSH_MS: Millis = 200;
 /// The largest number of streams that a gateway remembers.
@@ -165,7 +171,7 @@
     }
 
     /// As many keepers as the bytes allow, and at least one.
-    fn keepers(&self, others: usize) -> usize {
+    pub fn keepers(&self, others: usize) -> usize {
         let per_s = self.per_s();
         let bytes_per_s = |keepers: usize| {
             let streams_per_s = per_s * keepers as f64;
@@ -180,6 +186,33 @@
     }
 }
 
+/// Bounds the questions to gateways beyond the first [`ASKED`] keepers of streams.
+#[derive(Clone, Copy, Debug)]
+pub struct Asking {
+    available: f64,
+    at: Millis,
+}
+
+impl Default for Asking {
+    fn default() -> Asking {
+        Asking { available: FURTHER_QUESTIONS_BURST, at: 0 }
+    }
+}
+
+impl Asking {
+    /// Whether so many gateways may be asked now, which are counted then.
+    pub fn take(&mut self, questions: usize, now: Millis) -> bool {
+        let gained = now.saturating_sub(self.at) as f64 * FURTHER_QUESTIONS_PER_S / 1_000.0;
+        self.available = (self.available + gained).min(FURTHER_QUESTIONS_BURST);
+        self.at = self.at.max(now);
+        let is_allowed = questions as f64 <= self.available;
+        if is_allowed {
+            self.available -= questions as f64;
+        }
+        is_allowed
+    }
+}
+
 /// What a gateway knows of a stream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Knowledge {
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -1,8 +1,11 @@
 //! Which software versions serve, which one began a stream, and whom a gateway tells and asks.
 
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use route::origin::{ASKED, Knowledge, Origin, Origins, Record, Stream, Telling, keepers, resolve};
+use route::origin::{
+    ASKED, Asking, Knowledge, MAX_ASKED, Origin, Origins, Record, Stream, Telling, keepers, resolve,
+};
 use route::version::{Lifetime, Seen, Version, Versions};
 use std::collections::HashMap;
 
@@ -306,6 +309,47 @@
     assert_eq!(Telling::default().record(0, 0), 0, "there is nobody");
 }
 
+/// Streams of gateways that know a part of the fleet, which others take up that know all of it.
+#[test]
+fn streams_are_found_by_gateways_that_know_another_part_of_the_fleet() {
+    const ROUNDS: u32 = 400;
+    let mut random = StdRng::seed_from_u64(1);
+    // The gateways of the fleet, those of them that the first one knows, and the keepers that it tells.
+    let cases = [(12_u32, 1, 1), (12, 6, 5), (64, 1, 1), (64, 32, 5), (1_400, 140, 1), (1_400, 140, 5)];
+    let cases = cases.into_iter().chain([(1_400, 700, 1), (1_400, 1_330, 1), (1_400, 1_396, 1)]);
+    let shares = cases.map(|(fleet, known, told)| {
+        let mut gateways: Vec<(u32, [u8; 4])> =
+            (0..fleet).map(|gateway| (gateway, gateway.to_be_bytes())).collect();
+        let (mut first, mut further) = (0, 0);
+        for index in 0..ROUNDS {
+            gateways.shuffle(&mut random);
+            let keep = keepers(stream(index), gateways[1..].iter().copied().take(known), told);
+            // The last one takes the stream up.
+            let others = &gateways[..gateways.len() - 1];
+            let asked = keepers(stream(index), others.iter().copied(), MAX_ASKED);
+            let knows = |gateway: &u32| *gateway == gateways[0].0 || keep.contains(gateway);
+            first += u32::from(asked.iter().take(ASKED).any(knows));
+            further += u32::from(asked.iter().any(knows));
+        }
+        let share = |found: u32| f64::from(found) / f64::from(ROUNDS);
+        (fleet, known, told, share(first), share(further))
+    });
+    insta::assert_debug_snapshot!(shares.collect::<Vec<_>>());
+}
+
+#[test]
+fn questions_to_further_gateways_are_bounded() {
+    let mut asking = Asking::default();
+    let further = MAX_ASKED - ASKED;
+    let allowed = |asking: &mut Asking, now| (0..100).filter(|_| asking.take(further, now)).count();
+    assert_eq!(allowed(&mut asking, 0), 4, "all streams of a lost data centre that a gateway takes up");
+    assert_eq!(allowed(&mut asking, 1_000), 0);
+    let later = (1..=600).map(|second| allowed(&mut asking, 1_000 + second * 1_000));
+    let per_s = (later.sum::<usize>() * further) as f64 / 600.0;
+    assert!((3.5..=4.5).contains(&per_s), "{per_s} questions a second");
+    assert!(asking.take(0, 601_000), "a fleet of up to five others is not bounded");
+}
+
 /// Two gateways that the store has not reached for long have the same old list.
 #[test]
 fn gateways_whose_lists_are_old_do_not_confirm_each_other() {
