--- a/tests/testsuite/extra_answers.rs
+++ b/tests/testsuite/extra_answers.rs
@@ -78,9 +78,10 @@
         let mut earlier: Option<Vec<u8>> = None;
         while let Some(question) = read_question(&mut reader).await? {
             let (answer, is_whole) = self.answer(&question);
-            if question.kind() == self.repeated {
-                if let Some(copy) = earlier.replace(answer.clone()).filter(|copy| *copy != answer) {
-                    writer.write_all(&copy).await?;
+            if question.kind() == self.repeated
+                && let Some(copy) = earlier.replace(answer.clone()).filter(|copy| *copy != answer)
+            {
+                writer.write_all(&copy).await?;
                 }
             }
             writer.write_all(&answer).await?;
@@ -280,7 +281,6 @@
             if answer.text != format!("the answer to {path}") {
                 wrong.push((path, answer.status, answer.text));
             }
-        }
         stop_all(&mut fleet).await;
         assert!(wrong.is_empty(), "{wrong:?}");
     });
