--- a/tests/testsuite/extra_answers.rs
+++ b/tests/testsuite/extra_answers.rs
@@ -82,7 +82,6 @@
                 && let Some(copy) = earlier.replace(answer.clone()).filter(|copy| *copy != answer)
             {
                 writer.write_all(&copy).await?;
-                }
             }
             writer.write_all(&answer).await?;
             if !is_whole {
@@ -281,6 +280,7 @@
             if answer.text != format!("the answer to {path}") {
                 wrong.push((path, answer.status, answer.text));
             }
+        }
         stop_all(&mut fleet).await;
         assert!(wrong.is_empty(), "{wrong:?}");
     });
