Refused requests count in the usage note that comes next

Cause: a note plans for the growth of use, and what is refused does not grow it.

Change: a request that is refused because the notes do not allow its use counts in that growth. How much a note allows for a given growth is as before, so no gateway uses more than its notes say.

--- a/crates/gateway/src/budget_state.rs
+++ b/crates/gateway/src/budget_state.rs
@@ -83,8 +83,8 @@
     started: Instant,
     pub grant: Grant,
     pub demand: Demand,
-    /// The growth of the use that notes limit, including reservations. It rises before `demand` does, by the
-    /// duration of the requests.
+    /// The growth of the use that notes limit, including reservations, and what it would have grown by without the
+    /// limit. It rises before `demand` does, by the duration of the requests.
     use_growth: Demand,
     /// The highest use seen when `use_growth` was updated.
     max_used: u64,
@@ -244,6 +244,12 @@
         };
     }
 
+    /// Records a request that was refused because the notes did not allow its use in time. Unless the next notes count
+    /// on such requests, they allow only what is served, and a store that stays slow keeps most of them refused.
+    pub(crate) fn record_unnoted(&mut self, tokens: u64) {
+        self.use_growth.record_consumption(tokens);
+    }
+
     /// The tokens used per second here.
     pub(crate) fn rate(&self) -> f64 {
         self.demand.rate().max(self.use_growth.rate())
--- a/crates/gateway/src/team_budget.rs
+++ b/crates/gateway/src/team_budget.rs
@@ -198,7 +198,13 @@
             let withheld = self.withheld_reason(&state, tokens, priority);
             match withheld.is_none() && state.reserve(tokens) {
                 true => Ok(Reservation::local(self, state.generation, tokens)),
-                false => Err(state.denial_reason(tokens).or(withheld).unwrap_or(DenialReason::Away)),
+                false => {
+                    let denied = state.denial_reason(tokens).or(withheld).unwrap_or(DenialReason::Away);
+                    if denied == DenialReason::Away && state.exceeds_note_limit(tokens) {
+                        state.record_unnoted(tokens);
+                    }
+                    Err(denied)
+                }
             }
         })
     }
--- a/crates/gateway/tests/unit/notes.rs
+++ b/crates/gateway/tests/unit/notes.rs
@@ -170,6 +170,31 @@
     });
 }
 
+/// Guards against notes that allow only what is served while they take longer than requests wait: most requests were
+/// refused although their tokens were held, and the next note allowed no more.
+#[test]
+fn requests_that_are_refused_for_want_of_a_note_count_in_the_next_one() {
+    net::exec::block_on(async {
+        let rows = TableRows::default();
+        let gateway = start_gateway("vm-1", 1, &rows);
+        gateway.fleet_size.store(1, std::sync::atomic::Ordering::Relaxed);
+        let branch = budget(&gateway, "branch");
+        drop(branch.reserve(150, 0, RESERVE_TIMEOUT).await.expect("tokens"));
+        write_note(&gateway, &mut Some(0)).await.expect("the note is written");
+        let mut refused = 0;
+        for _ in 0..40 {
+            match branch.reserve(150, 0, Duration::from_millis(1)).await {
+                Ok(held) => held.charge("r-1", 150),
+                Err(denied) => refused += u32::from(denied == DenialReason::Away),
+            }
+            exec::sleep(Duration::from_millis(49)).await;
+        }
+        assert!(refused > 20 && branch.can_reserve(150), "{refused} refused, {}", branch.explain(150));
+        let (_, schedule) = branch.begin_note(5, 1);
+        assert!(schedule.per_s > 1_800, "{schedule:?} for a demand of 3,000 tokens per second");
+    });
+}
+
 /// Charges requests of 500 tokens that end at once, one every 50 ms, for `duration`; returns the tokens used.
 async fn use_steadily(budget: &Arc<TeamBudget>, duration: Duration) -> u64 {
     let began = std::time::Instant::now();
