--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -169,7 +169,8 @@
     /// Sends `request` and waits for the head of the answer.
     ///
     /// If no idle connection may carry the request, a new one is opened with `dialer`: instead of an idle one if as many are
-    /// open as may be, or a borrowed one if all are in use. The caller returns the connection to the pool with [`Lease::keep`] once it has read the complete answer.
+    /// open as may be, or a borrowed one if all are in use. The caller returns the connection to the pool with
+    /// [`Lease::keep`] once it has read the complete answer.
     ///
     /// As soon as a connection is available, `is_wanted` is called with it: the reason to send the request may no longer
     /// hold by then. If it returns `false`, the request is withdrawn.
