--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -55,9 +56,21 @@
     }
 }
 
-/// A free address of the loopback interface.
+/// The ports that are tried: below those that outgoing channels take, which might take one before its process binds it.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// A free address of the loopback interface. Each is given once in a process.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = (std::process::id() as u16).wrapping_mul(331);
+    loop {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A gateway.
